Workspace skeleton: crate map, shared types and internal messages

Cause: the roles are built by several people at once and need agreed public types first. Change: one crate a mechanism after the starting design, with two added: sablehaven-types (plain data every role shares) and sablehaven-subscription (an agent's connection to the relays), so that the agent's query path and hollow agents use the same code without the rest of the agent. Conclusion: the types and messages are the contract for the thin path.

--- /dev/null
+++ b/crates/sablehaven-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sablehaven` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/sablehaven-relay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stateless distribution of committed state from control to agents.
--- /dev/null
+++ b/crates/sablehaven-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions without sockets or clocks: subsets, balancing, hedging, budgets and spill.
--- /dev/null
+++ b/crates/sablehaven-storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log segments, snapshots and disk identity under one data folder.
--- /dev/null
+++ b/crates/sablehaven-subscription/src/lib.rs
@@ -0,0 +1,1 @@
+//! An agent's connection to the relays: configuration view, lease and ledger calls.
--- /dev/null
+++ b/crates/sablehaven-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The in-memory log ring and the metrics registry.
--- /dev/null
+++ b/crates/sablehaven-types/src/lib.rs
@@ -0,0 +1,26 @@
+//! Identifiers, configuration documents, membership records, outcomes and coverage shared by every
+//! role.
+//!
+//! The types here are plain data: no clocks, no sockets, no decisions. Every duration is in
+//! milliseconds and says so in its name; every index and version starts at 1, 0 means "none yet".
+
+mod configuration;
+mod coverage;
+pub mod http;
+mod id;
+mod ledger;
+mod membership;
+mod outcome;
+
+pub use configuration::{
+    ApplyCommand, ApplyOutcome, CommandRecord, Configuration, ConfigurationChange, IndexSnapshot,
+    RoutingSettings, SchemaSource, ServiceConfiguration, ShardAssignment,
+};
+pub use coverage::{Coverage, MissingReason, MissingShard};
+pub use id::{
+    AgentId, AttemptId, BackendId, CallerId, ClaimId, CommandId, OperatorId, RegionName, RelayId,
+    RequestId, ServiceName, ShardId, ZoneName,
+};
+pub use ledger::{ClaimAnswer, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome};
+pub use membership::{BackendRecord, BackendState, Observation, ObservationKind, Placement};
+pub use outcome::{ConfigurationAge, Envelope, Outcome, SnapshotId};
--- /dev/null
+++ b/crates/sablehaven-wire/src/connection.rs
@@ -0,0 +1,308 @@
+//! Framing and the version handshake.
+
+use std::{marker::PhantomData, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time::timeout,
+};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use crate::message::{Hello, Role};
+
+/// The version of the internal protocol.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// The largest frame that is accepted, in bytes.
+pub const MAXIMUM_FRAME_BYTES: usize = 32 * 1024 * 1024;
+
+/// Time that a connection attempt with its handshake may take.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Errors of an internal connection; each names the step and the peer.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum WireError {
+    /// connect to {peer}: {source}
+    Connect {
+        /// The other side.
+        peer: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// handshake with {peer}: no answer in time
+    HandshakeTimeout {
+        /// The other side.
+        peer: String,
+    },
+    /// handshake with {peer}: {reason}
+    Refused {
+        /// The other side.
+        peer: String,
+        /// What does not fit.
+        reason: String,
+    },
+    /// receive from {peer}: {source}
+    Receive {
+        /// The other side.
+        peer: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// decode message from {peer}: {source}
+    Decode {
+        /// The other side.
+        peer: String,
+        /// The cause.
+        source: rmp_serde::decode::Error,
+    },
+    /// send to {peer}: {source}
+    Send {
+        /// The other side.
+        peer: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// encode message to {peer}: {source}
+    Encode {
+        /// The other side.
+        peer: String,
+        /// The cause.
+        source: rmp_serde::encode::Error,
+    },
+    /// receive from {peer}: the other side closed the connection
+    Closed {
+        /// The other side.
+        peer: String,
+    },
+}
+
+/// The receiving half of a connection.
+pub struct FrameReader<Message> {
+    peer: String,
+    inner: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    message: PhantomData<fn() -> Message>,
+}
+
+/// The sending half of a connection.
+pub struct FrameWriter<Message> {
+    peer: String,
+    inner: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    message: PhantomData<fn(&Message)>,
+}
+
+/// A connection after the handshake.
+pub struct Connection<Incoming, Outgoing> {
+    /// The other side's first message.
+    pub hello: Hello,
+    /// The other side's address.
+    pub peer_address: SocketAddr,
+    /// Receives.
+    pub reader: FrameReader<Incoming>,
+    /// Sends.
+    pub writer: FrameWriter<Outgoing>,
+}
+
+impl<Message: DeserializeOwned> FrameReader<Message> {
+    /// Receives the next message. Safe to cancel: no frame is lost.
+    pub async fn receive(&mut self) -> Result<Message, WireError> {
+        let frame = match self.inner.next().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(source)) => {
+                let peer = self.peer.clone();
+                return Err(WireError::Receive { peer, source });
+            }
+            None => {
+                let peer = self.peer.clone();
+                return Err(WireError::Closed { peer });
+            }
+        };
+        rmp_serde::from_slice(&frame).map_err(|source| WireError::Decode {
+            peer: self.peer.clone(),
+            source,
+        })
+    }
+
+    fn retype<Other>(self) -> FrameReader<Other> {
+        FrameReader {
+            peer: self.peer,
+            inner: self.inner,
+            message: PhantomData,
+        }
+    }
+}
+
+impl<Message: Serialize> FrameWriter<Message> {
+    /// Sends one message.
+    pub async fn send(&mut self, message: &Message) -> Result<(), WireError> {
+        self.feed(message).await?;
+        self.flush().await
+    }
+
+    /// Queues one message; [`Self::flush`] sends what is queued.
+    pub async fn feed(&mut self, message: &Message) -> Result<(), WireError> {
+        let encoded = rmp_serde::to_vec(message).map_err(|source| WireError::Encode {
+            peer: self.peer.clone(),
+            source,
+        })?;
+        let result = self.inner.feed(Bytes::from(encoded)).await;
+        result.map_err(|source| self.send_error(source))
+    }
+
+    /// Sends what is queued.
+    pub async fn flush(&mut self) -> Result<(), WireError> {
+        let result = SinkExt::<Bytes>::flush(&mut self.inner).await;
+        result.map_err(|source| self.send_error(source))
+    }
+
+    fn send_error(&self, source: std::io::Error) -> WireError {
+        WireError::Send {
+            peer: self.peer.clone(),
+            source,
+        }
+    }
+
+    fn retype<Other>(self) -> FrameWriter<Other> {
+        FrameWriter {
+            peer: self.peer,
+            inner: self.inner,
+            message: PhantomData,
+        }
+    }
+}
+
+/// Connects to `address` and shakes hands; the other side must be of role `expected`.
+pub async fn connect<Incoming, Outgoing>(
+    address: SocketAddr,
+    hello: &Hello,
+    expected: Role,
+) -> Result<Connection<Incoming, Outgoing>, WireError>
+where
+    Incoming: DeserializeOwned,
+    Outgoing: Serialize,
+{
+    let peer = address.to_string();
+    let attempt = async {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|source| WireError::Connect {
+                peer: peer.clone(),
+                source,
+            })?;
+        let connection = shake_hands(stream, address, hello).await?;
+        if connection.hello.role != expected {
+            return Err(WireError::Refused {
+                peer: peer.clone(),
+                reason: format!("its role is {:?}, not {expected:?}", connection.hello.role),
+            });
+        }
+        Ok(connection)
+    };
+    match timeout(HANDSHAKE_TIMEOUT, attempt).await {
+        Ok(result) => result,
+        Err(_) => Err(WireError::HandshakeTimeout { peer }),
+    }
+}
+
+/// Shakes hands on an accepted stream; the caller looks at the other side's role in
+/// [`Connection::hello`] and then gives the halves their message types by [`Connection::retype`].
+pub async fn accept(
+    stream: TcpStream,
+    peer_address: SocketAddr,
+    hello: &Hello,
+) -> Result<Connection<Hello, Hello>, WireError> {
+    let shaken = shake_hands(stream, peer_address, hello);
+    match timeout(HANDSHAKE_TIMEOUT, shaken).await {
+        Ok(result) => result,
+        Err(_) => Err(WireError::HandshakeTimeout {
+            peer: peer_address.to_string(),
+        }),
+    }
+}
+
+impl<Incoming, Outgoing> Connection<Incoming, Outgoing> {
+    /// The same connection with other message types.
+    pub fn retype<OtherIncoming, OtherOutgoing>(self) -> Connection<OtherIncoming, OtherOutgoing>
+    where
+        Incoming: DeserializeOwned,
+        Outgoing: Serialize,
+    {
+        Connection {
+            hello: self.hello,
+            peer_address: self.peer_address,
+            reader: self.reader.retype(),
+            writer: self.writer.retype(),
+        }
+    }
+}
+
+async fn shake_hands<Incoming, Outgoing>(
+    stream: TcpStream,
+    peer_address: SocketAddr,
+    hello: &Hello,
+) -> Result<Connection<Incoming, Outgoing>, WireError>
+where
+    Incoming: DeserializeOwned,
+    Outgoing: Serialize,
+{
+    let peer = peer_address.to_string();
+    stream
+        .set_nodelay(true)
+        .map_err(|source| WireError::Connect {
+            peer: peer.clone(),
+            source,
+        })?;
+    let (read_half, write_half) = stream.into_split();
+    let mut reader = FrameReader::<Hello> {
+        peer: peer.clone(),
+        inner: FramedRead::new(read_half, codec()),
+        message: PhantomData,
+    };
+    let mut writer = FrameWriter::<Hello> {
+        peer: peer.clone(),
+        inner: FramedWrite::new(write_half, codec()),
+        message: PhantomData,
+    };
+    writer.send(hello).await?;
+    let theirs = reader.receive().await?;
+    check_hello(&peer, hello, &theirs)?;
+    Ok(Connection {
+        hello: theirs,
+        peer_address,
+        reader: reader.retype(),
+        writer: writer.retype(),
+    })
+}
+
+fn check_hello(peer: &str, ours: &Hello, theirs: &Hello) -> Result<(), WireError> {
+    let refuse = |reason: String| {
+        Err(WireError::Refused {
+            peer: peer.to_owned(),
+            reason,
+        })
+    };
+    if theirs.protocol_version != ours.protocol_version {
+        return refuse(format!(
+            "it speaks protocol version {}, this process speaks {}",
+            theirs.protocol_version, ours.protocol_version
+        ));
+    }
+    if theirs.deployment != ours.deployment {
+        return refuse(format!(
+            "it belongs to deployment '{}', this process to '{}'",
+            theirs.deployment, ours.deployment
+        ));
+    }
+    Ok(())
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAXIMUM_FRAME_BYTES)
+        .new_codec()
+}
--- /dev/null
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! Internal messages between control, relay and agent, their framing and the version handshake.
+//!
+//! Every connection starts with a [`Hello`] in each direction. Each frame is a four-byte big-endian
+//! length and one `rmp-serde` value.
+
+mod connection;
+mod message;
+
+pub use connection::{
+    Connection, FrameReader, FrameWriter, MAXIMUM_FRAME_BYTES, PROTOCOL_VERSION, WireError, accept,
+    connect,
+};
+pub use message::{
+    AgentToRelay, ControlToRelay, Hello, LeaseGrant, PeerMessage, RelayToAgent, RelayToControl,
+    Role, StateUpdate,
+};
--- /dev/null
+++ b/crates/sablehaven-wire/src/message.rs
@@ -0,0 +1,188 @@
+//! The messages of each link.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sablehaven_types::{
+    AgentId, BackendId, BackendRecord, LedgerReply, LedgerRequest, Observation, Placement, RelayId,
+    SchemaSource, ServiceConfiguration, ServiceName,
+};
+use serde::{Deserialize, Serialize};
+
+/// The role of a process on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// A control replica.
+    Control,
+    /// A relay.
+    Relay,
+    /// An agent.
+    Agent,
+}
+
+/// The first message in each direction.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The version of the internal protocol; an unknown one is refused.
+    pub protocol_version: u32,
+    /// The deployment; a process of another one is refused.
+    pub deployment: String,
+    /// The sender's role.
+    pub role: Role,
+    /// The sender's identifier, for errors and logs.
+    pub sender: String,
+}
+
+/// New state, only of the services that the receiver is interested in.
+///
+/// A receiver applies an update only if `from_revision` is its own revision or `full` is set, and
+/// never goes back to a smaller `revision`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateUpdate {
+    /// Whether this is the whole state, which replaces what the receiver has.
+    pub full: bool,
+    /// The revision that the update starts from (0 for a full one).
+    pub from_revision: u64,
+    /// The revision after the update. Grows with every committed change of configuration or
+    /// membership; it is the index in control's log.
+    pub revision: u64,
+    /// The version of the configuration after the update.
+    pub configuration_version: u64,
+    /// The schema, where it changed.
+    pub schema: Option<SchemaSource>,
+    /// Services that were added or changed; `None` means removed.
+    pub services: BTreeMap<ServiceName, Option<ServiceConfiguration>>,
+    /// Back ends that were added or changed; `None` means removed.
+    pub backends: BTreeMap<BackendId, Option<BackendRecord>>,
+}
+
+/// Proof that the leader was current at a moment not longer ago than `age_ms`.
+///
+/// The receiver counts the age back from the moment at which it sent the request that this answers,
+/// on its own monotonic clock, so that no two clocks are compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseGrant {
+    /// Echoes the request.
+    pub nonce: u64,
+    /// Time between the proof and the sending of this reply, in milliseconds.
+    pub age_ms: u64,
+    /// The lease lasts this long from the proof, in milliseconds.
+    pub duration_ms: u64,
+    /// The revision that was in force at the proof; a lease holds only for a receiver that has
+    /// applied it.
+    pub revision: u64,
+    /// The version of the configuration that was in force at the proof.
+    pub configuration_version: u64,
+}
+
+/// From an agent to its relay.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum AgentToRelay {
+    /// Asks for updates; sent first, and again when the interest changes.
+    Watch {
+        /// The agent.
+        agent: AgentId,
+        /// Where it runs.
+        placement: Placement,
+        /// The services it calls; empty means all.
+        interest: BTreeSet<ServiceName>,
+        /// The revision it has (0 for none).
+        revision: u64,
+    },
+    /// The agent has put a revision in force.
+    Acknowledge {
+        /// The revision.
+        revision: u64,
+        /// The version of the configuration.
+        configuration_version: u64,
+    },
+    /// Asks for a lease.
+    RequestLease {
+        /// Echoed in the grant.
+        nonce: u64,
+    },
+    /// What the agent saw of back ends since its last report.
+    Observe(Vec<Observation>),
+    /// A call to the ledger, answered by [`RelayToAgent::Ledger`] with the same number.
+    Ledger {
+        /// Unique on this connection.
+        call: u64,
+        /// The request.
+        request: LedgerRequest,
+    },
+    /// The agent stops: it is no longer waited for.
+    Leave,
+}
+
+/// From a relay to an agent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RelayToAgent {
+    /// New state.
+    Update(StateUpdate),
+    /// A lease.
+    Lease(LeaseGrant),
+    /// The answer to a ledger call.
+    Ledger {
+        /// The call.
+        call: u64,
+        /// The reply.
+        reply: LedgerReply,
+    },
+    /// Another agent's word that a back end drains, passed on before control has committed it.
+    Hint(Vec<Observation>),
+    /// The relay stops: connect to another one.
+    GoAway,
+}
+
+/// From a relay to a control replica.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RelayToControl {
+    /// Asks for updates of all services.
+    Watch {
+        /// The relay.
+        relay: RelayId,
+        /// The revision it has (0 for none).
+        revision: u64,
+    },
+    /// Asks for a proof that the leader is current.
+    RequestLease {
+        /// Echoed in the grant.
+        nonce: u64,
+    },
+    /// For each agent behind this relay, the configuration version it has put in force and its
+    /// placement; sent in full once, then changes only. `None` means that the agent left.
+    Agents(BTreeMap<AgentId, Option<u64>>),
+    /// What agents saw of back ends.
+    Observe {
+        /// Each agent with what it saw.
+        observations: Vec<(AgentId, Observation)>,
+    },
+    /// A batch of ledger calls, each answered with the same number.
+    Ledger(Vec<(u64, LedgerRequest)>),
+}
+
+/// From a control replica to a relay.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ControlToRelay {
+    /// New state.
+    Update(StateUpdate),
+    /// A proof.
+    Lease(LeaseGrant),
+    /// Answers to ledger calls.
+    Ledger(Vec<(u64, LedgerReply)>),
+    /// This replica does not lead; try the named address, or another replica.
+    NotLeader {
+        /// The leader's address for internal connections, where known.
+        leader: Option<std::net::SocketAddr>,
+    },
+    /// The replica stops: connect to another one.
+    GoAway,
+}
+
+/// Between control replicas: one consensus message of one group, encoded by control.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerMessage {
+    /// The consensus group.
+    pub group: u32,
+    /// The encoded message.
+    pub payload: Vec<u8>,
+}
--- /dev/null
+++ b/testing/sablehaven-faults/src/lib.rs
@@ -0,0 +1,1 @@
+//! A fault-injecting TCP proxy and disk faults.
--- /dev/null
+++ b/testing/sablehaven-fleet/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs a deployment as real processes on one machine.
+
+fn main() {}
--- /dev/null
+++ b/testing/sablehaven-history/src/lib.rs
@@ -0,0 +1,1 @@
+//! Recorded histories of runs and a checker for each promise.
--- /dev/null
+++ b/testing/sablehaven-integration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Integration tests with real processes.
--- /dev/null
+++ b/testing/sablehaven-simulator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Seeded simulation of the consensus group, ledger, configuration and leases.
--- /dev/null
+++ b/testing/sablehaven-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test doubles: back ends, callers and the platform list.
