Telemetry: log ring, metrics registry and health handlers

Cause: every role needs one way to log, count and show readiness. Conclusion: roles take a Telemetry and add their metrics to it.

--- a/crates/sablehaven-telemetry/src/lib.rs
+++ b/crates/sablehaven-telemetry/src/lib.rs
@@ -1,1 +1,11 @@
-//! The in-memory log ring and the metrics registry.
+//! The in-memory log ring, the metrics registry and the HTTP handlers that show them.
+//!
+//! Log records go to a ring in memory. The ring is written out when something goes wrong: on an
+//! error record, on a panic, and when a role ends with an error. Otherwise a process logs nothing.
+
+mod handlers;
+mod ring;
+mod telemetry;
+
+pub use ring::{LogRing, RING_CAPACITY};
+pub use telemetry::{Telemetry, TelemetryError};
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -11,6 +11,7 @@
 mod ledger;
 mod membership;
 mod outcome;
+mod process;
 
 pub use configuration::{
     ApplyCommand, ApplyOutcome, CommandRecord, Configuration, ConfigurationChange, IndexSnapshot,
@@ -24,3 +25,4 @@
 pub use ledger::{ClaimAnswer, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome};
 pub use membership::{BackendRecord, BackendState, Observation, ObservationKind, Placement};
 pub use outcome::{ConfigurationAge, Envelope, Outcome, SnapshotId};
+pub use process::{BoundAddresses, SettingError};
