Wire: agents' status and count per service

Cause: subsets must stay within the servers' connection limits, which needs the number of agents that watch a service; waiting for a version needs each agent's version and lease age. Change: AgentStatus in the relay's report; counts, rounded to powers of two, in the state update. Conclusion: part of the contract before the roles are built.

--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -11,6 +11,6 @@
     connect,
 };
 pub use message::{
-    AgentToRelay, ControlToRelay, Hello, LeaseGrant, PeerMessage, RelayToAgent, RelayToControl,
-    Role, StateUpdate,
+    AgentStatus, AgentToRelay, ControlToRelay, Hello, LeaseGrant, PeerMessage, RelayToAgent,
+    RelayToControl, Role, StateUpdate,
 };
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -53,6 +53,23 @@
     pub services: BTreeMap<ServiceName, Option<ServiceConfiguration>>,
     /// Back ends that were added or changed; `None` means removed.
     pub backends: BTreeMap<BackendId, Option<BackendRecord>>,
+    /// For services whose number changed: how many agents watch the service, rounded up to a power
+    /// of two so that it changes seldom. Sizes the subsets within the servers' connection limits.
+    pub agents_per_service: BTreeMap<ServiceName, u32>,
+}
+
+/// An agent as its relay reports it to control.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentStatus {
+    /// The version of the configuration that it has put in force.
+    pub configuration_version: u64,
+    /// Where it runs.
+    pub placement: Placement,
+    /// The services it calls; empty means all.
+    pub interest: BTreeSet<ServiceName>,
+    /// Time since the agent was last granted a lease, in milliseconds; when it passes the lease's
+    /// duration the agent holds none.
+    pub lease_age_ms: u64,
 }
 
 /// Proof that the leader was current at a moment not longer ago than `age_ms`.
@@ -148,9 +165,9 @@
         /// Echoed in the grant.
         nonce: u64,
     },
-    /// For each agent behind this relay, the configuration version it has put in force and its
-    /// placement; sent in full once, then changes only. `None` means that the agent left.
-    Agents(BTreeMap<AgentId, Option<u64>>),
+    /// The agents behind this relay; sent in full once a connection, then changes only. `None` means
+    /// that the agent left.
+    Agents(BTreeMap<AgentId, Option<AgentStatus>>),
     /// What agents saw of back ends.
     Observe {
         /// Each agent with what it saw.
