--- a/crates/sablehaven-cli/src/main.rs
+++ b/crates/sablehaven-cli/src/main.rs
@@ -1,3 +1,7 @@
 //! The `sablehaven` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sablehaven_cli::run(std::env::args_os())
+}
