Schema: parse a deployment's file, bodies, keys and merges

Cause: agents, control and stand-ins need the deployment's methods and how each is run before they can plan anything. Ruled out: options on reply fields (a method's rules would be spread over several messages); a merge taken as one per method (a search wants its best matches and a total in one answer), so each field of a reply has its own rule; hash modulo for shards (doubling the count would move nearly every key). Change: options.proto built in and compiled by protox; problems with file, line and column; bodies refused with the field's path; merges by shard order.

--- /dev/null
+++ b/crates/sablehaven-schema/src/body/request.rs
@@ -0,0 +1,45 @@
+//! Checks of a request beyond its types.
+
+use prost_reflect::DynamicMessage;
+
+use super::BodyError;
+use crate::schema::{FieldMerge, Limit, MethodKind, MethodSchema};
+
+impl MethodSchema {
+    /// Checks what the method's rules demand of a request: a key, and a limit within its range.
+    pub fn check_request(&self, request: &DynamicMessage) -> Result<(), BodyError> {
+        match &self.kind {
+            MethodKind::Lookup { key } | MethodKind::Once { key } => {
+                if request.has_field(key) {
+                    return Ok(());
+                }
+                Err(BodyError::new(
+                    key.name(),
+                    "is missing, but chooses the shard",
+                ))
+            }
+            MethodKind::Query { merge } => {
+                for rule in &merge.rules {
+                    if let FieldMerge::TopK { limit, .. } = rule {
+                        check_limit(limit, request)?;
+                    }
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+fn check_limit(limit: &Limit, request: &DynamicMessage) -> Result<(), BodyError> {
+    let Some(field) = &limit.field else {
+        return Ok(());
+    };
+    let requested = request.get_field(field).as_u32().unwrap_or(0);
+    if requested <= limit.maximum {
+        return Ok(());
+    }
+    Err(BodyError::new(
+        field.name(),
+        format!("is {requested}, allowed is at most {}", limit.maximum),
+    ))
+}
--- /dev/null
+++ b/crates/sablehaven-schema/src/field_rules.rs
@@ -0,0 +1,261 @@
+//! Resolves the field names in a method's options against its messages.
+
+use std::collections::BTreeSet;
+
+use prost_reflect::{FieldDescriptor, Kind, MessageDescriptor};
+
+use crate::{
+    options::{Concatenate, Query, TopK, number},
+    schema::{ElementOrder, FieldMerge, Limit},
+};
+
+/// The most elements that a top-k merge may keep.
+const MAX_LIMIT: u32 = 10_000;
+
+/// A problem of a query's merge.
+pub(crate) struct MergeProblem {
+    /// Field number of the part of the `Query` option, where one is to blame.
+    pub part: Option<u32>,
+    /// The reason.
+    pub message: String,
+}
+
+/// The rules of a merge, and what is wrong with them.
+#[derive(Default)]
+pub(crate) struct ResolvedMerge {
+    pub rules: Vec<FieldMerge>,
+    pub problems: Vec<MergeProblem>,
+}
+
+impl ResolvedMerge {
+    fn add(&mut self, part: u32, rule: Result<FieldMerge, String>) {
+        match rule {
+            Ok(rule) => self.rules.push(rule),
+            Err(message) => self.problems.push(MergeProblem {
+                part: Some(part),
+                message,
+            }),
+        }
+    }
+}
+
+/// The field of the request whose hash chooses the shard.
+pub(crate) fn key_field(input: &MessageDescriptor, name: &str) -> Result<FieldDescriptor, String> {
+    if name.is_empty() {
+        return Err("the option names no key".to_owned());
+    }
+    let field = field_of(input, name)?;
+    if field.is_list() || field.is_map() {
+        return Err(format!(
+            "key '{name}' is repeated, but must be a single value"
+        ));
+    }
+    if !is_key_kind(&field.kind()) {
+        return Err(format!(
+            "key '{name}' has type {:?}, but must be text, bytes or a whole number",
+            field.kind()
+        ));
+    }
+    Ok(field)
+}
+
+/// The rules of a query's merge; every field of the reply must have exactly one.
+pub(crate) fn merge_rules(
+    input: &MessageDescriptor,
+    output: &MessageDescriptor,
+    query: &Query,
+) -> ResolvedMerge {
+    let mut resolved = ResolvedMerge::default();
+    for rule in &query.concatenate {
+        resolved.add(number::QUERY_CONCATENATE, concatenate(output, rule));
+    }
+    for rule in &query.top_k {
+        resolved.add(number::QUERY_TOP_K, top_k(input, output, rule));
+    }
+    for name in query.sum.iter().flat_map(|sum| &sum.fields) {
+        resolved.add(number::QUERY_SUM, sum(output, name));
+    }
+    check_each_field_once(output, query, &mut resolved);
+    resolved
+}
+
+fn check_each_field_once(output: &MessageDescriptor, query: &Query, resolved: &mut ResolvedMerge) {
+    let concatenated = query.concatenate.iter().map(|rule| &rule.field);
+    let best = query.top_k.iter().map(|rule| &rule.field);
+    let summed = query.sum.iter().flat_map(|sum| &sum.fields);
+    let mut named = BTreeSet::new();
+    for name in concatenated.chain(best).chain(summed) {
+        if !named.insert(name.as_str()) {
+            resolved.problems.push(MergeProblem {
+                part: None,
+                message: format!("field '{name}' of the reply has more than one merge"),
+            });
+        }
+    }
+    for field in output.fields() {
+        if !named.contains(field.name()) {
+            resolved.problems.push(MergeProblem {
+                part: None,
+                message: format!(
+                    "field '{}' of the reply {} has no merge (concatenate, top_k or sum)",
+                    field.name(),
+                    output.name()
+                ),
+            });
+        }
+    }
+}
+
+fn concatenate(output: &MessageDescriptor, rule: &Concatenate) -> Result<FieldMerge, String> {
+    let field = list_field(output, &rule.field)?;
+    let order = if rule.order_by.is_empty() {
+        None
+    } else {
+        Some(element_order(
+            &field,
+            &rule.order_by,
+            rule.descending,
+            &rule.tie_break,
+        )?)
+    };
+    Ok(FieldMerge::Concatenate { field, order })
+}
+
+fn top_k(
+    input: &MessageDescriptor,
+    output: &MessageDescriptor,
+    rule: &TopK,
+) -> Result<FieldMerge, String> {
+    let field = list_field(output, &rule.field)?;
+    if rule.order_by.is_empty() {
+        return Err(format!("top_k of '{}' names no order_by", rule.field));
+    }
+    let order = element_order(&field, &rule.order_by, rule.descending, &rule.tie_break)?;
+    let limit = limit(input, rule)?;
+    Ok(FieldMerge::TopK {
+        field,
+        order,
+        limit,
+    })
+}
+
+fn limit(input: &MessageDescriptor, rule: &TopK) -> Result<Limit, String> {
+    let maximum = match rule.maximum_limit {
+        0 => rule.default_limit,
+        given => given,
+    };
+    if maximum > MAX_LIMIT {
+        return Err(format!(
+            "maximum_limit is {maximum}, allowed is at most {MAX_LIMIT}"
+        ));
+    }
+    if !(1..=maximum).contains(&rule.default_limit) {
+        return Err(format!(
+            "default_limit is {}, allowed is 1 to the maximum_limit of {maximum}",
+            rule.default_limit
+        ));
+    }
+    Ok(Limit {
+        field: limit_field(input, &rule.limit)?,
+        default: rule.default_limit,
+        maximum,
+    })
+}
+
+fn limit_field(input: &MessageDescriptor, name: &str) -> Result<Option<FieldDescriptor>, String> {
+    if name.is_empty() {
+        return Ok(None);
+    }
+    let field = field_of(input, name)?;
+    if field.is_list() || field.kind() != Kind::Uint32 {
+        return Err(format!("limit '{name}' must be a single uint32"));
+    }
+    Ok(Some(field))
+}
+
+fn sum(output: &MessageDescriptor, name: &str) -> Result<FieldMerge, String> {
+    let field = field_of(output, name)?;
+    if field.is_list() || field.is_map() || !is_number_kind(&field.kind()) {
+        return Err(format!("sum of '{name}' must be of a single number"));
+    }
+    if field.containing_oneof().is_some() {
+        return Err(format!(
+            "sum of '{name}' must not be of an optional field or part of a oneof"
+        ));
+    }
+    Ok(FieldMerge::Sum { field })
+}
+
+fn element_order(
+    list: &FieldDescriptor,
+    by: &str,
+    descending: bool,
+    tie_break: &str,
+) -> Result<ElementOrder, String> {
+    let tie_break = if tie_break.is_empty() {
+        None
+    } else {
+        Some(ordered_field(list, tie_break)?)
+    };
+    Ok(ElementOrder {
+        by: ordered_field(list, by)?,
+        descending,
+        tie_break,
+    })
+}
+
+fn ordered_field(list: &FieldDescriptor, name: &str) -> Result<FieldDescriptor, String> {
+    let Kind::Message(element) = list.kind() else {
+        return Err(format!(
+            "list '{}' holds no messages, so it cannot be ordered by '{name}'",
+            list.name()
+        ));
+    };
+    let field = field_of(&element, name)?;
+    let comparable = is_number_kind(&field.kind()) || field.kind() == Kind::String;
+    if field.is_list() || field.is_map() || !comparable {
+        return Err(format!(
+            "list '{}' cannot be ordered by '{name}', which is no single number or text",
+            list.name()
+        ));
+    }
+    Ok(field)
+}
+
+fn list_field(output: &MessageDescriptor, name: &str) -> Result<FieldDescriptor, String> {
+    let field = field_of(output, name)?;
+    if !field.is_list() {
+        return Err(format!("field '{name}' of the reply is no list"));
+    }
+    Ok(field)
+}
+
+fn field_of(message: &MessageDescriptor, name: &str) -> Result<FieldDescriptor, String> {
+    message
+        .get_field_by_name(name)
+        .ok_or_else(|| format!("message {} has no field '{name}'", message.full_name()))
+}
+
+fn is_key_kind(kind: &Kind) -> bool {
+    matches!(kind, Kind::String | Kind::Bytes) || is_whole_number_kind(kind)
+}
+
+fn is_number_kind(kind: &Kind) -> bool {
+    matches!(kind, Kind::Double | Kind::Float) || is_whole_number_kind(kind)
+}
+
+fn is_whole_number_kind(kind: &Kind) -> bool {
+    matches!(
+        kind,
+        Kind::Int32
+            | Kind::Int64
+            | Kind::Uint32
+            | Kind::Uint64
+            | Kind::Sint32
+            | Kind::Sint64
+            | Kind::Fixed32
+            | Kind::Fixed64
+            | Kind::Sfixed32
+            | Kind::Sfixed64
+    )
+}
--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -1,1 +1,31 @@
-//! Deployment schemas: the options that describe sharding, repeatability and merging, their validation and the generated clients.
+//! Deployment schemas: the options that describe sharding, repeatability and merging, their
+//! validation and the generated clients.
+//!
+//! A schema is one Protocol Buffers file a deployment. [`DeploymentSchema::parse`] compiles it
+//! without any outside program and reads the options of `sablehaven/options.proto`, which is built
+//! in. The rest works on a parsed schema: bodies ([`decode_json`], [`decode_protobuf`]), the shard
+//! of a key ([`shard_for_key`]) and the merge of the shards' replies ([`merge()`]).
+
+mod body;
+mod compile;
+mod field_rules;
+mod key;
+mod locations;
+mod merge;
+mod nesting;
+mod options;
+mod problem;
+mod rules;
+mod schema;
+
+pub use body::{
+    BodyError, BodyLimits, decode_json, decode_protobuf, decode_reply, encode_json, encode_protobuf,
+};
+pub use compile::{MAX_SCHEMA_BYTES, OPTIONS_FILE, OPTIONS_TEXT};
+pub use key::{KeyError, shard_for_key, shard_of_hash};
+pub use merge::{MergeError, merge};
+pub use problem::SchemaProblem;
+pub use schema::{
+    DeploymentSchema, ElementOrder, FieldMerge, Limit, Merge, MethodKind, MethodSchema,
+    RegionSchema, ServiceSchema,
+};
--- /dev/null
+++ b/crates/sablehaven-schema/src/locations.rs
@@ -0,0 +1,96 @@
+//! Finds the place in the schema's text of a descriptor or option.
+
+use std::collections::BTreeMap;
+
+use prost_reflect::{FileDescriptor, MethodDescriptor, ServiceDescriptor};
+
+use crate::problem::Position;
+
+/// Field numbers of `google/protobuf/descriptor.proto` that make up source paths.
+mod tag {
+    pub(super) const FILE_PACKAGE: i32 = 2;
+    pub(super) const FILE_OPTIONS: i32 = 8;
+    pub(super) const FILE_SYNTAX: i32 = 12;
+    pub(super) const METHOD_OPTIONS: i32 = 4;
+    pub(super) const NAME: i32 = 1;
+}
+
+/// The places of every part of a file, by source path.
+pub(crate) struct Locations {
+    positions: BTreeMap<Vec<i32>, Position>,
+}
+
+impl Locations {
+    /// Reads the places that the compiler recorded.
+    pub(crate) fn of_file(file: &FileDescriptor) -> Self {
+        let mut positions = BTreeMap::new();
+        let source = file.file_descriptor_proto().source_code_info.as_ref();
+        for location in source.into_iter().flat_map(|info| &info.location) {
+            let [line, column, ..] = location.span[..] else {
+                continue;
+            };
+            let position = Position {
+                line: usize::try_from(line).unwrap_or(0) + 1,
+                column: usize::try_from(column).unwrap_or(0) + 1,
+            };
+            positions.entry(location.path.clone()).or_insert(position);
+        }
+        Self { positions }
+    }
+
+    /// The `syntax` statement.
+    pub(crate) fn syntax(&self) -> Position {
+        self.nearest(&[tag::FILE_SYNTAX])
+    }
+
+    /// The `package` statement.
+    pub(crate) fn package(&self) -> Position {
+        self.nearest(&[tag::FILE_PACKAGE])
+    }
+
+    /// An option of the file.
+    pub(crate) fn file_option(&self, number: u32, within: &[u32]) -> Position {
+        self.option(&[tag::FILE_OPTIONS], number, within)
+    }
+
+    /// The name of a service.
+    pub(crate) fn service(&self, service: &ServiceDescriptor) -> Position {
+        self.nearest(&extend(service.path(), &[tag::NAME]))
+    }
+
+    /// The name of a method.
+    pub(crate) fn method(&self, method: &MethodDescriptor) -> Position {
+        self.nearest(&extend(method.path(), &[tag::NAME]))
+    }
+
+    /// An option of a method; `within` names the part of it by field numbers.
+    pub(crate) fn method_option(
+        &self,
+        method: &MethodDescriptor,
+        number: u32,
+        within: &[u32],
+    ) -> Position {
+        let path = extend(method.path(), &[tag::METHOD_OPTIONS]);
+        self.option(&path, number, within)
+    }
+
+    fn option(&self, options: &[i32], number: u32, within: &[u32]) -> Position {
+        let mut path = options.to_vec();
+        path.push(number.cast_signed());
+        path.extend(within.iter().map(|part| part.cast_signed()));
+        self.nearest(&path)
+    }
+
+    /// The place of the path itself, or else of the nearest part that holds it.
+    fn nearest(&self, path: &[i32]) -> Position {
+        (1..=path.len())
+            .rev()
+            .find_map(|length| self.positions.get(&path[..length]))
+            .copied()
+            .unwrap_or(Position::START)
+    }
+}
+
+fn extend(path: &[i32], parts: &[i32]) -> Vec<i32> {
+    [path, parts].concat()
+}
--- /dev/null
+++ b/crates/sablehaven-schema/src/merge.rs
@@ -0,0 +1,152 @@
+//! Merges the shards' replies to a query into one answer.
+//!
+//! The answer depends only on the request and on the replies by shard, never on their arrival.
+
+use std::{cmp::Ordering, collections::BTreeMap};
+
+use prost_reflect::{DynamicMessage, FieldDescriptor, Value};
+use sablehaven_types::ShardId;
+
+use crate::schema::{ElementOrder, FieldMerge, Limit, MethodKind, MethodSchema};
+
+/// Why replies cannot be merged.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
+pub enum MergeError {
+    /// merge replies of '{0}': the method asks one shard only
+    NotAQuery(String),
+    /// merge replies of '{method}': the sum of field '{field}' does not fit its type
+    Overflow {
+        /// The method's path.
+        method: String,
+        /// The field of the reply.
+        field: String,
+    },
+}
+
+/// The answer to a query from the replies of the shards that answered.
+///
+/// Replies must be of the method's reply type.
+pub fn merge(
+    method: &MethodSchema,
+    mut replies: BTreeMap<ShardId, DynamicMessage>,
+    request: &DynamicMessage,
+) -> Result<DynamicMessage, MergeError> {
+    let MethodKind::Query { merge } = &method.kind else {
+        return Err(MergeError::NotAQuery(method.path.clone()));
+    };
+    let mut answer = DynamicMessage::new(method.output.clone());
+    for rule in &merge.rules {
+        let value = match rule {
+            FieldMerge::Concatenate { field, order } => {
+                Value::List(concatenate(&mut replies, field, order.as_ref()))
+            }
+            FieldMerge::TopK {
+                field,
+                order,
+                limit,
+            } => {
+                let mut elements = concatenate(&mut replies, field, Some(order));
+                elements.truncate(limit_of(limit, request));
+                Value::List(elements)
+            }
+            FieldMerge::Sum { field } => {
+                sum(&replies, field).ok_or_else(|| MergeError::Overflow {
+                    method: method.path.clone(),
+                    field: field.name().to_owned(),
+                })?
+            }
+        };
+        answer.set_field(rule.field(), value);
+    }
+    Ok(answer)
+}
+
+fn concatenate(
+    replies: &mut BTreeMap<ShardId, DynamicMessage>,
+    field: &FieldDescriptor,
+    order: Option<&ElementOrder>,
+) -> Vec<Value> {
+    let mut elements = Vec::new();
+    for reply in replies.values_mut() {
+        if let Some(Value::List(list)) = reply.take_field(field) {
+            elements.extend(list);
+        }
+    }
+    if let Some(order) = order {
+        // Stable, so that equal elements keep the order of the shards.
+        elements.sort_by(|left, right| compare_elements(order, left, right));
+    }
+    elements
+}
+
+fn limit_of(limit: &Limit, request: &DynamicMessage) -> usize {
+    let requested = limit
+        .field
+        .as_ref()
+        .and_then(|field| request.get_field(field).as_u32())
+        .unwrap_or(0);
+    let kept = match requested {
+        0 => limit.default,
+        given => given.min(limit.maximum),
+    };
+    usize::try_from(kept).unwrap_or(usize::MAX)
+}
+
+fn compare_elements(order: &ElementOrder, left: &Value, right: &Value) -> Ordering {
+    let (Value::Message(left), Value::Message(right)) = (left, right) else {
+        return Ordering::Equal;
+    };
+    let compared = compare_field(&order.by, left, right);
+    let directed = if order.descending {
+        compared.reverse()
+    } else {
+        compared
+    };
+    directed.then_with(|| match &order.tie_break {
+        Some(field) => compare_field(field, left, right),
+        None => Ordering::Equal,
+    })
+}
+
+fn compare_field(
+    field: &FieldDescriptor,
+    left: &DynamicMessage,
+    right: &DynamicMessage,
+) -> Ordering {
+    match (
+        left.get_field(field).as_ref(),
+        right.get_field(field).as_ref(),
+    ) {
+        (Value::I32(left), Value::I32(right)) => left.cmp(right),
+        (Value::I64(left), Value::I64(right)) => left.cmp(right),
+        (Value::U32(left), Value::U32(right)) => left.cmp(right),
+        (Value::U64(left), Value::U64(right)) => left.cmp(right),
+        (Value::F32(left), Value::F32(right)) => left.total_cmp(right),
+        (Value::F64(left), Value::F64(right)) => left.total_cmp(right),
+        (Value::String(left), Value::String(right)) => left.cmp(right),
+        // The schema's checks refuse an order by other types.
+        _ => Ordering::Equal,
+    }
+}
+
+/// The sum in the order of the shards, so that rounding does not depend on arrival.
+fn sum(replies: &BTreeMap<ShardId, DynamicMessage>, field: &FieldDescriptor) -> Option<Value> {
+    let mut total = Value::default_value_for_field(field);
+    for reply in replies.values() {
+        total = add(&total, reply.get_field(field).as_ref())?;
+    }
+    Some(total)
+}
+
+fn add(left: &Value, right: &Value) -> Option<Value> {
+    match (left, right) {
+        (Value::I32(left), Value::I32(right)) => left.checked_add(*right).map(Value::I32),
+        (Value::I64(left), Value::I64(right)) => left.checked_add(*right).map(Value::I64),
+        (Value::U32(left), Value::U32(right)) => left.checked_add(*right).map(Value::U32),
+        (Value::U64(left), Value::U64(right)) => left.checked_add(*right).map(Value::U64),
+        (Value::F32(left), Value::F32(right)) => Some(Value::F32(left + right)),
+        (Value::F64(left), Value::F64(right)) => Some(Value::F64(left + right)),
+        // The schema's checks refuse a sum of other types.
+        _ => None,
+    }
+}
