--- a/crates/sablehaven-consensus/src/types.rs
+++ b/crates/sablehaven-consensus/src/types.rs
@@ -100,3 +100,28 @@
     /// The entries after the snapshot, without gaps.
     pub entries: Vec<Entry>,
 }
+
+impl Restored {
+    /// What every initial voter of a new group starts with: one entry that names them all.
+    ///
+    /// The caller writes and syncs the hard state and the entry before the replica starts.
+    pub fn bootstrap(voters: BTreeSet<ReplicaId>) -> Self {
+        let membership = Membership {
+            voters,
+            learners: BTreeSet::new(),
+        };
+        let entry = Entry {
+            index: 1,
+            term: 1,
+            payload: EntryPayload::Membership(membership),
+        };
+        Self {
+            hard_state: HardState {
+                term: 1,
+                voted_for: None,
+            },
+            snapshot: SnapshotMetadata::default(),
+            entries: vec![entry],
+        }
+    }
+}
