Consensus: the replicated log

Cause: the control replicas need agreement. Votes and acknowledgements are kept apart from messages that need no sync; the leader counts its own vote and copy only after its sync. A contradiction of a committed entry stops the replica. Ruled out: leader leases for reads (they would rest on clocks). Not measured.

--- a/crates/sablehaven-consensus/src/lib.rs
+++ b/crates/sablehaven-consensus/src/lib.rs
@@ -4,15 +4,30 @@
 //! one-at-a-time membership change from Ongaro's thesis. Nothing here has a clock, a socket or a
 //! global, so many groups can share a process and a simulator can run the same code.
 
+mod broken;
 mod config;
+mod durability;
+mod election;
 mod error;
+mod leadership_transfer;
+mod leading;
+mod log;
 mod membership_change;
+mod membership_history;
 mod message;
+mod outbox;
+mod progress;
+mod read_index;
 mod ready;
 mod replica;
+mod replication;
+mod snapshot_transfer;
 mod status;
 mod types;
 
+#[cfg(feature = "broken-variants")]
+pub use broken::BrokenVariant;
+
 pub use config::Config;
 pub use error::{Fault, MembershipError, NotLeader, TransferError};
 pub use membership_change::MembershipChange;
--- /dev/null
+++ b/crates/sablehaven-consensus/tests/election.rs
@@ -0,0 +1,239 @@
+//! Elections: who may win, and who may not disturb.
+
+mod support;
+
+use sablehaven_consensus::{Config, HardState, Message, Position, Replica, Restored, Role};
+use support::{Cluster, id, ids};
+
+#[test]
+fn one_of_three_is_elected_and_the_others_follow_it() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.ticks(40);
+    let leaders = cluster.leaders();
+    assert_eq!(leaders.len(), 1);
+    for number in 1..=3 {
+        let status = cluster.replica(number).status();
+        assert_eq!(status.leader, Some(leaders[0]));
+        assert_eq!(status.commit, status.last_index);
+    }
+}
+
+#[test]
+fn a_group_of_one_leads_once_its_own_vote_is_synced() {
+    let mut replica = Replica::new(Config::default(), id(1), Restored::bootstrap(ids(&[1])));
+    while replica.status().role != Role::Candidate {
+        replica.tick();
+    }
+    let ready = replica.take_ready();
+    assert!(ready.hard_state.is_some());
+    assert_eq!(replica.status().role, Role::Candidate);
+    replica.persisted(ready.number);
+    assert_eq!(replica.status().role, Role::Leader);
+}
+
+#[test]
+fn requests_for_votes_and_votes_wait_for_the_sync() {
+    let bootstrap = Restored::bootstrap(ids(&[1, 2]));
+    let mut candidate = Replica::new(Config::default(), id(1), bootstrap.clone());
+    while candidate.status().role != Role::PreCandidate {
+        candidate.tick();
+    }
+    let reply = Message::PreVoteReply {
+        term: 1,
+        next_term: 2,
+        granted: true,
+    };
+    candidate.receive(id(2), reply);
+    let ready = candidate.take_ready();
+    let (_, request) = ready.messages_after_sync[0].clone();
+    assert!(matches!(request, Message::Vote { term: 2, .. }));
+    assert_eq!(ready.hard_state.map(|state| state.term), Some(2));
+
+    let mut voter = Replica::new(Config::default(), id(2), bootstrap);
+    voter.receive(id(1), request);
+    let ready = voter.take_ready();
+    let voted = HardState {
+        term: 2,
+        voted_for: Some(id(1)),
+    };
+    let granted = Message::VoteReply {
+        term: 2,
+        granted: true,
+    };
+    assert_eq!(ready.hard_state, Some(voted));
+    assert_eq!(ready.messages_after_sync, vec![(id(1), granted)]);
+    assert!(ready.messages_before_sync.is_empty());
+}
+
+#[test]
+fn a_replica_votes_once_a_term_also_after_a_restart() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    let vote = Message::Vote {
+        term: 5,
+        last: Position { index: 1, term: 1 },
+        transfer: false,
+    };
+    cluster.replica(3).receive(id(1), vote.clone());
+    cluster.node(3).work();
+    cluster.restart(3);
+    cluster.replica(3).receive(id(2), vote);
+    let refused = Message::VoteReply {
+        term: 5,
+        granted: false,
+    };
+    assert_eq!(cluster.node(3).work(), vec![(id(2), refused)]);
+}
+
+#[test]
+fn a_replica_that_lacks_committed_entries_is_not_elected() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    cluster.cut_off(3);
+    cluster.propose(1, "kept");
+    cluster.settle();
+    cluster.heal();
+    cluster.cut_off(1);
+    for _ in 0..100 {
+        cluster.replica(3).tick();
+        cluster.settle();
+    }
+    assert_ne!(cluster.replica(3).status().role, Role::Leader);
+    cluster.elect(2);
+    cluster.ticks(4);
+    assert_eq!(support::commands(&cluster.node(3).applied), ["kept"]);
+}
+
+#[test]
+fn a_replica_that_was_cut_off_does_not_raise_the_term_when_it_comes_back() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    let term = cluster.replica(1).status().term;
+    cluster.cut_off(3);
+    cluster.ticks(100);
+    cluster.heal();
+    cluster.ticks(50);
+    assert_eq!(cluster.leaders(), vec![id(1)]);
+    assert_eq!(cluster.replica(3).status().term, term);
+}
+
+#[test]
+fn a_leader_without_a_quorum_steps_down_within_an_election_timeout() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    cluster.cut_off(1);
+    for _ in 0..cluster.config.election_timeout_ticks {
+        cluster.replica(1).tick();
+        cluster.settle();
+    }
+    assert_eq!(cluster.replica(1).status().role, Role::Follower);
+}
+
+#[test]
+fn a_candidate_with_a_high_term_cannot_depose_a_leader_in_contact() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    let term = cluster.replica(1).status().term;
+    let last = Position {
+        index: 1000,
+        term: 1000,
+    };
+    for receiver in [1, 2] {
+        let vote = Message::Vote {
+            term: 1000,
+            last,
+            transfer: false,
+        };
+        cluster.replica(receiver).receive(id(9), vote);
+        let pre_vote = Message::PreVote {
+            next_term: 1000,
+            last,
+        };
+        cluster.replica(receiver).receive(id(9), pre_vote);
+    }
+    let stray_reply = Message::VoteReply {
+        term: 1000,
+        granted: false,
+    };
+    cluster.replica(1).receive(id(9), stray_reply);
+    cluster.settle();
+    assert_eq!(cluster.leaders(), vec![id(1)]);
+    assert_eq!(cluster.replica(2).status().term, term);
+}
+
+#[test]
+fn a_member_stuck_at_a_higher_term_makes_the_old_leader_step_down() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    let mut disk = cluster.node(3).disk.clone();
+    disk.hard_state.term = 50;
+    disk.hard_state.voted_for = None;
+    cluster.start(3, disk);
+    cluster.ticks(100);
+    assert_eq!(cluster.leaders().len(), 1);
+    assert!(cluster.replica(3).status().term > 50);
+}
+
+#[test]
+fn a_blank_replica_neither_stands_nor_votes() {
+    let mut blank = Replica::new(Config::default(), id(4), Restored::default());
+    for _ in 0..100 {
+        blank.tick();
+    }
+    assert_eq!(blank.status().role, Role::Follower);
+    let vote = Message::Vote {
+        term: 3,
+        last: Position { index: 9, term: 2 },
+        transfer: false,
+    };
+    blank.receive(id(1), vote);
+    let refused = Message::VoteReply {
+        term: 3,
+        granted: false,
+    };
+    assert_eq!(
+        blank.take_ready().messages_after_sync,
+        vec![(id(1), refused)]
+    );
+}
+
+#[test]
+fn leadership_is_handed_over_without_waiting_for_a_timeout() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    cluster.propose(1, "before");
+    cluster
+        .replica(1)
+        .transfer_leadership(id(2))
+        .expect("starts");
+    assert!(cluster.replica(1).propose(vec![b"late".to_vec()]).is_err());
+    cluster.settle();
+    assert_eq!(cluster.leaders(), vec![id(2)]);
+    cluster.propose(2, "after");
+    cluster.settle();
+    let applied = support::commands(&cluster.node(2).applied);
+    assert_eq!(applied, ["before", "after"]);
+}
+
+#[test]
+fn a_transfer_to_a_dead_replica_is_given_up() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    cluster.cut_off(3);
+    cluster.propose(1, "missed by the target");
+    cluster
+        .replica(1)
+        .transfer_leadership(id(3))
+        .expect("starts");
+    cluster.ticks(cluster.config.election_timeout_ticks);
+    assert_eq!(cluster.replica(1).status().transfer, None);
+    cluster.propose(1, "accepted again");
+}
+
+#[test]
+fn transfers_are_refused_where_they_make_no_sense() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    assert!(cluster.replica(2).transfer_leadership(id(3)).is_err());
+    assert!(cluster.replica(1).transfer_leadership(id(1)).is_err());
+    assert!(cluster.replica(1).transfer_leadership(id(9)).is_err());
+}
