Control: configuration, membership, ledger and replicas as state machines

Cause: the shared state needs deterministic state machines which the server and the simulator both run. Change: compare-and-set configuration with remembered outcomes; membership from platform list, own word and a quorum of agents with a floor; ledger with horizon; one change of control replicas at a time by phases; a revision and bounded change history for updates to relays. Ruled out: limits of the ledger as a local setting (replicas with different settings would differ); they travel in the command.

--- /dev/null
+++ b/crates/sablehaven-control/src/configuration/change.rs
@@ -0,0 +1,123 @@
+//! What a change makes of a configuration.
+
+use std::collections::BTreeSet;
+
+use sablehaven_types::{
+    Configuration, ConfigurationChange, IndexSnapshot, RoutingSettings, ServiceConfiguration,
+    ServiceName,
+};
+
+use super::ConfigurationDifference;
+
+/// The configuration after a change, one version on, or every reason why there is none.
+pub(super) fn changed(
+    current: &Configuration,
+    change: &ConfigurationChange,
+) -> Result<Configuration, Vec<String>> {
+    let mut next = match change {
+        ConfigurationChange::ReplaceAll { configuration } => configuration.clone(),
+        ConfigurationChange::SetService {
+            service,
+            configuration,
+        } => set_service(current, service, configuration),
+        ConfigurationChange::PublishSnapshot { service, snapshot } => {
+            publish_snapshot(current, service, snapshot)?
+        }
+        ConfigurationChange::SetRouting { service, routing } => {
+            set_routing(current, service, routing)?
+        }
+        ConfigurationChange::RemoveService { service } => remove_service(current, service)?,
+    };
+    next.version = current.version + 1;
+    let reasons = reused_snapshots(current, &next);
+    if reasons.is_empty() {
+        Ok(next)
+    } else {
+        Err(reasons)
+    }
+}
+
+fn set_service(
+    current: &Configuration,
+    service: &ServiceName,
+    configuration: &ServiceConfiguration,
+) -> Configuration {
+    let mut next = current.clone();
+    next.services.insert(service.clone(), configuration.clone());
+    next
+}
+
+fn publish_snapshot(
+    current: &Configuration,
+    service: &ServiceName,
+    snapshot: &IndexSnapshot,
+) -> Result<Configuration, Vec<String>> {
+    let mut next = current.clone();
+    known_service(&mut next, service)?.snapshot = snapshot.clone();
+    Ok(next)
+}
+
+fn set_routing(
+    current: &Configuration,
+    service: &ServiceName,
+    routing: &RoutingSettings,
+) -> Result<Configuration, Vec<String>> {
+    let mut next = current.clone();
+    known_service(&mut next, service)?.routing = routing.clone();
+    Ok(next)
+}
+
+fn remove_service(
+    current: &Configuration,
+    service: &ServiceName,
+) -> Result<Configuration, Vec<String>> {
+    let mut next = current.clone();
+    known_service(&mut next, service)?;
+    next.services.remove(service);
+    Ok(next)
+}
+
+fn known_service<'a>(
+    configuration: &'a mut Configuration,
+    service: &ServiceName,
+) -> Result<&'a mut ServiceConfiguration, Vec<String>> {
+    let found = configuration.services.get_mut(service);
+    found.ok_or_else(|| vec![format!("service '{service}' is not in the configuration")])
+}
+
+/// A snapshot's id pins one partition map: two maps under one id would let a query mix them.
+fn reused_snapshots(current: &Configuration, next: &Configuration) -> Vec<String> {
+    let mut reasons = Vec::new();
+    for (service, after) in &next.services {
+        let Some(before) = current.services.get(service) else {
+            continue;
+        };
+        let same_id = before.snapshot.id == after.snapshot.id;
+        if same_id && before.snapshot.shards != after.snapshot.shards {
+            reasons.push(format!(
+                "service '{service}': snapshot {} is in force with another partition map; \
+                 a changed map needs a new id",
+                after.snapshot.id
+            ));
+        }
+    }
+    reasons
+}
+
+/// What differs between two configurations.
+pub(super) fn difference(before: &Configuration, after: &Configuration) -> ConfigurationDifference {
+    let names: BTreeSet<&ServiceName> = before
+        .services
+        .keys()
+        .chain(after.services.keys())
+        .collect();
+    let services = names
+        .into_iter()
+        .filter(|name| before.services.get(*name) != after.services.get(*name))
+        .cloned()
+        .collect();
+    ConfigurationDifference {
+        schema: before.schema != after.schema,
+        services,
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/ledger/mod.rs
@@ -0,0 +1,231 @@
+//! The request ledger as a deterministic state machine: at most one claim of a key is ever granted
+//! at a time, and a key is forgotten only below a horizon under which no claim is granted.
+
+mod entry;
+mod limits;
+
+use std::collections::BTreeMap;
+
+use sablehaven_types::{
+    CallerId, ClaimAnswer, ClaimId, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome,
+    RequestId,
+};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+use self::entry::LedgerEntry;
+pub use self::limits::LedgerLimits;
+use crate::codec::{self, CodecError};
+
+/// The group, counted from 1, that holds a key when keys are spread over `groups` groups.
+pub fn group_of_key(key: &LedgerKey, groups: u32) -> u32 {
+    let mut hash = Xxh3::new();
+    hash.update(key.caller.as_str().as_bytes());
+    // A separator that no text holds, so that ("ab", "c") and ("a", "bc") differ.
+    hash.update(&[0xff]);
+    hash.update(key.request.as_str().as_bytes());
+    hash.update(&[0xff]);
+    hash.update(&key.issued_at_ms.to_le_bytes());
+    let group = hash.digest() % u64::from(groups.max(1));
+    1 + u32::try_from(group).unwrap_or_default()
+}
+
+/// A key ordered by issue time first, so that forgetting below the horizon takes from the front.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct OrderedKey {
+    issued_at_ms: u64,
+    caller: CallerId,
+    request: RequestId,
+}
+
+impl From<&LedgerKey> for OrderedKey {
+    fn from(key: &LedgerKey) -> Self {
+        Self {
+            issued_at_ms: key.issued_at_ms,
+            caller: key.caller.clone(),
+            request: key.request.clone(),
+        }
+    }
+}
+
+/// The ledger of one group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerState {
+    entries: BTreeMap<OrderedKey, LedgerEntry>,
+    /// The latest proposer's time seen; never goes back.
+    clock_ms: u64,
+    /// Keys issued before this are forgotten and refused; never goes back.
+    horizon_ms: u64,
+    /// Bytes of all recorded reply bodies.
+    body_bytes: u64,
+}
+
+impl LedgerState {
+    /// Keys issued before this time, in milliseconds since the Unix epoch, are refused.
+    pub fn horizon_ms(&self) -> u64 {
+        self.horizon_ms
+    }
+
+    /// The number of keys held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Bytes of all recorded reply bodies.
+    pub fn body_bytes(&self) -> u64 {
+        self.body_bytes
+    }
+
+    /// Applies a committed batch; the same on every replica. Replies are in the requests' order.
+    pub fn apply(
+        &mut self,
+        proposed_at_ms: u64,
+        limits: &LedgerLimits,
+        requests: &[LedgerRequest],
+    ) -> Vec<LedgerReply> {
+        self.advance(proposed_at_ms, limits);
+        requests
+            .iter()
+            .map(|request| self.apply_one(limits, request))
+            .collect()
+    }
+
+    /// Moves clock and horizon forward and forgets what lies below the horizon.
+    ///
+    /// The horizon must move before anything is forgotten: a forgotten key above the horizon could
+    /// be claimed, and so dispatched, a second time.
+    fn advance(&mut self, proposed_at_ms: u64, limits: &LedgerLimits) {
+        self.clock_ms = self.clock_ms.max(proposed_at_ms);
+        let horizon_ms = self.clock_ms.saturating_sub(limits.retention_ms);
+        self.horizon_ms = self.horizon_ms.max(horizon_ms);
+        while let Some(oldest) = self.entries.first_entry() {
+            if oldest.key().issued_at_ms >= self.horizon_ms {
+                break;
+            }
+            let forgotten = oldest.remove();
+            self.body_bytes -= forgotten.body_bytes();
+        }
+    }
+
+    fn apply_one(&mut self, limits: &LedgerLimits, request: &LedgerRequest) -> LedgerReply {
+        match request {
+            LedgerRequest::Claim {
+                key,
+                claim,
+                fingerprint,
+            } => LedgerReply::Claim(self.claim(limits, key, *claim, *fingerprint)),
+            LedgerRequest::Settle {
+                key,
+                claim,
+                outcome,
+            } => self.settle(limits, key, *claim, outcome),
+            LedgerRequest::Release { key, claim } => self.release(key, *claim),
+            LedgerRequest::LookUp { key } => LedgerReply::Claim(self.look_up(key)),
+        }
+    }
+
+    fn claim(
+        &mut self,
+        limits: &LedgerLimits,
+        key: &LedgerKey,
+        claim: ClaimId,
+        fingerprint: u64,
+    ) -> ClaimAnswer {
+        if key.issued_at_ms < self.horizon_ms {
+            return ClaimAnswer::BelowHorizon {
+                horizon_ms: self.horizon_ms,
+            };
+        }
+        let limit_ms = self.clock_ms.saturating_add(limits.future_ms);
+        if key.issued_at_ms > limit_ms {
+            return ClaimAnswer::IssuedInFuture { limit_ms };
+        }
+        let ordered = OrderedKey::from(key);
+        if let Some(entry) = self.entries.get_mut(&ordered) {
+            return entry.claim(claim, fingerprint);
+        }
+        if self.entries.len() as u64 >= limits.entries {
+            return ClaimAnswer::Full;
+        }
+        self.entries
+            .insert(ordered, LedgerEntry::held(claim, fingerprint));
+        ClaimAnswer::Granted
+    }
+
+    fn settle(
+        &mut self,
+        limits: &LedgerLimits,
+        key: &LedgerKey,
+        claim: ClaimId,
+        outcome: &RecordedOutcome,
+    ) -> LedgerReply {
+        let room = limits.total_body_bytes.saturating_sub(self.body_bytes);
+        let Some(entry) = self.entries.get_mut(&OrderedKey::from(key)) else {
+            return LedgerReply::NotHeld;
+        };
+        let before = entry.body_bytes();
+        let reply = entry.settle(claim, limits.recordable(outcome, room));
+        self.body_bytes = self.body_bytes - before + entry.body_bytes();
+        reply
+    }
+
+    fn release(&mut self, key: &LedgerKey, claim: ClaimId) -> LedgerReply {
+        match self.entries.get_mut(&OrderedKey::from(key)) {
+            Some(entry) => entry.release(claim),
+            None => LedgerReply::NotHeld,
+        }
+    }
+
+    fn look_up(&self, key: &LedgerKey) -> ClaimAnswer {
+        if key.issued_at_ms < self.horizon_ms {
+            return ClaimAnswer::BelowHorizon {
+                horizon_ms: self.horizon_ms,
+            };
+        }
+        match self.entries.get(&OrderedKey::from(key)) {
+            Some(entry) => entry.look_up(),
+            None => ClaimAnswer::Free,
+        }
+    }
+}
+
+/// A command of a ledger group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerCommand {
+    /// Requests that are applied together.
+    Batch {
+        /// The proposer's time, in milliseconds since the Unix epoch.
+        proposed_at_ms: u64,
+        /// The bounds to apply them under.
+        limits: LedgerLimits,
+        /// The requests.
+        requests: Vec<LedgerRequest>,
+    },
+}
+
+impl LedgerState {
+    /// Applies a committed command; the same on every replica.
+    pub fn apply_command(&mut self, command: &LedgerCommand) -> Vec<LedgerReply> {
+        let LedgerCommand::Batch {
+            proposed_at_ms,
+            limits,
+            requests,
+        } = command;
+        self.apply(*proposed_at_ms, limits, requests)
+    }
+
+    /// The state's encoding for a snapshot.
+    pub fn snapshot(&self) -> Result<Vec<u8>, CodecError> {
+        codec::encode("encode snapshot of a ledger group", self)
+    }
+
+    /// The state from a snapshot.
+    pub fn restore(data: &[u8]) -> Result<Self, CodecError> {
+        codec::decode("decode snapshot of a ledger group", data)
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/tests/membership.rs
@@ -0,0 +1,286 @@
+//! Membership: the three signals, the quorum of agents and the floor.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use sablehaven_control::{
+    membership::{
+        AgentObservation, MembershipState, ObservationBatch, PlatformAbsences, PlatformList,
+        PlatformUpdate, SUSPICION_LIFETIME_MS, ServiceWatchers,
+    },
+    shared::{SharedCommand, SharedState},
+};
+use sablehaven_types::{
+    ApplyCommand, BackendId, BackendRecord, BackendState, Configuration, ConfigurationChange,
+    IndexSnapshot, Observation, ObservationKind, Placement, ServiceConfiguration, ServiceName,
+    ShardAssignment, ShardId, SnapshotId, ZoneName,
+};
+
+const SERVICE: &str = "stock.Search";
+
+fn backend_id(number: usize) -> BackendId {
+    BackendId(format!("server-{number:02}"))
+}
+
+fn machine(number: usize, state: BackendState, incarnation: u64) -> BackendRecord {
+    BackendRecord {
+        id: backend_id(number),
+        service: SERVICE.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000 + number as u16)),
+        placement: Placement {
+            region: "palermo".into(),
+            zone: "palermo-a".into(),
+        },
+        state,
+        incarnation,
+    }
+}
+
+fn listed(servers: usize) -> MembershipState {
+    let mut state = MembershipState::default();
+    state.apply_platform(PlatformUpdate {
+        machines: (0..servers)
+            .map(|number| machine(number, BackendState::Live, 1))
+            .collect(),
+        removed: Default::default(),
+    });
+    state.refresh(&Configuration::default());
+    state
+}
+
+fn saw(
+    agent: usize,
+    zone: &str,
+    server: usize,
+    incarnation: u64,
+    kind: ObservationKind,
+) -> AgentObservation {
+    AgentObservation {
+        agent: format!("agent-{agent}").into(),
+        zone: Some(ZoneName::from(zone)),
+        observation: Observation {
+            backend: backend_id(server),
+            service: SERVICE.into(),
+            incarnation,
+            kind,
+        },
+    }
+}
+
+fn unreachable(agent: usize, server: usize) -> AgentObservation {
+    saw(agent, "palermo-a", server, 1, ObservationKind::Unreachable)
+}
+
+fn observe(state: &mut MembershipState, now_ms: u64, observations: Vec<AgentObservation>) {
+    state.apply_observations(ObservationBatch {
+        proposed_at_ms: now_ms,
+        observations,
+    });
+    state.refresh(&Configuration::default());
+}
+
+fn state_of(state: &MembershipState, server: usize) -> BackendState {
+    state.records()[&backend_id(server)].state
+}
+
+fn watch(state: &mut MembershipState, agents: u32, zones: u32) {
+    let watchers = ServiceWatchers { agents, zones };
+    state.apply_watchers(BTreeMap::from([(ServiceName::from(SERVICE), watchers)]));
+}
+
+#[test]
+fn one_agent_removes_nobody_and_two_do() {
+    let mut state = listed(10);
+    observe(
+        &mut state,
+        1_000,
+        vec![unreachable(1, 0), unreachable(1, 0)],
+    );
+    assert_eq!(state_of(&state, 0), BackendState::Live);
+    observe(&mut state, 1_001, vec![unreachable(2, 0)]);
+    assert_eq!(state_of(&state, 0), BackendState::Suspected);
+}
+
+#[test]
+fn a_larger_fleet_needs_more_agents_and_two_zones() {
+    let mut state = listed(10);
+    watch(&mut state, 16, 2);
+    let from_one_zone = (0..8).map(|agent| unreachable(agent, 0)).collect();
+    observe(&mut state, 1_000, from_one_zone);
+    assert_eq!(state_of(&state, 0), BackendState::Live, "one zone alone");
+    let other_zone = saw(9, "palermo-b", 0, 1, ObservationKind::Unreachable);
+    observe(&mut state, 1_001, vec![other_zone]);
+    assert_eq!(state_of(&state, 0), BackendState::Suspected);
+    let three = (0..2).map(|agent| unreachable(agent, 1));
+    let mixed = three.chain([saw(9, "palermo-b", 1, 1, ObservationKind::Unreachable)]);
+    observe(&mut state, 1_002, mixed.collect());
+    assert_eq!(state_of(&state, 1), BackendState::Live, "three of sixteen");
+}
+
+#[test]
+fn an_answer_heals_and_suspicions_expire() {
+    let mut state = listed(10);
+    observe(
+        &mut state,
+        1_000,
+        vec![unreachable(1, 0), unreachable(2, 0)],
+    );
+    let answered = saw(3, "palermo-a", 0, 1, ObservationKind::Reachable);
+    observe(&mut state, 1_001, vec![answered]);
+    assert_eq!(state_of(&state, 0), BackendState::Live);
+    observe(
+        &mut state,
+        2_000,
+        vec![unreachable(1, 0), unreachable(2, 0)],
+    );
+    assert!(!state.has_expired_suspicion(2_000 + SUSPICION_LIFETIME_MS));
+    assert!(state.has_expired_suspicion(2_001 + SUSPICION_LIFETIME_MS));
+    observe(&mut state, 2_001 + SUSPICION_LIFETIME_MS, vec![]);
+    assert_eq!(state_of(&state, 0), BackendState::Live);
+}
+
+#[test]
+fn the_servers_own_word_is_enough_and_ends_with_its_next_start() {
+    let mut state = listed(3);
+    let drains = saw(1, "palermo-a", 0, 1, ObservationKind::Draining);
+    observe(&mut state, 1_000, vec![drains.clone()]);
+    assert_eq!(state_of(&state, 0), BackendState::Leaving);
+    let restarted = saw(2, "palermo-a", 0, 2, ObservationKind::Reachable);
+    observe(&mut state, 1_001, vec![restarted]);
+    assert_eq!(state_of(&state, 0), BackendState::Live);
+    observe(&mut state, 1_002, vec![drains]);
+    assert_eq!(state_of(&state, 0), BackendState::Live, "an earlier start");
+    assert_eq!(state.records()[&backend_id(0)].incarnation, 2);
+}
+
+#[test]
+fn the_platform_list_takes_out_at_once_and_forgets_only_after_several_lists() {
+    let mut state = listed(2);
+    let mut absences = PlatformAbsences::default();
+    let list = PlatformList {
+        machines: vec![machine(0, BackendState::Leaving, 1)],
+    };
+    for _ in 0..2 {
+        let update = absences.compare(&list, &state);
+        assert!(update.removed.is_empty());
+        state.apply_platform(update);
+        state.refresh(&Configuration::default());
+        assert_eq!(state_of(&state, 0), BackendState::Leaving);
+        assert_eq!(state_of(&state, 1), BackendState::Live);
+    }
+    state.apply_platform(absences.compare(&list, &state));
+    state.refresh(&Configuration::default());
+    assert!(!state.records().contains_key(&backend_id(1)));
+    assert!(absences.compare(&list, &state).is_empty());
+}
+
+#[test]
+fn a_suspected_failure_of_everything_is_held_back() {
+    let mut state = listed(20);
+    let everything = (0..20).flat_map(|server| (0..9).map(move |agent| unreachable(agent, server)));
+    observe(&mut state, 1_000, everything.collect());
+    let suspected = (0..20).filter(|server| state_of(&state, *server) == BackendState::Suspected);
+    assert_eq!(suspected.count(), 6, "three tenths of twenty");
+    assert_eq!(state.held_back().len(), 14);
+}
+
+#[test]
+fn suspicion_never_takes_the_last_replica_of_a_shard() {
+    let mut state = listed(10);
+    let shard = |shard: u32, replicas: [usize; 2]| ShardAssignment {
+        shard: ShardId(shard),
+        replicas: replicas.map(backend_id).to_vec(),
+    };
+    let snapshot = IndexSnapshot {
+        id: SnapshotId::default(),
+        shards: vec![shard(0, [0, 1]), shard(1, [2, 3])],
+    };
+    let service = ServiceConfiguration {
+        snapshot,
+        routing: Default::default(),
+    };
+    let configuration = Configuration {
+        services: BTreeMap::from([(ServiceName::from(SERVICE), service)]),
+        ..Configuration::default()
+    };
+    let both = [0, 1]
+        .into_iter()
+        .flat_map(|server| [unreachable(1, server), unreachable(2, server)]);
+    state.apply_observations(ObservationBatch {
+        proposed_at_ms: 1_000,
+        observations: both.collect(),
+    });
+    state.refresh(&configuration);
+    assert_eq!(state_of(&state, 0), BackendState::Suspected);
+    assert_eq!(state_of(&state, 1), BackendState::Live);
+}
+
+#[test]
+fn a_zone_that_goes_at_once_is_one_update() {
+    let mut state = SharedState::default();
+    let machines = (0..30).map(|number| machine(number, BackendState::Live, 1));
+    let update = PlatformUpdate {
+        machines: machines.collect(),
+        removed: Default::default(),
+    };
+    state.apply(1, SharedCommand::Platform(update));
+    let configured = ApplyCommand {
+        command_id: "c".into(),
+        operator: "olga".into(),
+        reason: String::new(),
+        expected_version: 0,
+        change: ConfigurationChange::ReplaceAll {
+            configuration: Configuration::default(),
+        },
+    };
+    state.apply(
+        2,
+        SharedCommand::Configuration {
+            command: configured,
+            proposed_at_ms: 1,
+        },
+    );
+    let zone = (0..9).flat_map(|server| [unreachable(1, server), unreachable(2, server)]);
+    let batch = ObservationBatch {
+        proposed_at_ms: 1_000,
+        observations: zone.collect(),
+    };
+    state.apply(3, SharedCommand::Observations(batch));
+    let update = state.update_since(2).expect("an update");
+    assert_eq!((update.full, update.revision), (false, 3));
+    assert_eq!(update.backends.len(), 9);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(43),
+        failure_persistence: None,
+        cases: 200,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever agents say, suspicion removes at most its share, and never on one agent's word.
+    #[test]
+    fn suspicion_stays_within_its_share(
+        reports in prop::collection::vec((0_usize..5, 0_usize..12, 0_u8..4), 0..150),
+    ) {
+        let mut state = listed(12);
+        let mut agents_of: BTreeMap<usize, std::collections::BTreeSet<usize>> = BTreeMap::new();
+        for (now, (agent, server, kind)) in reports.into_iter().enumerate() {
+            let kind = if kind == 0 { ObservationKind::Reachable } else { ObservationKind::Unreachable };
+            let agents = agents_of.entry(server).or_default();
+            match kind {
+                ObservationKind::Reachable => agents.clear(),
+                _ => { agents.insert(agent); }
+            }
+            observe(&mut state, 1_000 + now as u64, vec![saw(agent, "palermo-a", server, 1, kind)]);
+            let suspected: Vec<usize> = (0..12)
+                .filter(|server| state_of(&state, *server) == BackendState::Suspected)
+                .collect();
+            prop_assert!(suspected.len() <= 3);
+            for server in suspected {
+                prop_assert!(agents_of[&server].len() >= 2);
+            }
+        }
+    }
+}
