--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -8,7 +8,10 @@
 
 mod body;
 mod compile;
+mod configuration;
 mod field_rules;
+mod fingerprint;
+pub mod fleet_file;
 mod key;
 mod locations;
 mod merge;
@@ -22,6 +25,8 @@
     BodyError, BodyLimits, decode_json, decode_protobuf, decode_reply, encode_json, encode_protobuf,
 };
 pub use compile::{MAX_SCHEMA_BYTES, OPTIONS_FILE, OPTIONS_TEXT};
+pub use configuration::check_document;
+pub use fingerprint::fingerprint;
 pub use key::{KeyError, shard_for_key, shard_of_hash};
 pub use merge::{MergeError, merge};
 pub use problem::SchemaProblem;
