Types: the envelope of an answer as protobuf

Cause: callers may send protobuf bodies, and the generated clients do; their answers need the envelope in protobuf too. Ruled out: the envelope as JSON in a header (coverage of a large map does not fit a header); a body of JSON inside protobuf. The schema crate's fingerprint is taken out again: the agent has one.

--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -10,7 +10,6 @@
 mod compile;
 mod configuration;
 mod field_rules;
-mod fingerprint;
 pub mod fleet_file;
 mod key;
 mod locations;
@@ -26,7 +25,6 @@
 };
 pub use compile::{MAX_SCHEMA_BYTES, OPTIONS_FILE, OPTIONS_TEXT};
 pub use configuration::check_document;
-pub use fingerprint::fingerprint;
 pub use key::{KeyError, shard_for_key, shard_of_hash};
 pub use merge::{MergeError, merge};
 pub use problem::SchemaProblem;
--- a/crates/sablehaven-types/src/http.rs
+++ b/crates/sablehaven-types/src/http.rs
@@ -1,6 +1,8 @@
 //! Header names and refusal words of the HTTP interfaces towards callers and back ends.
 //!
 //! Callers post to the agent at `/<package>.<Service>/<Method>` with a JSON or protobuf body. The
+//! answer is a [`crate::Envelope`] in the encoding of the request: as JSON, or as
+//! [`crate::protobuf::encode_envelope`] writes it, with the matching content type. The
 //! agent posts to back ends at the same path, over HTTP/2 without TLS (prior knowledge), with the
 //! method's request message as protobuf and the attempt's metadata in headers. A reply with status
 //! 200 must echo attempt, shard and snapshot; a reply that does not is discarded. A cancelled
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod outcome;
 mod process;
+pub mod protobuf;
 
 pub use configuration::{
     ApplyCommand, ApplyOutcome, CommandRecord, Configuration, ConfigurationChange, IndexSnapshot,
