Wire: shared encoding, lease arithmetic, limit on the first frame, tests

Cause: a relay sends one update to many agents and passes one proof on to all of them; both need a common place. A stranger's first frame could claim 32 MB. Change: EncodedMessage (encoded once, sent on many connections), LeaseRequests and LeaseProof (age counted from the request on the receiver's own clock, 1% given up for clock drift), first frame limited to 4 KiB, byte counters on both halves, and what an AgentStatus means while an agent moves. Ruled out: a second codec for large messages; the limit on the first frame is enough.

--- a/crates/sablehaven-wire/src/connection.rs
+++ b/crates/sablehaven-wire/src/connection.rs
@@ -14,7 +14,10 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::message::{Hello, Role};
+use crate::{
+    encoded::EncodedMessage,
+    message::{Hello, Role},
+};
 
 /// The version of the internal protocol.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -22,6 +25,13 @@
 /// The largest frame that is accepted, in bytes.
 pub const MAXIMUM_FRAME_BYTES: usize = 32 * 1024 * 1024;
 
+/// The largest frame that is accepted before the handshake is done, in bytes, so that a stranger
+/// cannot make this process reserve memory.
+pub const MAXIMUM_HELLO_BYTES: usize = 4 * 1024;
+
+/// Bytes of the length in front of each frame.
+const FRAME_HEADER_BYTES: u64 = 4;
+
 /// Time that a connection attempt with its handshake may take.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -86,6 +96,7 @@
 pub struct FrameReader<Message> {
     peer: String,
     inner: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    received_bytes: u64,
     message: PhantomData<fn() -> Message>,
 }
 
@@ -93,6 +104,7 @@
 pub struct FrameWriter<Message> {
     peer: String,
     inner: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    sent_bytes: u64,
     message: PhantomData<fn(&Message)>,
 }
 
@@ -122,16 +134,23 @@
                 return Err(WireError::Closed { peer });
             }
         };
+        self.received_bytes += FRAME_HEADER_BYTES + frame.len() as u64;
         rmp_serde::from_slice(&frame).map_err(|source| WireError::Decode {
             peer: self.peer.clone(),
             source,
         })
     }
 
+    /// Bytes of all frames received so far, their lengths included.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+
     fn retype<Other>(self) -> FrameReader<Other> {
         FrameReader {
             peer: self.peer,
             inner: self.inner,
+            received_bytes: self.received_bytes,
             message: PhantomData,
         }
     }
@@ -146,14 +165,29 @@
 
     /// Queues one message; [`Self::flush`] sends what is queued.
     pub async fn feed(&mut self, message: &Message) -> Result<(), WireError> {
-        let encoded = rmp_serde::to_vec(message).map_err(|source| WireError::Encode {
+        let encoded = EncodedMessage::new(message).map_err(|source| WireError::Encode {
             peer: self.peer.clone(),
             source,
         })?;
-        let result = self.inner.feed(Bytes::from(encoded)).await;
+        self.feed_encoded(&encoded).await
+    }
+
+    /// Queues one message that was encoded before, so that many connections share the work.
+    pub async fn feed_encoded(
+        &mut self,
+        message: &EncodedMessage<Message>,
+    ) -> Result<(), WireError> {
+        let encoded = message.bytes();
+        self.sent_bytes += FRAME_HEADER_BYTES + encoded.len() as u64;
+        let result = self.inner.feed(encoded).await;
         result.map_err(|source| self.send_error(source))
     }
 
+    /// Bytes of all frames queued or sent so far, their lengths included.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes
+    }
+
     /// Sends what is queued.
     pub async fn flush(&mut self) -> Result<(), WireError> {
         let result = SinkExt::<Bytes>::flush(&mut self.inner).await;
@@ -171,6 +205,7 @@
         FrameWriter {
             peer: self.peer,
             inner: self.inner,
+            sent_bytes: self.sent_bytes,
             message: PhantomData,
         }
     }
@@ -260,17 +295,21 @@
     let (read_half, write_half) = stream.into_split();
     let mut reader = FrameReader::<Hello> {
         peer: peer.clone(),
-        inner: FramedRead::new(read_half, codec()),
+        inner: FramedRead::new(read_half, codec(MAXIMUM_HELLO_BYTES)),
+        received_bytes: 0,
         message: PhantomData,
     };
     let mut writer = FrameWriter::<Hello> {
         peer: peer.clone(),
-        inner: FramedWrite::new(write_half, codec()),
+        inner: FramedWrite::new(write_half, codec(MAXIMUM_FRAME_BYTES)),
+        sent_bytes: 0,
         message: PhantomData,
     };
     writer.send(hello).await?;
     let theirs = reader.receive().await?;
     check_hello(&peer, hello, &theirs)?;
+    let decoder = reader.inner.decoder_mut();
+    decoder.set_max_frame_length(MAXIMUM_FRAME_BYTES);
     Ok(Connection {
         hello: theirs,
         peer_address,
@@ -301,8 +340,8 @@
     Ok(())
 }
 
-fn codec() -> LengthDelimitedCodec {
+fn codec(maximum_frame_bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
-        .max_frame_length(MAXIMUM_FRAME_BYTES)
+        .max_frame_length(maximum_frame_bytes)
         .new_codec()
 }
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -4,12 +4,16 @@
 //! length and one `rmp-serde` value.
 
 mod connection;
+mod encoded;
+mod lease;
 mod message;
 
 pub use connection::{
-    Connection, FrameReader, FrameWriter, MAXIMUM_FRAME_BYTES, PROTOCOL_VERSION, WireError, accept,
-    connect,
+    Connection, FrameReader, FrameWriter, MAXIMUM_FRAME_BYTES, MAXIMUM_HELLO_BYTES,
+    PROTOCOL_VERSION, WireError, accept, connect,
 };
+pub use encoded::EncodedMessage;
+pub use lease::{CLOCK_DRIFT_PER_MILLE, LeaseProof, LeaseRequests};
 pub use message::{
     AgentStatus, AgentToRelay, ControlToRelay, Hello, LeaseGrant, PeerMessage, RelayToAgent,
     RelayToControl, Role, StateUpdate,
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -59,6 +59,11 @@
 }
 
 /// An agent as its relay reports it to control.
+///
+/// The word of one relay says nothing about another's: an agent that moves is reported by both for
+/// a while, and the larger version is right, since an agent only moves forward. A relay reports
+/// again when an agent's lease runs out; until then a reported holder stays one, as long as the
+/// relay's own connection lives.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentStatus {
     /// The version of the configuration that it has put in force.
--- /dev/null
+++ b/crates/sablehaven-wire/tests/frames.rs
@@ -0,0 +1,104 @@
+//! Frames after the handshake: order, sharing, limits.
+
+use sablehaven_types::{AgentId, Placement};
+use sablehaven_wire::{
+    AgentToRelay, Connection, EncodedMessage, Hello, PROTOCOL_VERSION, RelayToAgent, Role,
+    StateUpdate, WireError, accept, connect,
+};
+use tokio::net::TcpListener;
+
+type AgentSide = Connection<RelayToAgent, AgentToRelay>;
+type RelaySide = Connection<AgentToRelay, RelayToAgent>;
+
+fn hello(role: Role) -> Hello {
+    Hello {
+        protocol_version: PROTOCOL_VERSION,
+        deployment: "trinacria".to_owned(),
+        role,
+        sender: "someone".to_owned(),
+    }
+}
+
+async fn pair() -> (AgentSide, RelaySide) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let server = async {
+        let (stream, peer) = listener.accept().await.expect("accept");
+        accept(stream, peer, &hello(Role::Relay))
+            .await
+            .expect("shake")
+    };
+    let agent_hello = hello(Role::Agent);
+    let client = connect(address, &agent_hello, Role::Relay);
+    let (server, client) = tokio::join!(server, client);
+    (client.expect("connect"), server.retype())
+}
+
+fn watch() -> AgentToRelay {
+    AgentToRelay::Watch {
+        agent: AgentId::from("agent-1"),
+        placement: Placement {
+            region: "west".into(),
+            zone: "west-1".into(),
+        },
+        interest: ["stock.Search".into()].into(),
+        revision: 9,
+    }
+}
+
+#[tokio::test]
+async fn messages_arrive_whole_and_in_order() {
+    let (mut agent, mut relay) = pair().await;
+    agent.writer.feed(&watch()).await.expect("feed");
+    for nonce in 1..=100 {
+        let request = AgentToRelay::RequestLease { nonce };
+        agent.writer.feed(&request).await.expect("feed");
+    }
+    agent.writer.flush().await.expect("flush");
+    assert_eq!(relay.reader.receive().await.expect("receive"), watch());
+    for nonce in 1..=100 {
+        let expected = AgentToRelay::RequestLease { nonce };
+        assert_eq!(relay.reader.receive().await.expect("receive"), expected);
+    }
+    assert_eq!(agent.writer.sent_bytes(), relay.reader.received_bytes());
+}
+
+#[tokio::test]
+async fn an_encoded_message_arrives_as_the_message() {
+    let (mut agent, mut relay) = pair().await;
+    let update = RelayToAgent::Update(StateUpdate {
+        full: true,
+        revision: 5,
+        ..StateUpdate::default()
+    });
+    let encoded = EncodedMessage::new(&update).expect("encode");
+    relay.writer.feed_encoded(&encoded).await.expect("feed");
+    relay.writer.feed_encoded(&encoded).await.expect("feed");
+    relay.writer.flush().await.expect("flush");
+    assert_eq!(agent.reader.receive().await.expect("receive"), update);
+    assert_eq!(agent.reader.receive().await.expect("receive"), update);
+}
+
+#[tokio::test]
+async fn the_end_of_the_other_side_is_told() {
+    let (mut agent, relay) = pair().await;
+    drop(relay);
+    let error = agent.reader.receive().await.expect_err("closed");
+    assert!(matches!(error, WireError::Closed { .. }), "{error}");
+}
+
+#[tokio::test]
+async fn a_message_larger_than_a_frame_is_not_sent() {
+    let (mut agent, _relay) = pair().await;
+    let huge = AgentToRelay::Watch {
+        agent: AgentId::from("a".repeat(sablehaven_wire::MAXIMUM_FRAME_BYTES)),
+        placement: Placement {
+            region: "west".into(),
+            zone: "west-1".into(),
+        },
+        interest: Default::default(),
+        revision: 0,
+    };
+    let error = agent.writer.send(&huge).await.expect_err("too large");
+    assert!(matches!(error, WireError::Send { .. }), "{error}");
+}
