Storage: public surface

Cause: control and the command line build against storage while it is written. Change: traits of the disk, the real disk, options, errors, writes, the open folder's and the inspection's types; opening, writing and inspecting are not written yet.

--- a/crates/sablehaven-storage/src/lib.rs
+++ b/crates/sablehaven-storage/src/lib.rs
@@ -1,1 +1,26 @@
 //! Durable log segments, snapshots and disk identity under one data folder.
+//!
+//! One [`Storage`] serves every consensus group of a process: a batch of writes for many groups is
+//! one record of a shared write-ahead log and costs one sync. What [`Storage::write`] and
+//! [`Storage::compact`] return `Ok` for is durable. `docs/design/storage.md` has the layout, the
+//! recovery rules and what was weighed; `docs/operators/data-folder.md` is the operators' page.
+
+mod disk;
+mod error;
+mod identity;
+mod inspect;
+mod options;
+mod real_disk;
+mod storage;
+mod write;
+
+pub use disk::{Disk, DiskFile, DiskLock};
+pub use error::{Step, StorageError};
+pub use identity::{FORMAT_VERSION, Identity};
+pub use inspect::{
+    DamageReport, GroupReport, Inspection, SegmentReport, TornTail, inspect, inspect_on,
+};
+pub use options::Options;
+pub use real_disk::RealDisk;
+pub use storage::{CutTail, Opened, RestoredGroup, Storage, StorageCounters};
+pub use write::GroupWrite;
