--- a/crates/sablehaven-routing/src/lib.rs
+++ b/crates/sablehaven-routing/src/lib.rs
@@ -1,1 +1,20 @@
 //! Routing decisions without sockets or clocks: subsets, balancing, hedging, budgets and spill.
+//!
+//! One [`ServiceRouter`] decides for one service in one agent. It is a pure state machine: the
+//! caller passes the time in, reports each attempt with [`ServiceRouter::sent`] and
+//! [`ServiceRouter::finished`], and asks for decisions. The order of calls for one request is
+//! [`ServiceRouter::admit`]; for each shard [`ServiceRouter::choose`] and, where that gives nothing,
+//! [`ServiceRouter::no_choice_reason`]; [`ServiceRouter::sent`] when the attempt goes out, and
+//! [`ServiceRouter::hedge_after`] for its timer. A hedge or retry first asks
+//! [`ServiceRouter::take_extra`], then chooses with the tried back ends excluded. Every attempt that
+//! was sent is reported exactly once with [`ServiceRouter::finished`], cancelled ones too, or its
+//! back end looks busy for ever.
+
+mod interface;
+mod router;
+
+pub use interface::{
+    Admission, AgentSite, AttemptOutcome, AttemptResult, Chosen, ExtraKind, LoadReport,
+    RouterCounters, ServiceUpdate,
+};
+pub use router::ServiceRouter;
