Routing: mechanisms behind the surface

Subsets by rendezvous hashing, power of two choices on own requests and aged reports, slow start, stepped spill, hedges from the latency distribution, one extra load budget, ejection with probes, admission from sheds. Scenario tests of one router. Found by the tests and mended: dividing the whole cost by the slow start weight never chose a cold back end beside an idle warm one; ties always went to the same member of three.

--- a/crates/sablehaven-routing/src/interface.rs
+++ b/crates/sablehaven-routing/src/interface.rs
@@ -125,3 +125,16 @@
     /// Back ends taken out for not answering.
     pub ejections: u64,
 }
+
+/// What the router's mechanisms are set to now, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RouterState {
+    /// The part of the extra load budget that sheds have left, from 0 to 1.
+    pub budget_factor: f64,
+    /// The limit on needed work in sub-requests per second, while there is one.
+    pub admission_limit: Option<f64>,
+    /// The share of work that spills to other regions, averaged over the shards, from 0 to 1.
+    pub remote_share: f64,
+    /// Back ends taken out for not answering, or suspected.
+    pub ejected: u32,
+}
--- a/crates/sablehaven-routing/src/lib.rs
+++ b/crates/sablehaven-routing/src/lib.rs
@@ -10,11 +10,28 @@
 //! was sent is reported exactly once with [`ServiceRouter::finished`], cancelled ones too, or its
 //! back end looks busy for ever.
 
+pub mod admission;
+mod backend;
+pub mod balance;
+pub mod budget;
+mod choice;
+pub mod distance;
+pub mod health;
+pub mod hedging;
 mod interface;
+mod knowledge;
+pub mod latency;
+mod plan;
+pub mod pressure;
+pub mod probe;
+pub mod retry_after;
 mod router;
+pub mod slow_start;
+pub mod spill;
+pub mod subset;
 
 pub use interface::{
     Admission, AgentSite, AttemptOutcome, AttemptResult, Chosen, ExtraKind, LoadReport,
-    RouterCounters, ServiceUpdate,
+    RouterCounters, RouterState, ServiceUpdate,
 };
 pub use router::ServiceRouter;
--- /dev/null
+++ b/crates/sablehaven-routing/src/spill.rs
@@ -0,0 +1,105 @@
+//! How much of a shard's work leaves the near replicas when they are pressed.
+//!
+//! A share moves outward in small steps while the near replicas are pressed and the farther ones are
+//! less so, and back in smaller steps once the near ones have room. Between the two thresholds it
+//! stays. Each agent and shard takes its steps at moments of its own, so that agents do not swing
+//! together.
+
+use std::time::Duration;
+
+use crate::distance::{DISTANCES, Distance};
+
+/// Time between two steps.
+const STEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Pressure above which work moves outward.
+const HIGH_PRESSURE: f64 = 1.5;
+/// Pressure below which work moves back.
+const LOW_PRESSURE: f64 = 1.0;
+/// Work moves outward only if the farther replicas are less pressed by this much.
+const MIN_DIFFERENCE: f64 = 0.3;
+/// Part of the pressure difference that one outward step moves.
+const OUTWARD_GAIN: f64 = 0.06;
+/// Largest outward step.
+const MAX_OUTWARD_STEP: f64 = 0.08;
+/// Step back, as a share of the whole.
+const INWARD_STEP: f64 = 0.02;
+/// Largest share that may leave a distance: the rest keeps showing whether it has room again.
+const MAX_OUTWARD: f64 = 0.95;
+
+/// Borders between distances that work may cross: zone to region, region to remote.
+const BORDERS: usize = DISTANCES.len() - 1;
+
+/// Pressure of the replicas at each distance, `None` without an available one.
+///
+/// 1 means that all slots are busy and nothing waits.
+pub type Pressures = [Option<f64>; DISTANCES.len()];
+
+/// The shares of one shard's work by distance, in one agent.
+#[derive(Clone, Debug)]
+pub struct Spill {
+    outward: [f64; BORDERS],
+    next_step: Duration,
+}
+
+impl Spill {
+    /// Nothing spills yet; `phase` from 0 to 1 shifts the moments of the steps.
+    pub fn new(now: Duration, phase: f64) -> Self {
+        Self {
+            outward: [0.0; BORDERS],
+            next_step: now + STEP_INTERVAL.mul_f64(phase),
+        }
+    }
+
+    /// Whether a step is due.
+    pub fn step_due(&self, now: Duration) -> bool {
+        now >= self.next_step
+    }
+
+    /// Takes one step; `phase` from 0 to 1 varies the time to the next.
+    pub fn step(&mut self, now: Duration, pressures: &Pressures, phase: f64) {
+        self.next_step = now + STEP_INTERVAL.mul_f64(0.75 + 0.5 * phase);
+        for border in 0..BORDERS {
+            let near = pressures[border];
+            let far = pressures[border + 1..].iter().flatten().copied();
+            let least_far = far.fold(None, |least: Option<f64>, next| {
+                Some(least.map_or(next, |least| least.min(next)))
+            });
+            self.outward[border] = stepped(self.outward[border], near, least_far);
+        }
+    }
+
+    /// Draws the distance for one attempt; `draw` from 0 to 1.
+    pub fn distance(&self, draw: f64) -> Distance {
+        let stays_in_zone = 1.0 - self.outward[0];
+        if draw < stays_in_zone {
+            return Distance::Zone;
+        }
+        let stays_in_region = self.outward[0] * (1.0 - self.outward[1]);
+        if draw < stays_in_zone + stays_in_region {
+            return Distance::Region;
+        }
+        Distance::Remote
+    }
+
+    /// The share that leaves the region, from 0 to 1.
+    pub fn remote_share(&self) -> f64 {
+        self.outward[0] * self.outward[1]
+    }
+}
+
+fn stepped(share: f64, near: Option<f64>, far: Option<f64>) -> f64 {
+    let (Some(near), Some(far)) = (near, far) else {
+        return share;
+    };
+    let difference = near - far;
+    if near > HIGH_PRESSURE && difference > MIN_DIFFERENCE {
+        let step = (OUTWARD_GAIN * difference).min(MAX_OUTWARD_STEP);
+        return (share + step).min(MAX_OUTWARD);
+    }
+    let room_near = near < LOW_PRESSURE;
+    let far_is_worse = far > HIGH_PRESSURE && -difference > MIN_DIFFERENCE;
+    if room_near || far_is_worse {
+        return (share - INWARD_STEP).max(0.0);
+    }
+    share
+}
--- /dev/null
+++ b/crates/sablehaven-routing/tests/router.rs
@@ -0,0 +1,200 @@
+//! Scenarios of one router: who gets work, and who does not.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use sablehaven_routing::{AttemptOutcome, ExtraKind};
+use sablehaven_types::{BackendId, BackendState, MissingReason, ObservationKind, RoutingSettings};
+use support::{SHARD, Service, backend, ended, millis, replied, replied_with_load};
+
+fn three_near() -> Vec<sablehaven_types::BackendRecord> {
+    ["one", "two", "three"]
+        .map(|name| backend(name, "a", "a1"))
+        .to_vec()
+}
+
+fn shares(service: &mut Service, attempts: u64, start_ms: u64) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for attempt in 0..attempts {
+        let chosen = service.attempt(millis(start_ms + attempt), |_| replied());
+        *counts
+            .entry(chosen.expect("a replica is live"))
+            .or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn near_replicas_get_the_work_while_they_have_room() {
+    let mut backends = three_near();
+    backends.push(backend("far", "b", "b1"));
+    let mut service = Service::new(backends, RoutingSettings::default());
+    let counts = shares(&mut service, 600, 0);
+    assert_eq!(counts.get("far"), None);
+    assert!(counts.values().all(|&count| count > 100), "{counts:?}");
+}
+
+#[test]
+fn a_draining_back_end_gets_nothing_from_its_first_word_on() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    let one = BackendId::from("one");
+    let draining = ended(AttemptOutcome::Draining, millis(1));
+    service.router.finished(millis(1), &one, draining);
+    assert!(!shares(&mut service, 500, 2).contains_key("one"));
+
+    let observations = service.router.take_observations();
+    assert_eq!(observations.len(), 1);
+    assert_eq!(observations[0].kind, ObservationKind::Draining);
+    assert_eq!(observations[0].backend, one);
+
+    service.backends[0].incarnation = 2;
+    service.publish(millis(1_000));
+    assert!(shares(&mut service, 500, 60_000).contains_key("one"));
+}
+
+#[test]
+fn a_leaving_back_end_gets_nothing_and_the_last_one_leaves_the_shard_without_replica() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    service.backends[0].state = BackendState::Leaving;
+    service.publish(millis(1));
+    assert!(!shares(&mut service, 500, 2).contains_key("one"));
+    for record in &mut service.backends {
+        record.state = BackendState::Leaving;
+    }
+    service.publish(millis(1_000));
+    assert_eq!(service.router.choose(millis(1_001), SHARD, &[]), None);
+    let reason = service.router.no_choice_reason(millis(1_001), SHARD, &[]);
+    assert_eq!(reason, MissingReason::NoReplica);
+}
+
+#[test]
+fn a_silent_back_end_is_ejected_reported_probed_and_reinstated() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    let failed = |name: &str| match name {
+        "one" => ended(AttemptOutcome::Failed, millis(1)),
+        _ => replied(),
+    };
+    for now in 0..200 {
+        service.attempt(millis(now), failed);
+    }
+    let observations = service.router.take_observations();
+    assert_eq!(observations.len(), 1);
+    assert_eq!(observations[0].kind, ObservationKind::Unreachable);
+
+    let mut sent_to_one = 0;
+    for now in 200..3_000 {
+        let chosen = service.attempt(millis(now), failed);
+        sent_to_one += u32::from(chosen.as_deref() == Some("one"));
+    }
+    assert!((1..=3).contains(&sent_to_one), "only probes: {sent_to_one}");
+
+    let counts = shares(&mut service, 30_000, 3_000);
+    assert!(counts["one"] > 5_000, "{counts:?}");
+    let observations = service.router.take_observations();
+    assert_eq!(observations[0].kind, ObservationKind::Reachable);
+}
+
+#[test]
+fn ejection_keeps_half_of_the_replicas() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    for now in 0..500 {
+        service.attempt(millis(now), |_| ended(AttemptOutcome::Failed, millis(1)));
+    }
+    assert_eq!(service.router.state().ejected, 1);
+}
+
+#[test]
+fn own_requests_in_flight_count_at_once() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    let one = BackendId::from("one");
+    for _ in 0..8 {
+        service.router.sent(millis(0), &one);
+    }
+    let counts = shares(&mut service, 300, 0);
+    assert!(!counts.contains_key("one"), "{counts:?}");
+}
+
+#[test]
+fn a_fresh_load_report_turns_work_away_and_an_old_one_does_not() {
+    for (age_ms, expected) in [(0, 0..=20), (3_000, 80..=120)] {
+        let mut service = Service::new(three_near(), RoutingSettings::default());
+        let one = BackendId::from("one");
+        let mut sent_to_one = 0;
+        for now in 0..300 {
+            service.router.sent(millis(now), &one);
+            let report = replied_with_load(12, millis(age_ms));
+            service.router.finished(millis(now), &one, report);
+            let chosen = service.attempt(millis(now), |_| replied());
+            sent_to_one += u32::from(chosen.as_deref() == Some("one"));
+        }
+        assert!(
+            expected.contains(&sent_to_one),
+            "{age_ms} ms: {sent_to_one}"
+        );
+    }
+}
+
+#[test]
+fn a_new_back_end_starts_slowly() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    service.backends.push(backend("new", "a", "a1"));
+    service.publish(millis(1_000));
+    let at_first = shares(&mut service, 1_000, 1_000)["new"];
+    let later = shares(&mut service, 1_000, 20_000)["new"];
+    assert!(at_first < 120, "{at_first}");
+    assert!(later > 200, "{later}");
+}
+
+#[test]
+fn a_back_end_that_sheds_all_it_gets_is_only_probed() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    let sheds = |name: &str| match name {
+        "one" => ended(AttemptOutcome::Shed, millis(1)),
+        _ => replied(),
+    };
+    let mut sent_to_one = 0;
+    for now in 0..20_000 {
+        let chosen = service.attempt(millis(now), sheds);
+        sent_to_one += u32::from(chosen.as_deref() == Some("one"));
+    }
+    assert!(sent_to_one < 20, "{sent_to_one}");
+    assert!(service.router.state().admission_limit.is_none());
+}
+
+#[test]
+fn no_hedge_without_an_alternative_or_before_latencies_are_known() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    let one = BackendId::from("one");
+    assert_eq!(service.router.hedge_after(millis(0), SHARD, &one), None);
+    shares(&mut service, 500, 0);
+    let delay = service.router.hedge_after(millis(500), SHARD, &one);
+    assert!(delay.is_some_and(|delay| (millis(4)..=millis(6)).contains(&delay)));
+    service.backends.truncate(1);
+    service.publish(millis(1_000));
+    assert_eq!(service.router.hedge_after(millis(1_000), SHARD, &one), None);
+}
+
+#[test]
+fn a_shed_stops_hedges_at_once() {
+    let mut service = Service::new(three_near(), RoutingSettings::default());
+    shares(&mut service, 500, 0);
+    assert!(service.router.take_extra(millis(500), ExtraKind::Hedge));
+    let one = BackendId::from("one");
+    for now in [500, 700] {
+        let shed = ended(AttemptOutcome::Shed, millis(1));
+        service.router.finished(millis(now), &one, shed);
+    }
+    assert!(!service.router.take_extra(millis(700), ExtraKind::Hedge));
+}
+
+#[test]
+fn the_same_seed_gives_the_same_decisions() {
+    let choices = |_| {
+        let mut service = Service::new(three_near(), RoutingSettings::default());
+        (0..200)
+            .map(|now| service.attempt(millis(now), |_| replied()))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(choices(0), choices(1));
+}
