Routing: age of load reports near the start of time

A report older than the router's own clock counted as fresh, because the time it was taken saturated at zero; age on arrival is kept instead. The load report test found it. The same test gave only one of three replicas a report, so that report was the average the others were compared with; now every reply carries one, with the same bounds.

--- a/crates/sablehaven-routing/src/balance.rs
+++ b/crates/sablehaven-routing/src/balance.rs
@@ -46,7 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReportedLoad {
     others: f64,
-    taken_at: Option<Duration>,
+    arrived_at: Option<Duration>,
+    age_on_arrival: Duration,
 }
 
 impl ReportedLoad {
@@ -62,15 +63,17 @@
         let capped = others.min(REPORT_CAP * (average.others + 1.0));
         average.others += AVERAGE_WEIGHT * (capped - average.others);
         self.others = capped;
-        self.taken_at = Some(now.saturating_sub(report.age));
+        self.arrived_at = Some(now);
+        self.age_on_arrival = report.age;
     }
 
     /// Other agents' requests at the back end, as far as known.
     pub fn estimate(&self, now: Duration, average: &ServiceAverage) -> f64 {
-        let Some(taken_at) = self.taken_at else {
+        let Some(arrived_at) = self.arrived_at else {
             return average.others;
         };
-        let weight = aged_weight(now.saturating_sub(taken_at), REPORT_TIME_CONSTANT);
+        let age = self.age_on_arrival + now.saturating_sub(arrived_at);
+        let weight = aged_weight(age, REPORT_TIME_CONSTANT);
         weight * self.others + (1.0 - weight) * average.others
     }
 }
--- a/crates/sablehaven-routing/tests/router.rs
+++ b/crates/sablehaven-routing/tests/router.rs
@@ -125,7 +125,10 @@
             service.router.sent(millis(now), &one);
             let report = replied_with_load(12, millis(age_ms));
             service.router.finished(millis(now), &one, report);
-            let chosen = service.attempt(millis(now), |_| replied());
+            let chosen = service.attempt(millis(now), |name| match name {
+                "one" => replied_with_load(12, millis(age_ms)),
+                _ => replied_with_load(1, millis(age_ms)),
+            });
             sent_to_one += u32::from(chosen.as_deref() == Some("one"));
         }
         assert!(
