Stand-ins: back ends, host process and the platform's list

Cause: the whole path needs back ends that drain, shed, start cold, hold several

Change: salvo servers on an acceptor of our own (connection limit refuses, opening costs time); replies synthesised from descriptors with a mark in every item; admin HTTP API; lagging platform list; sablehaven-standin host FILE as a process. Ruled out: salvo's max_connections, which leaves connections waiting unseen. Partial: MethodTable::from_schema waits for sablehaven-schema. Not measured.

--- /dev/null
+++ b/testing/sablehaven-standins/src/backend/mod.rs
@@ -0,0 +1,15 @@
+//! A stand-in back-end server: slots, a bounded queue, cold start, drain, shedding, cancellation,
+//! deadlines, several index snapshots at once, and load reports that lag and mislead.
+
+mod handler;
+mod in_flight;
+mod load;
+mod record;
+mod server;
+mod settings;
+mod state;
+
+pub use record::ExecutionLog;
+pub use server::{Backend, BackendError};
+pub use settings::{BackendSettings, BadReply, Behaviour, HeldSnapshot, ServiceTime};
+pub use state::BackendStatus;
