Types: a setting's error says only what is wrong

Cause: displaydoc takes every doc line of an item for the message, so it began with the type's own documentation. Change: the message is an attribute of its own.

--- a/crates/sablehaven-types/src/process.rs
+++ b/crates/sablehaven-types/src/process.rs
@@ -8,7 +8,7 @@
 #[derive(
     Clone, Debug, PartialEq, Eq, Serialize, Deserialize, displaydoc::Display, thiserror::Error,
 )]
-/// setting '{key}' is {value}, allowed is {allowed}
+#[displaydoc("setting '{key}' is {value}, allowed is {allowed}")]
 pub struct SettingError {
     /// The setting's full key, such as `agent.relays`.
     pub key: String,
