--- a/crates/sablehaven-schema/src/body/mod.rs
+++ b/crates/sablehaven-schema/src/body/mod.rs
@@ -17,7 +17,7 @@
 
 /// A body that does not fit its message.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
-/// field '{path}': {message}
+#[displaydoc("field '{path}': {message}")]
 pub struct BodyError {
     /// The field to blame; `(body)` where it is the body as a whole.
     pub path: String,
--- a/crates/sablehaven-schema/src/compile.rs
+++ b/crates/sablehaven-schema/src/compile.rs
@@ -97,24 +97,28 @@
 }
 
 fn problems_of(error: &Error, file_name: &str, text: &str) -> Vec<SchemaProblem> {
-    let mut problems = vec![problem_of(error, file_name, text)];
-    for related in error.related().into_iter().flatten() {
-        problems.push(problem_of(related, file_name, text));
-    }
+    // A parse error without a label says that the text ended too early.
+    let unlabelled = if error.is_parse() { text.len() } else { 0 };
+    let problem = |diagnostic: &dyn Diagnostic| {
+        let label = diagnostic.labels().and_then(Iterator::last);
+        let offset = label.map_or(unlabelled, |label| label.offset());
+        Position::of_offset(text, offset).problem(file_name, message_of(diagnostic))
+    };
+    let mut problems = vec![problem(error)];
+    problems.extend(error.related().into_iter().flatten().map(problem));
     problems.sort();
     problems.dedup();
     problems
 }
 
-/// An error without a label concerns the end of the file, which came too early.
-fn problem_of(diagnostic: &dyn Diagnostic, file_name: &str, text: &str) -> SchemaProblem {
-    let offset = diagnostic
-        .labels()
-        .and_then(|labels| labels.last())
-        .map_or(text.len(), |label| label.offset());
-    let message = match diagnostic.help() {
-        Some(help) => format!("{diagnostic} ({help})"),
-        None => diagnostic.to_string(),
-    };
-    Position::of_offset(text, offset).problem(file_name, message)
+/// The compiler's words, with what caused the error and how to mend it.
+fn message_of(diagnostic: &dyn Diagnostic) -> String {
+    let mut message = diagnostic.to_string();
+    if let Some(cause) = diagnostic.diagnostic_source() {
+        message = format!("{message}: {cause}");
+    }
+    if let Some(help) = diagnostic.help() {
+        message = format!("{message} ({help})");
+    }
+    message
 }
--- a/crates/sablehaven-schema/src/field_rules.rs
+++ b/crates/sablehaven-schema/src/field_rules.rs
@@ -140,24 +140,24 @@
 }
 
 fn limit(input: &MessageDescriptor, rule: &TopK) -> Result<Limit, String> {
+    let default = rule.default_limit;
     let maximum = match rule.maximum_limit {
-        0 => rule.default_limit,
+        0 => default,
         given => given,
     };
-    if maximum > MAX_LIMIT {
+    if !(1..=MAX_LIMIT).contains(&default) {
         return Err(format!(
-            "maximum_limit is {maximum}, allowed is at most {MAX_LIMIT}"
+            "default_limit is {default}, allowed is 1 to {MAX_LIMIT}"
         ));
     }
-    if !(1..=maximum).contains(&rule.default_limit) {
+    if !(default..=MAX_LIMIT).contains(&maximum) {
         return Err(format!(
-            "default_limit is {}, allowed is 1 to the maximum_limit of {maximum}",
-            rule.default_limit
+            "maximum_limit is {maximum}, allowed is the default_limit of {default} to {MAX_LIMIT}"
         ));
     }
     Ok(Limit {
         field: limit_field(input, &rule.limit)?,
-        default: rule.default_limit,
+        default,
         maximum,
     })
 }
--- a/crates/sablehaven-schema/src/locations.rs
+++ b/crates/sablehaven-schema/src/locations.rs
@@ -81,14 +81,18 @@
         self.nearest(&path)
     }
 
-    /// The place of the path itself, or else of the nearest part that holds it.
+    /// The place of the path itself, or else of something within it, or else of what holds it.
     fn nearest(&self, path: &[i32]) -> Position {
         (1..=path.len())
             .rev()
-            .find_map(|length| self.positions.get(&path[..length]))
-            .copied()
+            .find_map(|length| self.first_within(&path[..length]))
             .unwrap_or(Position::START)
     }
+
+    fn first_within(&self, path: &[i32]) -> Option<Position> {
+        let (found, position) = self.positions.range(path.to_vec()..).next()?;
+        found.starts_with(path).then_some(*position)
+    }
 }
 
 fn extend(path: &[i32], parts: &[i32]) -> Vec<i32> {
--- a/crates/sablehaven-schema/src/problem.rs
+++ b/crates/sablehaven-schema/src/problem.rs
@@ -2,7 +2,7 @@
 
 /// One problem of a schema file.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, displaydoc::Display, thiserror::Error)]
-/// {file}:{line}:{column}: {message}
+#[displaydoc("{file}:{line}:{column}: {message}")]
 pub struct SchemaProblem {
     /// The file's name.
     pub file: String,
