Types: header for resends, echo of refusals

Cause: an agent that refuses before it has asked the ledger (no lease, pressed, ledger not reachable) would say 'not run' of a request whose first sending may have run; and a refusal that belongs to another attempt would release a claim that was dispatched. Change: the header sablehaven-resend, by which such a refusal becomes 'unknown'; refusals must echo the attempt; the ledger key goes on to the back end. Ruled out: telling a resend by the age of its issue time, since a caller may resend within milliseconds.

--- a/crates/sablehaven-types/src/http.rs
+++ b/crates/sablehaven-types/src/http.rs
@@ -3,8 +3,11 @@
 //! Callers post to the agent at `/<package>.<Service>/<Method>` with a JSON or protobuf body. The
 //! agent posts to back ends at the same path, over HTTP/2 without TLS (prior knowledge), with the
 //! method's request message as protobuf and the attempt's metadata in headers. A reply with status
-//! 200 must echo attempt, shard and snapshot; a reply that does not is discarded. A cancelled
-//! attempt is a reset of its HTTP/2 stream.
+//! 200 must echo attempt, shard and snapshot; a reply that does not is discarded. A refusal must echo
+//! the attempt: one that does not proves nothing about a request that may not be repeated, whose
+//! outcome is then unknown. For such a request the caller's [`CALLER`], [`REQUEST_ID`] and
+//! [`ISSUED_AT_MS`] go on to the back end, so that it can keep its own record. A cancelled attempt
+//! is a reset of its HTTP/2 stream.
 
 /// Content type of protobuf bodies.
 pub const CONTENT_TYPE_PROTOBUF: &str = "application/x-protobuf";
@@ -18,6 +21,10 @@
 /// Caller to agent: when the request was first issued, in milliseconds since the Unix epoch;
 /// required for requests that may not be repeated, the same on a resend.
 pub const ISSUED_AT_MS: &str = "sablehaven-issued-at-ms";
+/// Caller to agent (`1`): the caller has sent this request before and does not know its outcome. A
+/// refusal made before the ledger was asked then says "unknown", because an earlier sending may have
+/// run.
+pub const RESEND: &str = "sablehaven-resend";
 /// Caller to agent, and agent to back end: time that is left, in milliseconds.
 pub const DEADLINE_MS: &str = "sablehaven-deadline-ms";
 
