Schema: protobuf envelope shared by agent and clients

Cause: a caller who asks for protobuf needs the envelope's fields too, defined once. Ruled out: a JSON envelope with a base64 body, which would make protobuf callers parse JSON.

--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod compile;
 mod configuration;
+pub mod envelope;
 mod field_rules;
 mod fingerprint;
 pub mod fleet_file;
