--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod compile;
 mod configuration;
+pub mod envelope;
 mod field_rules;
 pub mod fleet_file;
 mod key;
