Subscription: view, lease, choice of relay and ledger calls of an agent

Cause: an agent must hold the newest committed state, know whether it is proved to be current, and move between relays without going back or losing calls unnoticed.

--- /dev/null
+++ b/crates/sablehaven-subscription/tests/config.rs
@@ -0,0 +1,31 @@
+//! Settings that cannot be used are named with their key and allowed range.
+
+use sablehaven_subscription::Config;
+
+#[test]
+fn each_setting_out_of_range_is_named() {
+    let config = Config {
+        lease_wait_ms: 0,
+        retry_maximum_ms: 1,
+        ..Config::default()
+    };
+    let errors = config.validate("agent.subscription");
+    let keys: Vec<_> = errors.iter().map(|error| error.key.as_str()).collect();
+    assert_eq!(
+        keys,
+        [
+            "agent.subscription.relays",
+            "agent.subscription.lease_wait_ms",
+            "agent.subscription.retry_maximum_ms"
+        ]
+    );
+}
+
+#[test]
+fn the_defaults_need_only_the_relays() {
+    let config = Config {
+        relays: vec!["127.0.0.1:7000".parse().expect("address")],
+        ..Config::default()
+    };
+    assert!(config.validate("agent.subscription").is_empty());
+}
--- /dev/null
+++ b/crates/sablehaven-subscription/tests/view_state.rs
@@ -0,0 +1,242 @@
+//! The view moves only forward, and hints end when control speaks.
+
+use std::time::Duration;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use sablehaven_subscription::{Applied, ViewState};
+use sablehaven_types::{
+    BackendRecord, BackendState, IndexSnapshot, Observation, ObservationKind, Placement,
+    ServiceConfiguration, SnapshotId,
+};
+use sablehaven_wire::StateUpdate;
+
+const SERVICE: &str = "stock.Search";
+const LIFETIME: Duration = Duration::from_secs(30);
+
+fn record(id: &str, incarnation: u64, state: BackendState) -> BackendRecord {
+    BackendRecord {
+        id: id.into(),
+        service: SERVICE.into(),
+        address: "127.0.0.1:9000".parse().expect("address"),
+        placement: Placement {
+            region: "west".into(),
+            zone: "west-1".into(),
+        },
+        state,
+        incarnation,
+    }
+}
+
+fn service(generation: u64) -> ServiceConfiguration {
+    ServiceConfiguration {
+        snapshot: IndexSnapshot {
+            id: SnapshotId {
+                generation,
+                partition_map: 1,
+            },
+            shards: Vec::new(),
+        },
+        routing: Default::default(),
+    }
+}
+
+fn full(revision: u64, records: &[BackendRecord]) -> StateUpdate {
+    StateUpdate {
+        full: true,
+        revision,
+        configuration_version: revision / 10,
+        services: [(SERVICE.into(), Some(service(revision)))].into(),
+        backends: records
+            .iter()
+            .map(|record| (record.id.clone(), Some(record.clone())))
+            .collect(),
+        ..StateUpdate::default()
+    }
+}
+
+fn delta(from_revision: u64, revision: u64, records: &[BackendRecord]) -> StateUpdate {
+    StateUpdate {
+        full: false,
+        from_revision,
+        services: Default::default(),
+        ..full(revision, records)
+    }
+}
+
+fn draining(id: &str, incarnation: u64) -> Observation {
+    Observation {
+        backend: id.into(),
+        service: SERVICE.into(),
+        incarnation,
+        kind: ObservationKind::Draining,
+    }
+}
+
+fn state_of(state: &ViewState, id: &str) -> Option<BackendState> {
+    let view = state.view();
+    let records = view.backends.get(&SERVICE.into())?;
+    let record = records.iter().find(|record| record.id == id.into())?;
+    Some(record.state)
+}
+
+fn with_two_backends() -> ViewState {
+    let mut state = ViewState::new(LIFETIME);
+    let records = [
+        record("depot-2", 1, BackendState::Live),
+        record("depot-1", 1, BackendState::Live),
+    ];
+    assert_eq!(state.apply(full(10, &records)), Applied::Advanced);
+    state
+}
+
+#[test]
+fn back_ends_are_ascending_by_id() {
+    let state = with_two_backends();
+    let view = state.view();
+    let ids: Vec<_> = view.backends[&SERVICE.into()]
+        .iter()
+        .map(|record| record.id.to_string())
+        .collect();
+    assert_eq!(ids, ["depot-1", "depot-2"]);
+}
+
+#[test]
+fn updates_that_do_not_fit_change_nothing() {
+    let mut state = with_two_backends();
+    let before = state.view();
+    assert_eq!(state.apply(full(10, &[])), Applied::Old);
+    assert_eq!(state.apply(full(9, &[])), Applied::Old);
+    assert_eq!(state.apply(delta(9, 12, &[])), Applied::Gap);
+    assert_eq!(state.apply(delta(11, 12, &[])), Applied::Gap);
+    assert_eq!(state.view(), before);
+}
+
+#[test]
+fn an_older_configuration_under_a_newer_revision_is_refused() {
+    let mut state = with_two_backends();
+    let mut update = full(11, &[]);
+    update.configuration_version = 0;
+    assert_eq!(state.apply(update), Applied::Reverted);
+    assert_eq!(state.configuration_version(), 1);
+}
+
+#[test]
+fn a_delta_changes_and_removes() {
+    let mut state = with_two_backends();
+    let mut update = delta(10, 11, &[record("depot-3", 1, BackendState::Live)]);
+    update.backends.insert("depot-1".into(), None);
+    update.services.insert(SERVICE.into(), None);
+    assert_eq!(state.apply(update), Applied::Advanced);
+    assert_eq!(state_of(&state, "depot-1"), None);
+    assert_eq!(state_of(&state, "depot-3"), Some(BackendState::Live));
+    assert!(state.view().services.is_empty());
+}
+
+#[test]
+fn a_back_end_that_changes_its_service_is_listed_once() {
+    let mut state = with_two_backends();
+    let mut moved = record("depot-1", 2, BackendState::Live);
+    moved.service = "stock.Reserve".into();
+    assert_eq!(state.apply(delta(10, 11, &[moved])), Applied::Advanced);
+    assert_eq!(state_of(&state, "depot-1"), None);
+    assert_eq!(state.view().backends[&"stock.Reserve".into()].len(), 1);
+}
+
+#[test]
+fn a_hint_shows_the_back_end_as_leaving_until_its_time_passes() {
+    let mut state = with_two_backends();
+    assert!(state.hint(&draining("depot-1", 1), Duration::ZERO));
+    assert!(!state.hint(&draining("depot-1", 1), Duration::ZERO));
+    assert_eq!(state_of(&state, "depot-1"), Some(BackendState::Leaving));
+    assert_eq!(state_of(&state, "depot-2"), Some(BackendState::Live));
+    assert_eq!(state.next_hint_expiry(), Some(LIFETIME));
+    assert!(state.expire_hints(LIFETIME));
+    assert_eq!(state_of(&state, "depot-1"), Some(BackendState::Live));
+}
+
+#[test]
+fn only_a_draining_word_about_a_known_start_counts() {
+    let mut state = with_two_backends();
+    let mut unreachable = draining("depot-1", 1);
+    unreachable.kind = ObservationKind::Unreachable;
+    assert!(!state.hint(&unreachable, Duration::ZERO));
+    assert!(!state.hint(&draining("depot-1", 0), Duration::ZERO));
+    assert!(!state.hint(&draining("depot-9", 1), Duration::ZERO));
+}
+
+#[test]
+fn a_hint_ends_with_a_newer_start() {
+    let mut state = with_two_backends();
+    state.hint(&draining("depot-1", 1), Duration::ZERO);
+    let restarted = record("depot-1", 2, BackendState::Live);
+    state.apply(full(11, &[restarted]));
+    assert_eq!(state_of(&state, "depot-1"), Some(BackendState::Live));
+    assert_eq!(state.next_hint_expiry(), None);
+}
+
+#[test]
+fn a_hint_ends_when_control_says_otherwise_about_the_same_start() {
+    let mut state = with_two_backends();
+    state.hint(&draining("depot-1", 1), Duration::ZERO);
+    let unrelated = record("depot-2", 1, BackendState::Suspected);
+    state.apply(delta(10, 11, &[unrelated]));
+    assert_eq!(state_of(&state, "depot-1"), Some(BackendState::Leaving));
+    let live = record("depot-1", 1, BackendState::Live);
+    state.apply(delta(11, 12, &[live]));
+    assert_eq!(state_of(&state, "depot-1"), Some(BackendState::Live));
+}
+
+#[test]
+fn a_hint_outlasts_a_full_update_made_before_control_heard_of_it() {
+    let mut state = with_two_backends();
+    state.hint(&draining("depot-1", 1), Duration::ZERO);
+    state.apply(full(11, &[record("depot-1", 1, BackendState::Live)]));
+    assert_eq!(state_of(&state, "depot-1"), Some(BackendState::Leaving));
+}
+
+#[test]
+fn a_hint_about_a_start_that_control_has_not_seen_outlasts_the_older_record() {
+    let mut state = with_two_backends();
+    state.hint(&draining("depot-1", 3), Duration::ZERO);
+    let older = record("depot-1", 2, BackendState::Live);
+    state.apply(delta(10, 11, &[older]));
+    assert_eq!(state_of(&state, "depot-1"), Some(BackendState::Leaving));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0xf0f0),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever updates arrive in whatever order: revision and version never go back, and an
+    /// applied state is exactly the one that the sender had at that revision.
+    #[test]
+    fn the_view_moves_only_forward(
+        updates in prop::collection::vec((any::<bool>(), 0u64..40, 0u64..8), 1..60),
+    ) {
+        let mut state = ViewState::new(LIFETIME);
+        for (whole, from, step) in updates {
+            let revision = from + step;
+            let records = [record("depot-1", revision, BackendState::Live)];
+            let update = match whole {
+                true => full(revision, &records),
+                false => delta(from, revision, &records),
+            };
+            let before = (state.revision(), state.configuration_version());
+            let applied = state.apply(update);
+            let after = (state.revision(), state.configuration_version());
+            prop_assert!(after.0 >= before.0 && after.1 >= before.1);
+            match applied {
+                Applied::Advanced => {
+                    prop_assert_eq!(state.revision(), revision);
+                    let view = state.view();
+                    let shown = &view.backends[&SERVICE.into()][0];
+                    prop_assert_eq!(shown.incarnation, revision);
+                }
+                _ => prop_assert_eq!(before, after),
+            }
+        }
+    }
+}
