--- /dev/null
+++ b/crates/sablehaven-storage/src/commit.rs
@@ -0,0 +1,267 @@
+//! How a batch becomes durable: checks, the record, segment changes and removal.
+
+use sablehaven_consensus::SnapshotMetadata;
+
+use crate::{
+    error::StorageError,
+    format::{FRAME_HEADER_BYTES, append_frame, checksum_seed},
+    group_state::GroupState,
+    manifest::Manifest,
+    names,
+    record::{Record, RecordEntry, RecordSnapshot, RecordWrite, SegmentStart},
+    segment::{self, MAXIMUM_RECORD_BYTES},
+    snapshot_file,
+    snapshot_writer::PreparedSnapshot,
+    storage::Storage,
+    survey::SegmentSummary,
+    synced_position::SyncedPosition,
+    write::GroupWrite,
+};
+
+impl Storage {
+    /// The record for a batch, checked against what is stored.
+    pub(crate) fn record_of_batch<'a>(
+        &self,
+        batch: &'a [GroupWrite],
+    ) -> Result<Record<'a>, StorageError> {
+        let mut writes: Vec<RecordWrite<'a>> = Vec::with_capacity(batch.len());
+        for write in batch {
+            if writes.iter().any(|earlier| earlier.group == write.group) {
+                let reason = "the batch holds the group twice";
+                return Err(invalid_write(write.group, reason));
+            }
+            writes.push(self.record_write(write)?);
+        }
+        Ok(Record { writes })
+    }
+
+    /// The frame of a record; refuses one that is too long to be read back.
+    pub(crate) fn encode(&self, record: &Record<'_>) -> Result<Vec<u8>, StorageError> {
+        let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES);
+        let seed = checksum_seed(self.identity.replica);
+        let name = names::segment(self.manifest.last_segment);
+        append_frame(&mut frame, seed, self.next_sequence, record)
+            .map_err(|error| self.folder.encode_error(&name, error))?;
+        if frame.len() as u64 > MAXIMUM_RECORD_BYTES {
+            return Err(StorageError::BatchTooLarge {
+                bytes: frame.len() as u64,
+                allowed: MAXIMUM_RECORD_BYTES,
+            });
+        }
+        Ok(frame)
+    }
+
+    /// Makes a checked record durable and takes it over.
+    pub(crate) fn commit(
+        &mut self,
+        batch: &[GroupWrite],
+        record: &Record<'_>,
+        frame: &[u8],
+    ) -> Result<(), StorageError> {
+        // The order must hold: a record may refer only to snapshot files that are durable, or a
+        // crash would leave a reference to a file that is not there.
+        self.write_snapshots(batch, record)?;
+        if self.is_full(frame) {
+            self.begin_segment()?;
+        }
+        self.append(frame)?;
+        let replaced = self.replaced_snapshots(record);
+        self.take_over(record);
+        // Only what is durable may make anything superfluous, so removal comes last.
+        for name in replaced {
+            self.folder.remove(&name)?;
+        }
+        self.remove_covered_segments()
+    }
+
+    /// The index of the last entry that a group's snapshot covers.
+    pub(crate) fn snapshot_index(&self, group: u32) -> u64 {
+        let state = self.groups.get(&group);
+        state.map_or(0, GroupState::snapshot_index)
+    }
+
+    /// Checks that a snapshot of this replica's own state stands at a stored entry.
+    pub(crate) fn check_covers_entries(
+        &self,
+        group: u32,
+        metadata: &SnapshotMetadata,
+    ) -> Result<(), StorageError> {
+        if self.stored_term(group, metadata.index) == Some(metadata.term) {
+            return Ok(());
+        }
+        let (index, term) = (metadata.index, metadata.term);
+        let reason = format!("no entry {index} of term {term} is stored that a snapshot may cover");
+        Err(invalid_write(group, reason))
+    }
+
+    /// Removes a prepared snapshot that came too late.
+    pub(crate) fn remove_unless_current(
+        &mut self,
+        prepared: &PreparedSnapshot,
+    ) -> Result<(), StorageError> {
+        let state = self.groups.get(&prepared.group);
+        let current = state.and_then(|state| state.snapshot.as_ref());
+        let name = names::snapshot(prepared.group, &prepared.reference);
+        if current.is_some_and(|current| names::snapshot(prepared.group, current) == name) {
+            return Ok(());
+        }
+        self.folder.remove(&name)
+    }
+
+    fn record_write<'a>(&self, write: &'a GroupWrite) -> Result<RecordWrite<'a>, StorageError> {
+        let snapshot = write.snapshot.as_ref().map(|snapshot| {
+            let metadata = &snapshot.metadata;
+            let stored_term = self.stored_term(write.group, metadata.index);
+            RecordSnapshot {
+                reference: snapshot_file::reference_of(snapshot),
+                keeps_later_entries: stored_term == Some(metadata.term),
+            }
+        });
+        let record_write = RecordWrite {
+            group: write.group,
+            hard_state: write.hard_state,
+            snapshot,
+            entries: write.entries.iter().map(RecordEntry::from).collect(),
+        };
+        let new_group = GroupState::default();
+        let state = self.groups.get(&write.group).unwrap_or(&new_group);
+        match state.check(&record_write) {
+            Ok(()) => Ok(record_write),
+            Err(reason) => Err(invalid_write(write.group, reason)),
+        }
+    }
+
+    fn stored_term(&self, group: u32, index: u64) -> Option<u64> {
+        self.groups.get(&group)?.term_of(index)
+    }
+
+    fn write_snapshots(
+        &self,
+        batch: &[GroupWrite],
+        record: &Record<'_>,
+    ) -> Result<(), StorageError> {
+        for (write, record_write) in batch.iter().zip(&record.writes) {
+            if let (Some(snapshot), Some(recorded)) = (&write.snapshot, &record_write.snapshot) {
+                let (reference, replica) = (&recorded.reference, self.identity.replica);
+                let data = &snapshot.data;
+                snapshot_file::write(&self.folder, replica, write.group, reference, data)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn is_full(&self, frame: &[u8]) -> bool {
+        let active = &self.active.summary;
+        let length = active.length + frame.len() as u64;
+        active.records > 0 && length > self.options.segment_bytes
+    }
+
+    /// Closes the active segment and begins the next one.
+    fn begin_segment(&mut self) -> Result<(), StorageError> {
+        let number = self.manifest.last_segment + 1;
+        let groups = self.groups.iter();
+        let start = SegmentStart {
+            replica: self.identity.replica,
+            number,
+            first_sequence: self.next_sequence,
+            groups: groups
+                .map(|(group, state)| state.checkpoint(*group))
+                .collect(),
+        };
+        // The order must hold: the segment is durable before the manifest names it, and the
+        // manifest is durable before a record is acknowledged in it. Otherwise a crash could leave
+        // a manifest that names no file, or acknowledged records that nothing names.
+        let length = segment::begin(&self.folder, &start)?;
+        let manifest = Manifest {
+            last_segment: number,
+            ..self.manifest
+        };
+        manifest.write(&self.folder)?;
+        self.manifest = manifest;
+        let summary = SegmentSummary {
+            number,
+            length,
+            ..SegmentSummary::default()
+        };
+        self.active.file = self.folder.open_file(&names::segment(number))?;
+        let closed = std::mem::replace(&mut self.active.summary, summary);
+        self.closed.push_back(closed);
+        self.counters.segments_begun += 1;
+        Ok(())
+    }
+
+    /// The one write and the one sync of a record.
+    fn append(&mut self, frame: &[u8]) -> Result<(), StorageError> {
+        let active = &mut self.active;
+        active.file.write_at(active.summary.length, frame)?;
+        active.file.sync()?;
+        active.summary.length += frame.len() as u64;
+        active.summary.records += 1;
+        self.next_sequence += 1;
+        self.counters.records += 1;
+        self.counters.log_bytes += frame.len() as u64;
+        self.counters.log_syncs += 1;
+        self.synced.write(SyncedPosition {
+            segment: active.summary.number,
+            length: active.summary.length,
+        })
+    }
+
+    /// The files of the snapshots that a record replaces.
+    fn replaced_snapshots(&self, record: &Record<'_>) -> Vec<String> {
+        let with_snapshot = record
+            .writes
+            .iter()
+            .filter(|write| write.snapshot.is_some());
+        let replaced = with_snapshot.filter_map(|write| {
+            let former = self.groups.get(&write.group)?.snapshot.as_ref()?;
+            Some(names::snapshot(write.group, former))
+        });
+        replaced.collect()
+    }
+
+    fn take_over(&mut self, record: &Record<'_>) {
+        self.active.summary.note(record);
+        for write in &record.writes {
+            self.counters.snapshots += u64::from(write.snapshot.is_some());
+            self.groups.entry(write.group).or_default().apply(write);
+        }
+    }
+
+    /// Removes the oldest segments whose entries are all covered by snapshots.
+    fn remove_covered_segments(&mut self) -> Result<(), StorageError> {
+        let covered = self
+            .closed
+            .iter()
+            .take_while(|segment| self.is_covered(segment));
+        let covered: Vec<u64> = covered.map(|segment| segment.number).collect();
+        let Some(last_covered) = covered.last() else {
+            return Ok(());
+        };
+        // The order must hold: once the manifest no longer names them their loss is no damage.
+        let manifest = Manifest {
+            first_segment: last_covered + 1,
+            ..self.manifest
+        };
+        manifest.write(&self.folder)?;
+        self.manifest = manifest;
+        for number in covered {
+            self.folder.remove(&names::segment(number))?;
+            self.closed.pop_front();
+            self.counters.segments_removed += 1;
+        }
+        Ok(())
+    }
+
+    fn is_covered(&self, segment: &SegmentSummary) -> bool {
+        let mut highest = segment.highest.iter();
+        highest.all(|(group, highest)| *highest <= self.snapshot_index(*group))
+    }
+}
+
+fn invalid_write(group: u32, reason: impl Into<String>) -> StorageError {
+    StorageError::InvalidWrite {
+        group,
+        reason: reason.into(),
+    }
+}
--- a/crates/sablehaven-storage/src/identity.rs
+++ b/crates/sablehaven-storage/src/identity.rs
@@ -3,8 +3,14 @@
 use sablehaven_consensus::ReplicaId;
 use serde::{Deserialize, Serialize};
 
-/// The version of every file format in the data folder.
-pub const FORMAT_VERSION: u32 = 1;
+use crate::{
+    error::StorageError,
+    folder::Folder,
+    format::{
+        FORMAT_VERSION, FileKind, MAXIMUM_DOCUMENT_BYTES, decode_whole_document, encode_document,
+    },
+    names,
+};
 
 /// Made once, when a data folder is formatted; never changed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,3 +22,30 @@
     /// The version of the folder's formats.
     pub format_version: u32,
 }
+
+impl Identity {
+    /// A new disk's identity.
+    pub(crate) fn random(deployment: &str) -> Self {
+        Self {
+            replica: ReplicaId(rand::random()),
+            deployment: deployment.to_owned(),
+            format_version: FORMAT_VERSION,
+        }
+    }
+
+    /// Reads the identity; `None` where the folder has none.
+    pub(crate) fn read(folder: &Folder) -> Result<Option<Self>, StorageError> {
+        let Some(content) = folder.read(names::IDENTITY, MAXIMUM_DOCUMENT_BYTES)? else {
+            return Ok(None);
+        };
+        let identity = decode_whole_document(FileKind::Identity, &content)
+            .map_err(|error| folder.format_error(names::IDENTITY, error))?;
+        Ok(Some(identity))
+    }
+
+    pub(crate) fn write(&self, folder: &Folder) -> Result<(), StorageError> {
+        let content = encode_document(FileKind::Identity, self)
+            .map_err(|error| folder.encode_error(names::IDENTITY, error))?;
+        folder.write_file(names::IDENTITY, &[&content])
+    }
+}
--- a/crates/sablehaven-storage/src/inspect.rs
+++ b/crates/sablehaven-storage/src/inspect.rs
@@ -1,11 +1,23 @@
 //! A report on a data folder, made without the lock and without changing anything.
 
-use std::{collections::BTreeMap, path::Path};
+use std::{collections::BTreeMap, path::Path, sync::Arc};
 
 use sablehaven_consensus::{HardState, SnapshotMetadata};
 use serde::{Deserialize, Serialize};
 
-use crate::{disk::Disk, error::StorageError, identity::Identity, real_disk::RealDisk};
+use crate::{
+    disk::Disk,
+    error::StorageError,
+    folder::Folder,
+    identity::Identity,
+    manifest::Manifest,
+    names,
+    real_disk::RealDisk,
+    recovery,
+    replay::ReplayedGroup,
+    snapshot_file,
+    survey::{SegmentSummary, Survey},
+};
 
 /// What a data folder holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,14 +93,133 @@
 /// # Errors
 /// Only when the folder cannot be listed; damage is part of the report.
 pub fn inspect(folder: &Path) -> Result<Inspection, StorageError> {
-    inspect_on(&RealDisk, folder)
+    inspect_on(Arc::new(RealDisk), folder)
 }
 
 /// Reports on a data folder of `disk`.
 ///
 /// # Errors
 /// As [`inspect`].
-pub fn inspect_on(disk: &dyn Disk, folder: &Path) -> Result<Inspection, StorageError> {
-    let _ = (disk, folder);
-    todo!()
+pub fn inspect_on(disk: Arc<dyn Disk>, folder: &Path) -> Result<Inspection, StorageError> {
+    let folder = Folder::new(folder, disk);
+    let mut inspection = Inspection {
+        other_files: folder.list()?,
+        ..Inspection::default()
+    };
+    if let Err(error) = inspection.read(&folder) {
+        inspection.note_damage(&error);
+    }
+    Ok(inspection)
+}
+
+impl Inspection {
+    fn read(&mut self, folder: &Folder) -> Result<(), StorageError> {
+        let Some(identity) = Identity::read(folder)? else {
+            return Ok(());
+        };
+        self.identity = Some(identity.clone());
+        let manifest = Manifest::read(folder, identity.replica)?;
+        let mut survey = Survey::new(folder, identity, manifest);
+        let log = survey.read_log(folder);
+        self.describe(&survey);
+        if let Err(error) = log {
+            self.note_damage(&error);
+            return Ok(());
+        }
+        self.check_snapshots(folder, &survey);
+        let checked = recovery::check_unnamed_segments(folder, &survey);
+        self.other_files.retain(|name| !is_stored(name, &survey));
+        checked
+    }
+
+    fn describe(&mut self, survey: &Survey) {
+        let segments = survey.segments.iter();
+        self.segments = segments.map(SegmentReport::from).collect();
+        for (group, replayed) in &survey.replay.groups {
+            self.groups.insert(*group, GroupReport::from(replayed));
+        }
+        self.torn_tail = survey.torn_tail.as_ref().map(|tail| TornTail {
+            file: file_name(&tail.path),
+            offset: tail.offset,
+            bytes: tail.bytes,
+        });
+    }
+
+    fn check_snapshots(&mut self, folder: &Folder, survey: &Survey) {
+        for (group, replayed) in &survey.replay.groups {
+            let Some(reference) = &replayed.state.snapshot else {
+                continue;
+            };
+            let replica = survey.identity.replica;
+            if let Err(error) = snapshot_file::read(folder, replica, *group, reference) {
+                self.note_damage(&error);
+            }
+        }
+    }
+
+    fn note_damage(&mut self, error: &StorageError) {
+        let report = match error {
+            StorageError::Damaged {
+                path,
+                offset,
+                reason,
+            } => DamageReport {
+                file: file_name(path),
+                offset: Some(*offset),
+                reason: reason.clone(),
+            },
+            StorageError::UnknownVersion { path, .. } | StorageError::Disk { path, .. } => {
+                DamageReport {
+                    file: file_name(path),
+                    offset: None,
+                    reason: error.to_string(),
+                }
+            }
+            _ => DamageReport {
+                file: String::new(),
+                offset: None,
+                reason: error.to_string(),
+            },
+        };
+        self.damage.push(report);
+    }
+}
+
+impl From<&SegmentSummary> for SegmentReport {
+    fn from(summary: &SegmentSummary) -> Self {
+        Self {
+            number: summary.number,
+            file: names::segment(summary.number),
+            bytes: summary.length,
+            records: summary.records,
+        }
+    }
+}
+
+impl From<&ReplayedGroup> for GroupReport {
+    fn from(replayed: &ReplayedGroup) -> Self {
+        let snapshot = replayed.state.snapshot.as_ref();
+        Self {
+            hard_state: replayed.state.hard_state,
+            snapshot: replayed.snapshot_metadata(),
+            snapshot_bytes: snapshot.map(|reference| reference.data_bytes),
+            last_index: replayed.state.last_index,
+            entries: replayed.entries.len() as u64,
+        }
+    }
+}
+
+fn is_stored(name: &str, survey: &Survey) -> bool {
+    const FIXED: [&str; 4] = [
+        names::LOCK,
+        names::IDENTITY,
+        names::MANIFEST,
+        names::SYNCED_POSITION,
+    ];
+    FIXED.contains(&name) || recovery::is_needed(name, survey)
+}
+
+fn file_name(path: &Path) -> String {
+    let name = path.file_name().unwrap_or(path.as_os_str());
+    name.to_string_lossy().into_owned()
 }
--- a/crates/sablehaven-storage/src/lib.rs
+++ b/crates/sablehaven-storage/src/lib.rs
@@ -5,22 +5,39 @@
 //! [`Storage::compact`] return `Ok` for is durable. `docs/design/storage.md` has the layout, the
 //! recovery rules and what was weighed; `docs/operators/data-folder.md` is the operators' page.
 
+mod commit;
 mod disk;
 mod error;
+mod folder;
+mod format;
+mod group_state;
 mod identity;
 mod inspect;
+mod manifest;
+mod names;
 mod options;
 mod real_disk;
+mod record;
+mod recovery;
+mod replay;
+mod segment;
+mod snapshot_file;
+mod snapshot_writer;
 mod storage;
+mod survey;
+mod synced_position;
 mod write;
 
 pub use disk::{Disk, DiskFile, DiskLock};
 pub use error::{Step, StorageError};
-pub use identity::{FORMAT_VERSION, Identity};
+pub use format::FORMAT_VERSION;
+pub use identity::Identity;
 pub use inspect::{
     DamageReport, GroupReport, Inspection, SegmentReport, TornTail, inspect, inspect_on,
 };
 pub use options::Options;
 pub use real_disk::RealDisk;
-pub use storage::{CutTail, Opened, RestoredGroup, Storage, StorageCounters};
+pub use snapshot_writer::{PreparedSnapshot, SnapshotWriter};
+pub use storage::{Opened, RestoredGroup, Storage, StorageCounters};
+pub use survey::CutTail;
 pub use write::GroupWrite;
--- a/crates/sablehaven-storage/src/options.rs
+++ b/crates/sablehaven-storage/src/options.rs
@@ -16,6 +16,9 @@
     pub deployment: String,
     /// A segment that has reached this size, in bytes, is closed and the next one begun.
     pub segment_bytes: u64,
+    /// How many closed segments may stay before [`crate::Storage::groups_to_compact`] names the
+    /// groups that keep the oldest one.
+    pub closed_segments: u32,
 }
 
 impl Default for Options {
@@ -23,6 +26,7 @@
         Self {
             deployment: String::new(),
             segment_bytes: 64 * 1024 * 1024,
+            closed_segments: 4,
         }
     }
 }
--- /dev/null
+++ b/crates/sablehaven-storage/src/recovery.rs
@@ -0,0 +1,180 @@
+//! Formatting an empty folder, and bringing a used one to a state that can be written on.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    error::StorageError,
+    folder::{Folder, FolderFile},
+    identity::Identity,
+    manifest::Manifest,
+    names,
+    options::Options,
+    record::SegmentStart,
+    segment::{self, MAXIMUM_FILE_BYTES, SegmentReader},
+    snapshot_file,
+    storage::RestoredGroup,
+    survey::Survey,
+};
+
+/// The number of the first segment.
+const FIRST_SEGMENT: u64 = 1;
+/// The sequence number of the first record.
+const FIRST_SEQUENCE: u64 = 1;
+
+/// The identity of the folder, and whether it was made just now.
+pub(crate) fn identify(
+    folder: &Folder,
+    options: &Options,
+) -> Result<(Identity, bool), StorageError> {
+    let Some(identity) = Identity::read(folder)? else {
+        clear_unfinished_format(folder)?;
+        let identity = format(folder, &options.deployment)?;
+        return Ok((identity, true));
+    };
+    if identity.deployment != options.deployment {
+        return Err(StorageError::WrongDeployment {
+            path: folder.path_of(names::IDENTITY),
+            found: identity.deployment,
+            expected: options.deployment.clone(),
+        });
+    }
+    Ok((identity, false))
+}
+
+/// Reads everything and checks it, without changing anything.
+pub(crate) fn read_all(folder: &Folder, identity: Identity) -> Result<Survey, StorageError> {
+    let manifest = Manifest::read(folder, identity.replica)?;
+    let mut survey = Survey::new(folder, identity, manifest);
+    survey.read_log(folder)?;
+    check_unnamed_segments(folder, &survey)?;
+    Ok(survey)
+}
+
+/// Checks that no segment beyond the manifest holds records.
+pub(crate) fn check_unnamed_segments(folder: &Folder, survey: &Survey) -> Result<(), StorageError> {
+    let list = folder.list()?;
+    let numbers = list.iter().filter_map(|name| names::segment_number(name));
+    for number in numbers.filter(|number| *number > survey.manifest.last_segment) {
+        survey.check_unused_segment(folder, number)?;
+    }
+    Ok(())
+}
+
+/// What is handed to the replicas; reads the snapshots.
+pub(crate) fn restore(
+    folder: &Folder,
+    survey: &mut Survey,
+) -> Result<BTreeMap<u32, RestoredGroup>, StorageError> {
+    let replica = survey.identity.replica;
+    let mut restored = BTreeMap::new();
+    for (group, replayed) in &mut survey.replay.groups {
+        let snapshot_data = match &replayed.state.snapshot {
+            Some(reference) => Some(snapshot_file::read(folder, replica, *group, reference)?),
+            None => None,
+        };
+        let group_restored = RestoredGroup {
+            restored: replayed.take_restored(),
+            snapshot_data,
+        };
+        restored.insert(*group, group_restored);
+    }
+    Ok(restored)
+}
+
+/// Cuts the torn tail, makes what was read durable, and returns the last segment's file.
+pub(crate) fn make_durable(folder: &Folder, survey: &Survey) -> Result<FolderFile, StorageError> {
+    let name = names::segment(survey.manifest.last_segment);
+    let mut file = folder.open_file(&name)?;
+    if let Some(tail) = &survey.torn_tail {
+        file.truncate(tail.offset)?;
+    }
+    if let Some(last) = &survey.last_record {
+        // The last record may have been read from memory only: its sync may have failed, or never
+        // have come. A sync alone would not help, for after a failed one the system takes the pages
+        // for written; writing the same bytes again makes the next sync write them.
+        file.write_at(last.offset, &last.bytes)?;
+    }
+    file.sync()?;
+    folder.sync()?;
+    Ok(file)
+}
+
+/// Removes files that were never finished or are no longer needed.
+pub(crate) fn remove_leftovers(folder: &Folder, survey: &Survey) -> Result<(), StorageError> {
+    let mut list = folder.list()?;
+    list.retain(|name| is_leftover(name, survey));
+    for name in list {
+        folder.remove(&name)?;
+    }
+    Ok(())
+}
+
+/// Whether the file is a segment or a snapshot that is part of what is stored.
+pub(crate) fn is_needed(name: &str, survey: &Survey) -> bool {
+    if let Some(number) = names::segment_number(name) {
+        return survey.manifest.names(number);
+    }
+    survey.replay.groups.iter().any(|(group, replayed)| {
+        let snapshot = replayed.state.snapshot.as_ref();
+        snapshot.is_some_and(|reference| names::snapshot(*group, reference) == name)
+    })
+}
+
+fn is_leftover(name: &str, survey: &Survey) -> bool {
+    let is_own = names::segment_number(name).is_some() || names::is_snapshot(name);
+    names::is_temporary(name) || is_own && !is_needed(name, survey)
+}
+
+/// Gives the folder an identity and an empty log. The identity comes last: a folder without one
+/// never acknowledged anything, and can be formatted again.
+fn format(folder: &Folder, deployment: &str) -> Result<Identity, StorageError> {
+    let identity = Identity::random(deployment);
+    let start = SegmentStart {
+        replica: identity.replica,
+        number: FIRST_SEGMENT,
+        first_sequence: FIRST_SEQUENCE,
+        groups: Vec::new(),
+    };
+    segment::begin(folder, &start)?;
+    let manifest = Manifest {
+        replica: identity.replica,
+        first_segment: FIRST_SEGMENT,
+        last_segment: FIRST_SEGMENT,
+    };
+    manifest.write(folder)?;
+    identity.write(folder)?;
+    Ok(identity)
+}
+
+/// Removes what an interrupted formatting left. Anything more means that the identity was lost,
+/// and is refused.
+fn clear_unfinished_format(folder: &Folder) -> Result<(), StorageError> {
+    let list = folder.list()?;
+    for name in &list {
+        let is_snapshot = names::is_snapshot(name);
+        let is_later_segment = names::segment_number(name).is_some_and(|n| n != FIRST_SEGMENT);
+        if is_snapshot || is_later_segment || *name == names::SYNCED_POSITION {
+            let reason = format!("the file is missing, but there is {name}");
+            return Err(folder.damaged(names::IDENTITY, 0, reason));
+        }
+    }
+    let first = names::segment(FIRST_SEGMENT);
+    if let Some(content) = folder.read(&first, MAXIMUM_FILE_BYTES)? {
+        check_without_records(folder, &first, &content)?;
+    }
+    for name in list {
+        if name == first || name == names::MANIFEST || names::is_temporary(&name) {
+            folder.remove(&name)?;
+        }
+    }
+    Ok(())
+}
+
+fn check_without_records(folder: &Folder, name: &str, content: &[u8]) -> Result<(), StorageError> {
+    let checked = SegmentReader::is_without_records(content);
+    if checked.map_err(|error| folder.format_error(name, error))? {
+        return Ok(());
+    }
+    let reason = format!("the file is missing, but {name} holds records");
+    Err(folder.damaged(names::IDENTITY, 0, reason))
+}
--- a/crates/sablehaven-storage/src/storage.rs
+++ b/crates/sablehaven-storage/src/storage.rs
@@ -1,8 +1,8 @@
 //! The open data folder.
 
 use std::{
-    collections::BTreeMap,
-    path::{Path, PathBuf},
+    collections::{BTreeMap, VecDeque},
+    path::Path,
     sync::Arc,
 };
 
@@ -11,8 +11,15 @@
 use crate::{
     disk::{Disk, DiskLock},
     error::StorageError,
+    folder::{Folder, FolderFile},
+    group_state::GroupState,
     identity::Identity,
+    manifest::Manifest,
     options::Options,
+    recovery,
+    snapshot_writer::{PreparedSnapshot, SnapshotWriter},
+    survey::{CutTail, SegmentSummary, Survey},
+    synced_position::{SyncedPosition, SyncedPositionFile},
     write::GroupWrite,
 };
 
@@ -25,17 +32,6 @@
     pub snapshot_data: Option<Vec<u8>>,
 }
 
-/// An unfinished write at the end of the log that recovery cut; it was never acknowledged.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CutTail {
-    /// The segment file.
-    pub path: PathBuf,
-    /// The offset, in bytes, from which it was cut.
-    pub offset: u64,
-    /// How many bytes were cut.
-    pub bytes: u64,
-}
-
 /// A data folder after it was opened.
 #[derive(Debug)]
 pub struct Opened {
@@ -58,22 +54,46 @@
     pub records: u64,
     /// Bytes written to the log.
     pub log_bytes: u64,
-    /// Syncs of log files (one a record).
+    /// Syncs of the log (one a record).
     pub log_syncs: u64,
-    /// Syncs of other files and of the folder (segment changes, snapshots).
-    pub other_syncs: u64,
+    /// Snapshots that came into force.
+    pub snapshots: u64,
+    /// Segments begun.
+    pub segments_begun: u64,
+    /// Segments removed, since snapshots cover them.
+    pub segments_removed: u64,
 }
 
 /// An open data folder, locked for this process.
 #[derive(Debug)]
 pub struct Storage {
+    pub(crate) folder: Folder,
+    pub(crate) identity: Identity,
+    pub(crate) options: Options,
+    pub(crate) manifest: Manifest,
+    pub(crate) groups: BTreeMap<u32, GroupState>,
+    /// The segments before the active one, oldest first.
+    pub(crate) closed: VecDeque<SegmentSummary>,
+    /// The segment that is written to.
+    pub(crate) active: ActiveSegment,
+    pub(crate) next_sequence: u64,
+    pub(crate) synced: SyncedPositionFile,
+    pub(crate) counters: StorageCounters,
+    pub(crate) failure: Option<String>,
+    /// Held for as long as the storage lives; last, so that it is released last.
     _lock: Box<dyn DiskLock>,
-    identity: Identity,
-    counters: StorageCounters,
+}
+
+/// The segment that is written to.
+#[derive(Debug)]
+pub(crate) struct ActiveSegment {
+    pub(crate) file: FolderFile,
+    pub(crate) summary: SegmentSummary,
 }
 
 impl Storage {
-    /// Opens the data folder, formats it if it is empty, and recovers what is stored.
+    /// Opens the data folder, formats it if it is empty, and recovers what is stored. A folder that
+    /// cannot be opened because of damage is left as it was found.
     ///
     /// # Errors
     /// [`StorageError::InUse`] when another process has it open, [`StorageError::Damaged`] with file
@@ -84,18 +104,74 @@
         disk: Arc<dyn Disk>,
         options: Options,
     ) -> Result<Opened, StorageError> {
-        let _ = (folder, disk, options);
-        todo!()
+        let folder = Folder::new(folder, disk);
+        folder.create()?;
+        let lock = folder.lock()?;
+        let (identity, formatted) = recovery::identify(&folder, &options)?;
+        let mut survey = recovery::read_all(&folder, identity.clone())?;
+        let groups = recovery::restore(&folder, &mut survey)?;
+        // Everything has been read and found right; only now may the folder be changed.
+        let file = recovery::make_durable(&folder, &survey)?;
+        recovery::remove_leftovers(&folder, &survey)?;
+        let cut_tail = survey.torn_tail.take();
+        let storage = Self::from_survey(folder, lock, options, survey, file)?;
+        Ok(Opened {
+            storage,
+            identity,
+            groups,
+            formatted,
+            cut_tail,
+        })
+    }
+
+    fn from_survey(
+        folder: Folder,
+        lock: Box<dyn DiskLock>,
+        options: Options,
+        survey: Survey,
+        file: FolderFile,
+    ) -> Result<Self, StorageError> {
+        let mut closed = VecDeque::from(survey.segments);
+        let summary = closed.pop_back().unwrap_or_default();
+        let mut synced = SyncedPositionFile::create(&folder, survey.identity.replica)?;
+        synced.write(SyncedPosition {
+            segment: summary.number,
+            length: summary.length,
+        })?;
+        let replayed = survey.replay.groups.into_iter();
+        Ok(Self {
+            folder,
+            identity: survey.identity,
+            options,
+            manifest: survey.manifest,
+            groups: replayed
+                .map(|(group, replayed)| (group, replayed.state))
+                .collect(),
+            closed,
+            active: ActiveSegment { file, summary },
+            next_sequence: survey.next_sequence,
+            synced,
+            counters: StorageCounters::default(),
+            failure: None,
+            _lock: lock,
+        })
     }
 
     /// Writes a batch for many groups as one record: one write, one sync. Durable on `Ok`.
     ///
     /// # Errors
-    /// [`StorageError::InvalidWrite`] and [`StorageError::BatchTooLarge`] leave storage as it was;
-    /// after any other error every later call fails with [`StorageError::Poisoned`].
+    /// [`StorageError::InvalidWrite`] and [`StorageError::BatchTooLarge`] leave storage as it was.
+    /// After any other error it is unknown whether the batch is durable, and every later call fails
+    /// with [`StorageError::Poisoned`].
     pub fn write(&mut self, batch: &[GroupWrite]) -> Result<(), StorageError> {
-        let _ = batch;
-        todo!()
+        self.check_usable()?;
+        if batch.is_empty() {
+            return Ok(());
+        }
+        let record = self.record_of_batch(batch)?;
+        let frame = self.encode(&record)?;
+        let result = self.commit(batch, &record, &frame);
+        self.note_failure(result)
     }
 
     /// Stores a snapshot that this replica took of its own state and drops the entries up to it.
@@ -104,8 +180,53 @@
     /// # Errors
     /// As [`Self::write`].
     pub fn compact(&mut self, group: u32, snapshot: &Snapshot) -> Result<(), StorageError> {
-        let _ = (group, snapshot);
-        todo!()
+        self.check_usable()?;
+        if snapshot.metadata.index <= self.snapshot_index(group) {
+            return Ok(());
+        }
+        self.check_covers_entries(group, &snapshot.metadata)?;
+        let written = self.snapshot_writer().write(group, snapshot);
+        let prepared = self.note_failure(written)?;
+        self.compact_to(prepared)
+    }
+
+    /// Brings a snapshot into force that [`SnapshotWriter::write`] has written, perhaps on another
+    /// thread, and drops the entries up to it. One that is not newer than the stored one is removed.
+    ///
+    /// # Errors
+    /// As [`Self::write`].
+    pub fn compact_to(&mut self, prepared: PreparedSnapshot) -> Result<(), StorageError> {
+        self.check_usable()?;
+        let result = if prepared.reference.metadata.index <= self.snapshot_index(prepared.group) {
+            self.remove_unless_current(&prepared)
+        } else {
+            self.check_covers_entries(prepared.group, &prepared.reference.metadata)?;
+            let record = prepared.record();
+            let frame = self.encode(&record)?;
+            self.commit(&[], &record, &frame)
+        };
+        self.note_failure(result)
+    }
+
+    /// Writes snapshots of this replica's own state without holding up the log: it can be used on
+    /// another thread while the storage takes writes.
+    pub fn snapshot_writer(&self) -> SnapshotWriter {
+        SnapshotWriter::new(self.folder.clone(), self.identity.replica)
+    }
+
+    /// The groups that should be compacted since their entries keep the oldest segment from being
+    /// removed, while the log has more closed segments than `Options::closed_segments`. Without it
+    /// one idle group would keep the whole log.
+    pub fn groups_to_compact(&self) -> Vec<u32> {
+        let Some(oldest) = self.closed.front() else {
+            return Vec::new();
+        };
+        if self.closed.len() <= self.options.closed_segments as usize {
+            return Vec::new();
+        }
+        let holding = oldest.highest.iter();
+        let holding = holding.filter(|(group, highest)| self.snapshot_index(**group) < **highest);
+        holding.map(|(group, _)| *group).collect()
     }
 
     /// Who the folder belongs to.
@@ -120,6 +241,24 @@
 
     /// The first failed step, after which every call fails.
     pub fn failure(&self) -> Option<&str> {
-        None
+        self.failure.as_deref()
+    }
+
+    fn check_usable(&self) -> Result<(), StorageError> {
+        match &self.failure {
+            None => Ok(()),
+            Some(first) => Err(StorageError::Poisoned {
+                first: first.clone(),
+            }),
+        }
+    }
+
+    /// After a failed step it is unknown what is on the disk, so nothing more may be acknowledged;
+    /// opening the folder again finds out.
+    fn note_failure<T>(&mut self, result: Result<T, StorageError>) -> Result<T, StorageError> {
+        if let Err(error) = &result {
+            self.failure.get_or_insert_with(|| error.to_string());
+        }
+        result
     }
 }
--- /dev/null
+++ b/crates/sablehaven-storage/src/survey.rs
@@ -0,0 +1,251 @@
+//! Reading a whole data folder without changing anything; opening and inspecting begin with it.
+
+use std::{collections::BTreeMap, path::PathBuf};
+
+use crate::{
+    error::StorageError,
+    folder::Folder,
+    identity::Identity,
+    manifest::Manifest,
+    names,
+    record::{Record, SegmentStart},
+    replay::Replay,
+    segment::{Flaw, MAXIMUM_FILE_BYTES, SegmentReader},
+    synced_position::SyncedPosition,
+};
+
+/// What was read of a data folder.
+#[derive(Debug)]
+pub(crate) struct Survey {
+    pub(crate) identity: Identity,
+    pub(crate) manifest: Manifest,
+    /// The segments that were read to their end, in order.
+    pub(crate) segments: Vec<SegmentSummary>,
+    /// The groups, as of the last record that was read.
+    pub(crate) replay: Replay,
+    pub(crate) torn_tail: Option<CutTail>,
+    /// The log's last record, if the last segment has one.
+    pub(crate) last_record: Option<LastRecord>,
+    pub(crate) next_sequence: u64,
+    synced: Option<SyncedPosition>,
+}
+
+/// One segment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SegmentSummary {
+    pub(crate) number: u64,
+    /// Where its whole records end, in bytes.
+    pub(crate) length: u64,
+    pub(crate) records: u64,
+    /// The highest index of an entry in it, by group.
+    pub(crate) highest: BTreeMap<u32, u64>,
+}
+
+/// The log's last record as it stands in the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LastRecord {
+    pub(crate) offset: u64,
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// An unfinished write at the end of the log that recovery cut; it was never acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CutTail {
+    /// The segment file.
+    pub path: PathBuf,
+    /// The offset, in bytes, from which it was cut.
+    pub offset: u64,
+    /// How many bytes were cut.
+    pub bytes: u64,
+}
+
+impl Survey {
+    /// A survey that has read nothing yet.
+    pub(crate) fn new(folder: &Folder, identity: Identity, manifest: Manifest) -> Self {
+        let synced = SyncedPosition::read(folder, identity.replica);
+        Self {
+            identity,
+            manifest,
+            segments: Vec::new(),
+            replay: Replay::default(),
+            torn_tail: None,
+            last_record: None,
+            next_sequence: 0,
+            synced,
+        }
+    }
+
+    /// Reads the log from its first segment to its last, up to the first damage.
+    pub(crate) fn read_log(&mut self, folder: &Folder) -> Result<(), StorageError> {
+        self.check_synced_segment(folder)?;
+        for number in self.manifest.first_segment..=self.manifest.last_segment {
+            self.read_segment(folder, number)?;
+        }
+        let complete = self.replay.check_complete();
+        let first = names::segment(self.manifest.first_segment);
+        complete.map_err(|reason| folder.damaged(&first, 0, reason))
+    }
+
+    /// Checks that a segment beyond the manifest is one that was begun and never used.
+    pub(crate) fn check_unused_segment(
+        &self,
+        folder: &Folder,
+        number: u64,
+    ) -> Result<(), StorageError> {
+        let name = names::segment(number);
+        let content = folder.read_existing(&name, MAXIMUM_FILE_BYTES)?;
+        let opened = SegmentReader::new(&content, self.identity.replica, number);
+        let (_, reader) = opened.map_err(|error| folder.format_error(&name, error))?;
+        if reader.position() == content.len() as u64 {
+            return Ok(());
+        }
+        let reason = "the segment holds records, but the manifest does not name it";
+        Err(folder.damaged(&name, reader.position(), reason))
+    }
+
+    fn check_synced_segment(&self, folder: &Folder) -> Result<(), StorageError> {
+        let last = self.manifest.last_segment;
+        match self.synced {
+            Some(synced) if synced.segment > last => {
+                let segment = synced.segment;
+                let reason = format!("segment {segment} was in use, the manifest ends at {last}");
+                Err(folder.damaged(names::MANIFEST, 0, reason))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn read_segment(&mut self, folder: &Folder, number: u64) -> Result<(), StorageError> {
+        let name = names::segment(number);
+        let content = folder.read_existing(&name, MAXIMUM_FILE_BYTES)?;
+        let opened = SegmentReader::new(&content, self.identity.replica, number);
+        let (start, mut reader) = opened.map_err(|error| folder.format_error(&name, error))?;
+        self.begin_segment(folder, &name, &start)?;
+        let mut summary = SegmentSummary {
+            number,
+            ..SegmentSummary::default()
+        };
+        let flaw = self.read_records(folder, &name, &mut reader, &mut summary)?;
+        summary.length = reader.position();
+        summary.records = reader.records();
+        self.next_sequence = reader.next_sequence();
+        if number == self.manifest.last_segment {
+            self.last_record = reader.last_record().map(LastRecord::from);
+            self.end_log(folder, &name, &summary, flaw, content.len())?;
+        } else if let Some(flaw) = flaw {
+            return Err(folder.damaged(&name, flaw.offset, flaw.reason));
+        }
+        self.segments.push(summary);
+        Ok(())
+    }
+
+    /// Checks that a segment begins where the one before it ends.
+    fn begin_segment(
+        &mut self,
+        folder: &Folder,
+        name: &str,
+        start: &SegmentStart,
+    ) -> Result<(), StorageError> {
+        let Some(previous) = self.segments.last() else {
+            self.replay = Replay::new(start);
+            return Ok(());
+        };
+        let (found, expected) = (start.first_sequence, self.next_sequence);
+        if found > expected {
+            let previous_name = names::segment(previous.number);
+            let reason = format!(
+                "the records from {expected} on are missing; {name} begins with record {found}"
+            );
+            return Err(folder.damaged(&previous_name, previous.length, reason));
+        }
+        if found < expected {
+            let reason = format!("the segment begins with record {found}, not with {expected}");
+            return Err(folder.damaged(name, 0, reason));
+        }
+        let checked = self.replay.check_start(start);
+        checked.map_err(|reason| folder.damaged(name, 0, reason))
+    }
+
+    /// Reads a segment's records up to its end or to the first flaw, which is returned.
+    fn read_records(
+        &mut self,
+        folder: &Folder,
+        name: &str,
+        reader: &mut SegmentReader<'_>,
+        summary: &mut SegmentSummary,
+    ) -> Result<Option<Flaw>, StorageError> {
+        while let Some(next) = reader.next() {
+            let found = match next {
+                Ok(found) => found,
+                Err(flaw) => return Ok(Some(flaw)),
+            };
+            let applied = self.replay.apply(&found.record);
+            applied.map_err(|reason| folder.damaged(name, found.offset, reason))?;
+            summary.note(&found.record);
+        }
+        Ok(None)
+    }
+
+    /// Tells a torn tail from damage at the end of the last segment.
+    fn end_log(
+        &mut self,
+        folder: &Folder,
+        name: &str,
+        summary: &SegmentSummary,
+        flaw: Option<Flaw>,
+        file_bytes: usize,
+    ) -> Result<(), StorageError> {
+        if let Some(flaw) = flaw {
+            if !flaw.may_be_torn {
+                return Err(folder.damaged(name, flaw.offset, flaw.reason));
+            }
+            self.torn_tail = Some(CutTail {
+                path: folder.path_of(name),
+                offset: flaw.offset,
+                bytes: file_bytes as u64 - flaw.offset,
+            });
+        }
+        self.check_synced_length(folder, name, summary)
+    }
+
+    fn check_synced_length(
+        &self,
+        folder: &Folder,
+        name: &str,
+        summary: &SegmentSummary,
+    ) -> Result<(), StorageError> {
+        let Some(synced) = self
+            .synced
+            .filter(|synced| synced.segment == summary.number)
+        else {
+            return Ok(());
+        };
+        if synced.length <= summary.length {
+            return Ok(());
+        }
+        let reason = format!(
+            "no whole record from here on, but the file was synced up to byte {}",
+            synced.length
+        );
+        Err(folder.damaged(name, summary.length, reason))
+    }
+}
+
+impl From<(u64, &[u8])> for LastRecord {
+    fn from((offset, bytes): (u64, &[u8])) -> Self {
+        let bytes = bytes.to_vec();
+        Self { offset, bytes }
+    }
+}
+
+impl SegmentSummary {
+    /// Notes the entries of a record.
+    pub(crate) fn note(&mut self, record: &Record<'_>) {
+        for write in &record.writes {
+            if let Some(last) = write.entries.last() {
+                let highest = self.highest.entry(write.group).or_default();
+                *highest = last.index.max(*highest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-storage/tests/crash.rs
@@ -0,0 +1,208 @@
+//! Crashes, failed operations and full disks at every operation of random workloads: what was
+//! acknowledged is recovered, and what was not is there whole or not at all.
+
+mod support;
+
+use sablehaven_faults::disk::{FaultyDisk, UnsyncedLoss};
+use sablehaven_storage::StorageError;
+use support::{Model, Step, open, run, workload};
+
+/// How many seeds each test tries unless `STORAGE_SEEDS` says otherwise.
+const DEFAULT_SEEDS: u64 = 6;
+const STEPS: usize = 24;
+/// More operations than any of the workloads takes.
+const MANY_OPERATIONS: u64 = 4000;
+
+/// How a run is disturbed.
+#[derive(Clone, Copy, Debug)]
+enum Disturbance {
+    /// The power fails.
+    Crash(UnsyncedLoss),
+    /// An operation fails; the process is killed and started again.
+    FailedOperation,
+}
+
+/// What the checker found.
+#[derive(Debug)]
+#[allow(dead_code)] // Printed when a test fails.
+enum Violation {
+    NotRecovered(StorageError),
+    WrongState { expected: String },
+    AcceptedAfterFailure,
+}
+
+/// Runs the workload and stops at the first error; returns how many steps were acknowledged.
+fn run_until_error(disk: &FaultyDisk, workload: &[Step]) -> Result<usize, Violation> {
+    let Ok(opened) = open(disk) else {
+        return Ok(0);
+    };
+    let mut storage = opened.storage;
+    for (acknowledged, step) in workload.iter().enumerate() {
+        if run(&mut storage, &step.operation).is_err() {
+            // Poisoned: no later call may succeed.
+            return match run(&mut storage, &step.operation) {
+                Err(StorageError::Poisoned { .. }) => Ok(acknowledged),
+                _ => Err(Violation::AcceptedAfterFailure),
+            };
+        }
+    }
+    Ok(workload.len())
+}
+
+fn recover(disk: &FaultyDisk) -> Result<Model, Violation> {
+    let opened = open(disk).map_err(Violation::NotRecovered)?;
+    Ok(opened.groups)
+}
+
+fn state_after(workload: &[Step], steps: usize) -> Model {
+    match steps {
+        0 => Model::new(),
+        _ => workload[steps - 1].after.clone(),
+    }
+}
+
+/// Checks what is recovered after `acknowledged` steps; returns how many steps are in it.
+fn check(recovered: &Model, workload: &[Step], acknowledged: usize) -> Result<usize, Violation> {
+    if *recovered == state_after(workload, acknowledged) {
+        return Ok(acknowledged);
+    }
+    let next = acknowledged + 1;
+    if next <= workload.len() && *recovered == state_after(workload, next) {
+        return Ok(next);
+    }
+    let expected = format!("the state after {acknowledged} or {next} steps");
+    Err(Violation::WrongState { expected })
+}
+
+/// One run with one disturbance at operation `at`; `Ok(false)` when the workload ends before it.
+fn disturbed_run(
+    disk: &FaultyDisk,
+    workload: &[Step],
+    disturbance: Disturbance,
+    at: u64,
+) -> Result<bool, Violation> {
+    match disturbance {
+        Disturbance::Crash(_) => disk.crash_at(at),
+        Disturbance::FailedOperation => disk.fail_at(at),
+    }
+    let acknowledged = run_until_error(disk, workload)?;
+    let was_disturbed = disk.counts().all >= at;
+    match disturbance {
+        Disturbance::Crash(loss) => disk.restart(loss),
+        Disturbance::FailedOperation => disk.kill_process(),
+    }
+    // A second crash, during the recovery from the first disturbance or just after it.
+    disk.crash_at(disk.counts().all + 1 + at % 6);
+    let shown = match open(disk) {
+        Ok(opened) => Some(opened.groups),
+        Err(_) if disk.is_crashed() => None,
+        Err(error) => return Err(Violation::NotRecovered(error)),
+    };
+    let loss = match disturbance {
+        Disturbance::Crash(loss) => loss,
+        Disturbance::FailedOperation => UnsyncedLoss::Random,
+    };
+    disk.restart(loss);
+    let recovered = recover(disk)?;
+    let reached = check(&recovered, workload, acknowledged)?;
+    // What a recovery has shown must be durable itself.
+    disk.restart(UnsyncedLoss::All);
+    let opened = open(disk).map_err(Violation::NotRecovered)?;
+    if opened.groups != recovered || shown.is_some_and(|shown| shown != recovered) {
+        let expected = "the state that a former recovery showed".to_owned();
+        return Err(Violation::WrongState { expected });
+    }
+    // The rest of the workload goes on from there.
+    let mut storage = opened.storage;
+    for step in &workload[reached..] {
+        run(&mut storage, &step.operation).map_err(Violation::NotRecovered)?;
+    }
+    drop(storage);
+    let end = check(&recover(disk)?, workload, workload.len())?;
+    assert_eq!(end, workload.len());
+    Ok(was_disturbed)
+}
+
+fn seeds() -> u64 {
+    let setting = std::env::var("STORAGE_SEEDS").ok();
+    let seeds = setting.and_then(|seeds| seeds.parse().ok());
+    seeds.unwrap_or(DEFAULT_SEEDS)
+}
+
+/// Disturbs every operation of every seed's workload; the first violation ends it.
+fn disturb_all(
+    disturbance: Disturbance,
+    prepare: impl Fn(&FaultyDisk),
+) -> Result<u64, (u64, u64, Violation)> {
+    let mut runs = 0;
+    for seed in 0..seeds() {
+        let workload = workload(seed, STEPS);
+        for at in 1..MANY_OPERATIONS {
+            let disk = FaultyDisk::new(seed * MANY_OPERATIONS + at);
+            prepare(&disk);
+            let result = disturbed_run(&disk, &workload, disturbance, at);
+            runs += 1;
+            match result {
+                Ok(true) => {}
+                Ok(false) => break,
+                Err(violation) => return Err((seed, at, violation)),
+            }
+        }
+    }
+    Ok(runs)
+}
+
+#[test]
+fn crash_at_every_operation_loses_nothing_acknowledged() {
+    for loss in [
+        UnsyncedLoss::All,
+        UnsyncedLoss::Nothing,
+        UnsyncedLoss::Random,
+    ] {
+        let result = disturb_all(Disturbance::Crash(loss), |_| ());
+        let runs = result.unwrap_or_else(|violation| panic!("{loss:?}: {violation:?}"));
+        assert!(runs > 1000, "{runs} runs");
+    }
+}
+
+#[test]
+fn failed_operation_stops_acknowledging_and_loses_nothing() {
+    let result = disturb_all(Disturbance::FailedOperation, |_| ());
+    let runs = result.unwrap_or_else(|violation| panic!("{violation:?}"));
+    assert!(runs > 1000, "{runs} runs");
+}
+
+#[test]
+fn checker_finds_missing_file_sync() {
+    let crash = Disturbance::Crash(UnsyncedLoss::Random);
+    let result = disturb_all(crash, FaultyDisk::ignore_file_syncs);
+    assert!(result.is_err());
+}
+
+#[test]
+fn checker_finds_missing_folder_sync() {
+    let crash = Disturbance::Crash(UnsyncedLoss::Random);
+    let result = disturb_all(crash, FaultyDisk::ignore_folder_syncs);
+    assert!(result.is_err());
+}
+
+#[test]
+fn checker_finds_trust_in_pages_after_failed_sync() {
+    let failure = Disturbance::FailedOperation;
+    let result = disturb_all(failure, FaultyDisk::ignore_identical_writes);
+    assert!(result.is_err());
+}
+
+#[test]
+fn full_disk_stops_acknowledging_and_loses_nothing() {
+    let workload = workload(7, STEPS);
+    for free_bytes in (0..40_000).step_by(97) {
+        let disk = FaultyDisk::new(free_bytes);
+        disk.set_free_bytes(Some(free_bytes));
+        let acknowledged = run_until_error(&disk, &workload).expect("stays stopped");
+        disk.set_free_bytes(None);
+        disk.kill_process();
+        let recovered = recover(&disk).unwrap_or_else(|found| panic!("{free_bytes}: {found:?}"));
+        check(&recovered, &workload, acknowledged).expect("nothing is lost");
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-storage/tests/damage.rs
@@ -0,0 +1,201 @@
+//! Damage to the files of a data folder: it is reported with file and place, nothing is skipped, and
+//! nothing acknowledged is cut away with a torn tail.
+
+mod support;
+
+use sablehaven_faults::disk::{FaultyDisk, UnsyncedLoss};
+use sablehaven_storage::{FORMAT_VERSION, StorageError, inspect_on};
+use std::sync::Arc;
+use support::{Model, entries_write, entry, file, folder, open, options, written_disk};
+
+/// Files whose content decides nothing.
+const ADVISORY: [&str; 2] = ["lock", "synced-position"];
+
+fn segments(disk: &FaultyDisk) -> Vec<String> {
+    let mut names = disk.names_in(folder());
+    names.retain(|name| name.starts_with("segment-"));
+    names
+}
+
+fn content(disk: &FaultyDisk, name: &str) -> Vec<u8> {
+    disk.content(&file(name)).expect("the file is there")
+}
+
+/// Opens a damaged folder: it must be refused with the damaged file's name.
+fn assert_refused(disk: &FaultyDisk, name: &str, what: &str) {
+    match open(disk) {
+        Err(StorageError::Damaged { path, .. } | StorageError::UnknownVersion { path, .. }) => {
+            assert_eq!(path, file(name), "{what}");
+        }
+        Err(error) => panic!("{what}: {error}"),
+        Ok(_) => panic!("{what}: accepted"),
+    }
+    let inspection = inspect_on(Arc::new(disk.clone()), folder()).expect("listed");
+    let reported = inspection.damage.iter().any(|damage| damage.file == name);
+    assert!(reported, "{what}: {:?}", inspection.damage);
+}
+
+#[test]
+fn every_flipped_bit_is_reported_with_file_and_place() {
+    let (disk, model) = written_disk(3, 12);
+    assert!(segments(&disk).len() > 1);
+    for name in disk.names_in(folder()) {
+        let original = content(&disk, &name);
+        for offset in 0..original.len() {
+            let mut damaged = original.clone();
+            damaged[offset] ^= 1 << (offset % 8);
+            disk.damage(&file(&name), damaged);
+            if ADVISORY.contains(&name.as_str()) {
+                let opened = open(&disk).expect("decides nothing");
+                assert_eq!(opened.groups, model);
+            } else {
+                assert_refused(&disk, &name, &format!("{name} at {offset}"));
+            }
+        }
+        disk.damage(&file(&name), original);
+    }
+    assert_eq!(open(&disk).expect("as it was").groups, model);
+}
+
+#[test]
+fn every_truncated_or_lost_file_is_reported() {
+    let (disk, model) = written_disk(4, 12);
+    assert!(segments(&disk).len() > 1);
+    for name in disk.names_in(folder()) {
+        if ADVISORY.contains(&name.as_str()) {
+            continue;
+        }
+        let original = content(&disk, &name);
+        for length in 0..original.len() {
+            disk.damage(&file(&name), original[..length].to_vec());
+            assert_refused(&disk, &name, &format!("{name} cut to {length}"));
+        }
+        disk.lose_file(&file(&name));
+        match open(&disk) {
+            Err(StorageError::Damaged { path, .. }) => assert_eq!(path, file(&name)),
+            other => panic!("{name} lost: {other:?}"),
+        }
+        disk.damage(&file(&name), original);
+    }
+    assert_eq!(open(&disk).expect("as it was").groups, model);
+}
+
+/// Without the synced position (a power failure may lose it) the log itself must tell a torn tail
+/// from damage, for every record but the last.
+#[test]
+fn damage_before_the_last_record_is_no_torn_tail() {
+    let (disk, _) = written_disk(5, 24);
+    let before = segments(&disk);
+    let mut storage = open(&disk).expect("whole").storage;
+    let (group, index) = (9, 1);
+    let last = [entries_write(group, vec![entry(index, 1, b"last")])];
+    let name = segments(&disk).pop().expect("a segment");
+    let last_record = content(&disk, &name).len();
+    storage.write(&last).expect("written");
+    drop(storage);
+    assert_eq!(
+        segments(&disk),
+        before,
+        "the last record is in the same segment"
+    );
+    disk.lose_file(&file("synced-position"));
+    let original = content(&disk, &name);
+    for offset in 0..last_record {
+        let mut damaged = original.clone();
+        damaged[offset] ^= 0x40;
+        disk.damage(&file(&name), damaged);
+        assert_refused(&disk, &name, &format!("at {offset}"));
+    }
+    // The last record is the one that looks torn.
+    disk.damage(&file(&name), original[..original.len() - 1].to_vec());
+    let cut = open(&disk).expect("torn").cut_tail.expect("cut");
+    assert_eq!(cut.offset, last_record as u64);
+    assert_eq!(cut.path, file(&name));
+}
+
+/// The broken variant that cuts wherever the first damage is: the comparison with the model finds it.
+#[test]
+fn comparison_finds_cut_at_any_damage() {
+    let disk = FaultyDisk::new(1);
+    let mut storage = open(&disk).expect("empty").storage;
+    let name = segments(&disk).pop().expect("a segment");
+    let first_record = content(&disk, &name).len();
+    for index in 1..4 {
+        let batch = [entries_write(0, vec![entry(index, 1, b"command")])];
+        storage.write(&batch).expect("written");
+    }
+    drop(storage);
+    let model: Model = open(&disk).expect("whole").groups;
+    let cut = content(&disk, &name)[..first_record].to_vec();
+    disk.lose_file(&file("synced-position"));
+    disk.damage(&file(&name), cut);
+    assert_ne!(open(&disk).expect("looks whole").groups, model);
+}
+
+#[test]
+fn torn_tail_is_cut_and_stays_cut() {
+    let (disk, model) = written_disk(6, 10);
+    let name = segments(&disk).pop().expect("a segment");
+    let whole = content(&disk, &name);
+    let mut torn = whole.clone();
+    torn.extend_from_slice(&whole[whole.len() - 60..]);
+    disk.damage(&file(&name), torn);
+    let opened = open(&disk).expect("torn");
+    let cut = opened.cut_tail.expect("cut");
+    assert_eq!((cut.offset, cut.bytes), (whole.len() as u64, 60));
+    assert_eq!(opened.groups, model);
+    drop(opened.storage);
+    disk.restart(UnsyncedLoss::All);
+    assert_eq!(content(&disk, &name), whole);
+    assert_eq!(open(&disk).expect("whole").cut_tail, None);
+}
+
+#[test]
+fn unknown_versions_are_refused_with_the_version() {
+    let (disk, _) = written_disk(8, 24);
+    for name in disk.names_in(folder()) {
+        if ADVISORY.contains(&name.as_str()) {
+            continue;
+        }
+        let original = content(&disk, &name);
+        let mut later = original.clone();
+        later[8..12].copy_from_slice(&(FORMAT_VERSION + 1).to_le_bytes());
+        let checksum = crc32c::crc32c(&later[..12]);
+        later[12..16].copy_from_slice(&checksum.to_le_bytes());
+        disk.damage(&file(&name), later);
+        match open(&disk) {
+            Err(StorageError::UnknownVersion { path, found, known }) => {
+                assert_eq!((path, found), (file(&name), FORMAT_VERSION + 1));
+                assert_eq!(known, FORMAT_VERSION);
+            }
+            other => panic!("{name}: {other:?}"),
+        }
+        disk.damage(&file(&name), original);
+    }
+}
+
+#[test]
+fn segment_of_another_disk_is_refused() {
+    let (disk, _) = written_disk(9, 5);
+    let (other, _) = written_disk(10, 5);
+    let name = segments(&disk).pop().expect("a segment");
+    disk.damage(&file(&name), content(&other, &name));
+    assert_refused(&disk, &name, "swapped");
+}
+
+#[test]
+fn damaged_folder_is_left_as_it_was_found() {
+    let (disk, _) = written_disk(3, 24);
+    let name = &segments(&disk)[0];
+    let mut damaged = content(&disk, name);
+    let middle = damaged.len() / 2;
+    damaged[middle] ^= 1;
+    disk.damage(&file(name), damaged);
+    disk.damage(&file("segment-00000000000000000000"), vec![1]);
+    let before = disk.names_in(folder());
+    let operations = disk.counts().all;
+    assert!(open(&disk).is_err());
+    assert_eq!(disk.names_in(folder()), before);
+    assert_eq!(disk.counts().all, operations);
+    assert_eq!(options().deployment, "test");
+}
