Wire: messages between replicas as one byte string

Cause: a Vec<u8> is encoded as a sequence of numbers, up to two bytes each and element by element. Change: PeerMessage::payload is bytes::Bytes; its test builds it so.

--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -205,6 +205,6 @@
 pub struct PeerMessage {
     /// The consensus group.
     pub group: u32,
-    /// The encoded message.
-    pub payload: Vec<u8>,
+    /// The encoded message, as one byte string on the wire.
+    pub payload: bytes::Bytes,
 }
--- a/crates/sablehaven-wire/tests/fuzz.rs
+++ b/crates/sablehaven-wire/tests/fuzz.rs
@@ -83,7 +83,7 @@
         encode(&ControlToRelay::Lease(grant)),
         encode(&PeerMessage {
             group: 1,
-            payload: vec![1, 2, 3],
+            payload: vec![1, 2, 3].into(),
         }),
     ]
 }
