--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -11,7 +11,6 @@
 mod configuration;
 pub mod envelope;
 mod field_rules;
-mod fingerprint;
 pub mod fleet_file;
 mod key;
 mod locations;
@@ -27,7 +26,6 @@
 };
 pub use compile::{MAX_SCHEMA_BYTES, OPTIONS_FILE, OPTIONS_TEXT};
 pub use configuration::check_document;
-pub use fingerprint::fingerprint;
 pub use key::{KeyError, shard_for_key, shard_of_hash};
 pub use merge::{MergeError, merge};
 pub use problem::SchemaProblem;
--- a/crates/sablehaven-types/src/http.rs
+++ b/crates/sablehaven-types/src/http.rs
@@ -1,7 +1,8 @@
 //! Header names and refusal words of the HTTP interfaces towards callers and back ends.
 //!
 //! Callers post to the agent at `/<package>.<Service>/<Method>` with a JSON or protobuf body. The
-//! agent posts to back ends at the same path, over HTTP/2 without TLS (prior knowledge), with the
+//! answer is a [`crate::Envelope`] in the encoding that the caller accepts, or else in that of the
+//! request: JSON, or [`crate::protobuf::ProtobufEnvelope`]. The agent posts to back ends at the same path, over HTTP/2 without TLS (prior knowledge), with the
 //! method's request message as protobuf and the attempt's metadata in headers. A reply with status
 //! 200 must echo attempt, shard and snapshot; a reply that does not is discarded. A refusal must echo
 //! the attempt: one that does not proves nothing about a request that may not be repeated, whose
