Stand-ins: methods come from the deployment's schema

Cause: sablehaven-schema compiles, so the table of methods of our own is not needed. Change: a host file's schema is parsed by sablehaven-schema; a request's fingerprint is the hash of its whole encoding, since some methods have no text field. Proof: the 10 tests over real connections pass with a schema of the product's options. Not measured.

--- a/testing/sablehaven-standins/src/backend/handler.rs
+++ b/testing/sablehaven-standins/src/backend/handler.rs
@@ -7,13 +7,13 @@
 
 use prost_reflect::DynamicMessage;
 use sablehaven_history::{CallKind, ExecutionEnd, ExecutionRecord};
+use sablehaven_schema::MethodSchema;
 use sablehaven_types::{AttemptId, CallerId, LedgerKey, RequestId, ShardId, SnapshotId, http};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode};
 
 use super::{in_flight::InFlight, server::Shared, settings::BadReply};
 use crate::{
-    clock,
-    methods::Method,
+    clock, methods,
     replies::{self, ReplyContext},
 };
 
@@ -30,7 +30,7 @@
 
 /// An attempt as its headers and body describe it.
 struct Attempt {
-    method: Method,
+    method: MethodSchema,
     shard: ShardId,
     snapshot: SnapshotId,
     id: AttemptId,
@@ -62,10 +62,9 @@
 impl AttemptHandler {
     async fn read(&self, request: &mut Request) -> Result<Attempt, String> {
         let received = Instant::now();
-        let service: String = request.param("service").unwrap_or_default();
-        let name: String = request.param("method").unwrap_or_default();
-        let method = self.shared.methods.find(&service, &name);
-        let method = method.ok_or_else(|| format!("no method {service}/{name}"))?;
+        let path = request.uri().path();
+        let method = self.shared.schema.method_at(path);
+        let method = method.ok_or_else(|| format!("no method {path}"))?;
         let left: Option<u64> = optional(request, http::DEADLINE_MS);
         let body = request.payload_with_max_size(MAXIMUM_BODY_BYTES).await;
         let body = body.map_err(|error| format!("read body: {error}"))?.clone();
@@ -215,7 +214,7 @@
     }
 
     fn body(&self, attempt: &Attempt, shard: ShardId, snapshot: SnapshotId) -> Vec<u8> {
-        let is_once = attempt.method.kind == CallKind::Once;
+        let is_once = methods::call_kind(&attempt.method) == CallKind::Once;
         let run = is_once.then(|| self.shared.state.runs.fetch_add(1, Ordering::Relaxed) + 1);
         let context = ReplyContext {
             shard,
--- a/testing/sablehaven-standins/src/backend/server.rs
+++ b/testing/sablehaven-standins/src/backend/server.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use sablehaven_schema::DeploymentSchema;
 use sablehaven_types::{BackendId, BackendRecord};
 use salvo::{Router, Server, server::ServerHandle};
 use tokio::{sync::Semaphore, task::JoinHandle};
@@ -17,10 +18,7 @@
     settings::{BackendSettings, Behaviour, HeldSnapshot},
     state::{BackendStatus, State},
 };
-use crate::{
-    listener::{ConnectionCounts, LimitedAcceptor},
-    methods::MethodTable,
-};
+use crate::listener::{ConnectionCounts, LimitedAcceptor};
 
 /// Errors of a back end's server.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -39,7 +37,7 @@
 /// What the connections of one back end share.
 pub(crate) struct Shared {
     pub settings: BackendSettings,
-    pub methods: Arc<MethodTable>,
+    pub schema: Arc<DeploymentSchema>,
     pub state: Arc<State>,
     pub slots: Semaphore,
     pub load: LoadReporter,
@@ -63,7 +61,7 @@
     /// Binds and serves.
     pub async fn start(
         settings: BackendSettings,
-        methods: Arc<MethodTable>,
+        schema: Arc<DeploymentSchema>,
         log: ExecutionLog,
         seed: u64,
     ) -> Result<Self, BackendError> {
@@ -71,7 +69,7 @@
             state: Arc::new(State::new(&settings, seed)),
             slots: Semaphore::new(settings.slots as usize),
             load: LoadReporter::default(),
-            methods,
+            schema,
             log,
             settings,
         });
--- a/testing/sablehaven-standins/src/host/mod.rs
+++ b/testing/sablehaven-standins/src/host/mod.rs
@@ -6,4 +6,4 @@
 
 pub use admin::{ExecutionPage, SnapshotDrop};
 pub use file::{HostFile, HostFileError};
-pub use running::{HostReport, RunningHost, StartError, start, start_with_methods};
+pub use running::{HostReport, RunningHost, StartError, start};
--- a/testing/sablehaven-standins/src/host/running.rs
+++ b/testing/sablehaven-standins/src/host/running.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
+use sablehaven_schema::{DeploymentSchema, SchemaProblem};
 use sablehaven_types::{BackendId, BackendRecord};
 use salvo::{Listener, Server, conn::TcpListener, server::ServerHandle};
 use serde::{Deserialize, Serialize};
@@ -10,7 +11,6 @@
 use super::{admin, file::HostFile};
 use crate::{
     backend::{Backend, BackendError, ExecutionLog},
-    methods::MethodTable,
     platform::Platform,
 };
 
@@ -98,21 +98,13 @@
 
 /// Starts the back ends of a host file against its schema.
 pub async fn start(file: HostFile) -> Result<RunningHost, StartError> {
-    let methods = MethodTable::from_schema(&file.schema).map_err(StartError::Schema)?;
-    start_with_methods(file, methods).await
-}
-
-/// Starts the back ends of a host file against a table of methods in place of its schema.
-pub async fn start_with_methods(
-    file: HostFile,
-    methods: MethodTable,
-) -> Result<RunningHost, StartError> {
+    let schema = DeploymentSchema::from_source(&file.schema).map_err(schema_error)?;
+    let schema = Arc::new(schema);
     let log = ExecutionLog::default();
-    let methods = Arc::new(methods);
     let mut backends = BTreeMap::new();
     for (index, settings) in file.backends.into_iter().enumerate() {
         let seed = file.seed.wrapping_add(index as u64 + 1);
-        let backend = Backend::start(settings, Arc::clone(&methods), log.clone(), seed).await?;
+        let backend = Backend::start(settings, Arc::clone(&schema), log.clone(), seed).await?;
         backends.insert(backend.id().clone(), backend);
     }
     let records: Vec<_> = backends.values().map(Backend::record).collect();
@@ -145,6 +137,11 @@
     })
 }
 
+fn schema_error(problems: Vec<SchemaProblem>) -> StartError {
+    let problems: Vec<_> = problems.iter().map(ToString::to_string).collect();
+    StartError::Schema(problems.join("; "))
+}
+
 async fn serve(
     interface: &'static str,
     address: SocketAddr,
--- a/testing/sablehaven-standins/src/replies.rs
+++ b/testing/sablehaven-standins/src/replies.rs
@@ -1,10 +1,11 @@
 //! Synthesised replies: deterministic in request, shard and snapshot, so that every replica of a
 //! shard gives the same one, and marked so that a checker sees where each item came from.
 
+use prost::Message;
 use prost_reflect::{DynamicMessage, FieldDescriptor, Kind, MessageDescriptor, Value};
 use sablehaven_history::Mark;
 use sablehaven_types::{ShardId, SnapshotId};
-use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Messages nested deeper than this are left empty.
 const MAXIMUM_DEPTH: u32 = 4;
@@ -27,31 +28,10 @@
     pub run: Option<u64>,
 }
 
-/// Fingerprint of a request: a hash of all its texts, in the order of the fields' numbers.
-///
-/// Only texts count, so that the system may adjust a limit or a default on the way.
+/// Fingerprint of a request: a hash of its protobuf encoding, whose fields stand in the order of
+/// their numbers.
 pub fn question(request: &DynamicMessage) -> u64 {
-    let mut hasher = Xxh3::new();
-    hash_texts(request, &mut hasher);
-    hasher.digest()
-}
-
-fn hash_texts(message: &DynamicMessage, hasher: &mut Xxh3) {
-    for (_, value) in message.fields() {
-        hash_value(value, hasher);
-    }
-}
-
-fn hash_value(value: &Value, hasher: &mut Xxh3) {
-    match value {
-        Value::String(text) => {
-            hasher.update(text.as_bytes());
-            hasher.update(&[0]);
-        }
-        Value::Message(message) => hash_texts(message, hasher),
-        Value::List(values) => values.iter().for_each(|value| hash_value(value, hasher)),
-        _ => {}
-    }
+    xxh3_64(&request.encode_to_vec())
 }
 
 /// Synthesises the reply to a request.
--- a/testing/sablehaven-standins/tests/backend.rs
+++ b/testing/sablehaven-standins/tests/backend.rs
@@ -23,12 +23,11 @@
 }
 
 async fn decode(response: reqwest::Response) -> serde_json::Value {
-    let methods = common::methods();
-    let output = methods
-        .find(common::SERVICE, "Search")
-        .expect("method")
-        .output
-        .clone();
+    let schema = common::schema();
+    let method = schema
+        .method(&common::SERVICE.into(), "Search")
+        .expect("method");
+    let output = method.output.clone();
     let body = response.bytes().await.expect("body");
     let message = DynamicMessage::decode(output, body).expect("message");
     serde_json::to_value(&message).expect("JSON")
--- a/testing/sablehaven-standins/tests/common/mod.rs
+++ b/testing/sablehaven-standins/tests/common/mod.rs
@@ -2,15 +2,14 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use prost_reflect::DescriptorPool;
 use reqwest::{Client, RequestBuilder};
-use sablehaven_history::{CallKind, ExecutionRecord};
+use sablehaven_history::ExecutionRecord;
+use sablehaven_schema::DeploymentSchema;
 use sablehaven_standins::{
     backend::{BackendSettings, HeldSnapshot},
     host::{self, HostFile, RunningHost},
-    methods::{Method, MethodTable},
 };
-use sablehaven_types::{BackendId, Placement, ServiceName, ShardId, SnapshotId, http};
+use sablehaven_types::{BackendId, Placement, SchemaSource, ShardId, SnapshotId, http};
 
 pub const SERVICE: &str = "test.Stock";
 pub const SNAPSHOT: SnapshotId = SnapshotId {
@@ -24,44 +23,35 @@
 const SCHEMA: &str = r#"
     syntax = "proto3";
     package test;
-    message Question { string item = 1; uint32 limit = 2; }
+    import "sablehaven/options.proto";
+    option (sablehaven.deployment) = { regions: { name: "west" zones: ["west-1"] } };
+    message Question { string item = 1; }
     message Depot { string name = 1; uint32 pallets = 2; }
     message Answer { repeated Depot depots = 1; }
     message Receipt { string item = 1; }
     service Stock {
-      rpc Search(Question) returns (Answer);
-      rpc Reserve(Question) returns (Receipt);
+      option (sablehaven.service) = { maximum_shards: 4 minimum_replicas: 1 };
+      rpc Search(Question) returns (Answer) {
+        option (sablehaven.method) = {
+          deadline_ms: 500
+          query: { concatenate: { field: "depots" } }
+        };
+      }
+      rpc Reserve(Question) returns (Receipt) {
+        option (sablehaven.method) = { deadline_ms: 500 once: { key: "item" } };
+      }
     }
 "#;
 
-pub fn methods() -> MethodTable {
-    let pool = pool();
-    let service = pool.get_service_by_name(SERVICE).expect("service");
-    let methods = service.methods().map(|method| Method {
-        service: ServiceName::from(SERVICE),
-        name: method.name().to_owned(),
-        kind: match method.name() {
-            "Reserve" => CallKind::Once,
-            _ => CallKind::QueryConcatenated,
-        },
-        input: method.input(),
-        output: method.output(),
-    });
-    MethodTable::new(methods.collect::<Vec<_>>())
-}
-
-fn pool() -> DescriptorPool {
-    let mut compiler = protox::Compiler::with_file_resolver(Source);
-    compiler.open_file("test.proto").expect("schema compiles");
-    compiler.descriptor_pool()
+pub fn source() -> SchemaSource {
+    SchemaSource {
+        file_name: "test.proto".to_owned(),
+        text: SCHEMA.to_owned(),
+    }
 }
 
-struct Source;
-
-impl protox::file::FileResolver for Source {
-    fn open_file(&self, name: &str) -> Result<protox::file::File, protox::Error> {
-        protox::file::File::from_source(name, SCHEMA)
-    }
+pub fn schema() -> DeploymentSchema {
+    DeploymentSchema::from_source(&source()).expect("valid schema")
 }
 
 pub fn settings(id: &str) -> BackendSettings {
@@ -81,13 +71,13 @@
 
 pub async fn start(backends: Vec<BackendSettings>) -> RunningHost {
     let file = HostFile {
-        schema: sablehaven_types::SchemaSource::default(),
+        schema: source(),
         admin_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
         seed: 1,
         platform: None,
         backends,
     };
-    let started = host::start_with_methods(file, methods()).await;
+    let started = host::start(file).await;
     started.expect("host starts")
 }
 
