Faults: TCP proxy with run-time faults and seeded schedules

Cause: integration tests need faults on any link between real processes. Change: delay, jitter, throttle, silent one-way and two-way cuts, truncation, resets (at once, by chance, after delivery), refused connections, and reordering of HTTP/2 bodies; schedules whose faults come together and twice. Ruled out: dropping bytes for a cut (TCP would deliver them after it heals), and reordering HTTP/2 headers (their compression depends on order). Not measured.

--- a/testing/sablehaven-faults/src/lib.rs
+++ b/testing/sablehaven-faults/src/lib.rs
@@ -1,1 +1,14 @@
-//! A fault-injecting TCP proxy and disk faults.
+//! A fault-injecting TCP proxy and seeded fault schedules.
+//!
+//! A [`Proxy`] stands on one link: it listens in place of a process and passes bytes on to it.
+//! Faults are switched on and off through its handle while connections are open. What the proxy
+//! forwards is never changed except by an explicit fault.
+
+mod fault;
+mod flow;
+mod http2;
+mod proxy;
+pub mod schedule;
+
+pub use fault::{Direction, DirectionFaults, Faults};
+pub use proxy::{Proxy, ProxyCounts, ProxyError};
