--- a/testing/sablehaven-standins/src/backend/handler.rs
+++ b/testing/sablehaven-standins/src/backend/handler.rs
@@ -92,7 +92,7 @@
             Err(end) => end,
         };
         // The load that is reported still counts this request, as a server's own count would.
-        self.write_common_headers(response);
+        self.write_common_headers(&attempt, response);
         match end {
             ExecutionEnd::Replied => self.write_reply(&attempt, in_flight.record(), response),
             refused => write_refusal(refused, response),
@@ -164,7 +164,7 @@
         }
     }
 
-    fn write_common_headers(&self, response: &mut Response) {
+    fn write_common_headers(&self, attempt: &Attempt, response: &mut Response) {
         let Shared {
             state, settings, ..
         } = &*self.shared;
@@ -173,6 +173,7 @@
             .shared
             .load
             .report(&state.behaviour(), load, Instant::now());
+        set(response, http::ATTEMPT, &attempt.id.to_string());
         set(response, http::BACKEND, settings.id.as_str());
         set(response, http::LOAD, &report.load.to_string());
         set(
--- a/testing/sablehaven-standins/src/host/admin.rs
+++ b/testing/sablehaven-standins/src/host/admin.rs
@@ -2,6 +2,7 @@
 //!
 //! | request | does |
 //! |---|---|
+//! | `GET /admin/host` | the addresses of everything that the process serves |
 //! | `GET /admin/backends` | the status of every back end |
 //! | `GET /admin/executions?from=N` | a page of execution records from position N |
 //! | `POST /admin/backends/{id}/behaviour` | replaces the behaviour |
@@ -49,6 +50,7 @@
 
 #[derive(Clone, Copy)]
 enum Action {
+    Host,
     Backends,
     Executions,
     Behaviour,
@@ -76,6 +78,7 @@
     let get = |path: &str, action| Router::with_path(path).get(handler(hosted, action));
     let post = |path: &str, action| Router::with_path(path).post(handler(hosted, action));
     Router::with_path("admin")
+        .push(get("host", Action::Host))
         .push(get("backends", Action::Backends))
         .push(get("executions", Action::Executions))
         .push(post("backends/{id}/behaviour", Action::Behaviour))
@@ -131,6 +134,10 @@
 
     fn show(&self, request: &mut Request, response: &mut Response) {
         match self.action {
+            Action::Host => {
+                let admin = request.local_addr().clone().into_std();
+                response.render(Json(admin.map(|admin| self.hosted.report(admin))));
+            }
             Action::Backends => {
                 let backends = self.hosted.backends.values();
                 let statuses: Vec<_> = backends.map(Backend::status).collect();
--- a/testing/sablehaven-standins/src/host/file.rs
+++ b/testing/sablehaven-standins/src/host/file.rs
@@ -1,34 +1,13 @@
 //! The file that describes the back ends of one process.
 
-use std::{
-    net::SocketAddr,
-    path::{Path, PathBuf},
-};
+use std::{net::SocketAddr, path::Path};
 
 use sablehaven_types::SchemaSource;
 use serde::{Deserialize, Serialize};
 
+use super::HostError;
 use crate::{backend::BackendSettings, platform::PlatformSettings};
 
-/// Errors of reading a host file; each names the file.
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum HostFileError {
-    /// read host file {path}: {source}
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// The cause.
-        source: std::io::Error,
-    },
-    /// decode host file {path}: {source}
-    Decode {
-        /// The file.
-        path: PathBuf,
-        /// The cause.
-        source: serde_json::Error,
-    },
-}
-
 /// The back ends of one process; a JSON file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -49,12 +28,12 @@
 
 impl HostFile {
     /// Reads a host file.
-    pub fn read(path: &Path) -> Result<Self, HostFileError> {
-        let text = std::fs::read_to_string(path).map_err(|source| HostFileError::Read {
+    pub fn read(path: &Path) -> Result<Self, HostError> {
+        let text = std::fs::read_to_string(path).map_err(|source| HostError::Read {
             path: path.to_owned(),
             source,
         })?;
-        serde_json::from_str(&text).map_err(|source| HostFileError::Decode {
+        serde_json::from_str(&text).map_err(|source| HostError::Decode {
             path: path.to_owned(),
             source,
         })
--- a/testing/sablehaven-standins/src/host/running.rs
+++ b/testing/sablehaven-standins/src/host/running.rs
@@ -8,31 +8,13 @@
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinHandle;
 
-use super::{admin, file::HostFile};
+use super::{HostError, HostFile, admin};
 use crate::{
-    backend::{Backend, BackendError, ExecutionLog},
+    backend::{Backend, ExecutionLog},
     platform::Platform,
 };
 
-/// Errors of starting a host.
-#[derive(Debug, displaydoc::Display, thiserror::Error)]
-pub enum StartError {
-    /// load schema: {0}
-    Schema(String),
-    /// start back end: {0}
-    Backend(#[from] BackendError),
-    /// bind {interface} to {address}: {reason}
-    Bind {
-        /// The interface.
-        interface: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// The cause.
-        reason: String,
-    },
-}
-
-/// The addresses of a running host; its process writes them as JSON.
+/// The addresses of a running host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostReport {
     /// The administration interface.
@@ -48,6 +30,19 @@
     pub backends: BTreeMap<BackendId, Backend>,
     pub log: ExecutionLog,
     pub platform: Platform,
+    /// Where the platform's list is served, once it is.
+    pub platform_address: Option<SocketAddr>,
+}
+
+impl Hosted {
+    /// The addresses, given that of the administration interface.
+    pub(crate) fn report(&self, admin: SocketAddr) -> HostReport {
+        HostReport {
+            admin,
+            platform: self.platform_address,
+            backends: self.backends.values().map(Backend::record).collect(),
+        }
+    }
 }
 
 /// A host whose back ends answer.
@@ -97,7 +92,7 @@
 }
 
 /// Starts the back ends of a host file against its schema.
-pub async fn start(file: HostFile) -> Result<RunningHost, StartError> {
+pub async fn start(file: HostFile) -> Result<RunningHost, HostError> {
     let schema = DeploymentSchema::from_source(&file.schema).map_err(schema_error)?;
     let schema = Arc::new(schema);
     let log = ExecutionLog::default();
@@ -107,29 +102,26 @@
         let backend = Backend::start(settings, Arc::clone(&schema), log.clone(), seed).await?;
         backends.insert(backend.id().clone(), backend);
     }
-    let records: Vec<_> = backends.values().map(Backend::record).collect();
+    let records = backends.values().map(Backend::record);
     let lag_ms = file.platform.as_ref().map_or(0, |platform| platform.lag_ms);
-    let platform = Platform::new(lag_ms, records.clone());
+    let platform = Platform::new(lag_ms, records);
+    let mut servers = Vec::new();
+    let mut platform_address = None;
+    if let Some(settings) = &file.platform {
+        let (address, server) = serve("platform list", settings.listen, platform.router()).await?;
+        platform_address = Some(address);
+        servers.push(server);
+    }
     let hosted = Arc::new(Hosted {
         backends,
         log,
         platform,
+        platform_address,
     });
-    let (admin_address, admin_server) =
-        serve("administration", file.admin_listen, admin::router(&hosted)).await?;
-    let mut servers = vec![admin_server];
-    let mut platform_address = None;
-    if let Some(settings) = file.platform {
-        let router = hosted.platform.router();
-        let (address, server) = serve("platform list", settings.listen, router).await?;
-        platform_address = Some(address);
-        servers.push(server);
-    }
-    let report = HostReport {
-        admin: admin_address,
-        platform: platform_address,
-        backends: records,
-    };
+    let router = admin::router(&hosted);
+    let (admin, admin_server) = serve("administration", file.admin_listen, router).await?;
+    servers.push(admin_server);
+    let report = hosted.report(admin);
     Ok(RunningHost {
         hosted,
         report,
@@ -137,17 +129,17 @@
     })
 }
 
-fn schema_error(problems: Vec<SchemaProblem>) -> StartError {
+fn schema_error(problems: Vec<SchemaProblem>) -> HostError {
     let problems: Vec<_> = problems.iter().map(ToString::to_string).collect();
-    StartError::Schema(problems.join("; "))
+    HostError::Schema(problems.join("; "))
 }
 
 async fn serve(
     interface: &'static str,
     address: SocketAddr,
     router: salvo::Router,
-) -> Result<(SocketAddr, (ServerHandle, JoinHandle<()>)), StartError> {
-    let error = |reason: String| StartError::Bind {
+) -> Result<(SocketAddr, (ServerHandle, JoinHandle<()>)), HostError> {
+    let error = |reason: String| HostError::Bind {
         interface,
         address,
         reason,
