--- a/testing/sablehaven-history/src/event.rs
+++ b/testing/sablehaven-history/src/event.rs
@@ -123,6 +123,9 @@
     pub retry_after_ms: Option<u64>,
     /// Marks of the items in the body, in the order of the body.
     pub marks: Vec<Mark>,
+    /// Whether the whole body is what the answered shards reply to this request; `None` where the
+    /// caller could not tell.
+    pub is_expected: Option<bool>,
 }
 
 /// A request that reached a back end.
--- a/testing/sablehaven-history/tests/history/checkers.rs
+++ b/testing/sablehaven-history/tests/history/checkers.rs
@@ -111,6 +111,13 @@
     assert_breaks(&story, Promise::OwnAnswer);
 }
 
+#[test]
+fn a_body_that_lacks_a_part_is_found() {
+    let mut story = Story::kept();
+    story.answer(0).is_expected = Some(false);
+    assert_breaks(&story, Promise::OwnAnswer);
+}
+
 #[test]
 fn a_refused_query_that_ran_is_found() {
     let mut story = Story::kept();
--- a/testing/sablehaven-history/tests/history/story.rs
+++ b/testing/sablehaven-history/tests/history/story.rs
@@ -264,6 +264,7 @@
         configuration: age(version, true),
         retry_after_ms: None,
         marks: Vec::new(),
+        is_expected: None,
     }
 }
 
--- a/testing/sablehaven-standins/src/replies.rs
+++ b/testing/sablehaven-standins/src/replies.rs
@@ -4,6 +4,7 @@
 use prost::Message;
 use prost_reflect::{DynamicMessage, FieldDescriptor, Kind, MessageDescriptor, Value};
 use sablehaven_history::Mark;
+use sablehaven_schema::{MethodKind, MethodSchema, merge};
 use sablehaven_types::{ShardId, SnapshotId};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -198,3 +199,19 @@
 fn is_repeated_message(field: &FieldDescriptor) -> bool {
     field.is_list() && !field.is_map() && matches!(field.kind(), Kind::Message(_))
 }
+
+/// The answer that a caller should get: the merge of the replies of these shards, or the one reply
+/// of a method that asks one shard. `None` where the replies cannot be merged.
+pub fn expected_answer(
+    method: &MethodSchema,
+    request: &DynamicMessage,
+    shards: &[ShardId],
+    context: ReplyContext,
+) -> Option<DynamicMessage> {
+    let reply = |shard: ShardId| synthesise(&method.output, request, ReplyContext { shard, ..context });
+    if !matches!(method.kind, MethodKind::Query { .. }) {
+        return shards.first().map(|shard| reply(*shard));
+    }
+    let replies = shards.iter().map(|shard| (*shard, reply(*shard)));
+    merge(method, replies.collect(), request).ok()
+}
