--- a/crates/sablehaven-types/src/protobuf.rs
+++ b/crates/sablehaven-types/src/protobuf.rs
@@ -1,54 +1,51 @@
-//! The envelope as protobuf (`sablehaven/envelope.proto`), for callers that ask for
-//! [`crate::http::CONTENT_TYPE_PROTOBUF`].
-
-use prost::{Message, bytes::Bytes};
+//! The envelope of answers in protobuf, written by the agent and read by generated clients.
+//!
+//! `sablehaven/envelope.proto` of `sablehaven-schema` describes it to callers in other languages; a
+//! test there keeps both alike. It stands here so that clients need no schema compiler.
 
 use crate::{
     ConfigurationAge, Coverage, Envelope, MissingReason, MissingShard, Outcome, ShardId, SnapshotId,
 };
+use prost::{Enumeration, Message};
 
 /// An envelope that cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
 pub enum EnvelopeError {
-    /// read the envelope of an answer: {0}
-    Decode(#[from] prost::DecodeError),
-}
-
-/// Writes an envelope; its body is the method's reply as protobuf.
-pub fn encode_envelope(envelope: &Envelope<Bytes>) -> Vec<u8> {
-    EnvelopeMessage::from(envelope).encode_to_vec()
-}
-
-/// Reads an envelope.
-///
-/// An outcome that this version does not know is taken for [`Outcome::Unknown`], a reason for
-/// [`MissingReason::Failed`]: both promise nothing.
-pub fn decode_envelope(bytes: Bytes) -> Result<Envelope<Bytes>, EnvelopeError> {
-    let message = EnvelopeMessage::decode(bytes)?;
-    Ok(Envelope::from(message))
-}
-
+    /// decode the envelope: {0}
+    Decode(prost::DecodeError),
+    /// decode the envelope: field '{field}' has the unknown value {value}
+    UnknownValue {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: i32,
+    },
+    /// decode the envelope: field '{0}' is missing
+    MissingField(&'static str),
+}
+
+/// `sablehaven.Envelope`.
 #[derive(Clone, PartialEq, Message)]
-struct EnvelopeMessage {
-    #[prost(enumeration = "OutcomeNumber", tag = "1")]
+pub struct ProtobufEnvelope {
+    #[prost(enumeration = "ProtobufOutcome", tag = "1")]
     outcome: i32,
     #[prost(string, optional, tag = "2")]
     reason: Option<String>,
     #[prost(message, optional, tag = "3")]
-    snapshot: Option<SnapshotMessage>,
+    snapshot: Option<ProtobufSnapshotId>,
     #[prost(message, optional, tag = "4")]
-    coverage: Option<CoverageMessage>,
+    coverage: Option<ProtobufCoverage>,
     #[prost(message, optional, tag = "5")]
-    configuration: Option<ConfigurationAgeMessage>,
+    configuration: Option<ProtobufConfigurationAge>,
     #[prost(uint64, optional, tag = "6")]
     retry_after_ms: Option<u64>,
-    #[prost(bytes = "bytes", optional, tag = "7")]
-    body: Option<Bytes>,
+    #[prost(bytes = "vec", optional, tag = "7")]
+    body: Option<Vec<u8>>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
 #[repr(i32)]
-enum OutcomeNumber {
+enum ProtobufOutcome {
     Unspecified = 0,
     Done = 1,
     NotRun = 2,
@@ -56,7 +53,7 @@
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
-struct SnapshotMessage {
+struct ProtobufSnapshotId {
     #[prost(uint64, tag = "1")]
     generation: u64,
     #[prost(uint64, tag = "2")]
@@ -64,24 +61,24 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-struct CoverageMessage {
+struct ProtobufCoverage {
     #[prost(uint32, repeated, tag = "1")]
     answered: Vec<u32>,
     #[prost(message, repeated, tag = "2")]
-    missing: Vec<MissingShardMessage>,
+    missing: Vec<ProtobufMissingShard>,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
-struct MissingShardMessage {
+struct ProtobufMissingShard {
     #[prost(uint32, tag = "1")]
     shard: u32,
-    #[prost(enumeration = "MissingReasonNumber", tag = "2")]
+    #[prost(enumeration = "ProtobufMissingReason", tag = "2")]
     reason: i32,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
 #[repr(i32)]
-enum MissingReasonNumber {
+enum ProtobufMissingReason {
     Unspecified = 0,
     Deadline = 1,
     NoReplica = 2,
@@ -92,7 +89,7 @@
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
-struct ConfigurationAgeMessage {
+struct ProtobufConfigurationAge {
     #[prost(uint64, tag = "1")]
     version: u64,
     #[prost(bool, tag = "2")]
@@ -101,140 +98,128 @@
     age_ms: u64,
 }
 
-impl From<&Envelope<Bytes>> for EnvelopeMessage {
-    fn from(envelope: &Envelope<Bytes>) -> Self {
-        Self {
-            outcome: OutcomeNumber::from(envelope.outcome).into(),
-            reason: envelope.reason.clone(),
-            snapshot: envelope.snapshot.map(SnapshotMessage::from),
-            coverage: envelope.coverage.as_ref().map(CoverageMessage::from),
-            configuration: Some(ConfigurationAgeMessage::from(envelope.configuration)),
-            retry_after_ms: envelope.retry_after_ms,
-            body: envelope.body.clone(),
-        }
-    }
-}
-
-impl From<EnvelopeMessage> for Envelope<Bytes> {
-    fn from(message: EnvelopeMessage) -> Self {
-        Self {
-            outcome: message.outcome().into(),
-            reason: message.reason,
-            snapshot: message.snapshot.map(SnapshotId::from),
-            coverage: message.coverage.map(Coverage::from),
-            configuration: message.configuration.unwrap_or_default().into(),
-            retry_after_ms: message.retry_after_ms,
-            body: message.body,
-        }
-    }
-}
-
-impl From<Outcome> for OutcomeNumber {
-    fn from(outcome: Outcome) -> Self {
-        match outcome {
-            Outcome::Done => Self::Done,
-            Outcome::NotRun => Self::NotRun,
-            Outcome::Unknown => Self::Unknown,
-        }
-    }
-}
-
-impl From<OutcomeNumber> for Outcome {
-    fn from(number: OutcomeNumber) -> Self {
-        match number {
-            OutcomeNumber::Done => Self::Done,
-            OutcomeNumber::NotRun => Self::NotRun,
-            OutcomeNumber::Unknown | OutcomeNumber::Unspecified => Self::Unknown,
-        }
+impl ProtobufEnvelope {
+    /// The encoded envelope.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        self.encode_to_vec()
     }
-}
 
-impl From<SnapshotId> for SnapshotMessage {
-    fn from(id: SnapshotId) -> Self {
-        Self {
-            generation: id.generation,
-            partition_map: id.partition_map,
-        }
+    /// Reads an encoded envelope; the body stays encoded.
+    pub fn read(bytes: &[u8]) -> Result<Envelope<Vec<u8>>, EnvelopeError> {
+        let envelope = Self::decode(bytes).map_err(EnvelopeError::Decode)?;
+        let configuration = envelope
+            .configuration
+            .ok_or(EnvelopeError::MissingField("configuration"))?;
+        Ok(Envelope {
+            outcome: read_outcome(envelope.outcome)?,
+            reason: envelope.reason,
+            snapshot: envelope.snapshot.map(read_snapshot),
+            coverage: envelope.coverage.map(read_coverage).transpose()?,
+            configuration: ConfigurationAge {
+                version: configuration.version,
+                current: configuration.current,
+                age_ms: configuration.age_ms,
+            },
+            retry_after_ms: envelope.retry_after_ms,
+            body: envelope.body,
+        })
     }
 }
 
-impl From<SnapshotMessage> for SnapshotId {
-    fn from(message: SnapshotMessage) -> Self {
+impl From<Envelope<Vec<u8>>> for ProtobufEnvelope {
+    fn from(envelope: Envelope<Vec<u8>>) -> Self {
         Self {
-            generation: message.generation,
-            partition_map: message.partition_map,
+            outcome: write_outcome(envelope.outcome) as i32,
+            reason: envelope.reason,
+            snapshot: envelope.snapshot.map(|snapshot| ProtobufSnapshotId {
+                generation: snapshot.generation,
+                partition_map: snapshot.partition_map,
+            }),
+            coverage: envelope.coverage.as_ref().map(write_coverage),
+            configuration: Some(ProtobufConfigurationAge {
+                version: envelope.configuration.version,
+                current: envelope.configuration.current,
+                age_ms: envelope.configuration.age_ms,
+            }),
+            retry_after_ms: envelope.retry_after_ms,
+            body: envelope.body,
         }
     }
 }
 
-impl From<&Coverage> for CoverageMessage {
-    fn from(coverage: &Coverage) -> Self {
-        let missing = coverage.missing.iter().map(|missing| MissingShardMessage {
-            shard: missing.shard.0,
-            reason: MissingReasonNumber::from(missing.reason).into(),
-        });
-        Self {
-            answered: coverage.answered.iter().map(|shard| shard.0).collect(),
-            missing: missing.collect(),
-        }
+fn write_outcome(outcome: Outcome) -> ProtobufOutcome {
+    match outcome {
+        Outcome::Done => ProtobufOutcome::Done,
+        Outcome::NotRun => ProtobufOutcome::NotRun,
+        Outcome::Unknown => ProtobufOutcome::Unknown,
     }
 }
 
-impl From<CoverageMessage> for Coverage {
-    fn from(message: CoverageMessage) -> Self {
-        let missing = message.missing.iter().map(|missing| MissingShard {
-            shard: ShardId(missing.shard),
-            reason: missing.reason().into(),
-        });
-        Self {
-            answered: message.answered.iter().copied().map(ShardId).collect(),
-            missing: missing.collect(),
-        }
+fn read_outcome(value: i32) -> Result<Outcome, EnvelopeError> {
+    match ProtobufOutcome::try_from(value) {
+        Ok(ProtobufOutcome::Done) => Ok(Outcome::Done),
+        Ok(ProtobufOutcome::NotRun) => Ok(Outcome::NotRun),
+        Ok(ProtobufOutcome::Unknown) => Ok(Outcome::Unknown),
+        Ok(ProtobufOutcome::Unspecified) | Err(_) => Err(EnvelopeError::UnknownValue {
+            field: "outcome",
+            value,
+        }),
     }
 }
 
-impl From<MissingReason> for MissingReasonNumber {
-    fn from(reason: MissingReason) -> Self {
-        match reason {
-            MissingReason::Deadline => Self::Deadline,
-            MissingReason::NoReplica => Self::NoReplica,
-            MissingReason::Shed => Self::Shed,
-            MissingReason::Failed => Self::Failed,
-            MissingReason::SnapshotGone => Self::SnapshotGone,
-            MissingReason::BadReply => Self::BadReply,
-        }
+fn read_snapshot(snapshot: ProtobufSnapshotId) -> SnapshotId {
+    SnapshotId {
+        generation: snapshot.generation,
+        partition_map: snapshot.partition_map,
     }
 }
 
-impl From<MissingReasonNumber> for MissingReason {
-    fn from(number: MissingReasonNumber) -> Self {
-        match number {
-            MissingReasonNumber::Deadline => Self::Deadline,
-            MissingReasonNumber::NoReplica => Self::NoReplica,
-            MissingReasonNumber::Shed => Self::Shed,
-            MissingReasonNumber::Failed | MissingReasonNumber::Unspecified => Self::Failed,
-            MissingReasonNumber::SnapshotGone => Self::SnapshotGone,
-            MissingReasonNumber::BadReply => Self::BadReply,
-        }
+fn write_coverage(coverage: &Coverage) -> ProtobufCoverage {
+    let missing = coverage.missing.iter().map(|entry| ProtobufMissingShard {
+        shard: entry.shard.0,
+        reason: write_reason(entry.reason) as i32,
+    });
+    ProtobufCoverage {
+        answered: coverage.answered.iter().map(|shard| shard.0).collect(),
+        missing: missing.collect(),
     }
 }
 
-impl From<ConfigurationAge> for ConfigurationAgeMessage {
-    fn from(age: ConfigurationAge) -> Self {
-        Self {
-            version: age.version,
-            current: age.current,
-            age_ms: age.age_ms,
-        }
+fn read_coverage(coverage: ProtobufCoverage) -> Result<Coverage, EnvelopeError> {
+    let missing = coverage.missing.into_iter().map(|entry| {
+        Ok(MissingShard {
+            shard: ShardId(entry.shard),
+            reason: read_reason(entry.reason)?,
+        })
+    });
+    Ok(Coverage {
+        answered: coverage.answered.into_iter().map(ShardId).collect(),
+        missing: missing.collect::<Result<_, _>>()?,
+    })
+}
+
+fn write_reason(reason: MissingReason) -> ProtobufMissingReason {
+    match reason {
+        MissingReason::Deadline => ProtobufMissingReason::Deadline,
+        MissingReason::NoReplica => ProtobufMissingReason::NoReplica,
+        MissingReason::Shed => ProtobufMissingReason::Shed,
+        MissingReason::Failed => ProtobufMissingReason::Failed,
+        MissingReason::SnapshotGone => ProtobufMissingReason::SnapshotGone,
+        MissingReason::BadReply => ProtobufMissingReason::BadReply,
     }
 }
 
-impl From<ConfigurationAgeMessage> for ConfigurationAge {
-    fn from(message: ConfigurationAgeMessage) -> Self {
-        Self {
-            version: message.version,
-            current: message.current,
-            age_ms: message.age_ms,
-        }
+fn read_reason(value: i32) -> Result<MissingReason, EnvelopeError> {
+    match ProtobufMissingReason::try_from(value) {
+        Ok(ProtobufMissingReason::Deadline) => Ok(MissingReason::Deadline),
+        Ok(ProtobufMissingReason::NoReplica) => Ok(MissingReason::NoReplica),
+        Ok(ProtobufMissingReason::Shed) => Ok(MissingReason::Shed),
+        Ok(ProtobufMissingReason::Failed) => Ok(MissingReason::Failed),
+        Ok(ProtobufMissingReason::SnapshotGone) => Ok(MissingReason::SnapshotGone),
+        Ok(ProtobufMissingReason::BadReply) => Ok(MissingReason::BadReply),
+        Ok(ProtobufMissingReason::Unspecified) | Err(_) => Err(EnvelopeError::UnknownValue {
+            field: "reason",
+            value,
+        }),
     }
 }
