--- a/crates/sablehaven-schema/tests/envelope.rs
+++ b/crates/sablehaven-schema/tests/envelope.rs
@@ -1,68 +1,66 @@
-//! The envelope's protobuf encoding agrees with `sablehaven/envelope.proto`.
+//! The protobuf envelope: written and read back, and alike in code and in the published file.
 
 use prost_reflect::{DescriptorPool, DynamicMessage};
 use protox::{
     Compiler,
-    file::{File, FileResolver},
+    file::{ChainFileResolver, File, FileResolver, GoogleFileResolver},
 };
+use sablehaven_schema::envelope::{ENVELOPE_TEXT, EnvelopeError, ProtobufEnvelope};
 use sablehaven_types::{
-    ConfigurationAge, Coverage, Envelope, MissingReason, MissingShard, Outcome, ShardId,
-    SnapshotId,
-    protobuf::{decode_envelope, encode_envelope},
+    ConfigurationAge, Coverage, Envelope, MissingReason, MissingShard, Outcome, ShardId, SnapshotId,
 };
-use serde_json::json;
 
-struct EnvelopeFile;
+const FILE: &str = "sablehaven/envelope.proto";
 
-impl FileResolver for EnvelopeFile {
+const REASONS: [MissingReason; 6] = [
+    MissingReason::Deadline,
+    MissingReason::NoReplica,
+    MissingReason::Shed,
+    MissingReason::Failed,
+    MissingReason::SnapshotGone,
+    MissingReason::BadReply,
+];
+
+struct Published;
+
+impl FileResolver for Published {
     fn open_file(&self, name: &str) -> Result<File, protox::Error> {
-        File::from_source(name, include_str!("../proto/sablehaven/envelope.proto"))
+        if name == FILE {
+            return File::from_source(FILE, ENVELOPE_TEXT);
+        }
+        Err(protox::Error::file_not_found(name))
     }
 }
 
-fn pool() -> DescriptorPool {
-    let mut compiler = Compiler::with_file_resolver(EnvelopeFile);
+fn published() -> DescriptorPool {
+    let mut resolver = ChainFileResolver::new();
+    resolver.add(Published);
+    resolver.add(GoogleFileResolver::new());
+    let mut compiler = Compiler::with_file_resolver(resolver);
     compiler
-        .open_file("sablehaven/envelope.proto")
-        .expect("the file compiles");
+        .open_file(FILE)
+        .expect("the published file compiles");
     compiler.descriptor_pool()
 }
 
-fn as_json(envelope: &Envelope<bytes::Bytes>) -> serde_json::Value {
-    let descriptor = pool()
-        .get_message_by_name("sablehaven.Envelope")
-        .expect("the message exists");
-    let bytes = encode_envelope(envelope);
-    let message = DynamicMessage::decode(descriptor, bytes.as_slice()).expect("it fits");
-    assert_eq!(message.unknown_fields().count(), 0);
-    serde_json::to_value(&message).expect("it has a JSON form")
-}
-
-fn missing(shard: u32, reason: MissingReason) -> MissingShard {
-    MissingShard {
-        shard: ShardId(shard),
-        reason,
-    }
-}
-
-fn full_envelope() -> Envelope<bytes::Bytes> {
+fn full(outcome: Outcome) -> Envelope<Vec<u8>> {
+    let missing = REASONS
+        .into_iter()
+        .zip(10..)
+        .map(|(reason, shard)| MissingShard {
+            shard: ShardId(shard),
+            reason,
+        });
     Envelope {
-        outcome: Outcome::Done,
-        reason: Some("why".to_owned()),
+        outcome,
+        reason: Some("because".to_owned()),
         snapshot: Some(SnapshotId {
             generation: 7,
-            partition_map: 2,
+            partition_map: 3,
         }),
         coverage: Some(Coverage {
-            answered: vec![ShardId(0), ShardId(2)],
-            missing: vec![
-                missing(1, MissingReason::Deadline),
-                missing(3, MissingReason::NoReplica),
-                missing(4, MissingReason::Shed),
-                missing(5, MissingReason::Failed),
-                missing(6, MissingReason::SnapshotGone),
-                missing(7, MissingReason::BadReply),
-            ],
+            answered: vec![ShardId(0), ShardId(4)],
+            missing: missing.collect(),
         }),
         configuration: ConfigurationAge {
             version: 9,
@@ -70,64 +68,71 @@
             age_ms: 12,
         },
         retry_after_ms: Some(250),
-        body: Some(bytes::Bytes::from_static(b"reply")),
+        body: Some(vec![1, 2, 3]),
     }
 }
 
 #[test]
-fn the_encoding_fits_the_proto_file() {
-    let expected = json!({
-        "outcome": "OUTCOME_DONE",
-        "reason": "why",
-        "snapshot": { "generation": "7", "partitionMap": "2" },
+fn every_outcome_and_reason_is_read_back() {
+    for outcome in [Outcome::Done, Outcome::NotRun, Outcome::Unknown] {
+        let envelope = full(outcome);
+        let bytes = ProtobufEnvelope::from(envelope.clone()).to_bytes();
+        assert_eq!(ProtobufEnvelope::read(&bytes), Ok(envelope));
+    }
+}
+
+#[test]
+fn an_empty_body_is_not_a_missing_one() {
+    let mut envelope = full(Outcome::Done);
+    envelope.body = Some(Vec::new());
+    let bytes = ProtobufEnvelope::from(envelope.clone()).to_bytes();
+    assert_eq!(ProtobufEnvelope::read(&bytes), Ok(envelope.clone()));
+    envelope.body = None;
+    let bytes = ProtobufEnvelope::from(envelope.clone()).to_bytes();
+    assert_eq!(ProtobufEnvelope::read(&bytes), Ok(envelope));
+}
+
+#[test]
+fn the_published_file_describes_every_field() {
+    let pool = published();
+    let descriptor = pool
+        .get_message_by_name("sablehaven.Envelope")
+        .expect("Envelope");
+    let bytes = ProtobufEnvelope::from(full(Outcome::NotRun)).to_bytes();
+    let message = DynamicMessage::decode(descriptor, bytes.as_slice()).expect("decodes");
+    let expected = serde_json::json!({
+        "outcome": "OUTCOME_NOT_RUN",
+        "reason": "because",
+        "snapshot": { "generation": "7", "partitionMap": "3" },
         "coverage": {
-            "answered": [0, 2],
+            "answered": [0, 4],
             "missing": [
-                { "shard": 1, "reason": "MISSING_REASON_DEADLINE" },
-                { "shard": 3, "reason": "MISSING_REASON_NO_REPLICA" },
-                { "shard": 4, "reason": "MISSING_REASON_SHED" },
-                { "shard": 5, "reason": "MISSING_REASON_FAILED" },
-                { "shard": 6, "reason": "MISSING_REASON_SNAPSHOT_GONE" },
-                { "shard": 7, "reason": "MISSING_REASON_BAD_REPLY" },
+                { "shard": 10, "reason": "MISSING_REASON_DEADLINE" },
+                { "shard": 11, "reason": "MISSING_REASON_NO_REPLICA" },
+                { "shard": 12, "reason": "MISSING_REASON_SHED" },
+                { "shard": 13, "reason": "MISSING_REASON_FAILED" },
+                { "shard": 14, "reason": "MISSING_REASON_SNAPSHOT_GONE" },
+                { "shard": 15, "reason": "MISSING_REASON_BAD_REPLY" },
             ],
         },
         "configuration": { "version": "9", "current": true, "ageMs": "12" },
         "retryAfterMs": "250",
-        "body": "cmVwbHk=",
+        "body": "AQID",
     });
-    assert_eq!(as_json(&full_envelope()), expected);
-}
-
-#[test]
-fn an_envelope_reads_back_as_it_was_written() {
-    let bare = Envelope {
-        outcome: Outcome::Unknown,
-        reason: None,
-        snapshot: None,
-        coverage: None,
-        configuration: ConfigurationAge::default(),
-        retry_after_ms: None,
-        body: None,
-    };
-    let refused = Envelope {
-        outcome: Outcome::NotRun,
-        ..bare.clone()
-    };
-    let empty = Envelope {
-        outcome: Outcome::Done,
-        coverage: Some(Coverage::default()),
-        body: Some(bytes::Bytes::new()),
-        ..bare.clone()
-    };
-    for envelope in [full_envelope(), bare, refused, empty] {
-        let read = decode_envelope(encode_envelope(&envelope).into());
-        assert_eq!(read, Ok(envelope));
-    }
+    assert_eq!(
+        serde_json::to_value(&message).expect("serializes"),
+        expected
+    );
 }
 
 #[test]
-fn an_outcome_that_is_not_known_promises_nothing() {
-    let read = decode_envelope(bytes::Bytes::from_static(b"\x08\x63")).expect("it decodes");
-    assert_eq!(read.outcome, Outcome::Unknown);
-    assert!(decode_envelope(bytes::Bytes::from_static(b"\xff")).is_err());
+fn an_envelope_without_outcome_is_refused() {
+    let refused = ProtobufEnvelope::read(&[0x2a, 0x00]);
+    assert_eq!(
+        refused,
+        Err(EnvelopeError::UnknownValue {
+            field: "outcome",
+            value: 0
+        })
+    );
 }
--- a/testing/sablehaven-standins/src/backend/handler.rs
+++ b/testing/sablehaven-standins/src/backend/handler.rs
@@ -7,13 +7,13 @@
 
 use prost_reflect::DynamicMessage;
 use sablehaven_history::{CallKind, ExecutionEnd, ExecutionRecord};
+use sablehaven_schema::MethodSchema;
 use sablehaven_types::{AttemptId, CallerId, LedgerKey, RequestId, ShardId, SnapshotId, http};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode};
 
 use super::{in_flight::InFlight, server::Shared, settings::BadReply};
 use crate::{
-    clock,
-    methods::Method,
+    clock, methods,
     replies::{self, ReplyContext},
 };
 
@@ -30,7 +30,7 @@
 
 /// An attempt as its headers and body describe it.
 struct Attempt {
-    method: Method,
+    method: MethodSchema,
     shard: ShardId,
     snapshot: SnapshotId,
     id: AttemptId,
@@ -62,10 +62,9 @@
 impl AttemptHandler {
     async fn read(&self, request: &mut Request) -> Result<Attempt, String> {
         let received = Instant::now();
-        let service: String = request.param("service").unwrap_or_default();
-        let name: String = request.param("method").unwrap_or_default();
-        let method = self.shared.methods.find(&service, &name);
-        let method = method.ok_or_else(|| format!("no method {service}/{name}"))?;
+        let path = request.uri().path();
+        let method = self.shared.schema.method_at(path);
+        let method = method.ok_or_else(|| format!("no method {path}"))?;
         let left: Option<u64> = optional(request, http::DEADLINE_MS);
         let body = request.payload_with_max_size(MAXIMUM_BODY_BYTES).await;
         let body = body.map_err(|error| format!("read body: {error}"))?.clone();
@@ -93,7 +92,7 @@
             Err(end) => end,
         };
         // The load that is reported still counts this request, as a server's own count would.
-        self.write_common_headers(response);
+        self.write_common_headers(&attempt, response);
         match end {
             ExecutionEnd::Replied => self.write_reply(&attempt, in_flight.record(), response),
             refused => write_refusal(refused, response),
@@ -165,7 +164,7 @@
         }
     }
 
-    fn write_common_headers(&self, response: &mut Response) {
+    fn write_common_headers(&self, attempt: &Attempt, response: &mut Response) {
         let Shared {
             state, settings, ..
         } = &*self.shared;
@@ -174,6 +173,7 @@
             .shared
             .load
             .report(&state.behaviour(), load, Instant::now());
+        set(response, http::ATTEMPT, &attempt.id.to_string());
         set(response, http::BACKEND, settings.id.as_str());
         set(response, http::LOAD, &report.load.to_string());
         set(
@@ -215,7 +215,7 @@
     }
 
     fn body(&self, attempt: &Attempt, shard: ShardId, snapshot: SnapshotId) -> Vec<u8> {
-        let is_once = attempt.method.kind == CallKind::Once;
+        let is_once = methods::call_kind(&attempt.method) == CallKind::Once;
         let run = is_once.then(|| self.shared.state.runs.fetch_add(1, Ordering::Relaxed) + 1);
         let context = ReplyContext {
             shard,
