Wire: connections from a chosen IP number

Cause: a machine with several interfaces must say which one its control traffic takes; and a fault on one machine's links needs to know who opened a connection, which on loopback only the source address tells. Ruled out: reading the sender from the first frame in the fault proxy; it would tie the proxy to the internal protocol and not cover HTTP. Change: connect_from with an optional source.

--- a/crates/sablehaven-wire/src/connection.rs
+++ b/crates/sablehaven-wire/src/connection.rs
@@ -1,13 +1,17 @@
 //! Framing and the version handshake.
 
-use std::{marker::PhantomData, net::SocketAddr, time::Duration};
+use std::{
+    marker::PhantomData,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::{
-        TcpStream,
+        TcpSocket, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     time::timeout,
@@ -217,13 +221,28 @@
     hello: &Hello,
     expected: Role,
 ) -> Result<Connection<Incoming, Outgoing>, WireError>
+where
+    Incoming: DeserializeOwned,
+    Outgoing: Serialize,
+{
+    connect_from(None, address, hello, expected).await
+}
+
+/// As [`connect`], from the given IP number: a machine with several network interfaces says by it
+/// which one its control traffic takes.
+pub async fn connect_from<Incoming, Outgoing>(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    hello: &Hello,
+    expected: Role,
+) -> Result<Connection<Incoming, Outgoing>, WireError>
 where
     Incoming: DeserializeOwned,
     Outgoing: Serialize,
 {
     let peer = address.to_string();
     let attempt = async {
-        let stream = TcpStream::connect(address)
+        let stream = open_stream(source, address)
             .await
             .map_err(|source| WireError::Connect {
                 peer: peer.clone(),
@@ -244,6 +263,18 @@
     }
 }
 
+async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Shakes hands on an accepted stream; the caller looks at the other side's role in
 /// [`Connection::hello`] and then gives the halves their message types by [`Connection::retype`].
 pub async fn accept(
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use connection::{
     Connection, FrameReader, FrameWriter, MAXIMUM_FRAME_BYTES, MAXIMUM_HELLO_BYTES,
-    PROTOCOL_VERSION, WireError, accept, connect,
+    PROTOCOL_VERSION, WireError, accept, connect, connect_from,
 };
 pub use encoded::EncodedMessage;
 pub use lease::{CLOCK_DRIFT_PER_MILLE, LeaseProof, LeaseRequests};
--- a/crates/sablehaven-wire/tests/handshake.rs
+++ b/crates/sablehaven-wire/tests/handshake.rs
@@ -4,7 +4,7 @@
 
 use sablehaven_wire::{
     AgentToRelay, Connection, Hello, MAXIMUM_FRAME_BYTES, PROTOCOL_VERSION, RelayToAgent, Role,
-    WireError, accept, connect,
+    WireError, accept, connect, connect_from,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -132,3 +132,21 @@
     let error = accept_raw(&[]).await;
     assert!(matches!(error, WireError::Closed { .. }), "{error}");
 }
+
+#[tokio::test]
+async fn a_connection_comes_from_the_source_that_was_asked_for() {
+    let (listener, address) = listener().await;
+    let source: std::net::IpAddr = "127.0.0.9".parse().expect("an IP number");
+    let theirs = hello(Role::Relay);
+    let server = async {
+        let (stream, peer) = listener.accept().await.expect("accept");
+        accept(stream, peer, &theirs).await.expect("shake hands");
+        peer
+    };
+    let ours = hello(Role::Agent);
+    let client =
+        connect_from::<RelayToAgent, AgentToRelay>(Some(source), address, &ours, Role::Relay);
+    let (seen_from, connected) = tokio::join!(server, client);
+    connected.expect("connect");
+    assert_eq!(seen_from.ip(), source);
+}
