Stand-ins: open-loop callers and a plain agent to compare with

Cause: loads must not slow down with the system, and every figure needs a baseline. Change: Poisson arrivals over a daily curve with a surge per region; a driver that counts latency from the intended sending, resends what may not be repeated with the same key, and records every call; a baseline agent (same fan-out, random replica, no hedging or retries); summaries. The caller recomputes the whole answer that the answered shards owe, so the checker of own answers sees any other body. Latency figures not measured.

--- a/testing/sablehaven-standins/src/caller/client.rs
+++ b/testing/sablehaven-standins/src/caller/client.rs
@@ -86,7 +86,10 @@
         match envelope {
             Ok(envelope) => CallResult::Answered(answer(asked, status, envelope)),
             Err(error) => CallResult::Broken {
-                error: format!("read answer from {process}, status {status}: {}", chain(&error)),
+                error: format!(
+                    "read answer from {process}, status {status}: {}",
+                    chain(&error)
+                ),
             },
         }
     }
@@ -119,7 +122,11 @@
 }
 
 fn answer(asked: &Asked, status: u16, envelope: Envelope<serde_json::Value>) -> CallAnswer {
-    let marks = envelope.body.as_ref().map(replies::marks).unwrap_or_default();
+    let marks = envelope
+        .body
+        .as_ref()
+        .map(replies::marks)
+        .unwrap_or_default();
     let is_expected = is_expected(asked, &envelope, &marks);
     CallAnswer {
         status,
@@ -144,7 +151,9 @@
     if envelope.outcome != Outcome::Done {
         return None;
     }
-    let snapshot = envelope.snapshot.or(marks.first().map(|mark| mark.snapshot))?;
+    let snapshot = envelope
+        .snapshot
+        .or(marks.first().map(|mark| mark.snapshot))?;
     let context = ReplyContext {
         shard: ShardId(0),
         snapshot,
@@ -173,4 +182,3 @@
     }
     text
 }
-
--- a/testing/sablehaven-standins/src/caller/driver.rs
+++ b/testing/sablehaven-standins/src/caller/driver.rs
@@ -103,7 +103,12 @@
         recorder: Recorder,
     ) -> Result<Self, String> {
         let mut methods = Vec::new();
-        for MixEntry { service, method, weight } in &settings.mix {
+        for MixEntry {
+            service,
+            method,
+            weight,
+        } in &settings.mix
+        {
             let found = schema.method(service, method);
             let found = found.ok_or_else(|| format!("the schema has no {service}/{method}"))?;
             methods.push((found.clone(), *weight));
@@ -149,7 +154,10 @@
     ) {
         let settings = &self.inner.settings;
         let load = &settings.loads[region];
-        let seed = settings.seed.wrapping_mul(1_000).wrapping_add(region as u64);
+        let seed = settings
+            .seed
+            .wrapping_mul(1_000)
+            .wrapping_add(region as u64);
         let mut random = Pcg64Mcg::seed_from_u64(seed ^ u64::MAX);
         for offset in Arrivals::new(load.shape.clone(), settings.duration, seed) {
             tokio::select! {
@@ -186,7 +194,11 @@
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
         let mut asked = self.make(method, region, number);
         let is_once = asked.once_key.is_some();
-        let sendings = if is_once { self.settings.resends + 1 } else { 1 };
+        let sendings = if is_once {
+            self.settings.resends + 1
+        } else {
+            1
+        };
         let mut intended_at = intended_at;
         for sending in 0..sendings {
             let call = match sending {
--- a/testing/sablehaven-standins/src/caller/request.rs
+++ b/testing/sablehaven-standins/src/caller/request.rs
@@ -17,7 +17,9 @@
 impl RequestMaker {
     /// Requests of one run; `run` sets them apart from those of others.
     pub fn new(run: &str) -> Self {
-        Self { run: run.to_owned() }
+        Self {
+            run: run.to_owned(),
+        }
     }
 
     /// The request with this number.
@@ -40,7 +42,11 @@
             return None;
         }
         match field.kind() {
-            Kind::String => Some(Value::String(format!("{}-{}-{number}", field.name(), self.run))),
+            Kind::String => Some(Value::String(format!(
+                "{}-{}-{number}",
+                field.name(),
+                self.run
+            ))),
             Kind::Uint64 | Kind::Fixed64 => Some(Value::U64(number)),
             Kind::Int64 | Kind::Sint64 | Kind::Sfixed64 => Some(Value::I64(number as i64)),
             Kind::Double => Some(Value::F64(number as f64)),
--- a/testing/sablehaven-standins/src/host/error.rs
+++ b/testing/sablehaven-standins/src/host/error.rs
@@ -25,6 +25,8 @@
     Schema(String),
     /// start back end: {0}
     Backend(#[from] BackendError),
+    /// start baseline agent: {0}
+    Baseline(String),
     /// bind {interface} to {address}: {reason}
     Bind {
         /// The interface.
--- a/testing/sablehaven-standins/src/host/file.rs
+++ b/testing/sablehaven-standins/src/host/file.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::HostError;
-use crate::{backend::BackendSettings, platform::PlatformSettings};
+use crate::{backend::BackendSettings, baseline::BaselineSettings, platform::PlatformSettings};
 
 /// The back ends of one process; a JSON file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -22,7 +22,11 @@
     /// The platform's list, where this process serves it.
     #[serde(default)]
     pub platform: Option<PlatformSettings>,
+    /// A plain agent to compare with, where this process plays one.
+    #[serde(default)]
+    pub baseline: Option<BaselineSettings>,
     /// The back ends.
+    #[serde(default)]
     pub backends: Vec<BackendSettings>,
 }
 
--- a/testing/sablehaven-standins/src/host/running.rs
+++ b/testing/sablehaven-standins/src/host/running.rs
@@ -11,6 +11,7 @@
 use super::{HostError, HostFile, admin};
 use crate::{
     backend::{Backend, ExecutionLog},
+    baseline::BaselineAgent,
     platform::Platform,
 };
 
@@ -21,6 +22,8 @@
     pub admin: SocketAddr,
     /// The platform's list, where this host serves it.
     pub platform: Option<SocketAddr>,
+    /// The baseline agent's interface towards callers, where this host plays one.
+    pub baseline: Option<SocketAddr>,
     /// The back ends.
     pub backends: Vec<BackendRecord>,
 }
@@ -32,6 +35,8 @@
     pub platform: Platform,
     /// Where the platform's list is served, once it is.
     pub platform_address: Option<SocketAddr>,
+    /// Where the baseline agent answers, once it does.
+    pub baseline_address: Option<SocketAddr>,
 }
 
 impl Hosted {
@@ -40,6 +45,7 @@
         HostReport {
             admin,
             platform: self.platform_address,
+            baseline: self.baseline_address,
             backends: self.backends.values().map(Backend::record).collect(),
         }
     }
@@ -112,11 +118,20 @@
         platform_address = Some(address);
         servers.push(server);
     }
+    let mut baseline_address = None;
+    if let Some(settings) = &file.baseline {
+        let agent = BaselineAgent::new(settings, Arc::clone(&schema));
+        let agent = agent.map_err(|error| HostError::Baseline(error.to_string()))?;
+        let (address, server) = serve("baseline agent", settings.listen, agent.router()).await?;
+        baseline_address = Some(address);
+        servers.push(server);
+    }
     let hosted = Arc::new(Hosted {
         backends,
         log,
         platform,
         platform_address,
+        baseline_address,
     });
     let router = admin::router(&hosted);
     let (admin, admin_server) = serve("administration", file.admin_listen, router).await?;
--- a/testing/sablehaven-standins/src/lib.rs
+++ b/testing/sablehaven-standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! ([`sablehaven_history::Mark`]), by which a checker recognises a mixed or foreign answer.
 
 pub mod backend;
+pub mod baseline;
 pub mod caller;
 pub mod clock;
 pub mod host;
--- a/testing/sablehaven-standins/src/replies.rs
+++ b/testing/sablehaven-standins/src/replies.rs
@@ -208,7 +208,8 @@
     shards: &[ShardId],
     context: ReplyContext,
 ) -> Option<DynamicMessage> {
-    let reply = |shard: ShardId| synthesise(&method.output, request, ReplyContext { shard, ..context });
+    let reply =
+        |shard: ShardId| synthesise(&method.output, request, ReplyContext { shard, ..context });
     if !matches!(method.kind, MethodKind::Query { .. }) {
         return shards.first().map(|shard| reply(*shard));
     }
--- a/testing/sablehaven-standins/tests/backend.rs
+++ b/testing/sablehaven-standins/tests/standins/backend.rs
@@ -1,8 +1,6 @@
 //! Back ends over real connections.
 
-mod common;
-
-use common::{SNAPSHOT, attempt, client, records, settings, start, wait_until};
+use crate::common::{SNAPSHOT, attempt, client, records, settings, start, wait_until};
 use prost_reflect::DynamicMessage;
 use sablehaven_history::{ExecutionEnd, Mark};
 use sablehaven_standins::{
@@ -23,9 +21,9 @@
 }
 
 async fn decode(response: reqwest::Response) -> serde_json::Value {
-    let schema = common::schema();
+    let schema = crate::common::schema();
     let method = schema
-        .method(&common::SERVICE.into(), "Search")
+        .method(&crate::common::SERVICE.into(), "Search")
         .expect("method");
     let output = method.output.clone();
     let body = response.bytes().await.expect("body");
--- a/testing/sablehaven-standins/tests/common/mod.rs
+++ b/testing/sablehaven-standins/tests/standins/common.rs
@@ -75,6 +75,7 @@
         admin_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
         seed: 1,
         platform: None,
+        baseline: None,
         backends,
     };
     let started = host::start(file).await;
--- /dev/null
+++ b/testing/sablehaven-standins/tests/standins/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the stand-ins.
+
+mod backend;
+mod caller;
+mod common;
+mod platform;
