--- a/testing/sablehaven-standins/src/host/admin.rs
+++ b/testing/sablehaven-standins/src/host/admin.rs
@@ -116,7 +116,7 @@
 impl AdminHandler {
     async fn act(&self, request: &mut Request, response: &mut Response) -> Result<(), Refusal> {
         match self.action {
-            Action::Backends | Action::Executions | Action::Platform => {
+            Action::Host | Action::Backends | Action::Executions | Action::Platform => {
                 self.show(request, response)
             }
             Action::PlatformList => {
--- a/testing/sablehaven-standins/tests/standins/main.rs
+++ b/testing/sablehaven-standins/tests/standins/main.rs
@@ -3,4 +3,5 @@
 mod backend;
 mod caller;
 mod common;
+mod host;
 mod platform;
