Wire: queue frames as shared bytes; one rule for whether an update fits

Cause: the framed writer copied each frame into a buffer of its connection and kept the buffer's size, so a large update to many agents would be in memory once an agent. The rule for applying an update stood in the subscription alone, while the relay needs the same one. Ruled out: flushing the framed writer's buffer after each large frame; it keeps its capacity. Test: cancelled writes against a receiver that reads later lose and repeat nothing.

--- a/crates/sablehaven-subscription/src/lib.rs
+++ b/crates/sablehaven-subscription/src/lib.rs
@@ -26,4 +26,4 @@
 pub use subscription::{AgentIdentity, Subscription};
 pub use supervisor::{Action, LeaseHealth, SessionId, Supervisor, SupervisorSettings};
 pub use view::View;
-pub use view_state::{Applied, ViewState};
+pub use view_state::ViewState;
--- a/crates/sablehaven-subscription/src/session.rs
+++ b/crates/sablehaven-subscription/src/session.rs
@@ -4,7 +4,7 @@
 
 use sablehaven_types::LedgerReply;
 use sablehaven_wire::{
-    AgentToRelay, Connection, RelayToAgent, Role, StateUpdate, WireError, connect,
+    AgentToRelay, Connection, RelayToAgent, Role, StateUpdate, UpdateFit, WireError, connect,
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    Applied, SessionId,
+    SessionId,
     shared::{LedgerCall, Shared},
 };
 
@@ -209,11 +209,11 @@
 
     async fn apply(&mut self, update: StateUpdate) -> Result<(), SessionError> {
         let result = self.shared.apply(update);
-        match result.applied {
-            Applied::Advanced => self.feed_acknowledgement().await?,
-            Applied::Old => return Ok(()),
-            Applied::Gap => self.feed_watch().await?,
-            Applied::Reverted => return Err(SessionError::Reverted { peer: self.peer }),
+        match result.fit {
+            UpdateFit::Applies => self.feed_acknowledgement().await?,
+            UpdateFit::Old => return Ok(()),
+            UpdateFit::Gap => self.feed_watch().await?,
+            UpdateFit::Reverted => return Err(SessionError::Reverted { peer: self.peer }),
         }
         self.flush().await?;
         if result.lease_renewed {
--- a/crates/sablehaven-subscription/src/shared.rs
+++ b/crates/sablehaven-subscription/src/shared.rs
@@ -7,12 +7,12 @@
 
 use arc_swap::ArcSwap;
 use sablehaven_types::{ConfigurationAge, Observation, ObservationKind};
-use sablehaven_wire::{Hello, LeaseGrant, PROTOCOL_VERSION, Role, StateUpdate};
+use sablehaven_wire::{Hello, LeaseGrant, PROTOCOL_VERSION, Role, StateUpdate, UpdateFit};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::{
-    Applied, Config, LeaseHealth, LeaseState, ObservationBuffer, Renewal, SessionId,
-    SubscriptionMetrics, View, ViewState, clock::Clock, subscription::AgentIdentity,
+    Config, LeaseHealth, LeaseState, ObservationBuffer, Renewal, SessionId, SubscriptionMetrics,
+    View, ViewState, clock::Clock, subscription::AgentIdentity,
 };
 
 /// A call to the ledger on its way to a session.
@@ -50,7 +50,7 @@
 
 /// What became of an update.
 pub(crate) struct UpdateResult {
-    pub(crate) applied: Applied,
+    pub(crate) fit: UpdateFit,
     pub(crate) lease_renewed: bool,
 }
 
@@ -133,19 +133,16 @@
     pub(crate) fn apply(&self, update: StateUpdate) -> UpdateResult {
         let full = update.full;
         let mut core = self.core();
-        let applied = core.state.apply(update);
+        let fit = core.state.apply(update);
         let mut lease_renewed = false;
-        if applied == Applied::Advanced {
+        if fit == UpdateFit::Applies {
             let revision = core.state.revision();
             lease_renewed = core.lease.applied(revision);
             self.publish(&core);
         }
         drop(core);
-        self.count_update(applied, full);
-        UpdateResult {
-            applied,
-            lease_renewed,
-        }
+        self.count_update(fit, full);
+        UpdateResult { fit, lease_renewed }
     }
 
     pub(crate) fn hint(&self, observations: &[Observation]) {
@@ -199,19 +196,19 @@
         self.metrics.configuration_version.set(version as i64);
     }
 
-    fn count_update(&self, applied: Applied, full: bool) {
-        match applied {
-            Applied::Advanced => {
+    fn count_update(&self, fit: UpdateFit, full: bool) {
+        match fit {
+            UpdateFit::Applies => {
                 self.metrics.updates.inc();
                 self.metrics.full_updates.inc_by(u64::from(full));
             }
-            Applied::Gap => {
+            UpdateFit::Gap => {
                 self.metrics.gaps.inc();
             }
-            Applied::Reverted => {
+            UpdateFit::Reverted => {
                 self.metrics.reverts_refused.inc();
             }
-            Applied::Old => {}
+            UpdateFit::Old => {}
         }
     }
 
--- a/crates/sablehaven-subscription/src/view_state.rs
+++ b/crates/sablehaven-subscription/src/view_state.rs
@@ -6,27 +6,13 @@
     BackendId, BackendRecord, BackendState, Observation, ObservationKind, ServiceConfiguration,
     ServiceName,
 };
-use sablehaven_wire::StateUpdate;
+use sablehaven_wire::{StateUpdate, UpdateFit};
 
 use crate::View;
 
 /// Hints held at most; more are ignored, control's word will come.
 const MAXIMUM_HINTS: usize = 10_000;
 
-/// What became of an update.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Applied {
-    /// It is in force.
-    Advanced,
-    /// Its revision is not larger than the one in force; ignored.
-    Old,
-    /// It starts from another revision than the one in force; ask again.
-    Gap,
-    /// Its revision is larger, but its configuration version is smaller: the sender is faulty;
-    /// ignored.
-    Reverted,
-}
-
 /// The state in force and the hints laid over it.
 #[derive(Clone, Debug)]
 pub struct ViewState {
@@ -62,23 +48,19 @@
         self.committed.configuration_version
     }
 
-    /// Applies one update from a relay.
-    pub fn apply(&mut self, update: StateUpdate) -> Applied {
-        if update.revision <= self.committed.revision {
-            return Applied::Old;
-        }
-        if update.configuration_version < self.committed.configuration_version {
-            return Applied::Reverted;
-        }
-        if !update.full && update.from_revision != self.committed.revision {
-            return Applied::Gap;
+    /// Applies one update from a relay, if it fits.
+    pub fn apply(&mut self, update: StateUpdate) -> UpdateFit {
+        let committed = &self.committed;
+        let fit = update.fit(committed.revision, committed.configuration_version);
+        if fit != UpdateFit::Applies {
+            return fit;
         }
         if update.full {
             self.committed = View::default();
         }
         self.apply_changes(update);
         self.drop_answered_hints();
-        Applied::Advanced
+        UpdateFit::Applies
     }
 
     /// Lays an observation over the state; returns whether the view changed.
--- a/crates/sablehaven-wire/src/connection.rs
+++ b/crates/sablehaven-wire/src/connection.rs
@@ -2,20 +2,17 @@
 
 use std::{marker::PhantomData, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
+use futures::StreamExt;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
-    net::{
-        TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::{TcpStream, tcp::OwnedReadHalf},
     time::timeout,
 };
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
 use crate::{
-    encoded::EncodedMessage,
+    encoded::{EncodedMessage, FRAME_HEADER_BYTES},
+    frame_queue::FrameQueue,
     message::{Hello, Role},
 };
 
@@ -29,9 +26,6 @@
 /// cannot make this process reserve memory.
 pub const MAXIMUM_HELLO_BYTES: usize = 4 * 1024;
 
-/// Bytes of the length in front of each frame.
-const FRAME_HEADER_BYTES: u64 = 4;
-
 /// Time that a connection attempt with its handshake may take.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -103,8 +97,7 @@
 /// The sending half of a connection.
 pub struct FrameWriter<Message> {
     peer: String,
-    inner: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    sent_bytes: u64,
+    queue: FrameQueue,
     message: PhantomData<fn(&Message)>,
 }
 
@@ -134,7 +127,7 @@
                 return Err(WireError::Closed { peer });
             }
         };
-        self.received_bytes += FRAME_HEADER_BYTES + frame.len() as u64;
+        self.received_bytes += (FRAME_HEADER_BYTES + frame.len()) as u64;
         rmp_serde::from_slice(&frame).map_err(|source| WireError::Decode {
             peer: self.peer.clone(),
             source,
@@ -177,20 +170,18 @@
         &mut self,
         message: &EncodedMessage<Message>,
     ) -> Result<(), WireError> {
-        let encoded = message.bytes();
-        self.sent_bytes += FRAME_HEADER_BYTES + encoded.len() as u64;
-        let result = self.inner.feed(encoded).await;
+        let result = self.queue.push(message.frame()).await;
         result.map_err(|source| self.send_error(source))
     }
 
     /// Bytes of all frames queued or sent so far, their lengths included.
     pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes
+        self.queue.total_bytes()
     }
 
     /// Sends what is queued.
     pub async fn flush(&mut self) -> Result<(), WireError> {
-        let result = SinkExt::<Bytes>::flush(&mut self.inner).await;
+        let result = self.queue.flush().await;
         result.map_err(|source| self.send_error(source))
     }
 
@@ -204,8 +195,7 @@
     fn retype<Other>(self) -> FrameWriter<Other> {
         FrameWriter {
             peer: self.peer,
-            inner: self.inner,
-            sent_bytes: self.sent_bytes,
+            queue: self.queue,
             message: PhantomData,
         }
     }
@@ -295,14 +285,13 @@
     let (read_half, write_half) = stream.into_split();
     let mut reader = FrameReader::<Hello> {
         peer: peer.clone(),
-        inner: FramedRead::new(read_half, codec(MAXIMUM_HELLO_BYTES)),
+        inner: FramedRead::new(read_half, decoder(MAXIMUM_HELLO_BYTES)),
         received_bytes: 0,
         message: PhantomData,
     };
     let mut writer = FrameWriter::<Hello> {
         peer: peer.clone(),
-        inner: FramedWrite::new(write_half, codec(MAXIMUM_FRAME_BYTES)),
-        sent_bytes: 0,
+        queue: FrameQueue::new(write_half),
         message: PhantomData,
     };
     writer.send(hello).await?;
@@ -340,7 +329,7 @@
     Ok(())
 }
 
-fn codec(maximum_frame_bytes: usize) -> LengthDelimitedCodec {
+fn decoder(maximum_frame_bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(maximum_frame_bytes)
         .new_codec()
--- a/crates/sablehaven-wire/src/lease.rs
+++ b/crates/sablehaven-wire/src/lease.rs
@@ -94,6 +94,12 @@
         self.age(now) < self.usable_duration()
     }
 
+    /// Whether a receiver that this proof was passed on to may still hold the lease: without the
+    /// allowance for clock drift, which only shortens the receiver's own count.
+    pub fn may_be_held(&self, now: Duration) -> bool {
+        self.age(now) < self.duration
+    }
+
     /// Time until the lease ends; zero when it has ended.
     pub fn remaining(&self, now: Duration) -> Duration {
         self.usable_duration().saturating_sub(self.age(now))
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod connection;
 mod encoded;
+mod frame_queue;
 mod lease;
 mod message;
 
@@ -16,5 +17,5 @@
 pub use lease::{CLOCK_DRIFT_PER_MILLE, LeaseProof, LeaseRequests};
 pub use message::{
     AgentStatus, AgentToRelay, ControlToRelay, Hello, LeaseGrant, PeerMessage, RelayToAgent,
-    RelayToControl, Role, StateUpdate,
+    RelayToControl, Role, StateUpdate, UpdateFit,
 };
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -58,6 +58,35 @@
     pub agents_per_service: BTreeMap<ServiceName, u32>,
 }
 
+/// Whether a receiver may apply an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpdateFit {
+    /// It leads forward from the receiver's state.
+    Applies,
+    /// Its revision is not larger than the receiver's; to be ignored.
+    Old,
+    /// It starts from another revision than the receiver's; to be asked for again.
+    Gap,
+    /// Its revision is larger, but its configuration version is smaller: the sender is faulty.
+    Reverted,
+}
+
+impl StateUpdate {
+    /// Whether a receiver at the given revision and configuration version may apply this update.
+    pub fn fit(&self, revision: u64, configuration_version: u64) -> UpdateFit {
+        if self.revision <= revision {
+            return UpdateFit::Old;
+        }
+        if self.configuration_version < configuration_version {
+            return UpdateFit::Reverted;
+        }
+        if !self.full && self.from_revision != revision {
+            return UpdateFit::Gap;
+        }
+        UpdateFit::Applies
+    }
+}
+
 /// An agent as its relay reports it to control.
 ///
 /// The word of one relay says nothing about another's: an agent that moves is reported by both for
--- a/crates/sablehaven-wire/tests/frames.rs
+++ b/crates/sablehaven-wire/tests/frames.rs
@@ -102,3 +102,46 @@
     let error = agent.writer.send(&huge).await.expect_err("too large");
     assert!(matches!(error, WireError::Send { .. }), "{error}");
 }
+
+/// Many large frames to a receiver that does not read: the writes wait, and a cancelled one loses
+/// nothing.
+#[tokio::test]
+async fn cancelled_writes_lose_and_repeat_nothing() {
+    let (mut agent, mut relay) = pair().await;
+    let update = |revision| {
+        RelayToAgent::Update(StateUpdate {
+            full: true,
+            revision,
+            agents_per_service: (0..5_000)
+                .map(|number| (format!("service-{number}").into(), number))
+                .collect(),
+            ..StateUpdate::default()
+        })
+    };
+    let writing = async {
+        for revision in 1..=100 {
+            let message = update(revision);
+            let encoded = EncodedMessage::new(&message).expect("encode");
+            loop {
+                // Cancelled whenever the socket takes no more bytes at once.
+                let queued = tokio::select! {
+                    biased;
+                    queued = relay.writer.feed_encoded(&encoded) => Some(queued),
+                    () = tokio::task::yield_now() => None,
+                };
+                if let Some(queued) = queued {
+                    queued.expect("feed");
+                    break;
+                }
+            }
+        }
+        relay.writer.flush().await.expect("flush");
+    };
+    let reading = async {
+        for revision in 1..=100 {
+            let received = agent.reader.receive().await.expect("receive");
+            assert_eq!(received, update(revision));
+        }
+    };
+    tokio::join!(writing, reading);
+}
