--- a/testing/sablehaven-harness/src/lib.rs
+++ b/testing/sablehaven-harness/src/lib.rs
@@ -4,7 +4,6 @@
 //! proxies can tell who opened a connection and cut one machine off from the others. That all of
 //! 127.0.0.0/8 is local holds on Linux.
 
-mod admin;
 mod caller;
 mod deployment;
 mod error;
@@ -14,7 +13,6 @@
 mod program;
 mod wait;
 
-pub use admin::StandInAdmin;
 pub use caller::{HttpAnswer, HttpCaller};
 pub use deployment::Deployment;
 pub use error::HarnessError;
--- a/testing/sablehaven-harness/src/plan.rs
+++ b/testing/sablehaven-harness/src/plan.rs
@@ -2,13 +2,12 @@
 
 use std::path::Path;
 
-use sablehaven_schema::{DeploymentSchema, FleetFile, FleetSize};
-use sablehaven_standins::{
-    backend::{BackendSettings, HeldSnapshot, ServiceTime},
-    host::HostFile,
-    platform::PlatformSettings,
+use sablehaven_schema::{
+    DeploymentSchema,
+    fleet_file::{FleetFile, FleetSize},
 };
-use sablehaven_types::{Configuration, ServiceName};
+use sablehaven_standins::host::HostFile;
+use sablehaven_types::Configuration;
 
 use crate::HarnessError;
 
@@ -82,58 +81,16 @@
 
     /// The stand-in back ends and the platform's list.
     pub fn host_file(&self) -> HostFile {
-        let configuration = self.configuration();
-        let servers = self.fleet.servers(&self.size);
-        let backends = servers
-            .into_iter()
-            .filter_map(|server| {
-                let service = self.fleet.services.iter();
-                let service = service.clone().find(|service| service.name == server.service)?;
-                let snapshot = snapshot_of(&configuration, &server.service)?;
-                let mut settings =
-                    BackendSettings::new(server.id, server.service, server.placement);
-                settings.slots = service.slots_per_server;
-                settings.queue_limit = service.queue_per_server;
-                settings.connection_limit = service.connections_per_server;
-                settings.connection_cost_us = self.fleet.network.connection_cost_ms * 1_000;
-                settings.service_time = ServiceTime {
-                    median_us: service.service_time_us,
-                    ..ServiceTime::default()
-                };
-                settings.cold_start_ms = service.cold_start_ms;
-                settings.cold_factor = f64::from(service.cold_slowdown);
-                settings.held = vec![HeldSnapshot {
-                    snapshot,
-                    shards: server.shards.into_iter().collect(),
-                }];
-                Some(settings)
-            })
-            .collect();
-        HostFile {
-            schema: self.schema.source().clone(),
-            admin_listen: loopback(),
-            seed: self.seed,
-            platform: Some(PlatformSettings {
-                listen: loopback(),
-                lag_ms: self.platform_lag_ms,
-            }),
-            backends,
-        }
+        HostFile::of_fleet(
+            &self.fleet,
+            &self.size,
+            &self.schema,
+            self.platform_lag_ms,
+            self.seed,
+        )
     }
 }
 
-fn snapshot_of(
-    configuration: &Configuration,
-    service: &ServiceName,
-) -> Option<sablehaven_types::SnapshotId> {
-    let service = configuration.services.get(service)?;
-    Some(service.snapshot.id)
-}
-
-fn loopback() -> std::net::SocketAddr {
-    std::net::SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 fn read(path: &Path) -> Result<String, HarnessError> {
     std::fs::read_to_string(path).map_err(|error| HarnessError::File {
         step: "read",
