--- /dev/null
+++ b/crates/sablehaven-agent/src/interface/handler.rs
@@ -0,0 +1,193 @@
+//! The HTTP handler of callers' requests.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use prost_reflect::DynamicMessage;
+use sablehaven_schema::{BodyError, MethodKind, MethodSchema, decode_json, decode_protobuf};
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, async_trait,
+    http::{
+        HeaderValue, Version,
+        header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
+    },
+};
+use tokio::sync::oneshot;
+
+use super::{
+    request::{Encoding, answer_encoding, request_encoding, time_allowed},
+    response::{EncodedAnswer, encode_answer},
+};
+use crate::{
+    agent::Agent,
+    answer::Answer,
+    metrics::RequestKind,
+    once::{Moment, OnceHeaders, OnceRequest, is_resend},
+    plan::ServicePlan,
+    query::ReadRequest,
+    reason::Reason,
+};
+
+/// Handles `POST /<package>.<Service>/<Method>`.
+pub struct CallHandler {
+    /// The agent that serves.
+    pub agent: Arc<Agent>,
+}
+
+/// A request whose body fits the schema.
+struct Call<'a> {
+    service: &'a Arc<ServicePlan>,
+    method: &'a MethodSchema,
+    message: DynamicMessage,
+    time_allowed: Duration,
+    arrived: Moment,
+}
+
+#[async_trait]
+impl Handler for CallHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _control: &mut FlowCtrl,
+    ) {
+        let arrived = Moment::now();
+        let encoding = answer_encoding(request.headers());
+        let (kind, answer) = self.serve(request, arrived).await;
+        let latency = arrived.monotonic.elapsed();
+        let agent = &self.agent;
+        agent.metrics.answered(kind, answer.outcome, latency);
+        let encoded = encode_answer(answer, agent.subscription.lease(), encoding);
+        write(encoded, response);
+        if agent.is_stopping() && request.version() < Version::HTTP_2 {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+    }
+}
+
+impl CallHandler {
+    async fn serve(&self, request: &mut Request, arrived: Moment) -> (RequestKind, Answer) {
+        let plan = self.agent.plan();
+        if plan.schema.is_none() {
+            let answer = self.agent.come_back(Reason::NotReady);
+            return (RequestKind::Unrecognised, answer);
+        }
+        let resend = is_resend(request.headers());
+        let path = request.uri().path().to_owned();
+        let Some((method, service)) = plan.method(&path) else {
+            let refusal = refuse(Reason::UnknownMethod(path), resend);
+            return (RequestKind::Unrecognised, refusal);
+        };
+        let kind = request_kind(method);
+        let call = self.read(request, service, method, arrived).await;
+        let answer = match call {
+            Ok(call) if kind == RequestKind::Once => self.serve_once(call, request).await,
+            Ok(call) => self.serve_read(call).await,
+            Err(reason) => refuse(reason, resend && kind == RequestKind::Once),
+        };
+        (kind, answer)
+    }
+
+    async fn read<'a>(
+        &self,
+        request: &mut Request,
+        service: &'a Arc<ServicePlan>,
+        method: &'a MethodSchema,
+        arrived: Moment,
+    ) -> Result<Call<'a>, Reason> {
+        let encoding = request_encoding(request.headers())?;
+        let time_allowed = time_allowed(request.headers(), method.deadline_ms)?;
+        let limit_bytes = self.agent.config.limits.request_body_bytes;
+        let body = request.payload_with_max_size(limit_bytes).await;
+        let body = body.map_err(|error| Reason::BodyUnreadable {
+            limit_bytes,
+            cause: error.to_string(),
+        })?;
+        let message = decode(method, encoding, body).map_err(Reason::BadBody)?;
+        Ok(Call {
+            service,
+            method,
+            message,
+            time_allowed,
+            arrived,
+        })
+    }
+
+    async fn serve_read(&self, call: Call<'_>) -> Answer {
+        let deadline: Instant = call.arrived.monotonic + call.time_allowed;
+        let read = ReadRequest {
+            service: call.service,
+            method: call.method,
+            message: &call.message,
+            deadline,
+            limits: &self.agent.config.limits,
+            metrics: &self.agent.metrics,
+        };
+        read.run().await
+    }
+
+    /// Runs the request in a task of its own: a caller that goes away must not leave a claim behind
+    /// without its outcome.
+    async fn serve_once(&self, call: Call<'_>, request: &Request) -> Answer {
+        let headers = match OnceHeaders::read(request.headers()) {
+            Ok(headers) => headers,
+            Err(reason) => return Answer::without_reply(reason),
+        };
+        let once = OnceRequest {
+            service: Arc::clone(call.service),
+            method: call.method.clone(),
+            message: call.message,
+            headers,
+            arrived: call.arrived,
+            time_allowed: call.time_allowed,
+        };
+        let (sender, receiver) = oneshot::channel();
+        let environment = self.agent.once_environment();
+        self.agent.once_tasks.spawn(once.run(environment, sender));
+        let answer = receiver.await;
+        // The task ends without an answer only if it panicked, at a place that is not known.
+        answer.unwrap_or_else(|_| Answer::without_reply(Reason::SentWithoutReply))
+    }
+}
+
+fn refuse(reason: Reason, resend: bool) -> Answer {
+    let reason = if resend { reason.for_resend() } else { reason };
+    Answer::without_reply(reason)
+}
+
+fn request_kind(method: &MethodSchema) -> RequestKind {
+    match method.kind {
+        MethodKind::Query { .. } => RequestKind::Query,
+        MethodKind::Lookup { .. } => RequestKind::Lookup,
+        MethodKind::Once { .. } => RequestKind::Once,
+    }
+}
+
+fn decode(
+    method: &MethodSchema,
+    encoding: Encoding,
+    body: &[u8],
+) -> Result<DynamicMessage, BodyError> {
+    let message = match encoding {
+        Encoding::Json => decode_json(&method.input, body),
+        Encoding::Protobuf => decode_protobuf(&method.input, body),
+    }?;
+    method.check_request(&message)?;
+    Ok(message)
+}
+
+fn write(answer: EncodedAnswer, response: &mut Response) {
+    response.status_code(answer.status);
+    let headers = response.headers_mut();
+    let content_type = HeaderValue::from_static(answer.content_type);
+    headers.insert(CONTENT_TYPE, content_type);
+    if let Some(seconds) = answer.retry_after_seconds {
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    // The body was not set before, so writing it cannot fail.
+    let _ = response.write_body(answer.body);
+}
--- /dev/null
+++ b/crates/sablehaven-agent/src/metrics.rs
@@ -0,0 +1,241 @@
+//! The agent's metrics.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use sablehaven_telemetry::Telemetry;
+use sablehaven_types::{Coverage, MissingReason, Outcome};
+
+use crate::transport::{DiscardReason, Refusal};
+
+/// Upper bound of the latency histogram's first bucket, in seconds.
+const FIRST_LATENCY_BUCKET_SECONDS: f64 = 0.001;
+
+/// Buckets of the latency histogram, each twice as wide as the one before: up to 32 s.
+const LATENCY_BUCKETS: u16 = 16;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+/// The kinds of request, as metrics name them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RequestKind {
+    /// Asks every shard.
+    Query,
+    /// Asks one shard, may be repeated.
+    Lookup,
+    /// Asks one shard, may not be repeated.
+    Once,
+    /// Refused before its method was known.
+    Unrecognised,
+}
+
+impl RequestKind {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Query => "query",
+            Self::Lookup => "lookup",
+            Self::Once => "once",
+            Self::Unrecognised => "unrecognised",
+        }
+    }
+}
+
+/// Counters, gauges and histograms of one agent; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    requests: Family<RequestLabels, Counter>,
+    latency: Family<KindLabel, Histogram, fn() -> Histogram>,
+    /// Attempts sent to back ends.
+    pub sub_requests: Counter,
+    /// Hedges among them.
+    pub hedges: Counter,
+    /// Retries among them.
+    pub retries: Counter,
+    /// Queries that started again on another snapshot.
+    pub restarts: Counter,
+    refusals: Family<ReasonLabel, Counter>,
+    discarded: Family<ReasonLabel, Counter>,
+    missing: Family<ReasonLabel, Counter>,
+    ledger: Family<KindLabel, Counter>,
+    /// Outcomes that could not be recorded.
+    pub unrecorded: Counter,
+    /// Version of the configuration in force in this agent.
+    pub configuration_version: Gauge,
+    /// 1 while the agent holds a lease.
+    pub lease_current: Gauge,
+    /// Configurations that could not be put in force, because their schema does not parse.
+    pub unusable_configurations: Counter,
+}
+
+impl Metrics {
+    /// Metrics registered with the process's telemetry.
+    pub fn new(telemetry: &Telemetry) -> Self {
+        let metrics = Self {
+            requests: Family::default(),
+            latency: Family::new_with_constructor(latency_histogram),
+            sub_requests: Counter::default(),
+            hedges: Counter::default(),
+            retries: Counter::default(),
+            restarts: Counter::default(),
+            refusals: Family::default(),
+            discarded: Family::default(),
+            missing: Family::default(),
+            ledger: Family::default(),
+            unrecorded: Counter::default(),
+            configuration_version: Gauge::default(),
+            lease_current: Gauge::default(),
+            unusable_configurations: Counter::default(),
+        };
+        telemetry.register(|registry| metrics.register(registry));
+        metrics
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("agent");
+        registry.register(
+            "requests",
+            "Callers' requests by kind and outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Time from a request's arrival to its answer",
+            self.latency.clone(),
+        );
+        registry.register(
+            "sub_requests",
+            "Attempts sent to back ends, hedges and retries included",
+            self.sub_requests.clone(),
+        );
+        registry.register("hedges", "Hedges sent", self.hedges.clone());
+        registry.register("retries", "Retries sent", self.retries.clone());
+        registry.register(
+            "query_restarts",
+            "Queries started again on another snapshot",
+            self.restarts.clone(),
+        );
+        registry.register(
+            "refusals",
+            "Attempts that back ends refused before they started, by reason",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "discarded_replies",
+            "Replies that were discarded, by reason",
+            self.discarded.clone(),
+        );
+        registry.register(
+            "missing_shards",
+            "Shards missing from answers, by reason",
+            self.missing.clone(),
+        );
+        registry.register(
+            "ledger_calls",
+            "Calls to the request ledger, by kind",
+            self.ledger.clone(),
+        );
+        registry.register(
+            "unrecorded_outcomes",
+            "Outcomes that could not be recorded in the ledger",
+            self.unrecorded.clone(),
+        );
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            self.configuration_version.clone(),
+        );
+        registry.register(
+            "lease_current",
+            "1 while the agent holds a lease",
+            self.lease_current.clone(),
+        );
+        registry.register(
+            "unusable_configurations",
+            "Configurations whose schema does not parse",
+            self.unusable_configurations.clone(),
+        );
+    }
+
+    /// Counts an answered request.
+    pub fn answered(&self, kind: RequestKind, outcome: Outcome, latency: Duration) {
+        let outcome = match outcome {
+            Outcome::Done => "done",
+            Outcome::NotRun => "not_run",
+            Outcome::Unknown => "unknown",
+        };
+        let kind = kind.name();
+        let labels = RequestLabels { kind, outcome };
+        self.requests.get_or_create(&labels).inc();
+        let latencies = self.latency.get_or_create(&KindLabel { kind });
+        latencies.observe(latency.as_secs_f64());
+    }
+
+    /// Counts a back end's refusal.
+    pub fn refused(&self, refusal: Refusal) {
+        let reason = match refusal {
+            Refusal::Shed => "shed",
+            Refusal::Draining => "draining",
+            Refusal::SnapshotGone => "snapshot",
+            Refusal::Deadline => "deadline",
+        };
+        self.refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts a discarded reply.
+    pub fn discarded(&self, reason: DiscardReason) {
+        let reason = reason.name();
+        self.discarded.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts the shards missing from an answer.
+    pub fn covered(&self, coverage: &Coverage) {
+        for entry in &coverage.missing {
+            let reason = missing_name(entry.reason);
+            self.missing.get_or_create(&ReasonLabel { reason }).inc();
+        }
+    }
+
+    /// Counts a call to the ledger.
+    pub fn ledger_call(&self, kind: &'static str) {
+        self.ledger.get_or_create(&KindLabel { kind }).inc();
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    let buckets = exponential_buckets(FIRST_LATENCY_BUCKET_SECONDS, 2.0, LATENCY_BUCKETS);
+    Histogram::new(buckets)
+}
+
+fn missing_name(reason: MissingReason) -> &'static str {
+    match reason {
+        MissingReason::Deadline => "deadline",
+        MissingReason::NoReplica => "no_replica",
+        MissingReason::Shed => "shed",
+        MissingReason::Failed => "failed",
+        MissingReason::SnapshotGone => "snapshot_gone",
+        MissingReason::BadReply => "bad_reply",
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-agent/src/once/key.rs
@@ -0,0 +1,68 @@
+//! The headers that name a request in the ledger.
+
+use sablehaven_types::{CallerId, LedgerKey, RequestId, http};
+use salvo::http::HeaderMap;
+
+use crate::reason::Reason;
+
+/// The longest caller or request id, in bytes; the ledger keeps both for its whole horizon.
+const MAXIMUM_ID_BYTES: usize = 128;
+
+/// What the headers of a request that may not be repeated say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OnceHeaders {
+    /// The request's key in the ledger.
+    pub key: LedgerKey,
+    /// Whether the caller has sent the request before and does not know its outcome.
+    pub resend: bool,
+}
+
+impl OnceHeaders {
+    /// Reads the headers; names the first that is missing or cannot be used.
+    pub fn read(headers: &HeaderMap) -> Result<Self, Reason> {
+        let caller = id(headers, http::CALLER)?;
+        let request = id(headers, http::REQUEST_ID)?;
+        let issued_at = text(headers, http::ISSUED_AT_MS)?;
+        let issued_at_ms = issued_at.parse().map_err(|_| Reason::BadHeader {
+            name: http::ISSUED_AT_MS,
+            value: issued_at.to_owned(),
+            allowed: "milliseconds since the Unix epoch",
+        })?;
+        Ok(Self {
+            key: LedgerKey {
+                caller: CallerId::from(caller),
+                request: RequestId::from(request),
+                issued_at_ms,
+            },
+            resend: is_resend(headers),
+        })
+    }
+}
+
+/// Whether the caller says that it has sent the request before.
+pub fn is_resend(headers: &HeaderMap) -> bool {
+    headers
+        .get(http::RESEND)
+        .is_some_and(|value| value.as_bytes() == b"1")
+}
+
+fn id<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Reason> {
+    let value = text(headers, name)?;
+    if (1..=MAXIMUM_ID_BYTES).contains(&value.len()) {
+        return Ok(value);
+    }
+    Err(Reason::BadHeader {
+        name,
+        value: value.chars().take(MAXIMUM_ID_BYTES).collect(),
+        allowed: "1 to 128 bytes",
+    })
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Reason> {
+    let value = headers.get(name).ok_or(Reason::MissingHeader(name))?;
+    value.to_str().map_err(|_| Reason::BadHeader {
+        name,
+        value: String::from_utf8_lossy(value.as_bytes()).into_owned(),
+        allowed: "visible ASCII characters",
+    })
+}
--- /dev/null
+++ b/crates/sablehaven-agent/src/once/ledger.rs
@@ -0,0 +1,92 @@
+//! Calls to the ledger, sent again until they are answered or their time is over.
+
+use std::time::Instant;
+
+use sablehaven_subscription::Subscription;
+use sablehaven_types::{ClaimId, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome};
+
+use super::decision::{ClaimDecision, after_claim};
+use crate::{config::Timing, metrics::Metrics};
+
+/// The ledger as one request uses it: one key, one claim.
+#[derive(Clone)]
+pub struct LedgerEntry {
+    /// The way to the ledger.
+    pub subscription: Subscription,
+    /// Durations of the agent.
+    pub timing: Timing,
+    /// The agent's metrics.
+    pub metrics: Metrics,
+    /// The request's key.
+    pub key: LedgerKey,
+    /// This agent's claim. A call whose reply was lost is sent again with the same one, which the
+    /// ledger recognises.
+    pub claim: ClaimId,
+}
+
+impl LedgerEntry {
+    /// Claims the key. `None` means that no answer came until `until`; the claim may still take
+    /// effect, so nothing may be dispatched and the claim must be released.
+    pub async fn claim(&self, fingerprint: u64, until: Instant) -> Option<ClaimDecision> {
+        let request = LedgerRequest::Claim {
+            key: self.key.clone(),
+            claim: self.claim,
+            fingerprint,
+        };
+        while Instant::now() < until {
+            let reply = self.call("claim", &request, until).await;
+            match after_claim(reply) {
+                ClaimDecision::AskAgain => self.pause(until).await,
+                decision => return Some(decision),
+            }
+        }
+        None
+    }
+
+    /// Gives the key back. `false` means that this could not be recorded until `until`.
+    pub async fn release(&self, until: Instant) -> bool {
+        let request = LedgerRequest::Release {
+            key: self.key.clone(),
+            claim: self.claim,
+        };
+        self.record("release", &request, until).await
+    }
+
+    /// Records the outcome. `false` means that this could not be recorded until `until`.
+    pub async fn settle(&self, outcome: RecordedOutcome, until: Instant) -> bool {
+        let request = LedgerRequest::Settle {
+            key: self.key.clone(),
+            claim: self.claim,
+            outcome,
+        };
+        self.record("settle", &request, until).await
+    }
+
+    async fn record(&self, kind: &'static str, request: &LedgerRequest, until: Instant) -> bool {
+        while Instant::now() < until {
+            match self.call(kind, request, until).await {
+                LedgerReply::Recorded => return true,
+                LedgerReply::NotHeld => return false,
+                LedgerReply::Claim(_) | LedgerReply::Unavailable { .. } => self.pause(until).await,
+            }
+        }
+        false
+    }
+
+    async fn call(
+        &self,
+        kind: &'static str,
+        request: &LedgerRequest,
+        until: Instant,
+    ) -> LedgerReply {
+        self.metrics.ledger_call(kind);
+        let left = until.saturating_duration_since(Instant::now());
+        let timeout = left.min(self.timing.ledger_call());
+        self.subscription.ledger(request.clone(), timeout).await
+    }
+
+    async fn pause(&self, until: Instant) {
+        let left = until.saturating_duration_since(Instant::now());
+        tokio::time::sleep(left.min(self.timing.ledger_pause())).await;
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-agent/src/query/attempt.rs
@@ -0,0 +1,110 @@
+//! One attempt of a sub-request: sent, judged, decoded and reported to the router.
+
+use std::{sync::Arc, time::Instant};
+
+use bytes::Bytes;
+use prost_reflect::DynamicMessage;
+use sablehaven_routing::{AttemptOutcome, Chosen};
+use sablehaven_schema::{MethodSchema, decode_reply};
+use sablehaven_types::{AttemptId, IndexSnapshot, ShardId};
+
+use super::sub_request::AttemptFailure;
+use crate::{
+    metrics::Metrics,
+    plan::ServicePlan,
+    routing::AttemptTicket,
+    transport::{
+        AttemptEnd, AttemptIdentity, AttemptMessage, AttemptReport, DiscardReason, Refusal,
+    },
+};
+
+/// What all sub-requests of one request share.
+#[derive(Clone, Copy)]
+pub struct SharedRequest<'a> {
+    /// The service that is asked.
+    pub service: &'a ServicePlan,
+    /// The method.
+    pub method: &'a MethodSchema,
+    /// The request message as protobuf.
+    pub body: &'a Bytes,
+    /// The snapshot that the request pinned.
+    pub pinned: &'a IndexSnapshot,
+    /// The request's deadline.
+    pub deadline: Instant,
+    /// The agent's metrics.
+    pub metrics: &'a Metrics,
+}
+
+/// Sends one attempt, which the router already counts as sent, and waits for its end.
+pub async fn run_attempt(
+    shared: SharedRequest<'_>,
+    shard: ShardId,
+    chosen: Chosen,
+) -> Result<DynamicMessage, AttemptFailure> {
+    let router = Arc::clone(&shared.service.router);
+    let ticket = AttemptTicket::new(router, chosen.backend.clone(), shared.deadline);
+    shared.metrics.sub_requests.inc();
+    let identity = AttemptIdentity {
+        attempt: AttemptId(rand::random()),
+        shard,
+        snapshot: shared.pinned.id,
+    };
+    let report = send(shared, identity, &chosen).await;
+    let draining = report.signals.draining;
+    let signals = report.signals;
+    let result = judge(shared, report.end);
+    let outcome = match &result {
+        // The reply is used, and the router learns what matters more: no new work for this one.
+        Ok(_) if draining => AttemptOutcome::Draining,
+        Ok(_) => AttemptOutcome::Replied,
+        Err(failure) => failure.outcome(),
+    };
+    ticket.finish(outcome, signals);
+    result
+}
+
+async fn send(
+    shared: SharedRequest<'_>,
+    identity: AttemptIdentity,
+    chosen: &Chosen,
+) -> AttemptReport {
+    let connections = &shared.service.connections;
+    let client = match connections.client(&chosen.backend, chosen.address) {
+        Ok(client) => client,
+        Err(error) => return AttemptReport::not_connected(error),
+    };
+    let message = AttemptMessage {
+        identity,
+        path: &shared.method.path,
+        body: shared.body.clone(),
+        deadline: shared.deadline,
+        accept_until: shared.deadline,
+        once_key: None,
+    };
+    client.attempt(message).await
+}
+
+fn judge(shared: SharedRequest<'_>, end: AttemptEnd) -> Result<DynamicMessage, AttemptFailure> {
+    match end {
+        AttemptEnd::Replied(body) => {
+            decode_reply(&shared.method.output, &body).map_err(|_| DiscardReason::Undecodable)
+        }
+        AttemptEnd::Discarded(reason) => Err(reason),
+        AttemptEnd::Refused { refusal, .. } => return Err(refused(shared.metrics, refusal)),
+        AttemptEnd::NotConnected(_) | AttemptEnd::Failed(_) => return Err(AttemptFailure::Failed),
+    }
+    .map_err(|reason| {
+        shared.metrics.discarded(reason);
+        AttemptFailure::BadReply
+    })
+}
+
+fn refused(metrics: &Metrics, refusal: Refusal) -> AttemptFailure {
+    metrics.refused(refusal);
+    match refusal {
+        Refusal::Shed => AttemptFailure::Shed,
+        Refusal::Draining => AttemptFailure::Draining,
+        Refusal::SnapshotGone => AttemptFailure::SnapshotGone,
+        Refusal::Deadline => AttemptFailure::DeadlineRefused,
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-agent/src/reason.rs
@@ -0,0 +1,125 @@
+//! Why an answer carries no reply, with its outcome and HTTP status.
+
+use sablehaven_schema::{BodyError, MergeError};
+use sablehaven_types::{MissingReason, Outcome};
+use salvo::http::StatusCode;
+
+use crate::transport::Refusal;
+
+/// Why an answer carries no reply. The text is the envelope's `reason`.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Reason {
+    /// the agent has no configuration yet
+    NotReady,
+    /// no method at path '{0}' in the configuration in force, or no service of it in this agent's interest
+    UnknownMethod(String),
+    /// content type '{0}' is neither application/json nor application/x-protobuf
+    ContentType(String),
+    /// the body is larger than {limit_bytes} bytes, or could not be read: {cause}
+    BodyUnreadable {
+        /// The largest body accepted.
+        limit_bytes: usize,
+        /// What the HTTP library says.
+        cause: String,
+    },
+    /// the body does not fit the schema: {0}
+    BadBody(BodyError),
+    /// header '{0}' is required for this method
+    MissingHeader(&'static str),
+    /// header '{name}' is '{value}', allowed is {allowed}
+    BadHeader {
+        /// The header.
+        name: &'static str,
+        /// What was sent.
+        value: String,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+    /// the service is pressed
+    Pressed,
+    /// this agent cannot prove that its configuration is current
+    NoLease,
+    /// the request ledger did not answer in time
+    LedgerUnavailable,
+    /// the request ledger is full
+    LedgerFull,
+    /// the issue time lies too far in the future; the latest accepted is {limit_ms} ms since the epoch
+    IssuedInFuture {
+        /// The latest issue time accepted.
+        limit_ms: u64,
+    },
+    /// the issue time lies too far in the past to run the request now
+    IssuedTooLongAgo,
+    /// the request id was used with another method or body
+    RequestIdReused,
+    /// the deadline passed before the request was sent to a back end
+    DeadlineBeforeDispatch,
+    /// the back end refused before it started: {0:?}
+    BackendRefused(Refusal),
+    /// no connection to the back end could be opened
+    NotConnected,
+    /// no replica of the shard can be asked: {0:?}
+    NoReplica(MissingReason),
+    /// no shard answered, and nothing ran: {0:?}
+    NothingRan(MissingReason),
+    /// no shard answered: {0:?}
+    NothingAnswered(MissingReason),
+    /// the shards' replies could not be merged: {0}
+    MergeFailed(MergeError),
+    /// the request is in progress, or its agent was lost with it
+    InProgress,
+    /// the issue time lies below the ledger's horizon; whether the request ran is no longer known
+    Forgotten,
+    /// the request was sent to a back end, and whether it ran is not known
+    SentWithoutReply,
+    /// the request was sent before, and its outcome cannot be looked up now: {0}
+    ResendUnsure(Box<Reason>),
+    /// the recorded reply does not fit the schema in force: {0}
+    RecordedReplyUnreadable(BodyError),
+}
+
+impl Reason {
+    /// The outcome that the reason stands for.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::NothingAnswered(_)
+            | Self::MergeFailed(_)
+            | Self::InProgress
+            | Self::Forgotten
+            | Self::SentWithoutReply
+            | Self::ResendUnsure(_) => Outcome::Unknown,
+            Self::RecordedReplyUnreadable(_) => Outcome::Done,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// The HTTP status that goes with it.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::UnknownMethod(_) => StatusCode::NOT_FOUND,
+            Self::ContentType(_) => StatusCode::UNSUPPORTED_MEDIA_TYPE,
+            Self::BodyUnreadable { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BadBody(_)
+            | Self::MissingHeader(_)
+            | Self::BadHeader { .. }
+            | Self::IssuedInFuture { .. } => StatusCode::BAD_REQUEST,
+            Self::IssuedTooLongAgo | Self::RequestIdReused => StatusCode::CONFLICT,
+            Self::MergeFailed(_) => StatusCode::INTERNAL_SERVER_ERROR,
+            Self::RecordedReplyUnreadable(_) => StatusCode::OK,
+            _ => match self.outcome() {
+                Outcome::Done => StatusCode::OK,
+                Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+                Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+            },
+        }
+    }
+
+    /// The same refusal for a request that the caller has sent before. The refusal speaks of this
+    /// sending only; the earlier one may have run, so "not run" would not be true of the request.
+    pub fn for_resend(self) -> Self {
+        match self.outcome() {
+            Outcome::NotRun => Self::ResendUnsure(Box::new(self)),
+            Outcome::Done | Outcome::Unknown => self,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-agent/src/routing.rs
@@ -0,0 +1,117 @@
+//! The seam to the routing decisions.
+
+mod shared;
+mod ticket;
+
+use std::{sync::Arc, time::Duration};
+
+use sablehaven_routing::{
+    Admission, AgentSite, AttemptResult, Chosen, ExtraKind, RouterCounters, ServiceRouter,
+    ServiceUpdate,
+};
+use sablehaven_types::{
+    BackendId, MissingReason, Observation, RoutingSettings, ServiceName, ShardId,
+};
+
+pub use shared::{Observer, PinnedRouter, RouterState, SharedRouter};
+pub use ticket::AttemptTicket;
+
+/// The decisions that requests of one service ask for. [`ServiceRouter`] makes them in production;
+/// benchmarks put a plain baseline in its place.
+pub trait RoutingPolicy: Send {
+    /// See [`ServiceRouter::update`].
+    fn update(&mut self, now: Duration, update: ServiceUpdate<'_>);
+    /// See [`ServiceRouter::admit`].
+    fn admit(&mut self, now: Duration, sub_requests: u32) -> Admission;
+    /// See [`ServiceRouter::choose`].
+    fn choose(&mut self, now: Duration, shard: ShardId, exclude: &[BackendId]) -> Option<Chosen>;
+    /// See [`ServiceRouter::no_choice_reason`].
+    fn no_choice_reason(
+        &self,
+        now: Duration,
+        shard: ShardId,
+        exclude: &[BackendId],
+    ) -> MissingReason;
+    /// See [`ServiceRouter::hedge_after`].
+    fn hedge_after(&self, now: Duration, shard: ShardId, chosen: &BackendId) -> Option<Duration>;
+    /// See [`ServiceRouter::take_extra`].
+    fn take_extra(&mut self, now: Duration, kind: ExtraKind) -> bool;
+    /// See [`ServiceRouter::sent`].
+    fn sent(&mut self, now: Duration, backend: &BackendId);
+    /// See [`ServiceRouter::finished`].
+    fn finished(&mut self, now: Duration, backend: &BackendId, result: AttemptResult);
+    /// See [`ServiceRouter::retry_after`].
+    fn retry_after(&self, now: Duration) -> Duration;
+    /// See [`ServiceRouter::take_observations`].
+    fn take_observations(&mut self) -> Vec<Observation>;
+    /// See [`ServiceRouter::connections`].
+    fn connections(&self) -> Vec<BackendId>;
+    /// See [`ServiceRouter::counters`].
+    fn counters(&self) -> RouterCounters;
+}
+
+impl RoutingPolicy for ServiceRouter {
+    fn update(&mut self, now: Duration, update: ServiceUpdate<'_>) {
+        Self::update(self, now, update);
+    }
+
+    fn admit(&mut self, now: Duration, sub_requests: u32) -> Admission {
+        Self::admit(self, now, sub_requests)
+    }
+
+    fn choose(&mut self, now: Duration, shard: ShardId, exclude: &[BackendId]) -> Option<Chosen> {
+        Self::choose(self, now, shard, exclude)
+    }
+
+    fn no_choice_reason(
+        &self,
+        now: Duration,
+        shard: ShardId,
+        exclude: &[BackendId],
+    ) -> MissingReason {
+        Self::no_choice_reason(self, now, shard, exclude)
+    }
+
+    fn hedge_after(&self, now: Duration, shard: ShardId, chosen: &BackendId) -> Option<Duration> {
+        Self::hedge_after(self, now, shard, chosen)
+    }
+
+    fn take_extra(&mut self, now: Duration, kind: ExtraKind) -> bool {
+        Self::take_extra(self, now, kind)
+    }
+
+    fn sent(&mut self, now: Duration, backend: &BackendId) {
+        Self::sent(self, now, backend);
+    }
+
+    fn finished(&mut self, now: Duration, backend: &BackendId, result: AttemptResult) {
+        Self::finished(self, now, backend, result);
+    }
+
+    fn retry_after(&self, now: Duration) -> Duration {
+        Self::retry_after(self, now)
+    }
+
+    fn take_observations(&mut self) -> Vec<Observation> {
+        Self::take_observations(self)
+    }
+
+    fn connections(&self) -> Vec<BackendId> {
+        Self::connections(self)
+    }
+
+    fn counters(&self) -> RouterCounters {
+        Self::counters(self)
+    }
+}
+
+/// Makes the policy of one service.
+pub type PolicyFactory =
+    Arc<dyn Fn(&ServiceName, AgentSite, &RoutingSettings) -> Box<dyn RoutingPolicy> + Send + Sync>;
+
+/// The factory used in production: a [`ServiceRouter`] seeded from the process's random source.
+pub fn service_routers() -> PolicyFactory {
+    Arc::new(|_service, site, settings| {
+        Box::new(ServiceRouter::new(site, settings, rand::random()))
+    })
+}
--- /dev/null
+++ b/crates/sablehaven-agent/src/transport/client.rs
@@ -0,0 +1,201 @@
+//! One back end's HTTP/2 connection, and one attempt over it.
+
+use std::{net::SocketAddr, time::Instant};
+
+use bytes::{Bytes, BytesMut};
+use reqwest::{Client, Method, Request, Response, Url};
+use sablehaven_types::LedgerKey;
+
+use super::{
+    ConnectionSettings, TransportError,
+    reply::{
+        AttemptIdentity, DiscardReason, Refusal, ReplyHead, ServerSignals, attempt_headers,
+        judge_head, put_ledger_key,
+    },
+};
+
+/// How an attempt ended, as far as the transport can tell.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// A reply that belongs to the attempt; its body is not decoded yet.
+    Replied(Bytes),
+    /// The back end says that it did not start.
+    Refused {
+        /// Why.
+        refusal: Refusal,
+        /// Whether the refusal echoes the attempt's id.
+        echoed: bool,
+    },
+    /// No connection could be opened: nothing of the request left this process.
+    NotConnected(TransportError),
+    /// A reply came, but it belongs elsewhere or its body cannot be used.
+    Discarded(DiscardReason),
+    /// The connection or the back end failed; whether the attempt ran is not known.
+    Failed(TransportError),
+}
+
+/// An attempt's end with what the reply's headers tell.
+#[derive(Debug)]
+pub struct AttemptReport {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// What the server tells of itself.
+    pub signals: ServerSignals,
+}
+
+/// One attempt's message.
+#[derive(Clone, Debug)]
+pub struct AttemptMessage<'a> {
+    /// What the reply must echo.
+    pub identity: AttemptIdentity,
+    /// The method's path, `/<package>.<Service>/<Method>`.
+    pub path: &'a str,
+    /// The request message as protobuf.
+    pub body: Bytes,
+    /// The caller's deadline, passed on to the back end as the time that is left.
+    pub deadline: Instant,
+    /// The moment from which a reply is of no use any more.
+    pub accept_until: Instant,
+    /// Names the request in the ledger, for methods that may not be repeated.
+    pub once_key: Option<&'a LedgerKey>,
+}
+
+/// The connection to one back end. HTTP/2 carries all attempts over one connection; dropping the
+/// client closes it once the attempts on it have ended.
+#[derive(Debug)]
+pub struct BackendClient {
+    address: SocketAddr,
+    client: Client,
+    reply_body_bytes: usize,
+}
+
+impl BackendClient {
+    /// A client without an open connection; the first attempt or [`Self::warm`] opens it.
+    pub fn new(address: SocketAddr, settings: &ConnectionSettings) -> Result<Self, TransportError> {
+        let client = Client::builder()
+            .http2_prior_knowledge()
+            .no_proxy()
+            .tcp_nodelay(true)
+            .connect_timeout(settings.connect)
+            .pool_idle_timeout(None)
+            .pool_max_idle_per_host(1)
+            .http2_keep_alive_interval(settings.ping)
+            .http2_keep_alive_timeout(settings.ping)
+            .http2_keep_alive_while_idle(true)
+            // The library's own retries would send a request twice behind the ledger's back.
+            .retry(reqwest::retry::never())
+            .redirect(reqwest::redirect::Policy::none())
+            .build()
+            .map_err(|source| TransportError::Build { address, source })?;
+        Ok(Self {
+            address,
+            client,
+            reply_body_bytes: settings.reply_body_bytes,
+        })
+    }
+
+    /// The back end's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Opens the connection ahead of the first attempt. A failure shows at the first attempt.
+    pub async fn warm(&self) {
+        let Ok(url) = self.url("/health/live") else {
+            return;
+        };
+        let _ = self.client.execute(Request::new(Method::HEAD, url)).await;
+    }
+
+    /// Sends one attempt and waits for its end. Dropping the future resets the HTTP/2 stream,
+    /// which cancels the attempt at the back end. The caller bounds the wait.
+    pub async fn attempt(&self, message: AttemptMessage<'_>) -> AttemptReport {
+        let request = match self.request(&message) {
+            Ok(request) => request,
+            Err(error) => return AttemptReport::not_connected(error),
+        };
+        match self.client.execute(request).await {
+            Ok(response) => self.judge(&message, response).await,
+            Err(source) => AttemptReport::without_reply(self.send_failed(source)),
+        }
+    }
+
+    fn request(&self, message: &AttemptMessage<'_>) -> Result<Request, TransportError> {
+        let remaining = message.deadline.saturating_duration_since(Instant::now());
+        let mut request = Request::new(Method::POST, self.url(message.path)?);
+        *request.headers_mut() = attempt_headers(&message.identity, remaining);
+        if let Some(key) = message.once_key {
+            put_ledger_key(request.headers_mut(), key);
+        }
+        *request.body_mut() = Some(message.body.clone().into());
+        Ok(request)
+    }
+
+    fn url(&self, path: &str) -> Result<Url, TransportError> {
+        let text = format!("http://{}{path}", self.address);
+        Url::parse(&text).map_err(|_| TransportError::Path {
+            address: self.address,
+            path: path.to_owned(),
+        })
+    }
+
+    fn send_failed(&self, source: reqwest::Error) -> AttemptEnd {
+        let not_connected = source.is_connect();
+        let address = self.address;
+        if not_connected {
+            return AttemptEnd::NotConnected(TransportError::Connect { address, source });
+        }
+        AttemptEnd::Failed(TransportError::Exchange { address, source })
+    }
+
+    async fn judge(&self, message: &AttemptMessage<'_>, response: Response) -> AttemptReport {
+        let signals = ServerSignals::read(response.headers());
+        let head = judge_head(&message.identity, response.status(), response.headers());
+        let end = match head {
+            ReplyHead::Accepted => self.read_body(message.accept_until, response).await,
+            ReplyHead::Refused { refusal, echoed } => AttemptEnd::Refused { refusal, echoed },
+            ReplyHead::Discarded(reason) => AttemptEnd::Discarded(reason),
+            ReplyHead::Failed(status) => AttemptEnd::Failed(TransportError::Status {
+                address: self.address,
+                status: status.as_u16(),
+            }),
+        };
+        AttemptReport { end, signals }
+    }
+
+    async fn read_body(&self, accept_until: Instant, mut response: Response) -> AttemptEnd {
+        let announced = response.content_length();
+        let mut body = BytesMut::new();
+        loop {
+            match response.chunk().await {
+                Ok(Some(chunk)) if body.len() + chunk.len() > self.reply_body_bytes => {
+                    return AttemptEnd::Discarded(DiscardReason::TooLarge);
+                }
+                Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+                Ok(None) => break,
+                Err(_) => return AttemptEnd::Discarded(DiscardReason::Truncated),
+            }
+        }
+        if announced.is_some_and(|length| length != body.len() as u64) {
+            return AttemptEnd::Discarded(DiscardReason::Truncated);
+        }
+        if Instant::now() >= accept_until {
+            return AttemptEnd::Discarded(DiscardReason::Late);
+        }
+        AttemptEnd::Replied(body.freeze())
+    }
+}
+
+impl AttemptReport {
+    /// The end of an attempt that could not be sent.
+    pub fn not_connected(error: TransportError) -> Self {
+        Self::without_reply(AttemptEnd::NotConnected(error))
+    }
+
+    fn without_reply(end: AttemptEnd) -> Self {
+        Self {
+            end,
+            signals: ServerSignals::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-agent/src/updates.rs
@@ -0,0 +1,93 @@
+//! Follows the shared state and puts each new view in force.
+
+use std::{sync::Arc, time::Duration};
+
+use sablehaven_telemetry::Telemetry;
+
+use crate::{
+    agent::Agent,
+    plan::{BuiltPlan, PlanBuilder},
+    transport::BackendClient,
+};
+
+/// Interval at which the lease's gauge is refreshed.
+const GAUGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Follows the subscription until it ends.
+pub async fn follow(agent: Arc<Agent>, mut builder: PlanBuilder, telemetry: Telemetry) {
+    let mut changed = agent.subscription.changed();
+    loop {
+        // Marked as seen before the view is read: a change in between is then seen as a new one.
+        changed.borrow_and_update();
+        let Some(returned) = rebuild(&agent, builder, &telemetry).await else {
+            return;
+        };
+        builder = returned;
+        if wait_for_change(&agent, &mut changed).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Builds the current view's plan and puts it in force. `None` means that the builder was lost to a
+/// panic; the agent goes on with the plan it has.
+async fn rebuild(
+    agent: &Arc<Agent>,
+    mut builder: PlanBuilder,
+    telemetry: &Telemetry,
+) -> Option<PlanBuilder> {
+    let view = agent.subscription.view();
+    let version = view.configuration_version;
+    let build = tokio::task::spawn_blocking(move || {
+        let built = builder.build(&view);
+        (builder, built)
+    });
+    let (builder, built) = match build.await {
+        Ok(result) => result,
+        Err(error) => {
+            log::error!("build the plan of configuration {version}: {error}");
+            return None;
+        }
+    };
+    put_in_force(agent, built, version, telemetry);
+    Some(builder)
+}
+
+fn put_in_force(agent: &Agent, built: BuiltPlan, version: u64, telemetry: &Telemetry) {
+    if !built.problems.is_empty() {
+        agent.metrics.unusable_configurations.inc();
+        for problem in &built.problems {
+            log::error!("parse the schema of configuration {version}: {problem}");
+        }
+    }
+    let usable = built.plan.schema.is_some();
+    agent.set_plan(built.plan);
+    let version = i64::try_from(version).unwrap_or(i64::MAX);
+    agent.metrics.configuration_version.set(version);
+    if usable && !agent.is_stopping() {
+        telemetry.set_ready(true);
+    }
+    warm(built.to_warm);
+}
+
+/// Opens connections in the background, so that the first attempts need not wait for it.
+fn warm(clients: Vec<Arc<BackendClient>>) {
+    for client in clients {
+        tokio::spawn(async move { client.warm().await });
+    }
+}
+
+async fn wait_for_change(
+    agent: &Agent,
+    changed: &mut tokio::sync::watch::Receiver<u64>,
+) -> Result<(), tokio::sync::watch::error::RecvError> {
+    loop {
+        tokio::select! {
+            result = changed.changed() => return result,
+            () = tokio::time::sleep(GAUGE_INTERVAL) => {
+                let current = agent.subscription.lease().current;
+                agent.metrics.lease_current.set(i64::from(current));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-agent/tests/agent/leaving.rs
@@ -0,0 +1,96 @@
+//! Back ends that leave get no new work, whichever signal comes first.
+
+use sablehaven_types::{BackendState, ObservationKind, Outcome, http};
+
+use crate::support::{
+    backend::Script,
+    bed::{AgentDouble, Bed},
+    eventually,
+};
+
+/// Searches until every replica has been asked, so that each has been chosen once.
+async fn ask_until_seen(agent: &AgentDouble, bed: &Bed, index: usize) {
+    while bed.backends[index].seen().is_empty() {
+        agent.caller.search("q").await;
+    }
+}
+
+async fn assert_gets_nothing_new(agent: &AgentDouble, bed: &Bed, index: usize) {
+    let before = bed.backends[index].seen().len();
+    for _ in 0..50 {
+        let answer = agent.caller.search("q").await;
+        assert!(answer.envelope.coverage.expect("coverage").is_complete());
+    }
+    assert_eq!(bed.backends[index].seen().len(), before);
+}
+
+#[tokio::test]
+async fn a_back_end_that_says_it_drains_gets_nothing_new_at_once() {
+    let bed = Bed::start(1, 3).await;
+    bed.backends[1].always(Script::ReplyDraining);
+    let agent = bed.agent().await;
+    ask_until_seen(&agent, &bed, 1).await;
+    assert_eq!(bed.backends[1].seen().len(), 1);
+    assert_gets_nothing_new(&agent, &bed, 1).await;
+}
+
+#[tokio::test]
+async fn a_refusal_for_draining_is_retried_elsewhere_and_reported() {
+    let bed = Bed::start(1, 3).await;
+    bed.backends[1].always(Script::Refuse {
+        word: http::REFUSED_DRAINING,
+        echo: true,
+    });
+    let agent = bed.agent().await;
+    while bed.backends[1].seen().is_empty() {
+        let answer = agent.caller.search("q").await;
+        assert!(answer.envelope.coverage.expect("coverage").is_complete());
+    }
+    assert_gets_nothing_new(&agent, &bed, 1).await;
+    let reported = || {
+        let state = bed.relay.lock();
+        let mut observations = state.observations.iter();
+        observations.any(|seen| seen.kind == ObservationKind::Draining && seen.backend == bed.id(1))
+    };
+    eventually("the drain is reported", reported).await;
+}
+
+#[tokio::test]
+async fn a_back_end_on_the_leaving_list_gets_nothing_new_and_loses_its_connection() {
+    let bed = Bed::start(1, 3).await;
+    let agent = bed.agent().await;
+    ask_until_seen(&agent, &bed, 2).await;
+    assert_eq!(agent.handle.backend_connections(), 3);
+    let mut record = bed.record(2);
+    record.state = BackendState::Leaving;
+    let revision = bed.relay.publish(|state| {
+        state.backends.insert(record.id.clone(), record);
+    });
+    agent
+        .wait_for_metric("sablehaven_agent_configuration_version", revision)
+        .await;
+    assert_gets_nothing_new(&agent, &bed, 2).await;
+    assert_eq!(agent.handle.backend_connections(), 2);
+}
+
+#[tokio::test]
+async fn what_a_leaving_back_end_has_is_finished() {
+    let bed = Bed::start(1, 1).await;
+    let gate = std::sync::Arc::new(tokio::sync::Semaphore::new(0));
+    bed.backends[0].always(Script::Gate(gate.clone()));
+    let agent = bed.agent().await;
+    let caller = agent.caller.clone();
+    let asking = tokio::spawn(async move { caller.search("q").await });
+    eventually("it runs", || bed.backends[0].running() == 1).await;
+    let mut record = bed.record(0);
+    record.state = BackendState::Leaving;
+    let revision = bed.relay.publish(|state| {
+        state.backends.insert(record.id.clone(), record);
+    });
+    agent
+        .wait_for_metric("sablehaven_agent_configuration_version", revision)
+        .await;
+    gate.add_permits(1);
+    let answer = asking.await.expect("answered");
+    assert_eq!(answer.envelope.outcome, Outcome::Done);
+}
--- /dev/null
+++ b/crates/sablehaven-agent/tests/agent/main.rs
@@ -0,0 +1,16 @@
+//! Tests of the agent over loopback: real agent, real subscription, scripted back ends and a
+//! scripted relay with its ledger.
+
+mod coverage_rules;
+mod http_interface;
+mod leaving;
+mod once;
+mod once_rules;
+mod queries;
+mod replies;
+mod reply_rules;
+mod rollover;
+mod settings;
+mod stopping;
+mod sub_request_rules;
+mod support;
--- /dev/null
+++ b/crates/sablehaven-agent/tests/agent/reply_rules.rs
@@ -0,0 +1,129 @@
+//! Judging the head of a reply.
+
+use reqwest::{
+    StatusCode,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
+use sablehaven_agent::transport::{
+    AttemptIdentity, DiscardReason, Refusal, ReplyHead, ServerSignals, attempt_headers, judge_head,
+};
+use sablehaven_types::{AttemptId, ShardId, SnapshotId, http};
+
+const IDENTITY: AttemptIdentity = AttemptIdentity {
+    attempt: AttemptId(71),
+    shard: ShardId(5),
+    snapshot: SnapshotId {
+        generation: 3,
+        partition_map: 2,
+    },
+};
+
+fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
+    let pairs = pairs.iter().map(|(name, value)| {
+        let value = HeaderValue::from_str(value).expect("a header value");
+        (HeaderName::from_static(name), value)
+    });
+    pairs.collect()
+}
+
+fn echo(attempt: &str, shard: &str, snapshot: &str) -> HeaderMap {
+    headers(&[
+        (http::ATTEMPT, attempt),
+        (http::SHARD, shard),
+        (http::SNAPSHOT, snapshot),
+    ])
+}
+
+fn judge(status: u16, headers: &HeaderMap) -> ReplyHead {
+    judge_head(
+        &IDENTITY,
+        StatusCode::from_u16(status).expect("a status"),
+        headers,
+    )
+}
+
+#[test]
+fn only_a_whole_echo_is_accepted() {
+    use DiscardReason::{MissingEcho, WrongAttempt, WrongShard, WrongSnapshot};
+    assert_eq!(judge(200, &echo("71", "5", "3.2")), ReplyHead::Accepted);
+    for (attempt, shard, snapshot, reason) in [
+        ("72", "5", "3.2", WrongAttempt),
+        ("71", "6", "3.2", WrongShard),
+        ("71", "5", "4.2", WrongSnapshot),
+        ("71", "5", "3.3", WrongSnapshot),
+        ("71", "5", "3", MissingEcho),
+        ("71", "", "3.2", MissingEcho),
+        ("x", "5", "3.2", MissingEcho),
+        ("72", "6", "4.2", WrongAttempt),
+    ] {
+        let judged = judge(200, &echo(attempt, shard, snapshot));
+        assert_eq!(
+            judged,
+            ReplyHead::Discarded(reason),
+            "{attempt} {shard} {snapshot}"
+        );
+    }
+    assert_eq!(
+        judge(200, &HeaderMap::new()),
+        ReplyHead::Discarded(MissingEcho)
+    );
+}
+
+#[test]
+fn the_headers_sent_are_those_a_reply_must_echo() {
+    let sent = attempt_headers(&IDENTITY, std::time::Duration::from_micros(1_999));
+    assert_eq!(judge(200, &sent), ReplyHead::Accepted);
+    assert_eq!(sent[http::DEADLINE_MS], "1", "rounded down");
+}
+
+#[test]
+fn a_refusal_needs_its_status_its_word_and_no_foreign_attempt() {
+    for (status, word, refusal) in [
+        (503, http::REFUSED_SHED, Refusal::Shed),
+        (503, http::REFUSED_DRAINING, Refusal::Draining),
+        (503, http::REFUSED_DEADLINE, Refusal::Deadline),
+        (409, http::REFUSED_SNAPSHOT, Refusal::SnapshotGone),
+    ] {
+        let mut given = headers(&[(http::REFUSED, word)]);
+        let refused = |echoed| ReplyHead::Refused { refusal, echoed };
+        assert_eq!(judge(status, &given), refused(false));
+        given.insert(http::ATTEMPT, HeaderValue::from_static("71"));
+        assert_eq!(judge(status, &given), refused(true));
+        given.insert(http::ATTEMPT, HeaderValue::from_static("70"));
+        let foreign = ReplyHead::Discarded(DiscardReason::WrongAttempt);
+        assert_eq!(judge(status, &given), foreign);
+    }
+    let failed = |status| ReplyHead::Failed(StatusCode::from_u16(status).expect("a status"));
+    assert_eq!(judge(503, &HeaderMap::new()), failed(503));
+    assert_eq!(
+        judge(503, &headers(&[(http::REFUSED, "tired")])),
+        failed(503)
+    );
+    assert_eq!(
+        judge(500, &headers(&[(http::REFUSED, "shed")])),
+        failed(500)
+    );
+}
+
+#[test]
+fn signals_that_cannot_be_read_count_as_not_given() {
+    let good = headers(&[
+        (http::LOAD, "4"),
+        (http::LOAD_AGE_MS, "250"),
+        (http::INCARNATION, "9"),
+        (http::DRAINING, "1"),
+    ]);
+    let signals = ServerSignals::read(&good);
+    assert_eq!(
+        signals.load,
+        Some((4, std::time::Duration::from_millis(250)))
+    );
+    assert_eq!(signals.incarnation, Some(9));
+    assert!(signals.draining);
+    let bad = headers(&[
+        (http::LOAD, "-1"),
+        (http::INCARNATION, "x"),
+        (http::DRAINING, "no"),
+    ]);
+    assert_eq!(ServerSignals::read(&bad), ServerSignals::default());
+}
--- /dev/null
+++ b/crates/sablehaven-agent/tests/agent/stopping.rs
@@ -0,0 +1,95 @@
+//! A planned stop interrupts no request in flight.
+
+use std::{sync::Arc, time::Duration};
+
+use sablehaven_types::{Outcome, RecordedOutcome};
+use tokio::sync::Semaphore;
+
+use crate::support::{backend::Script, bed::Bed, caller::Once, eventually, ledger::Entry};
+
+fn is_recorded_as_done(bed: &Bed, once: &Once) -> bool {
+    let state = bed.relay.lock();
+    let entry = state.ledger.entries.get(&once.key);
+    matches!(entry, Some(Entry::Settled(_, RecordedOutcome::Done { .. })))
+}
+
+#[tokio::test]
+async fn requests_in_flight_are_finished_and_then_the_subscription_is_left() {
+    let bed = Bed::start(2, 1).await;
+    let gate = Arc::new(Semaphore::new(0));
+    let held = Script::Gate(Arc::clone(&gate));
+    bed.backends
+        .iter()
+        .for_each(|backend| backend.always(held.clone()));
+    let agent = bed.agent().await;
+    let caller = agent.caller.clone();
+    let query = tokio::spawn(async move { caller.search("q").await });
+    let caller = agent.caller.clone();
+    let once = Once::fresh();
+    let sent = once.clone();
+    let reserve = tokio::spawn(async move { caller.reserve(&sent).await });
+    let running = || {
+        bed.backends
+            .iter()
+            .map(|backend| backend.running())
+            .sum::<usize>()
+            == 3
+    };
+    eventually("three attempts run", running).await;
+
+    let telemetry = agent.telemetry.clone();
+    let stopping = tokio::spawn(agent.handle.stop());
+    eventually("not ready", || !telemetry.is_ready()).await;
+    gate.add_permits(3);
+    let query = query.await.expect("answered");
+    assert!(query.envelope.coverage.expect("coverage").is_complete());
+    let reserve = reserve.await.expect("answered");
+    assert_eq!(reserve.envelope.outcome, Outcome::Done);
+    stopping.await.expect("stopped");
+    assert!(is_recorded_as_done(&bed, &once));
+    eventually("the subscription is left", || bed.relay.lock().left == 1).await;
+}
+
+#[tokio::test]
+async fn during_the_notice_callers_are_served_and_told_to_reconnect() {
+    let bed = Bed::start(1, 1).await;
+    let mut config = bed.config();
+    config.timing.stop_notice_ms = 60_000;
+    let agent = bed.agent_with(config).await;
+    let telemetry = agent.telemetry.clone();
+    let stopping = tokio::spawn(agent.handle.stop());
+    eventually("not ready", || !telemetry.is_ready()).await;
+    let answer = agent.caller.search("q").await;
+    assert_eq!(answer.envelope.outcome, Outcome::Done);
+    let connection = answer
+        .headers
+        .get("connection")
+        .expect("a connection header");
+    assert_eq!(connection, "close");
+    stopping.abort();
+}
+
+#[tokio::test]
+async fn after_the_stop_nobody_listens() {
+    let bed = Bed::start(1, 1).await;
+    let agent = bed.agent().await;
+    agent.handle.stop().await;
+    let request = agent.caller.post("Search").json(&serde_json::json!({}));
+    let error = request.send().await.expect_err("nobody listens");
+    assert!(error.is_connect());
+}
+
+#[tokio::test]
+async fn an_outcome_is_recorded_though_its_caller_went_away_before_the_stop() {
+    let bed = Bed::start(1, 1).await;
+    let gate = Arc::new(Semaphore::new(0));
+    bed.backends[0].always(Script::Gate(Arc::clone(&gate)));
+    let agent = bed.agent().await;
+    let once = Once::fresh().within(Duration::from_millis(200));
+    let answer = agent.caller.reserve(&once).await;
+    assert_eq!(answer.envelope.outcome, Outcome::Unknown);
+    let stopping = tokio::spawn(agent.handle.stop());
+    gate.add_permits(1);
+    stopping.await.expect("stopped");
+    assert!(is_recorded_as_done(&bed, &once));
+}
--- /dev/null
+++ b/crates/sablehaven-agent/tests/agent/sub_request_rules.rs
@@ -0,0 +1,306 @@
+//! The decisions of one sub-request, with a scripted routing policy.
+
+use std::time::Duration;
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config as ProptestConfig, RngSeed, TestRunner},
+};
+use sablehaven_agent::{
+    query::{AttemptFailure, Step, SubRequest},
+    routing::{PinnedRouter, RoutingPolicy},
+};
+use sablehaven_routing::{
+    Admission, AttemptResult, Chosen, ExtraKind, RouterCounters, ServiceUpdate,
+};
+use sablehaven_types::{
+    BackendId, IndexSnapshot, MissingReason, Observation, ShardAssignment, ShardId, SnapshotId,
+};
+
+const NOW: Duration = Duration::from_secs(1);
+const HEDGE_AFTER: Duration = Duration::from_millis(7);
+const SHARD: ShardId = ShardId(3);
+
+/// Replicas in order, and a number of extra attempts that the budget allows.
+struct Scripted {
+    replicas: Vec<BackendId>,
+    budget: u32,
+    taken: Vec<ExtraKind>,
+}
+
+impl Scripted {
+    fn new(replicas: usize, budget: u32) -> Self {
+        Self {
+            replicas: (0..replicas)
+                .map(|index| BackendId(format!("b{index}")))
+                .collect(),
+            budget,
+            taken: Vec::new(),
+        }
+    }
+}
+
+impl RoutingPolicy for Scripted {
+    fn update(&mut self, _: Duration, _: ServiceUpdate<'_>) {}
+
+    fn admit(&mut self, _: Duration, _: u32) -> Admission {
+        Admission::Admitted
+    }
+
+    fn choose(&mut self, _: Duration, _: ShardId, exclude: &[BackendId]) -> Option<Chosen> {
+        let backend = self.replicas.iter().find(|id| !exclude.contains(id))?;
+        Some(Chosen {
+            backend: backend.clone(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            incarnation: 1,
+        })
+    }
+
+    fn no_choice_reason(&self, _: Duration, _: ShardId, _: &[BackendId]) -> MissingReason {
+        MissingReason::NoReplica
+    }
+
+    fn hedge_after(&self, _: Duration, _: ShardId, _: &BackendId) -> Option<Duration> {
+        Some(HEDGE_AFTER)
+    }
+
+    fn take_extra(&mut self, _: Duration, kind: ExtraKind) -> bool {
+        if self.budget == 0 {
+            return false;
+        }
+        self.budget -= 1;
+        self.taken.push(kind);
+        true
+    }
+
+    fn sent(&mut self, _: Duration, _: &BackendId) {}
+
+    fn finished(&mut self, _: Duration, _: &BackendId, _: AttemptResult) {}
+
+    fn retry_after(&self, _: Duration) -> Duration {
+        Duration::ZERO
+    }
+
+    fn take_observations(&mut self) -> Vec<Observation> {
+        Vec::new()
+    }
+
+    fn connections(&self) -> Vec<BackendId> {
+        Vec::new()
+    }
+
+    fn counters(&self) -> RouterCounters {
+        RouterCounters::default()
+    }
+}
+
+fn pinned(replicas: &[&str]) -> IndexSnapshot {
+    IndexSnapshot {
+        id: SnapshotId {
+            generation: 1,
+            partition_map: 1,
+        },
+        shards: vec![ShardAssignment {
+            shard: SHARD,
+            replicas: replicas.iter().map(|id| BackendId::from(*id)).collect(),
+        }],
+    }
+}
+
+fn drive(
+    policy: &mut Scripted,
+    attempts: u32,
+    failures: &[AttemptFailure],
+) -> (SubRequest, Vec<Step>) {
+    let snapshot = pinned(&[]);
+    let mut router = PinnedRouter::current(policy, &snapshot);
+    let mut sub_request = SubRequest::new(SHARD, attempts);
+    let mut steps = vec![sub_request.start(&mut router, NOW)];
+    for failure in failures {
+        steps.push(sub_request.attempt_failed(&mut router, NOW, *failure));
+    }
+    (sub_request, steps)
+}
+
+fn sent_to(step: &Step) -> Option<&str> {
+    match step {
+        Step::Send { chosen, .. } => Some(chosen.backend.as_str()),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_retry_goes_to_another_replica_and_takes_from_the_budget() {
+    let mut policy = Scripted::new(3, 1);
+    let (_, steps) = drive(
+        &mut policy,
+        3,
+        &[AttemptFailure::Failed, AttemptFailure::Failed],
+    );
+    assert_eq!(sent_to(&steps[0]), Some("b0"));
+    assert_eq!(sent_to(&steps[1]), Some("b1"));
+    assert_eq!(
+        steps[2],
+        Step::GiveUp(MissingReason::Failed),
+        "the budget is empty"
+    );
+    assert_eq!(policy.taken, [ExtraKind::Retry]);
+}
+
+#[test]
+fn a_refusal_without_work_needs_no_budget() {
+    for failure in [AttemptFailure::Draining, AttemptFailure::SnapshotGone] {
+        let mut policy = Scripted::new(2, 0);
+        let (_, steps) = drive(&mut policy, 3, &[failure]);
+        assert_eq!(sent_to(&steps[1]), Some("b1"), "{failure:?}");
+    }
+    let mut policy = Scripted::new(2, 0);
+    let (_, steps) = drive(&mut policy, 3, &[AttemptFailure::Shed]);
+    assert_eq!(
+        steps[1],
+        Step::GiveUp(MissingReason::Shed),
+        "a pressed back end does"
+    );
+}
+
+#[test]
+fn attempts_are_bounded() {
+    let mut policy = Scripted::new(9, 9);
+    let (_, steps) = drive(
+        &mut policy,
+        2,
+        &[AttemptFailure::Shed, AttemptFailure::Shed],
+    );
+    assert_eq!(steps[2], Step::GiveUp(MissingReason::Shed));
+}
+
+#[test]
+fn the_reason_is_the_common_one_or_the_most_telling() {
+    use AttemptFailure::{BadReply, Draining, Failed, Shed, SnapshotGone};
+    for (failures, reason) in [
+        (
+            vec![SnapshotGone, SnapshotGone],
+            MissingReason::SnapshotGone,
+        ),
+        (vec![SnapshotGone, Shed], MissingReason::Shed),
+        (vec![Shed, Failed], MissingReason::Failed),
+        (vec![Failed, BadReply], MissingReason::BadReply),
+        (vec![Draining, Draining], MissingReason::NoReplica),
+    ] {
+        let mut policy = Scripted::new(2, 9);
+        let (_, steps) = drive(&mut policy, 9, &failures);
+        assert_eq!(steps.last(), Some(&Step::GiveUp(reason)), "{failures:?}");
+    }
+}
+
+#[test]
+fn a_hedge_that_the_budget_refuses_is_tried_again_later() {
+    let snapshot = pinned(&[]);
+    let mut policy = Scripted::new(2, 0);
+    let mut sub_request = SubRequest::new(SHARD, 3);
+    let mut router = PinnedRouter::current(&mut policy, &snapshot);
+    sub_request.start(&mut router, NOW);
+    let refused = sub_request.hedge_due(&mut router, NOW);
+    let hedge_after = Some(HEDGE_AFTER);
+    assert_eq!(refused, Step::Wait { hedge_after });
+    policy.budget = 1;
+    let mut router = PinnedRouter::current(&mut policy, &snapshot);
+    let allowed = sub_request.hedge_due(&mut router, NOW);
+    assert_eq!(sent_to(&allowed), Some("b1"));
+    assert_eq!(policy.taken, [ExtraKind::Hedge]);
+}
+
+#[test]
+fn a_failed_attempt_is_not_retried_while_its_hedge_runs() {
+    let snapshot = pinned(&[]);
+    let mut policy = Scripted::new(3, 9);
+    let mut sub_request = SubRequest::new(SHARD, 3);
+    let mut router = PinnedRouter::current(&mut policy, &snapshot);
+    sub_request.start(&mut router, NOW);
+    sub_request.hedge_due(&mut router, NOW);
+    let step = sub_request.attempt_failed(&mut router, NOW, AttemptFailure::Failed);
+    assert!(matches!(step, Step::Wait { .. }));
+    let step = sub_request.attempt_failed(&mut router, NOW, AttemptFailure::Failed);
+    assert_eq!(sent_to(&step), Some("b2"));
+}
+
+/// A request whose policy has moved on to another partition map must not be sent to a replica that
+/// the pinned map does not name for the shard.
+#[test]
+fn a_moved_on_policy_may_only_choose_a_pinned_replica() {
+    let mut policy: Box<dyn RoutingPolicy> = Box::new(Scripted::new(1, 9));
+    for (replicas, expected) in [(vec!["b0"], true), (vec!["b7"], false)] {
+        let snapshot = pinned(&replicas);
+        let mut state = sablehaven_agent::routing::RouterState {
+            policy,
+            snapshot: std::sync::Arc::new(IndexSnapshot {
+                id: SnapshotId {
+                    generation: 2,
+                    partition_map: 2,
+                },
+                shards: Vec::new(),
+            }),
+        };
+        let chosen = state.pinned(&snapshot).choose(NOW, SHARD, &[]);
+        assert_eq!(chosen.is_ok(), expected);
+        if !expected {
+            assert_eq!(chosen, Err(MissingReason::SnapshotGone));
+        }
+        policy = state.policy;
+    }
+}
+
+/// Whatever happens in whatever order: nothing is awaited that will not come, no replica is asked
+/// twice, and attempts stay within their number and the budget.
+#[test]
+fn no_order_of_events_leaves_a_sub_request_waiting_for_nothing() {
+    let failures = prop::sample::select(vec![
+        AttemptFailure::Shed,
+        AttemptFailure::Draining,
+        AttemptFailure::SnapshotGone,
+        AttemptFailure::DeadlineRefused,
+        AttemptFailure::Failed,
+        AttemptFailure::BadReply,
+    ]);
+    let events = prop::collection::vec(prop::option::weighted(0.6, failures), 0..20);
+    let inputs = (0_usize..5, 0_u32..4, 1_u32..5, events);
+    let mut runner = TestRunner::new(ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    });
+    let result = runner.run(&inputs, |(replicas, budget, attempts, events)| {
+        let snapshot = pinned(&[]);
+        let mut policy = Scripted::new(replicas, budget);
+        let mut router = PinnedRouter::current(&mut policy, &snapshot);
+        let mut sub_request = SubRequest::new(SHARD, attempts);
+        let mut asked = Vec::new();
+        let mut in_flight = 0;
+        let mut step = sub_request.start(&mut router, NOW);
+        for event in events {
+            match &step {
+                Step::Send { chosen, .. } => {
+                    prop_assert!(!asked.contains(&chosen.backend));
+                    asked.push(chosen.backend.clone());
+                    in_flight += 1;
+                }
+                Step::Wait { .. } => prop_assert!(in_flight > 0),
+                Step::GiveUp(_) => {
+                    prop_assert_eq!(in_flight, 0);
+                    break;
+                }
+            }
+            step = match event {
+                Some(failure) => {
+                    in_flight -= 1;
+                    sub_request.attempt_failed(&mut router, NOW, failure)
+                }
+                None => sub_request.hedge_due(&mut router, NOW),
+            };
+        }
+        prop_assert!(sub_request.attempts() <= attempts);
+        prop_assert!(policy.taken.len() <= budget as usize);
+        Ok(())
+    });
+    result.expect("holds for every order");
+}
