Client: typed clients generated from the schemas, committed

Cause: callers should not write paths, headers and bodies by hand, and the build must need no generator. Ruled out: serde types for JSON bodies (64-bit numbers, enums and bytes need their own mapping for each field); prost paths of the user's own crate (one dependency, sablehaven-client, is enough this way).

--- /dev/null
+++ b/crates/sablehaven-schema/src/generate/service.rs
@@ -0,0 +1,121 @@
+//! Writes the clients of the services.
+
+use std::fmt::Write;
+
+use prost_build::{Comments, Method, Service, ServiceGenerator};
+use sablehaven_types::ServiceName;
+
+use crate::schema::{DeploymentSchema, MethodKind, MethodSchema};
+
+/// Writes one client for each service.
+pub(super) struct ClientGenerator {
+    schema: DeploymentSchema,
+}
+
+impl ClientGenerator {
+    /// A generator for the services of a schema.
+    pub(super) fn new(schema: DeploymentSchema) -> Self {
+        Self { schema }
+    }
+
+    fn method(&self, service: &Service, method: &Method) -> Option<&MethodSchema> {
+        let name = ServiceName(format!("{}.{}", service.package, service.proto_name));
+        self.schema.method(&name, &method.proto_name)
+    }
+}
+
+impl ServiceGenerator for ClientGenerator {
+    fn generate(&mut self, service: Service, buffer: &mut String) {
+        let methods: String = service
+            .methods
+            .iter()
+            .filter_map(|method| Some(write_method(method, self.method(&service, method)?)))
+            .collect();
+        let text = format!(
+            r"
+            /// Client of the service `{full_name}`.
+            {comments}
+            #[derive(Clone, Debug)]
+            pub struct {name}Client {{
+                agent: ::sablehaven_client::AgentConnection,
+            }}
+            impl {name}Client {{
+                /// A client that calls through an agent.
+                pub fn new(agent: ::sablehaven_client::AgentConnection) -> Self {{
+                    Self {{ agent }}
+                }}
+                {methods}
+            }}
+            ",
+            full_name = format_args!("{}.{}", service.package, service.proto_name),
+            comments = paragraph(&service.comments),
+            name = service.name,
+        );
+        buffer.push_str(&text);
+    }
+}
+
+fn write_method(method: &Method, schema: &MethodSchema) -> String {
+    let (key_parameter, key_argument) = match &schema.kind {
+        MethodKind::Once { .. } => ("key: &::sablehaven_client::RequestKey,", "Some(key)"),
+        MethodKind::Query { .. } | MethodKind::Lookup { .. } => ("", "None"),
+    };
+    format!(
+        r"
+        /// {summary}
+        {comments}
+        pub async fn {name}(
+            &self,
+            {key_parameter}
+            request: &{input},
+            options: ::sablehaven_client::CallOptions,
+        ) -> Result<
+            ::sablehaven_client::Envelope<{output}>,
+            ::sablehaven_client::CallError,
+        > {{
+            let method = ::sablehaven_client::MethodInfo {{
+                path: {path:?},
+                deadline_ms: {deadline_ms},
+            }};
+            self.agent.call(method, {key_argument}, request, options).await
+        }}
+        ",
+        summary = summary(schema),
+        comments = paragraph(&method.comments),
+        name = method.name,
+        input = method.input_type,
+        output = method.output_type,
+        path = schema.path,
+        deadline_ms = schema.deadline_ms,
+    )
+}
+
+fn summary(schema: &MethodSchema) -> String {
+    let rule = match &schema.kind {
+        MethodKind::Query { .. } => "asks every shard; may be repeated".to_owned(),
+        MethodKind::Lookup { key } => {
+            format!("asks the shard of `{}`; may be repeated", key.name())
+        }
+        MethodKind::Once { key } => format!(
+            "asks the shard of `{}`; runs at most once for each key",
+            key.name()
+        ),
+    };
+    format!(
+        "Calls `{}`: {rule}. Its deadline is {} ms where `options` name none.",
+        schema.name, schema.deadline_ms
+    )
+}
+
+/// The schema's own comments as a further paragraph of a doc comment.
+fn paragraph(comments: &Comments) -> String {
+    if comments.leading.is_empty() {
+        return String::new();
+    }
+    let mut text = "///\n".to_owned();
+    for line in &comments.leading {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "/// {}", line.trim());
+    }
+    text
+}
--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod envelope;
 mod field_rules;
 pub mod fleet_file;
+mod generate;
 mod key;
 mod locations;
 mod merge;
@@ -26,6 +27,7 @@
 };
 pub use compile::{MAX_SCHEMA_BYTES, OPTIONS_FILE, OPTIONS_TEXT};
 pub use configuration::check_document;
+pub use generate::{GenerateError, generate_client};
 pub use key::{KeyError, shard_for_key, shard_of_hash};
 pub use merge::{MergeError, merge};
 pub use problem::SchemaProblem;
--- a/crates/sablehaven-types/src/http.rs
+++ b/crates/sablehaven-types/src/http.rs
@@ -2,11 +2,13 @@
 //!
 //! Callers post to the agent at `/<package>.<Service>/<Method>` with a JSON or protobuf body. The
 //! answer is a [`crate::Envelope`] in the encoding that the caller accepts, or else in that of the
-//! request: JSON, or [`crate::protobuf::ProtobufEnvelope`]. The agent posts to back ends at the same path, over HTTP/2 without TLS (prior knowledge), with the
-//! method's request message as protobuf and the attempt's metadata in headers. A reply with status
-//! 200 must echo attempt, shard and snapshot; a reply that does not is discarded. A refusal must echo
-//! the attempt: one that does not proves nothing about a request that may not be repeated, whose
-//! outcome is then unknown. For such a request the caller's [`CALLER`], [`REQUEST_ID`] and
+//! request: JSON, or [`crate::protobuf::ProtobufEnvelope`].
+//!
+//! The agent posts to back ends at the same path, over HTTP/2 without TLS (prior knowledge), with
+//! the method's request message as protobuf and the attempt's metadata in headers. A reply with
+//! status 200 must echo attempt, shard and snapshot; a reply that does not is discarded. A refusal
+//! must echo the attempt: one that does not proves nothing about a request that may not be repeated,
+//! whose outcome is then unknown. For such a request the caller's [`CALLER`], [`REQUEST_ID`] and
 //! [`ISSUED_AT_MS`] go on to the back end, so that it can keep its own record. A cancelled attempt
 //! is a reset of its HTTP/2 stream.
 
