--- /dev/null
+++ b/testing/sablehaven-standins/tests/standins/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the stand-ins.
+
+mod backend;
+mod caller;
+mod common;
+mod host;
+mod platform;
