--- a/crates/sablehaven-consensus/src/replica.rs
+++ b/crates/sablehaven-consensus/src/replica.rs
@@ -233,6 +233,26 @@
         }
     }
 
+    /// This replica.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// The latest term seen.
+    pub fn term(&self) -> u64 {
+        self.hard_state.term
+    }
+
+    /// The leader of the term, where known; this replica itself where it leads.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// Whether this replica leads, as far as it knows; another one may lead a later term.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, RoleState::Leader(_))
+    }
+
     /// The replica's state.
     pub fn status(&self) -> Status {
         let timeout = self.config.election_timeout_ticks;
