--- /dev/null
+++ b/crates/sablehaven-control/src/config.rs
@@ -0,0 +1,181 @@
+//! Settings of a control replica.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::Duration,
+};
+
+use sablehaven_types::{Placement, SettingError};
+use serde::{Deserialize, Serialize};
+
+use crate::ledger::LedgerLimits;
+
+/// Ledger groups that a deployment may have.
+const MAXIMUM_LEDGER_GROUPS: u32 = 64;
+
+/// Settings of a control replica. Durations are in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// The deployment's name; replicas, relays and data folders of others are refused.
+    pub deployment: String,
+    /// Where the operators' interface listens.
+    pub http_listen: SocketAddr,
+    /// Where internal connections (replicas, relays) are accepted.
+    pub internal_listen: SocketAddr,
+    /// The address that others reach `http_listen` at, if it is another one.
+    pub http_advertise: Option<SocketAddr>,
+    /// The address that others reach `internal_listen` at, if it is another one.
+    pub internal_advertise: Option<SocketAddr>,
+    /// Where the replica runs.
+    pub placement: Placement,
+    /// The folder of the log and the snapshots; one process at a time.
+    pub data_folder: PathBuf,
+    /// Internal addresses of the other replicas at the first start, or of any when joining.
+    pub peers: Vec<SocketAddr>,
+    /// Whether this replica may form a new deployment together with all of `peers`. It does so only
+    /// while its own data folder is new and every peer is there, new too, and may do the same. Set
+    /// it at the first start of a deployment; a machine that joins later does without.
+    pub bootstrap: bool,
+    /// Groups that the ledger's keys are spread over; the same on every replica, fixed at the first
+    /// start.
+    pub ledger_groups: u32,
+    /// Bounds of each ledger group.
+    pub ledger: LedgerLimits,
+    /// Where the platform lists its machines; without it there are no back ends.
+    pub platform: Option<PlatformConfig>,
+    /// Length of a consensus tick.
+    pub tick_ms: u64,
+    /// Time between two heartbeats of a leader.
+    pub heartbeat_ms: u64,
+    /// Time without a leader's message after which replicas elect another one (one to two times
+    /// this). A leader that hears no quorum for as long steps down.
+    pub election_timeout_ms: u64,
+    /// How long agents may rely on a proof that the leader was current.
+    pub lease_duration_ms: u64,
+    /// Log entries of a group after which a snapshot is taken.
+    pub snapshot_entries: u64,
+    /// Log bytes of a group after which a snapshot is taken.
+    pub snapshot_bytes: u64,
+    /// Size of a log segment, in bytes.
+    pub segment_bytes: u64,
+    /// Seed of the random part of election timeouts, mixed with the replica's identity.
+    pub election_seed: u64,
+}
+
+/// Where the platform lists its machines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformConfig {
+    /// URL that answers GET with JSON `{"machines": [...]}`.
+    pub url: String,
+    /// Time between two polls.
+    #[serde(default = "default_poll_interval_ms")]
+    pub poll_interval_ms: u64,
+}
+
+fn default_poll_interval_ms() -> u64 {
+    1_000
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            deployment: String::new(),
+            http_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            internal_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            http_advertise: None,
+            internal_advertise: None,
+            placement: Placement {
+                region: String::new().into(),
+                zone: String::new().into(),
+            },
+            data_folder: PathBuf::from("data"),
+            peers: Vec::new(),
+            bootstrap: false,
+            ledger_groups: 4,
+            ledger: LedgerLimits::default(),
+            platform: None,
+            tick_ms: 25,
+            heartbeat_ms: 100,
+            election_timeout_ms: 500,
+            lease_duration_ms: 3_000,
+            snapshot_entries: 50_000,
+            snapshot_bytes: 16 * 1_024 * 1_024,
+            segment_bytes: 32 * 1_024 * 1_024,
+            election_seed: 0,
+        }
+    }
+}
+
+impl Config {
+    /// Every setting that cannot be used; keys start with `prefix`.
+    pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
+        let mut errors = self.ledger.validate(&format!("{prefix}.ledger"));
+        let mut require = |allowed: bool, key: &str, value: &dyn std::fmt::Display, range: &str| {
+            if !allowed {
+                let key = format!("{prefix}.{key}");
+                errors.push(SettingError::new(&key, value, range));
+            }
+        };
+        let named = !self.deployment.is_empty();
+        require(named, "deployment", &"empty", "a name");
+        let groups = self.ledger_groups;
+        let allowed = (1..=MAXIMUM_LEDGER_GROUPS).contains(&groups);
+        require(allowed, "ledger_groups", &groups, "1 to 64");
+        let tick = self.tick_ms;
+        require((1..=1_000).contains(&tick), "tick_ms", &tick, "1 to 1000");
+        let heartbeat = self.heartbeat_ms;
+        let range = "at least tick_ms";
+        require(heartbeat >= tick, "heartbeat_ms", &heartbeat, range);
+        let election = self.election_timeout_ms;
+        let range = "more than 2 heartbeats and 3 ticks";
+        let allowed = election >= 2 * heartbeat + 3 * tick;
+        require(allowed, "election_timeout_ms", &election, range);
+        let lease = self.lease_duration_ms;
+        let range = "at least 2 election timeouts";
+        require(lease >= 2 * election, "lease_duration_ms", &lease, range);
+        let entries = self.snapshot_entries;
+        require(entries >= 1, "snapshot_entries", &entries, "1 or more");
+        if let Some(platform) = &self.platform {
+            let interval = platform.poll_interval_ms;
+            let key = "platform.poll_interval_ms";
+            require(interval >= 10, key, &interval, "10 or more");
+        }
+        errors
+    }
+
+    /// How long agents may rely on a proof that the leader was current.
+    pub fn lease_duration(&self) -> Duration {
+        Duration::from_millis(self.lease_duration_ms)
+    }
+
+    /// Time without a leader's message after which replicas elect another one.
+    pub fn election_timeout(&self) -> Duration {
+        Duration::from_millis(self.election_timeout_ms)
+    }
+
+    /// The consensus settings, in ticks.
+    pub(crate) fn consensus(&self) -> sablehaven_consensus::Config {
+        let ticks = |duration_ms: u64| {
+            let ticks = duration_ms.div_ceil(self.tick_ms.max(1));
+            u32::try_from(ticks).unwrap_or(u32::MAX)
+        };
+        sablehaven_consensus::Config {
+            election_timeout_ticks: ticks(self.election_timeout_ms),
+            heartbeat_ticks: ticks(self.heartbeat_ms),
+            // The same in every group, so that one replica tends to win all of them.
+            election_seed: self.election_seed,
+            ..sablehaven_consensus::Config::default()
+        }
+    }
+
+    pub(crate) fn storage(&self) -> sablehaven_storage::Options {
+        sablehaven_storage::Options {
+            deployment: self.deployment.clone(),
+            segment_bytes: self.segment_bytes,
+            ..sablehaven_storage::Options::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/group.rs
@@ -0,0 +1,236 @@
+//! One consensus group of this replica: the log's replica, its state machine, and who waits for it.
+
+use std::time::Instant;
+
+use sablehaven_consensus::{
+    Entry, EntryPayload, Membership, Position, Ready, Replica, Role, Snapshot, SnapshotMetadata,
+};
+use sablehaven_storage::RestoredGroup;
+use sablehaven_types::LedgerRequest;
+
+use super::{
+    input::{LedgerReplies, ProposeError, SharedResponder},
+    machine::Machine,
+    pending::{LedgerCall, PendingProposals, Responder, refuse_calls},
+    status::GroupState,
+};
+use crate::{
+    clock,
+    codec::{self, CodecError},
+    ledger::{LedgerCommand, LedgerLimits},
+    shared::SharedCommand,
+};
+
+/// Ledger calls that one group may have open; more are refused at once.
+const OPEN_CALL_LIMIT: usize = 16_384;
+
+/// One consensus group of this replica.
+pub(crate) struct Group {
+    pub(crate) number: u32,
+    pub(crate) replica: Replica,
+    pub(crate) machine: Machine,
+    /// The last entry that the state machine has applied.
+    pub(crate) applied: u64,
+    /// The members at that entry.
+    pub(crate) applied_membership: Membership,
+    pub(crate) pending: PendingProposals,
+    pub(crate) snapshots: SnapshotSchedule,
+    queued_requests: Vec<LedgerRequest>,
+    queued_calls: Vec<LedgerCall>,
+    /// As of the latest tick.
+    pub(crate) is_leader: bool,
+    pub(crate) last_transfer: Option<Instant>,
+}
+
+/// When the next snapshot of a group is due.
+#[derive(Debug, Default)]
+pub(crate) struct SnapshotSchedule {
+    /// The last entry in the latest snapshot.
+    pub(crate) index: u64,
+    /// Command bytes applied since.
+    pub(crate) bytes: u64,
+    /// Whether one is being written.
+    pub(crate) is_running: bool,
+    /// Whether the storage asks for one, to free old segments.
+    pub(crate) is_wanted: bool,
+}
+
+impl Group {
+    /// A group from what its disk holds.
+    pub(crate) fn new(
+        number: u32,
+        replica: Replica,
+        mut machine: Machine,
+        stored: &RestoredGroup,
+    ) -> Result<Self, CodecError> {
+        if let Some(data) = &stored.snapshot_data {
+            machine.restore(data)?;
+        }
+        let snapshot = &stored.restored.snapshot;
+        Ok(Self {
+            number,
+            replica,
+            machine,
+            applied: snapshot.index,
+            applied_membership: snapshot.membership.clone(),
+            pending: PendingProposals::default(),
+            snapshots: SnapshotSchedule {
+                index: snapshot.index,
+                ..SnapshotSchedule::default()
+            },
+            queued_requests: Vec::new(),
+            queued_calls: Vec::new(),
+            is_leader: false,
+            last_transfer: None,
+        })
+    }
+
+    /// Proposes a command of group 0.
+    pub(crate) fn propose_shared(&mut self, command: &SharedCommand, respond: SharedResponder) {
+        let encoded = match codec::encode("encode shared command", command) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                let reason = error.to_string();
+                let _ = respond.send(Err(ProposeError::Encode { reason }));
+                return;
+            }
+        };
+        match self.replica.propose(vec![encoded]) {
+            Ok(position) => self.pending.push(position, Responder::Shared(respond)),
+            Err(_) => {
+                let _ = respond.send(Err(ProposeError::NotLeader));
+            }
+        }
+    }
+
+    /// Proposes one of the driver's own commands; lost ones are proposed again by whoever leads.
+    pub(crate) fn propose_unattended(&mut self, command: &SharedCommand) {
+        let encoded = match codec::encode("encode shared command", command) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                log::error!("{error}");
+                return;
+            }
+        };
+        if let Ok(position) = self.replica.propose(vec![encoded]) {
+            self.pending.push(position, Responder::None);
+        }
+    }
+
+    /// Queues a ledger call for the next batch, or refuses it at once when too many are open.
+    pub(crate) fn queue_call(&mut self, call: u64, request: LedgerRequest, replies: LedgerReplies) {
+        let call = LedgerCall { call, replies };
+        if self.pending.ledger_calls() + self.queued_calls.len() >= OPEN_CALL_LIMIT {
+            refuse_calls(vec![call]);
+            return;
+        }
+        self.queued_requests.push(request);
+        self.queued_calls.push(call);
+    }
+
+    /// Proposes the queued calls as one entry.
+    pub(crate) fn propose_calls(&mut self, limits: &LedgerLimits) {
+        if self.queued_calls.is_empty() {
+            return;
+        }
+        let calls = std::mem::take(&mut self.queued_calls);
+        let command = LedgerCommand::Batch {
+            proposed_at_ms: clock::unix_ms(),
+            limits: *limits,
+            requests: std::mem::take(&mut self.queued_requests),
+        };
+        let encoded = match codec::encode("encode ledger command", &command) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                log::error!("{error}");
+                refuse_calls(calls);
+                return;
+            }
+        };
+        match self.replica.propose(vec![encoded]) {
+            Ok(position) => self.pending.push(position, Responder::Ledger(calls)),
+            Err(_) => refuse_calls(calls),
+        }
+    }
+
+    /// Applies what a ready hands out.
+    pub(crate) fn apply(&mut self, ready: &mut Ready) -> Result<(), CodecError> {
+        if let Some(snapshot) = &ready.snapshot {
+            self.install(snapshot)?;
+        }
+        for entry in std::mem::take(&mut ready.committed) {
+            self.apply_entry(entry)?;
+        }
+        Ok(())
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) -> Result<(), CodecError> {
+        self.machine.restore(&snapshot.data)?;
+        self.applied = snapshot.metadata.index;
+        self.applied_membership = snapshot.metadata.membership.clone();
+        self.snapshots.index = snapshot.metadata.index;
+        self.snapshots.bytes = 0;
+        self.pending.fail_all();
+        Ok(())
+    }
+
+    fn apply_entry(&mut self, entry: Entry) -> Result<(), CodecError> {
+        let position = Position {
+            index: entry.index,
+            term: entry.term,
+        };
+        match entry.payload {
+            EntryPayload::Empty => {}
+            EntryPayload::Membership(membership) => self.applied_membership = membership,
+            EntryPayload::Command(command) => {
+                self.snapshots.bytes += command.len() as u64;
+                let outcome = self.machine.apply(entry.index, &command)?;
+                self.applied = entry.index;
+                if let Some(responder) = self.pending.take(position) {
+                    responder.answer(outcome);
+                }
+                return Ok(());
+            }
+        }
+        self.applied = entry.index;
+        if let Some(responder) = self.pending.take(position) {
+            responder.fail();
+        }
+        Ok(())
+    }
+
+    /// The state machine's snapshot at the last applied entry, if it stands at one.
+    pub(crate) fn take_snapshot(&self) -> Result<Option<Snapshot>, CodecError> {
+        let Some(metadata) = self.replica.snapshot_metadata(self.applied) else {
+            return Ok(None);
+        };
+        let data = self.machine.snapshot()?;
+        Ok(Some(Snapshot { metadata, data }))
+    }
+
+    /// A snapshot is in force on the disk.
+    pub(crate) fn compacted(&mut self, metadata: &SnapshotMetadata) {
+        self.replica.compacted(metadata);
+        self.snapshots.index = self.snapshots.index.max(metadata.index);
+        self.snapshots.is_running = false;
+        self.snapshots.is_wanted = false;
+    }
+
+    /// Whether the replica holds nothing: no members, no log, no vote.
+    pub(crate) fn is_blank(&self) -> bool {
+        let status = self.replica.status();
+        status.last_index == 0 && status.term == 0 && status.membership.voters.is_empty()
+    }
+
+    pub(crate) fn state(&self) -> GroupState {
+        GroupState {
+            group: self.number,
+            replica: self.replica.status(),
+            applied: self.applied,
+        }
+    }
+
+    pub(crate) fn leads(&self) -> bool {
+        self.replica.status().role == Role::Leader
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/machine.rs
@@ -0,0 +1,68 @@
+//! The state machine of one group.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use sablehaven_types::LedgerReply;
+
+use crate::{
+    codec::{self, CodecError},
+    ledger::{LedgerCommand, LedgerState},
+    shared::{SharedCommand, SharedOutcome, SharedState},
+};
+
+/// The state of group 0, written by the driver alone and read by the servers.
+pub(crate) type SharedHandle = Arc<RwLock<SharedState>>;
+
+/// Reads the state of group 0.
+pub(crate) fn read<Output>(
+    state: &SharedHandle,
+    view: impl FnOnce(&SharedState) -> Output,
+) -> Output {
+    view(&state.read().unwrap_or_else(PoisonError::into_inner))
+}
+
+/// The state machine of one group.
+pub(crate) enum Machine {
+    Shared(SharedHandle),
+    Ledger(Box<LedgerState>),
+}
+
+/// What became of one command.
+pub(crate) enum Applied {
+    Shared(SharedOutcome),
+    Ledger(Vec<LedgerReply>),
+}
+
+impl Machine {
+    pub(crate) fn apply(&mut self, index: u64, command: &[u8]) -> Result<Applied, CodecError> {
+        match self {
+            Self::Shared(state) => {
+                let command: SharedCommand = codec::decode("decode shared command", command)?;
+                let mut state = state.write().unwrap_or_else(PoisonError::into_inner);
+                Ok(Applied::Shared(state.apply(index, command)))
+            }
+            Self::Ledger(state) => {
+                let command: LedgerCommand = codec::decode("decode ledger command", command)?;
+                Ok(Applied::Ledger(state.apply_command(&command)))
+            }
+        }
+    }
+
+    pub(crate) fn snapshot(&self) -> Result<Vec<u8>, CodecError> {
+        match self {
+            Self::Shared(state) => read(state, SharedState::snapshot),
+            Self::Ledger(state) => state.snapshot(),
+        }
+    }
+
+    pub(crate) fn restore(&mut self, data: &[u8]) -> Result<(), CodecError> {
+        match self {
+            Self::Shared(state) => {
+                let restored = SharedState::restore(data)?;
+                *state.write().unwrap_or_else(PoisonError::into_inner) = restored;
+            }
+            Self::Ledger(state) => **state = LedgerState::restore(data)?,
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/members.rs
@@ -0,0 +1,208 @@
+//! What the leaders of the groups do about the members: bring every group to the target of group
+//! 0's state, step by step, and keep the groups' leaders together.
+
+use std::time::{Duration, Instant};
+
+use sablehaven_consensus::{MembershipChange, ReplicaId, Status};
+
+use super::{group::Group, input::HandOverError, machine::read, run::Driver};
+use crate::{
+    replicas::{ChangePhase, ReplicaChange, ReplicasCommand, ReplicasState, Target},
+    shared::SharedCommand,
+};
+
+/// Least time between two transfers of one group's leadership.
+const TRANSFER_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Entries by which a learner may lag in a group when the next phase starts.
+const CAUGHT_UP_LAG: u64 = 64;
+
+impl Driver {
+    /// The leaders' duties at a tick.
+    pub(super) fn lead_members(&mut self, now: Instant) {
+        let replicas = read(&self.state, |state| state.replicas().clone());
+        if self.groups[0].is_leader {
+            self.lead_deployment(&replicas);
+        }
+        if replicas.replicas().is_empty() || !self.hand_over.is_empty() {
+            return;
+        }
+        let target = replicas.target();
+        for group in self.groups.iter_mut().filter(|group| group.is_leader) {
+            approach_target(group, &target);
+        }
+        self.align_leaders(now);
+    }
+
+    /// The duties of group 0's leader: record the first members and new addresses, and move a change
+    /// on when its phase is done in every group.
+    fn lead_deployment(&mut self, replicas: &ReplicasState) {
+        if !self.groups[0].pending.is_empty() {
+            return;
+        }
+        let command = if replicas.replicas().is_empty() {
+            self.first_members()
+        } else if let Some(change) = replicas.change() {
+            self.is_phase_done(change)
+                .then_some(ReplicasCommand::Advance {
+                    change: change.number,
+                    phase: change.phase,
+                })
+        } else {
+            self.moved_replica(replicas)
+        };
+        if let Some(command) = command {
+            self.groups[0].propose_unattended(&SharedCommand::Replicas(command));
+        }
+    }
+
+    /// The addresses of the first voters, once all are known.
+    fn first_members(&self) -> Option<ReplicasCommand> {
+        let voters = &self.groups[0].applied_membership.voters;
+        let known = voters.iter().map(|voter| {
+            let addresses = self.directory.addresses(*voter)?;
+            Some((*voter, addresses))
+        });
+        let members: Option<std::collections::BTreeMap<_, _>> = known.collect();
+        members
+            .filter(|members| !members.is_empty())
+            .map(ReplicasCommand::Form)
+    }
+
+    fn moved_replica(&self, replicas: &ReplicasState) -> Option<ReplicasCommand> {
+        replicas.replicas().iter().find_map(|(replica, known)| {
+            let addresses = self.directory.addresses(*replica)?;
+            (addresses != *known).then_some(ReplicasCommand::Announce {
+                replica: *replica,
+                addresses,
+            })
+        })
+    }
+
+    fn is_phase_done(&self, change: &ReplicaChange) -> bool {
+        let kind = change.kind;
+        match change.phase {
+            ChangePhase::Learning => kind.added().is_some_and(|learner| {
+                let mut groups = self.groups.iter();
+                groups.all(|group| has_caught_up(&group.replica.status(), learner))
+            }),
+            ChangePhase::Promoting => kind.added().is_some_and(|voter| {
+                let mut groups = self.groups.iter();
+                groups.all(|group| group.applied_membership.voters.contains(&voter))
+            }),
+            ChangePhase::Removing => kind.removed().is_some_and(|removed| {
+                let mut groups = self.groups.iter();
+                groups.all(|group| !group.applied_membership.contains(removed))
+            }),
+        }
+    }
+
+    /// Brings the leadership of the ledger groups to group 0's leader, which relays talk to.
+    fn align_leaders(&mut self, now: Instant) {
+        let Some(leader) = self.groups[0].replica.status().leader else {
+            return;
+        };
+        if leader == self.id {
+            return;
+        }
+        for group in self.groups[1..].iter_mut().filter(|group| group.is_leader) {
+            transfer_if_due(group, leader, now);
+        }
+    }
+
+    pub(super) fn transfer(&mut self, group: u32, to: ReplicaId) -> Result<(), HandOverError> {
+        let Some(group) = self.groups.get_mut(group as usize) else {
+            return Err(HandOverError::NoGroup { group });
+        };
+        let result = group.replica.transfer_leadership(to);
+        result.map_err(HandOverError::Refused)
+    }
+
+    /// Hands every group over for a planned stop; done when nothing is led and nobody waits.
+    pub(super) fn continue_hand_over(&mut self) {
+        if self.hand_over.is_empty() {
+            return;
+        }
+        for group in self.groups.iter_mut().filter(|group| group.is_leader) {
+            hand_over(group);
+        }
+        let leads = |group: &Group| group.is_leader && successor(&group.replica.status()).is_some();
+        let is_busy = |group: &Group| leads(group) || !group.pending.is_empty();
+        if self.groups.iter().any(is_busy) {
+            return;
+        }
+        for asker in self.hand_over.drain(..) {
+            // An asker that has given up waiting is not told.
+            let _ = asker.send(());
+        }
+    }
+}
+
+/// Takes the next step towards the target; a refused one is tried again at the next tick.
+fn approach_target(group: &mut Group, target: &Target) {
+    let status = group.replica.status();
+    if let Some(change) = next_step(&status, target) {
+        // Refused while an earlier change is not committed or a learner has not caught up.
+        let _ = group.replica.change_membership(change);
+    }
+}
+
+/// Additions come before removals, so that a change of every member keeps a quorum throughout.
+fn next_step(status: &Status, target: &Target) -> Option<MembershipChange> {
+    let membership = &status.membership;
+    let wanted = target.voters.union(&target.learners);
+    let missing = wanted.copied().find(|each| !membership.contains(*each));
+    if let Some(missing) = missing {
+        return Some(MembershipChange::AddLearner(missing));
+    }
+    let learners = membership.learners.iter().copied();
+    let to_promote = learners.clone().find(|each| target.voters.contains(each));
+    if let Some(learner) = to_promote {
+        return Some(MembershipChange::Promote(learner));
+    }
+    let members = membership.voters.iter().copied().chain(learners);
+    let is_wanted =
+        |each: &ReplicaId| target.voters.contains(each) || target.learners.contains(each);
+    let surplus = members.into_iter().find(|each| !is_wanted(each));
+    surplus.map(MembershipChange::Remove)
+}
+
+fn has_caught_up(status: &Status, learner: ReplicaId) -> bool {
+    let peer = status.peers.get(&learner);
+    peer.is_some_and(|peer| {
+        peer.active && peer.match_index > 0 && peer.match_index + CAUGHT_UP_LAG >= status.commit
+    })
+}
+
+fn transfer_if_due(group: &mut Group, to: ReplicaId, now: Instant) {
+    let is_recent = group
+        .last_transfer
+        .is_some_and(|last| now.duration_since(last) < TRANSFER_INTERVAL);
+    if is_recent {
+        return;
+    }
+    group.last_transfer = Some(now);
+    // Refused when the other is no voter here; then the next tick after the interval tries again.
+    let _ = group.replica.transfer_leadership(to);
+}
+
+/// The answering voter with the longest log.
+fn successor(status: &Status) -> Option<ReplicaId> {
+    let voters = &status.membership.voters;
+    let peers = status.peers.iter();
+    peers
+        .filter(|(peer, progress)| progress.active && voters.contains(peer))
+        .max_by_key(|(_, progress)| progress.match_index)
+        .map(|(peer, _)| *peer)
+}
+
+fn hand_over(group: &mut Group) {
+    let status = group.replica.status();
+    if status.transfer.is_some() {
+        return;
+    }
+    if let Some(successor) = successor(&status) {
+        // A refused transfer is tried again at the next tick.
+        let _ = group.replica.transfer_leadership(successor);
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/mod.rs
@@ -0,0 +1,20 @@
+//! The task that drives every consensus group of this replica: inputs in, messages, writes and
+//! applied commands out, one sync for the writes of all groups.
+
+mod group;
+mod input;
+mod machine;
+mod members;
+mod pending;
+mod reads;
+mod run;
+mod snapshots;
+mod status;
+mod storage_thread;
+mod writes;
+
+pub(crate) use input::{DriverHandle, Input, LeaderProof, LedgerReplies, channel};
+pub use input::{HandOverError, ProposeError};
+pub(crate) use machine::{SharedHandle, read};
+pub(crate) use run::{Driver, DriverParts};
+pub(crate) use status::{DriverStatus, GroupState, Published};
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/run.rs
@@ -0,0 +1,433 @@
+//! The driver's loop.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use sablehaven_consensus::{Ready, Replica, ReplicaId, Restored};
+use sablehaven_storage::{GroupWrite, Opened, RestoredGroup, SnapshotWriter};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::MissedTickBehavior,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    group::Group,
+    input::{DriverHandle, Input},
+    machine::{Machine, SharedHandle, read},
+    reads::ProofQueue,
+    status::{DriverStatus, Published},
+    storage_thread::{StorageDone, StorageJob, StorageStep, StorageThread},
+    writes::{ReadyWrite, WriteQueue},
+};
+use crate::{
+    Config, StartError,
+    ledger::{LedgerState, group_of_key},
+    metrics::Metrics,
+    peers::{Directory, Links},
+};
+
+/// Inputs that are taken in before their effects are carried out together.
+const INPUT_BATCH: usize = 512;
+
+/// What the driver is made of.
+pub(crate) struct DriverParts {
+    pub(crate) config: Arc<Config>,
+    pub(crate) opened: Opened,
+    pub(crate) state: SharedHandle,
+    pub(crate) handle: DriverHandle,
+    pub(crate) inputs: mpsc::Receiver<Input>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) directory: Directory,
+    pub(crate) published: watch::Sender<Published>,
+    pub(crate) metrics: Metrics,
+}
+
+/// The task that drives every consensus group of this replica.
+pub(crate) struct Driver {
+    pub(super) config: Arc<Config>,
+    pub(super) id: ReplicaId,
+    pub(super) groups: Vec<Group>,
+    pub(super) state: SharedHandle,
+    pub(super) handle: DriverHandle,
+    pub(super) directory: Directory,
+    pub(super) snapshot_writer: SnapshotWriter,
+    pub(super) proofs: ProofQueue,
+    pub(super) hand_over: Vec<oneshot::Sender<()>>,
+    pub(super) published: watch::Sender<Published>,
+    pub(super) metrics: Metrics,
+    inputs: mpsc::Receiver<Input>,
+    links: Arc<Links>,
+    writes: WriteQueue,
+    storage: StorageThread,
+    finished: mpsc::UnboundedReceiver<StorageDone>,
+}
+
+/// Why the driver cannot go on.
+pub(super) type Failure = String;
+
+impl Driver {
+    /// Restores every group and starts the storage thread.
+    pub(crate) fn new(parts: DriverParts) -> Result<Self, StartError> {
+        let DriverParts {
+            config,
+            opened,
+            state,
+            handle,
+            inputs,
+            links,
+            directory,
+            published,
+            metrics,
+        } = parts;
+        let id = opened.identity.replica;
+        let groups = restore_groups(&config, id, &state, opened.groups)?;
+        let snapshot_writer = opened.storage.snapshot_writer();
+        let (storage, finished) = StorageThread::start(opened.storage)
+            .map_err(|source| StartError::StorageThread { source })?;
+        Ok(Self {
+            config,
+            id,
+            groups,
+            state,
+            handle,
+            directory,
+            snapshot_writer,
+            proofs: ProofQueue::default(),
+            hand_over: Vec::new(),
+            published,
+            metrics,
+            inputs,
+            links,
+            writes: WriteQueue::default(),
+            storage,
+            finished,
+        })
+    }
+
+    /// Runs until it is cancelled or cannot go on; then syncs what is queued and closes the folder.
+    pub(crate) async fn run(mut self, stop: CancellationToken) {
+        let result = self.run_until(&stop).await;
+        if let Err(failure) = &result {
+            log::error!("{failure}");
+        }
+        self.fail_pending();
+        self.published.send_modify(|published| {
+            published.leading_since = None;
+            published.failure = result.err();
+        });
+        self.storage.stop().await;
+    }
+
+    async fn run_until(&mut self, stop: &CancellationToken) -> Result<(), Failure> {
+        let mut ticker = tokio::time::interval(Duration::from_millis(self.config.tick_ms));
+        // A process that was frozen must not make up for the lost ticks at once: its followers'
+        // heartbeats would not have had the time to arrive.
+        ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                Some(done) = self.finished.recv() => self.take_finished(done)?,
+                _ = ticker.tick() => self.tick()?,
+                Some(input) = self.inputs.recv() => self.take_inputs(input).await?,
+            }
+            self.propose_queued();
+            self.take_readies()?;
+            self.start_write();
+            self.publish_revision();
+        }
+    }
+
+    async fn take_inputs(&mut self, first: Input) -> Result<(), Failure> {
+        self.take_input(first).await?;
+        for _ in 1..INPUT_BATCH {
+            match self.inputs.try_recv() {
+                Ok(input) => self.take_input(input).await?,
+                Err(_) => break,
+            }
+        }
+        Ok(())
+    }
+
+    async fn take_input(&mut self, input: Input) -> Result<(), Failure> {
+        match input {
+            Input::Peer {
+                from,
+                group,
+                message,
+            } => {
+                if let Some(group) = self.groups.get_mut(group as usize) {
+                    group.replica.receive(from, message);
+                }
+            }
+            Input::Shared { command, respond } => {
+                self.groups[0].propose_shared(&command, respond);
+            }
+            Input::Ledger { calls, replies } => {
+                for (call, request) in calls {
+                    let group = group_of_key(request.key(), self.config.ledger_groups);
+                    self.groups[group as usize].queue_call(call, request, replies.clone());
+                }
+            }
+            Input::Proof(asker) => self.proofs.queue(asker),
+            Input::Form(voters) => self.form(voters).await?,
+            Input::Transfer { group, to, respond } => {
+                let result = self.transfer(group, to);
+                let _ = respond.send(result);
+            }
+            Input::Status(respond) => {
+                let groups = self.groups.iter().map(Group::state).collect();
+                let _ = respond.send(DriverStatus { groups });
+            }
+            Input::SnapshotPrepared {
+                group,
+                metadata,
+                result,
+            } => self.take_prepared_snapshot(group, metadata, result),
+            Input::HandOverAll(respond) => self.hand_over.push(respond),
+        }
+        Ok(())
+    }
+
+    fn tick(&mut self) -> Result<(), Failure> {
+        let now = Instant::now();
+        let grace = self.config.election_timeout();
+        for group in &mut self.groups {
+            group.replica.tick();
+            group.is_leader = group.leads();
+            group.pending.expire(group.is_leader, now, grace);
+        }
+        self.publish_leadership(now);
+        self.lead_members(now);
+        self.continue_hand_over();
+        self.start_due_snapshots()
+    }
+
+    fn propose_queued(&mut self) {
+        let limits = self.config.ledger;
+        for group in &mut self.groups[1..] {
+            group.propose_calls(&limits);
+        }
+        self.proofs.start_round(&mut self.groups[0].replica);
+    }
+
+    fn take_readies(&mut self) -> Result<(), Failure> {
+        for position in 0..self.groups.len() {
+            loop {
+                let ready = self.groups[position].replica.take_ready();
+                if ready.is_empty() && !ready.needs_snapshot {
+                    break;
+                }
+                self.carry_out(position, ready)?;
+                if !self.groups[position].replica.has_committed() {
+                    break;
+                }
+            }
+        }
+        if self.proofs.has_confirmed() {
+            let applied = self.groups[0].applied;
+            let (revision, version) = read(&self.state, |state| {
+                let version = state.configuration().current().version;
+                (state.revision(), version)
+            });
+            self.proofs.answer(applied, revision, version);
+        }
+        Ok(())
+    }
+
+    /// Carries out a ready in the order that [`Ready`] asks for.
+    fn carry_out(&mut self, position: usize, mut ready: Ready) -> Result<(), Failure> {
+        if let Some(fault) = ready.fault {
+            return Err(format!("group {position}: {fault}"));
+        }
+        let number = self.groups[position].number;
+        for (to, message) in std::mem::take(&mut ready.messages_before_sync) {
+            self.links.send(to, number, message);
+        }
+        let group = &mut self.groups[position];
+        let applied_before = group.applied;
+        let applied = group.apply(&mut ready);
+        applied.map_err(|error| format!("apply entry to group {number}: {error}"))?;
+        self.metrics
+            .entries_applied
+            .inc_by(group.applied.saturating_sub(applied_before));
+        self.proofs.take(&ready.reads, &ready.refused_reads);
+        if ready.needs_snapshot {
+            let snapshot = group.take_snapshot().map_err(|error| error.to_string())?;
+            if let Some(snapshot) = snapshot {
+                group.replica.provide_snapshot(snapshot);
+            }
+        }
+        self.queue_write(number, ready);
+        Ok(())
+    }
+
+    fn queue_write(&mut self, group: u32, ready: Ready) {
+        let must_sync = ready.must_sync();
+        let messages = ready.messages_after_sync;
+        if !must_sync {
+            if messages.is_empty() {
+                return;
+            }
+            if let Some(due) = self.writes.push_messages(group, messages) {
+                self.send_all(group, due);
+            }
+            return;
+        }
+        let write = ReadyWrite {
+            number: ready.number,
+            hard_state: ready.hard_state,
+            entries: ready.entries,
+            snapshot: ready.snapshot,
+        };
+        self.writes.push(group, write, messages);
+    }
+
+    fn send_all(&self, group: u32, messages: Vec<(ReplicaId, sablehaven_consensus::Message)>) {
+        for (to, message) in messages {
+            self.links.send(to, group, message);
+        }
+    }
+
+    fn start_write(&mut self) {
+        if let Some(batch) = self.writes.start_next() {
+            self.submit(StorageJob::Write(batch));
+        }
+    }
+
+    pub(super) fn submit(&self, job: StorageJob) {
+        self.storage.submit(job);
+    }
+
+    /// After a failed write or sync nothing more may be acknowledged: what the disk holds is unknown.
+    fn take_finished(&mut self, done: StorageDone) -> Result<(), Failure> {
+        self.metrics.storage(&done.counters);
+        for group in done.to_compact {
+            if let Some(group) = self.groups.get_mut(group as usize) {
+                group.snapshots.is_wanted = true;
+            }
+        }
+        match done.result {
+            Ok(StorageStep::Written) => self.written(),
+            Ok(StorageStep::Compacted { group, metadata }) => {
+                self.groups[group as usize].compacted(&metadata);
+            }
+            Err(error) => return Err(format!("store: {error}")),
+        }
+        Ok(())
+    }
+
+    /// The order must hold: the replica first learns that its own copy is synced, then its
+    /// acknowledgements go out.
+    fn written(&mut self) {
+        let after = self.writes.finished();
+        for (group, number) in after.numbers {
+            self.groups[group as usize].replica.persisted(number);
+        }
+        for (group, messages) in after.messages {
+            self.send_all(group, messages);
+        }
+    }
+
+    /// Writes the first entry of a new deployment, unless this replica holds one by now.
+    async fn form(&mut self, voters: BTreeSet<ReplicaId>) -> Result<(), Failure> {
+        let is_blank = self.groups.iter().all(Group::is_blank) && self.writes.is_idle();
+        if !is_blank || !voters.contains(&self.id) {
+            return Ok(());
+        }
+        let start = Restored::bootstrap(voters);
+        let writes = self.groups.iter().map(|group| GroupWrite {
+            group: group.number,
+            hard_state: Some(start.hard_state),
+            entries: start.entries.clone(),
+            snapshot: None,
+        });
+        self.storage.submit(StorageJob::Write(writes.collect()));
+        // The replica may take part only once its first entry is synced.
+        match self.finished.recv().await {
+            Some(done) => done.result.map_err(|error| format!("store: {error}"))?,
+            None => return Err("store: the storage thread ended".to_owned()),
+        };
+        for group in &mut self.groups {
+            group.replica = Replica::new(self.config.consensus(), self.id, start.clone());
+        }
+        Ok(())
+    }
+
+    fn publish_leadership(&self, now: Instant) {
+        let status = self.groups[0].replica.status();
+        let is_leader = self.groups[0].is_leader;
+        let is_formed = !status.membership.voters.is_empty();
+        self.published.send_if_modified(|published| {
+            let before = published.clone();
+            published.leader = status.leader;
+            published.is_formed = is_formed;
+            published.leading_since = match published.leading_since {
+                Some(since) if is_leader => Some(since),
+                _ => is_leader.then_some(now),
+            };
+            *published != before
+        });
+    }
+
+    fn publish_revision(&self) {
+        let revision = read(&self.state, crate::shared::SharedState::revision);
+        self.published.send_if_modified(|published| {
+            let is_new = published.revision != revision;
+            published.revision = revision;
+            is_new
+        });
+    }
+
+    fn fail_pending(&mut self) {
+        for group in &mut self.groups {
+            group.pending.fail_all();
+        }
+    }
+}
+
+fn restore_groups(
+    config: &Config,
+    id: ReplicaId,
+    state: &SharedHandle,
+    mut stored: BTreeMap<u32, RestoredGroup>,
+) -> Result<Vec<Group>, StartError> {
+    check_group_count(config, &stored)?;
+    let mut groups = Vec::new();
+    for number in 0..=config.ledger_groups {
+        let stored = stored.remove(&number).unwrap_or_default();
+        let machine = match number {
+            0 => Machine::Shared(Arc::clone(state)),
+            _ => Machine::Ledger(Box::<LedgerState>::default()),
+        };
+        let replica = Replica::new(config.consensus(), id, stored.restored.clone());
+        let group = Group::new(number, replica, machine, &stored);
+        let group = group.map_err(|source| StartError::Restore {
+            group: number,
+            source,
+        })?;
+        groups.push(group);
+    }
+    Ok(groups)
+}
+
+/// Keys are spread by the number of groups: with another number a key would be looked for in a
+/// group that does not hold it, and could be claimed a second time.
+fn check_group_count(
+    config: &Config,
+    stored: &BTreeMap<u32, RestoredGroup>,
+) -> Result<(), StartError> {
+    let Some((highest, _)) = stored.last_key_value() else {
+        return Ok(());
+    };
+    if *highest == config.ledger_groups {
+        return Ok(());
+    }
+    Err(StartError::LedgerGroups {
+        stored: *highest,
+        configured: config.ledger_groups,
+    })
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/snapshots.rs
@@ -0,0 +1,86 @@
+//! When snapshots of the state machines are taken, and how they reach the disk.
+
+use sablehaven_consensus::SnapshotMetadata;
+use sablehaven_storage::{PreparedSnapshot, StorageError};
+
+use super::{
+    group::Group,
+    input::Input,
+    run::{Driver, Failure},
+    storage_thread::StorageJob,
+};
+
+impl Driver {
+    /// Starts the snapshots that are due. The state is encoded here, and written by another thread
+    /// so that the log goes on meanwhile.
+    pub(super) fn start_due_snapshots(&mut self) -> Result<(), Failure> {
+        for position in 0..self.groups.len() {
+            if self.is_snapshot_due(&self.groups[position]) {
+                self.start_snapshot(position)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn is_snapshot_due(&self, group: &Group) -> bool {
+        let schedule = &group.snapshots;
+        let entries = group.applied.saturating_sub(schedule.index);
+        let is_due = entries >= self.config.snapshot_entries
+            || schedule.bytes >= self.config.snapshot_bytes
+            || schedule.is_wanted;
+        is_due && entries > 0 && !schedule.is_running
+    }
+
+    fn start_snapshot(&mut self, position: usize) -> Result<(), Failure> {
+        let group = &mut self.groups[position];
+        let snapshot = group.take_snapshot();
+        let snapshot = snapshot.map_err(|error| format!("take snapshot: {error}"))?;
+        let Some(snapshot) = snapshot else {
+            return Ok(());
+        };
+        group.snapshots.is_running = true;
+        group.snapshots.bytes = 0;
+        let number = group.number;
+        let writer = self.snapshot_writer.clone();
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let metadata = snapshot.metadata.clone();
+            let written =
+                tokio::task::spawn_blocking(move || writer.write(number, &snapshot)).await;
+            let Ok(result) = written else {
+                log::error!("write snapshot of group {number}: the task panicked");
+                return;
+            };
+            let input = Input::SnapshotPrepared {
+                group: number,
+                metadata,
+                result,
+            };
+            // An ended driver needs no snapshot.
+            handle.send(input).await;
+        });
+        Ok(())
+    }
+
+    /// A snapshot that could not be written leaves the log as it is; the next one is tried later.
+    pub(super) fn take_prepared_snapshot(
+        &mut self,
+        group: u32,
+        metadata: SnapshotMetadata,
+        result: Result<PreparedSnapshot, StorageError>,
+    ) {
+        match result {
+            Ok(prepared) => self.submit(StorageJob::Compact {
+                group,
+                metadata,
+                prepared,
+            }),
+            Err(error) => {
+                log::error!("write snapshot of group {group}: {error}");
+                let schedule = &mut self.groups[group as usize].snapshots;
+                schedule.is_running = false;
+                schedule.is_wanted = false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/status.rs
@@ -0,0 +1,40 @@
+//! What the driver tells the servers.
+
+use std::time::Instant;
+
+use sablehaven_consensus::{ReplicaId, Status};
+
+/// What the servers follow; published on each change.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Published {
+    /// The leader of group 0, where known.
+    pub(crate) leader: Option<ReplicaId>,
+    /// Since when this replica leads group 0, if it does.
+    pub(crate) leading_since: Option<Instant>,
+    /// The latest revision of the shared state.
+    pub(crate) revision: u64,
+    /// Whether this replica holds the log of a deployment.
+    pub(crate) is_formed: bool,
+    /// Why the driver ended, if it did.
+    pub(crate) failure: Option<String>,
+}
+
+impl Published {
+    pub(crate) fn is_leader(&self) -> bool {
+        self.leading_since.is_some()
+    }
+}
+
+/// The state of every group.
+#[derive(Clone, Debug)]
+pub(crate) struct DriverStatus {
+    pub(crate) groups: Vec<GroupState>,
+}
+
+/// The state of one group.
+#[derive(Clone, Debug)]
+pub(crate) struct GroupState {
+    pub(crate) group: u32,
+    pub(crate) replica: Status,
+    pub(crate) applied: u64,
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/storage_thread.rs
@@ -0,0 +1,103 @@
+//! The thread that writes and syncs: one job at a time, in order.
+
+use std::{sync::mpsc as std_mpsc, thread::JoinHandle};
+
+use sablehaven_consensus::SnapshotMetadata;
+use sablehaven_storage::{GroupWrite, PreparedSnapshot, Storage, StorageCounters, StorageError};
+use tokio::sync::mpsc;
+
+/// A job for the storage thread.
+pub(crate) enum StorageJob {
+    /// Write and sync one batch.
+    Write(Vec<GroupWrite>),
+    /// Bring a snapshot into force.
+    Compact {
+        group: u32,
+        metadata: SnapshotMetadata,
+        prepared: PreparedSnapshot,
+    },
+}
+
+/// A finished job.
+pub(crate) struct StorageDone {
+    pub(crate) result: Result<StorageStep, StorageError>,
+    pub(crate) counters: StorageCounters,
+    /// Groups whose entries keep old segments.
+    pub(crate) to_compact: Vec<u32>,
+}
+
+/// What has been done.
+pub(crate) enum StorageStep {
+    Written,
+    Compacted {
+        group: u32,
+        metadata: SnapshotMetadata,
+    },
+}
+
+/// The handle of the storage thread.
+pub(crate) struct StorageThread {
+    jobs: std_mpsc::Sender<StorageJob>,
+    thread: JoinHandle<()>,
+}
+
+impl StorageThread {
+    /// Starts the thread; finished jobs go to the returned receiver.
+    pub(crate) fn start(
+        storage: Storage,
+    ) -> std::io::Result<(Self, mpsc::UnboundedReceiver<StorageDone>)> {
+        let (jobs, queue) = std_mpsc::channel();
+        let (done, finished) = mpsc::unbounded_channel();
+        let thread = std::thread::Builder::new()
+            .name("storage".to_owned())
+            .spawn(move || run(storage, &queue, &done))?;
+        Ok((Self { jobs, thread }, finished))
+    }
+
+    /// Queues a job. After the thread has ended the job is dropped, and so is its answer.
+    pub(crate) fn submit(&self, job: StorageJob) {
+        let _ = self.jobs.send(job);
+    }
+
+    /// Finishes the queued jobs and closes the data folder.
+    pub(crate) async fn stop(self) {
+        drop(self.jobs);
+        let thread = self.thread;
+        let joined = tokio::task::spawn_blocking(move || thread.join()).await;
+        if !matches!(joined, Ok(Ok(()))) {
+            log::error!("stop storage: the storage thread panicked");
+        }
+    }
+}
+
+fn run(
+    mut storage: Storage,
+    queue: &std_mpsc::Receiver<StorageJob>,
+    done: &mpsc::UnboundedSender<StorageDone>,
+) {
+    while let Ok(job) = queue.recv() {
+        let result = perform(&mut storage, job);
+        let finished = StorageDone {
+            result,
+            counters: storage.counters(),
+            to_compact: storage.groups_to_compact(),
+        };
+        if done.send(finished).is_err() {
+            return;
+        }
+    }
+}
+
+fn perform(storage: &mut Storage, job: StorageJob) -> Result<StorageStep, StorageError> {
+    match job {
+        StorageJob::Write(batch) => storage.write(&batch).map(|()| StorageStep::Written),
+        StorageJob::Compact {
+            group,
+            metadata,
+            prepared,
+        } => {
+            storage.compact_to(prepared)?;
+            Ok(StorageStep::Compacted { group, metadata })
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/writes.rs
@@ -0,0 +1,134 @@
+//! Writes on their way to the disk: readies of all groups, batched into one sync.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use sablehaven_consensus::{Entry, HardState, Message, ReplicaId, Snapshot};
+use sablehaven_storage::GroupWrite;
+
+/// Messages of one group that wait for a sync.
+pub(crate) type GroupMessages = Vec<(ReplicaId, Message)>;
+
+/// What is due once a batch is synced.
+#[derive(Debug, Default)]
+pub(crate) struct AfterSync {
+    /// The latest ready of each group that the batch holds.
+    pub(crate) numbers: BTreeMap<u32, u64>,
+    /// Messages that waited for the sync, by group, in order.
+    pub(crate) messages: Vec<(u32, GroupMessages)>,
+}
+
+/// A batch of writes for many groups, each at most once.
+#[derive(Debug, Default)]
+struct Batch {
+    writes: BTreeMap<u32, GroupWrite>,
+    after: AfterSync,
+}
+
+/// Batches that wait, oldest first, and the one that is being written.
+///
+/// Writes reach the disk in the order of their readies, and a message that waits for a sync is
+/// released only with the batch of its own ready, or of the latest before it: otherwise a vote or an
+/// acknowledgement could be forgotten in a crash, and a committed entry lost.
+#[derive(Debug, Default)]
+pub(crate) struct WriteQueue {
+    waiting: VecDeque<Batch>,
+    in_flight: Option<AfterSync>,
+}
+
+/// What one ready wants written.
+#[derive(Debug)]
+pub(crate) struct ReadyWrite {
+    pub(crate) number: u64,
+    pub(crate) hard_state: Option<HardState>,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) snapshot: Option<Snapshot>,
+}
+
+impl WriteQueue {
+    /// Queues the writes of a ready with the messages that wait for them.
+    pub(crate) fn push(&mut self, group: u32, write: ReadyWrite, messages: GroupMessages) {
+        let fits = self.waiting.back().is_some_and(|batch| {
+            let known = batch.writes.get(&group);
+            known.is_none_or(|known| can_merge(known, &write))
+        });
+        if !fits {
+            self.waiting.push_back(Batch::default());
+        }
+        if let Some(batch) = self.waiting.back_mut() {
+            batch.add(group, write, messages);
+        }
+    }
+
+    /// Queues messages of a ready without writes. Returns them if nothing is left to be synced
+    /// before them.
+    pub(crate) fn push_messages(
+        &mut self,
+        group: u32,
+        messages: GroupMessages,
+    ) -> Option<GroupMessages> {
+        let latest = self.waiting.iter_mut().rev();
+        let mut batches = latest.filter(|batch| batch.writes.contains_key(&group));
+        if let Some(batch) = batches.next() {
+            batch.after.messages.push((group, messages));
+            return None;
+        }
+        match &mut self.in_flight {
+            Some(after) if after.numbers.contains_key(&group) => {
+                after.messages.push((group, messages));
+                None
+            }
+            _ => Some(messages),
+        }
+    }
+
+    /// The next batch to write, unless one is being written.
+    pub(crate) fn start_next(&mut self) -> Option<Vec<GroupWrite>> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let batch = self.waiting.pop_front()?;
+        self.in_flight = Some(batch.after);
+        Some(batch.writes.into_values().collect())
+    }
+
+    /// The batch that was being written is synced.
+    pub(crate) fn finished(&mut self) -> AfterSync {
+        self.in_flight.take().unwrap_or_default()
+    }
+
+    /// Whether everything is synced.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_flight.is_none() && self.waiting.is_empty()
+    }
+}
+
+/// A snapshot replaces the whole log, so it stays a write of its own.
+fn can_merge(known: &GroupWrite, write: &ReadyWrite) -> bool {
+    known.snapshot.is_none() && write.snapshot.is_none()
+}
+
+impl Batch {
+    fn add(&mut self, group: u32, write: ReadyWrite, messages: GroupMessages) {
+        self.after.numbers.insert(group, write.number);
+        if !messages.is_empty() {
+            self.after.messages.push((group, messages));
+        }
+        let known = self.writes.entry(group).or_insert_with(|| GroupWrite {
+            group,
+            ..GroupWrite::default()
+        });
+        known.hard_state = write.hard_state.or(known.hard_state);
+        known.snapshot = write.snapshot.or(known.snapshot.take());
+        append(&mut known.entries, write.entries);
+    }
+}
+
+/// Appends entries, which replace those from the first one's index on.
+fn append(entries: &mut Vec<Entry>, new: Vec<Entry>) {
+    let Some(first) = new.first() else {
+        return;
+    };
+    let kept = entries.partition_point(|entry| entry.index < first.index);
+    entries.truncate(kept);
+    entries.extend(new);
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/leader/platform.rs
@@ -0,0 +1,124 @@
+//! Polls the platform's list of machines.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::{
+    PlatformConfig,
+    driver::{ProposeError, read},
+    membership::{PlatformAbsences, PlatformList},
+    server::Context,
+    shared::SharedCommand,
+};
+
+/// Time that one poll may take.
+const POLL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The largest list that is taken, in bytes; 7,100 machines take about 2 MB.
+const MAXIMUM_LIST_BYTES: usize = 32 * 1024 * 1024;
+
+/// Errors of a poll; each names the step and the platform's address.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+enum PollError {
+    /// poll platform list at {url}: {source}
+    Request {
+        /// The platform.
+        url: String,
+        /// The cause.
+        source: reqwest::Error,
+    },
+    /// poll platform list at {url}: more than {limit} bytes
+    TooLarge {
+        /// The platform.
+        url: String,
+        /// The limit, in bytes.
+        limit: usize,
+    },
+    /// decode platform list of {url}: {source}
+    Decode {
+        /// The platform.
+        url: String,
+        /// The cause.
+        source: serde_json::Error,
+    },
+    /// record platform list of {url}: {source}
+    Propose {
+        /// The platform.
+        url: String,
+        /// The cause.
+        source: ProposeError,
+    },
+}
+
+/// Polls while this replica leads, until it stops. The list lags and a poll may fail: what is known
+/// stays in force meanwhile.
+pub(crate) async fn poll_platform(context: Arc<Context>, config: PlatformConfig) {
+    let client = match reqwest::Client::builder().timeout(POLL_TIMEOUT).build() {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!("set up platform client: {error}");
+            return;
+        }
+    };
+    let mut ticker = interval(Duration::from_millis(config.poll_interval_ms));
+    ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut absences = PlatformAbsences::default();
+    loop {
+        ticker.tick().await;
+        if !context.is_leader() {
+            absences = PlatformAbsences::default();
+            continue;
+        }
+        if let Err(error) = poll(&context, &client, &config.url, &mut absences).await {
+            log::warn!("{error}");
+            context.metrics.error("poll_platform");
+        }
+    }
+}
+
+async fn poll(
+    context: &Context,
+    client: &reqwest::Client,
+    url: &str,
+    absences: &mut PlatformAbsences,
+) -> Result<(), PollError> {
+    let list = fetch(client, url).await?;
+    let update = read(&context.state, |state| {
+        absences.compare(&list, state.membership())
+    });
+    if update.is_empty() {
+        return Ok(());
+    }
+    let proposed = context
+        .driver
+        .propose(SharedCommand::Platform(update))
+        .await;
+    proposed.map(|_| ()).map_err(|source| PollError::Propose {
+        url: url.to_owned(),
+        source,
+    })
+}
+
+async fn fetch(client: &reqwest::Client, url: &str) -> Result<PlatformList, PollError> {
+    let request_error = |source| PollError::Request {
+        url: url.to_owned(),
+        source,
+    };
+    let response = client.get(url).send().await.map_err(request_error)?;
+    let mut response = response.error_for_status().map_err(request_error)?;
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.map_err(request_error)? {
+        body.extend_from_slice(&chunk);
+        if body.len() > MAXIMUM_LIST_BYTES {
+            return Err(PollError::TooLarge {
+                url: url.to_owned(),
+                limit: MAXIMUM_LIST_BYTES,
+            });
+        }
+    }
+    serde_json::from_slice(&body).map_err(|source| PollError::Decode {
+        url: url.to_owned(),
+        source,
+    })
+}
--- a/crates/sablehaven-control/src/lib.rs
+++ b/crates/sablehaven-control/src/lib.rs
@@ -4,9 +4,23 @@
 //! groups 1 and up hold [`ledger::LedgerState`], keys spread over them by hash. The state machines
 //! are pure: a command carries its proposer's time, and applying it gives the same on every replica.
 
+mod clock;
 pub mod codec;
+mod config;
 pub mod configuration;
+mod driver;
+mod error;
+mod leader;
 pub mod ledger;
 pub mod membership;
+mod metrics;
+pub mod operator;
+mod peers;
+mod relays;
 pub mod replicas;
+mod server;
 pub mod shared;
+
+pub use config::{Config, PlatformConfig};
+pub use error::StartError;
+pub use server::{Handle, Listeners, start, start_on};
--- /dev/null
+++ b/crates/sablehaven-control/src/metrics.rs
@@ -0,0 +1,126 @@
+//! What a control replica counts.
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+use sablehaven_storage::StorageCounters;
+use sablehaven_telemetry::Telemetry;
+
+/// Names a kind of event.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct KindLabel {
+    kind: &'static str,
+}
+
+/// The metrics of one replica; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Metrics {
+    pub(crate) entries_applied: Counter,
+    pub(crate) peer_messages_sent: Counter,
+    pub(crate) peer_messages_dropped: Counter,
+    pub(crate) leases_granted: Counter,
+    pub(crate) leases_refused: Counter,
+    pub(crate) ledger_calls: Counter,
+    pub(crate) observations_dropped: Counter,
+    pub(crate) relays: Gauge,
+    pub(crate) agents: Gauge,
+    pub(crate) leading: Gauge,
+    pub(crate) revision: Gauge,
+    errors: Family<KindLabel, Counter>,
+    log_syncs: Gauge,
+    log_bytes: Gauge,
+    snapshots: Gauge,
+}
+
+impl Metrics {
+    /// Registers the metrics under `control_`.
+    pub(crate) fn register(telemetry: &Telemetry) -> Self {
+        let metrics = Self::default();
+        telemetry.register(|registry| metrics.add_to(registry));
+        metrics
+    }
+
+    fn add_to(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("control");
+        let mut counter = |name: &str, help: &str, counter: &Counter| {
+            registry.register(name, help, counter.clone());
+        };
+        counter(
+            "entries_applied",
+            "Log entries applied, all groups",
+            &self.entries_applied,
+        );
+        counter(
+            "peer_messages_sent",
+            "Consensus messages handed to connections",
+            &self.peer_messages_sent,
+        );
+        counter(
+            "peer_messages_dropped",
+            "Consensus messages dropped: no connection, or its queue was full",
+            &self.peer_messages_dropped,
+        );
+        counter(
+            "leases_granted",
+            "Proofs of leadership given to relays",
+            &self.leases_granted,
+        );
+        counter(
+            "leases_refused",
+            "Requests for a proof that this replica could not give",
+            &self.leases_refused,
+        );
+        counter(
+            "ledger_calls",
+            "Ledger calls received from relays",
+            &self.ledger_calls,
+        );
+        counter(
+            "observations_dropped",
+            "Agents' observations dropped: not the leader, or too many",
+            &self.observations_dropped,
+        );
+        let help = "Errors of the leader's duties, by kind";
+        registry.register("errors", help, self.errors.clone());
+        let mut gauge = |name: &str, help: &str, gauge: &Gauge| {
+            registry.register(name, help, gauge.clone());
+        };
+        gauge("relays", "Connected relays", &self.relays);
+        gauge("agents", "Agents behind connected relays", &self.agents);
+        gauge(
+            "leading",
+            "1 while this replica leads group 0",
+            &self.leading,
+        );
+        gauge("revision", "Revision of the shared state", &self.revision);
+        gauge(
+            "log_syncs",
+            "Syncs of the log since the start",
+            &self.log_syncs,
+        );
+        gauge(
+            "log_bytes",
+            "Bytes of the log since the start",
+            &self.log_bytes,
+        );
+        gauge(
+            "snapshots",
+            "Snapshots stored since the start",
+            &self.snapshots,
+        );
+    }
+
+    /// Takes over what the storage has counted.
+    pub(crate) fn storage(&self, counters: &StorageCounters) {
+        self.log_syncs.set(counters.log_syncs as i64);
+        self.log_bytes.set(counters.log_bytes as i64);
+        self.snapshots.set(counters.snapshots as i64);
+    }
+
+    /// Counts an error of the leader's duties.
+    pub(crate) fn error(&self, kind: &'static str) {
+        self.errors.get_or_create(&KindLabel { kind }).inc();
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/operator/changes.rs
@@ -0,0 +1,191 @@
+//! Calls that change something.
+
+use std::net::SocketAddr;
+
+use sablehaven_consensus::ReplicaId;
+use sablehaven_types::{
+    ApplyCommand, ApplyOutcome, ClaimAnswer, LedgerKey, LedgerReply, LedgerRequest,
+};
+use tokio::sync::mpsc;
+
+use super::{
+    handlers::CallError,
+    types::{AddReplica, RemoveReplica, ReplaceReplica, TransferLeadership, TransferStarted},
+    validity,
+};
+use crate::{
+    clock,
+    driver::{HandOverError, Input, ProposeError, read},
+    peers::{Introduction, probe},
+    replicas::{ChangeKind, ReplacementOrder, ReplicasCommand, ReplicasOutcome},
+    server::Context,
+    shared::{SharedCommand, SharedOutcome},
+};
+
+/// Applies an operator's command, unless it is invalid.
+pub(super) async fn apply(
+    context: &Context,
+    command: ApplyCommand,
+) -> Result<ApplyOutcome, CallError> {
+    context.require_proof().await?;
+    let (first, next) = read(&context.state, |state| {
+        let configuration = state.configuration();
+        let first = configuration.remembered(&command);
+        let is_current = command.expected_version == configuration.current().version;
+        let next = is_current.then(|| configuration.preview(&command.change));
+        (first, next)
+    });
+    if let Some(first) = first {
+        return Ok(first);
+    }
+    // Outside the lock: parsing a schema takes milliseconds.
+    let reasons = validity::reasons_against(&command, next);
+    if !reasons.is_empty() {
+        return Ok(ApplyOutcome::Invalid { reasons });
+    }
+    let command = SharedCommand::Configuration {
+        command,
+        proposed_at_ms: clock::unix_ms(),
+    };
+    match propose(context, command).await? {
+        SharedOutcome::Configuration(outcome) => Ok(outcome),
+        _ => Err(CallError::Unavailable {
+            reason: "apply: the log answered for another command".to_owned(),
+        }),
+    }
+}
+
+pub(super) async fn add(
+    context: &Context,
+    request: AddReplica,
+) -> Result<ReplicasOutcome, CallError> {
+    context.require_proof().await?;
+    match newcomer(context, request.address).await? {
+        Ok(newcomer) => {
+            let replica = newcomer.replica;
+            begin(context, ChangeKind::Add { replica }, Some(newcomer)).await
+        }
+        Err(refused) => Ok(refused),
+    }
+}
+
+pub(super) async fn remove(
+    context: &Context,
+    request: RemoveReplica,
+) -> Result<ReplicasOutcome, CallError> {
+    context.require_proof().await?;
+    let kind = ChangeKind::Remove {
+        replica: request.replica,
+    };
+    begin(context, kind, None).await
+}
+
+pub(super) async fn replace(
+    context: &Context,
+    request: ReplaceReplica,
+) -> Result<ReplicasOutcome, CallError> {
+    context.require_proof().await?;
+    let newcomer = match newcomer(context, request.address).await? {
+        Ok(newcomer) => newcomer,
+        Err(refused) => return Ok(refused),
+    };
+    let order = replacement_order(context, request.old).await;
+    let kind = ChangeKind::Replace {
+        old: request.old,
+        new: newcomer.replica,
+        order,
+    };
+    begin(context, kind, Some(newcomer)).await
+}
+
+async fn begin(
+    context: &Context,
+    kind: ChangeKind,
+    newcomer: Option<Introduction>,
+) -> Result<ReplicasOutcome, CallError> {
+    let command = SharedCommand::Replicas(ReplicasCommand::Begin {
+        kind,
+        addresses: newcomer.map(|newcomer| newcomer.addresses),
+    });
+    match propose(context, command).await? {
+        SharedOutcome::Replicas(outcome) => Ok(outcome),
+        _ => Err(CallError::Unavailable {
+            reason: "change of replicas: the log answered for another command".to_owned(),
+        }),
+    }
+}
+
+/// Who listens at an address; a replica that holds a log cannot be added, only a new one.
+async fn newcomer(
+    context: &Context,
+    address: SocketAddr,
+) -> Result<Result<Introduction, ReplicasOutcome>, CallError> {
+    let refuse = |reason: String| Ok(Err(ReplicasOutcome::Refused { reason }));
+    match probe(&context.peers, address).await {
+        Ok(introduction) if introduction.is_formed => refuse(format!(
+            "replica {} at {address} holds a log already; only a new data folder can be added",
+            introduction.replica
+        )),
+        Ok(introduction) => Ok(Ok(introduction)),
+        Err(error) => refuse(format!("ask replica at {address}: {error}")),
+    }
+}
+
+/// With the old replica alive its vote is kept until the new one has its own; see
+/// [`ReplacementOrder`].
+async fn replacement_order(context: &Context, old: ReplicaId) -> ReplacementOrder {
+    let status = context.driver.status().await;
+    let shared = status.as_ref().and_then(|status| status.groups.first());
+    let is_alive = shared.is_some_and(|shared| {
+        let peer = shared.replica.peers.get(&old);
+        old == context.replica || peer.is_some_and(|peer| peer.active)
+    });
+    if is_alive {
+        ReplacementOrder::PromoteFirst
+    } else {
+        ReplacementOrder::RemoveFirst
+    }
+}
+
+pub(super) async fn transfer(
+    context: &Context,
+    request: TransferLeadership,
+) -> Result<TransferStarted, CallError> {
+    let TransferLeadership { group, to } = request;
+    match context.driver.transfer(group, to).await {
+        Ok(()) => Ok(TransferStarted { group, to }),
+        Err(HandOverError::Refused(sablehaven_consensus::TransferError::NotLeader { .. })) => {
+            Err(CallError::NotLeader)
+        }
+        Err(error) => Err(CallError::Refused {
+            reason: error.to_string(),
+        }),
+    }
+}
+
+/// Reads a ledger key through the log.
+pub(super) async fn look_up(context: &Context, key: LedgerKey) -> Result<ClaimAnswer, CallError> {
+    if !context.is_leader() {
+        return Err(CallError::NotLeader);
+    }
+    let (replies, mut received) = mpsc::unbounded_channel();
+    let calls = vec![(0, LedgerRequest::LookUp { key })];
+    context.driver.send(Input::Ledger { calls, replies }).await;
+    let reply = received.recv().await.and_then(|mut batch| batch.pop());
+    match reply {
+        Some((_, LedgerReply::Claim(answer))) => Ok(answer),
+        _ => Err(CallError::Unavailable {
+            reason: "look up ledger key: no leader answered".to_owned(),
+        }),
+    }
+}
+
+async fn propose(context: &Context, command: SharedCommand) -> Result<SharedOutcome, CallError> {
+    match context.driver.propose(command).await {
+        Ok(outcome) => Ok(outcome),
+        Err(ProposeError::NotLeader) => Err(CallError::NotLeader),
+        Err(error) => Err(CallError::Unavailable {
+            reason: error.to_string(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/peers/incoming.rs
@@ -0,0 +1,43 @@
+//! Connections that other replicas dialled: their messages go to the driver.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::introduction::{PeerConnection, PeerContext, PeerError, PeerPayload, alive, decode};
+use crate::driver::Input;
+
+/// Time without any message after which a dialler is given up; it sends signs of life meanwhile.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Receives from another replica until the connection ends.
+pub(crate) async fn receive_from_peer(
+    context: &PeerContext,
+    mut connection: PeerConnection,
+) -> Result<(), PeerError> {
+    let peer = connection.peer_address.to_string();
+    let theirs = context.introduce(&mut connection).await?;
+    loop {
+        let received = timeout(SILENCE_LIMIT, connection.reader.receive()).await;
+        let Ok(received) = received else {
+            return Err(PeerError::Silent { peer });
+        };
+        let received = received?;
+        match decode(&received, &peer)? {
+            PeerPayload::Consensus { to, message } if to == context.replica => {
+                let input = Input::Peer {
+                    from: theirs.replica,
+                    group: received.group,
+                    message,
+                };
+                if !context.driver.send(input).await {
+                    return Ok(());
+                }
+            }
+            // Meant for the replica whose disk was here before.
+            PeerPayload::Consensus { .. } => {}
+            PeerPayload::Alive => connection.writer.send(&alive(&peer)?).await?,
+            PeerPayload::Introduction(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/peers/introduction.rs
@@ -0,0 +1,245 @@
+//! What replicas tell each other before anything else, and what they remember of it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use sablehaven_consensus::{Message, ReplicaId};
+use sablehaven_wire::{Connection, Hello, PROTOCOL_VERSION, PeerMessage, Role, WireError, connect};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use crate::{
+    Config,
+    codec::{self, CodecError},
+    driver::DriverHandle,
+    replicas::ReplicaAddresses,
+};
+
+/// Time for the other side's introduction.
+const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Introductions and signs of life belong to no consensus group.
+const NO_GROUP: u32 = u32::MAX;
+
+/// A connection between two control replicas.
+pub(crate) type PeerConnection = Connection<PeerMessage, PeerMessage>;
+
+/// Errors of a connection between replicas; each names the step and the peer.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub(crate) enum PeerError {
+    /// {0}
+    Wire(#[from] WireError),
+    /// message of replica {peer}: {source}
+    Codec {
+        /// The other side.
+        peer: String,
+        /// The cause.
+        source: CodecError,
+    },
+    /// introduction of replica {peer}: none came in time
+    NotIntroduced {
+        /// The other side.
+        peer: String,
+    },
+    /// introduction of replica {peer}: {reason}
+    Refused {
+        /// The other side.
+        peer: String,
+        /// What does not fit.
+        reason: String,
+    },
+    /// connection to replica {peer}: no sign of life
+    Silent {
+        /// The other side.
+        peer: String,
+    },
+}
+
+/// What replicas send each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PeerPayload {
+    /// The first message in each direction.
+    Introduction(Introduction),
+    /// A consensus message of the group in [`PeerMessage::group`].
+    Consensus {
+        /// The replica that it is for; another one must not take it as its own.
+        to: ReplicaId,
+        message: Message,
+    },
+    /// A sign of life, answered by one.
+    Alive,
+}
+
+/// Who a replica is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Introduction {
+    pub(crate) replica: ReplicaId,
+    pub(crate) addresses: ReplicaAddresses,
+    pub(crate) ledger_groups: u32,
+    /// Whether it may form a new deployment.
+    pub(crate) may_bootstrap: bool,
+    /// Whether it holds the log of a deployment.
+    pub(crate) is_formed: bool,
+    /// The first voters, where it still holds the log's first entry. A new replica that is named
+    /// writes the same entry; its disk is the one that was named, so it has voted for nobody yet.
+    pub(crate) first_voters: Option<BTreeSet<ReplicaId>>,
+}
+
+/// Where replicas are reached, as they last said; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct Directory {
+    known: Arc<Mutex<BTreeMap<ReplicaId, ReplicaAddresses>>>,
+}
+
+impl Directory {
+    /// A directory that holds this replica alone.
+    pub(crate) fn new(own: ReplicaId, addresses: ReplicaAddresses) -> Self {
+        let known = BTreeMap::from([(own, addresses)]);
+        Self {
+            known: Arc::new(Mutex::new(known)),
+        }
+    }
+
+    fn record(&self, introduction: &Introduction) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.insert(introduction.replica, introduction.addresses);
+    }
+
+    pub(crate) fn addresses(&self, replica: ReplicaId) -> Option<ReplicaAddresses> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.get(&replica).copied()
+    }
+}
+
+/// What connections between replicas need to know of their own.
+pub(crate) struct PeerContext {
+    pub(crate) config: Arc<Config>,
+    pub(crate) replica: ReplicaId,
+    pub(crate) addresses: ReplicaAddresses,
+    pub(crate) directory: Directory,
+    pub(crate) driver: DriverHandle,
+}
+
+impl PeerContext {
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            protocol_version: PROTOCOL_VERSION,
+            deployment: self.config.deployment.clone(),
+            role: Role::Control,
+            sender: self.replica.to_string(),
+        }
+    }
+
+    /// Who this replica is now; `None` when its driver has ended.
+    pub(crate) async fn introduction(&self) -> Option<Introduction> {
+        let status = self.driver.status().await?;
+        let shared = &status.groups.first()?.replica;
+        let holds_first_entry = shared.first_index <= 1 && shared.membership_index == 1;
+        let voters = &shared.membership.voters;
+        let is_blank = |group: &crate::driver::GroupState| {
+            group.replica.last_index == 0 && group.replica.term == 0
+        };
+        Some(Introduction {
+            replica: self.replica,
+            addresses: self.addresses,
+            ledger_groups: self.config.ledger_groups,
+            may_bootstrap: self.config.bootstrap,
+            is_formed: !status.groups.iter().all(is_blank),
+            first_voters: holds_first_entry.then(|| voters.clone()),
+        })
+    }
+
+    /// Sends this replica's introduction and takes the other's.
+    pub(crate) async fn introduce(
+        &self,
+        connection: &mut PeerConnection,
+    ) -> Result<Introduction, PeerError> {
+        let peer = connection.peer_address.to_string();
+        let not_introduced = PeerError::NotIntroduced { peer: peer.clone() };
+        let Some(own) = self.introduction().await else {
+            return Err(not_introduced);
+        };
+        let message = encode(NO_GROUP, &PeerPayload::Introduction(own), &peer)?;
+        connection.writer.send(&message).await?;
+        let received = timeout(INTRODUCTION_TIMEOUT, connection.reader.receive()).await;
+        let Ok(received) = received else {
+            return Err(not_introduced);
+        };
+        match decode(&received?, &peer)? {
+            PeerPayload::Introduction(theirs) => self.check(theirs, &peer),
+            _ => Err(not_introduced),
+        }
+    }
+
+    fn check(&self, theirs: Introduction, peer: &str) -> Result<Introduction, PeerError> {
+        let refuse = |reason: String| {
+            let peer = peer.to_owned();
+            Err(PeerError::Refused { peer, reason })
+        };
+        if theirs.replica == self.replica {
+            return refuse("it is this replica itself".to_owned());
+        }
+        if theirs.ledger_groups != self.config.ledger_groups {
+            return refuse(format!(
+                "it has {} ledger groups, this replica has {}",
+                theirs.ledger_groups, self.config.ledger_groups
+            ));
+        }
+        self.directory.record(&theirs);
+        Ok(theirs)
+    }
+}
+
+/// Encodes a payload for a group.
+pub(crate) fn encode(
+    group: u32,
+    payload: &PeerPayload,
+    peer: &str,
+) -> Result<PeerMessage, PeerError> {
+    let encoded = codec::encode("encode message between replicas", payload);
+    let encoded = encoded.map_err(|source| codec_error(peer, source))?;
+    Ok(PeerMessage {
+        group,
+        payload: encoded.into(),
+    })
+}
+
+/// A sign of life.
+pub(crate) fn alive(peer: &str) -> Result<PeerMessage, PeerError> {
+    encode(NO_GROUP, &PeerPayload::Alive, peer)
+}
+
+pub(crate) fn decode(message: &PeerMessage, peer: &str) -> Result<PeerPayload, PeerError> {
+    let decoded = codec::decode("decode message between replicas", &message.payload);
+    decoded.map_err(|source| codec_error(peer, source))
+}
+
+fn codec_error(peer: &str, source: CodecError) -> PeerError {
+    PeerError::Codec {
+        peer: peer.to_owned(),
+        source,
+    }
+}
+
+/// Dials a replica and exchanges introductions.
+pub(crate) async fn dial(
+    context: &PeerContext,
+    address: SocketAddr,
+) -> Result<(PeerConnection, Introduction), PeerError> {
+    let mut connection = connect(address, &context.hello(), Role::Control).await?;
+    let theirs = context.introduce(&mut connection).await?;
+    Ok((connection, theirs))
+}
+
+/// Asks who listens at an address.
+pub(crate) async fn probe(
+    context: &PeerContext,
+    address: SocketAddr,
+) -> Result<Introduction, PeerError> {
+    let (_, introduction) = dial(context, address).await?;
+    Ok(introduction)
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/peers/link.rs
@@ -0,0 +1,128 @@
+//! One outgoing connection to another replica, kept up for as long as it is wanted.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use sablehaven_consensus::{Message, ReplicaId};
+use sablehaven_wire::{FrameReader, FrameWriter, PeerMessage};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+};
+
+use super::{
+    introduction::{PeerContext, PeerError, PeerPayload, alive, dial, encode},
+    links::Links,
+};
+
+/// Pause before a lost connection is dialled again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two signs of life.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without a sign of life after which a connection is dialled anew. A connection that a
+/// network silently cut would otherwise be held by the kernel for many minutes.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Time that one write may take.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A consensus message on its way out.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    pub(super) group: u32,
+    pub(super) message: Message,
+}
+
+/// Keeps a connection to `address` up and sends on it what the queue holds.
+pub(super) async fn keep_link(
+    context: Arc<PeerContext>,
+    links: Arc<Links>,
+    address: SocketAddr,
+    mut queue: mpsc::Receiver<Outgoing>,
+    sender: mpsc::Sender<Outgoing>,
+) {
+    loop {
+        // Failures are routine here (the other side is down) and show in the status page.
+        if let Ok((connection, theirs)) = dial(&context, address).await {
+            // What waited for the last connection is stale; the replicas send it again.
+            while queue.try_recv().is_ok() {}
+            links.add_route(address, theirs.replica, sender.clone());
+            let reader = connection.reader;
+            let writer = connection.writer;
+            let pump = Pump {
+                to: theirs.replica,
+                peer: address.to_string(),
+                last_sign: Instant::now(),
+            };
+            let _ = pump.run(reader, writer, &mut queue).await;
+            links.set_down(address);
+        }
+        sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+struct Pump {
+    to: ReplicaId,
+    peer: String,
+    last_sign: Instant,
+}
+
+impl Pump {
+    async fn run(
+        mut self,
+        mut reader: FrameReader<PeerMessage>,
+        mut writer: FrameWriter<PeerMessage>,
+        queue: &mut mpsc::Receiver<Outgoing>,
+    ) -> Result<(), PeerError> {
+        let mut ticker = interval(ALIVE_INTERVAL);
+        ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                received = reader.receive() => {
+                    received?;
+                    self.last_sign = Instant::now();
+                }
+                _ = ticker.tick() => {
+                    if self.last_sign.elapsed() > SILENCE_LIMIT {
+                        return Err(PeerError::Silent { peer: self.peer });
+                    }
+                    let sign = alive(&self.peer)?;
+                    self.within_limit(writer.send(&sign)).await?;
+                }
+                Some(first) = queue.recv() => {
+                    self.send_queued(first, &mut writer, queue).await?;
+                }
+            }
+        }
+    }
+
+    /// Sends everything that is queued with one flush.
+    async fn send_queued(
+        &self,
+        first: Outgoing,
+        writer: &mut FrameWriter<PeerMessage>,
+        queue: &mut mpsc::Receiver<Outgoing>,
+    ) -> Result<(), PeerError> {
+        let mut next = Some(first);
+        while let Some(outgoing) = next {
+            let payload = PeerPayload::Consensus {
+                to: self.to,
+                message: outgoing.message,
+            };
+            let message = encode(outgoing.group, &payload, &self.peer)?;
+            self.within_limit(writer.feed(&message)).await?;
+            next = queue.try_recv().ok();
+        }
+        self.within_limit(writer.flush()).await
+    }
+
+    async fn within_limit(
+        &self,
+        send: impl Future<Output = Result<(), sablehaven_wire::WireError>>,
+    ) -> Result<(), PeerError> {
+        match timeout(SEND_TIMEOUT, send).await {
+            Ok(result) => Ok(result?),
+            Err(_) => Err(PeerError::Silent {
+                peer: self.peer.clone(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/peers/links.rs
@@ -0,0 +1,163 @@
+//! The outgoing connections of this replica, by the replica that answers at each.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, PoisonError, RwLock},
+};
+
+use sablehaven_consensus::{Message, ReplicaId};
+use tokio::{sync::mpsc, task::AbortHandle, time::interval};
+
+use super::{
+    introduction::PeerContext,
+    link::{Outgoing, keep_link},
+};
+use crate::{
+    driver::{SharedHandle, read},
+    metrics::Metrics,
+};
+
+/// Messages that may wait for one connection; more are dropped, and the replicas send them again.
+const QUEUE: usize = 4_096;
+
+/// Time between two looks at which connections are wanted.
+const REVIEW_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// The outgoing connections.
+pub(crate) struct Links {
+    routes: RwLock<BTreeMap<SocketAddr, Route>>,
+    metrics: Metrics,
+}
+
+struct Route {
+    replica: ReplicaId,
+    sender: mpsc::Sender<Outgoing>,
+    is_up: bool,
+}
+
+impl Links {
+    pub(crate) fn new(metrics: Metrics) -> Self {
+        Self {
+            routes: RwLock::new(BTreeMap::new()),
+            metrics,
+        }
+    }
+
+    /// Hands a message to a connection of the replica, or drops it: consensus allows for loss.
+    pub(crate) fn send(&self, to: ReplicaId, group: u32, message: Message) {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        let mut up = routes.values().filter(|route| route.is_up);
+        let sent = up
+            .find(|route| route.replica == to)
+            .is_some_and(|route| route.sender.try_send(Outgoing { group, message }).is_ok());
+        if sent {
+            self.metrics.peer_messages_sent.inc();
+        } else {
+            self.metrics.peer_messages_dropped.inc();
+        }
+    }
+
+    /// Whether a connection to the replica is up.
+    pub(crate) fn is_connected(&self, replica: ReplicaId) -> bool {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        let mut routes = routes.values();
+        routes.any(|route| route.is_up && route.replica == replica)
+    }
+
+    pub(super) fn add_route(
+        &self,
+        address: SocketAddr,
+        replica: ReplicaId,
+        sender: mpsc::Sender<Outgoing>,
+    ) {
+        let route = Route {
+            replica,
+            sender,
+            is_up: true,
+        };
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        routes.insert(address, route);
+    }
+
+    pub(super) fn set_down(&self, address: SocketAddr) {
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(route) = routes.get_mut(&address) {
+            route.is_up = false;
+        }
+    }
+
+    fn remove(&self, address: SocketAddr) {
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        routes.remove(&address);
+    }
+
+    /// The addresses to dial: the configured ones, and those of the shared state for replicas that
+    /// no configured address leads to.
+    fn wanted(&self, context: &PeerContext, state: &SharedHandle) -> BTreeSet<SocketAddr> {
+        let configured = &context.config.peers;
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        let reached: BTreeSet<ReplicaId> = configured
+            .iter()
+            .filter_map(|address| routes.get(address))
+            .map(|route| route.replica)
+            .collect();
+        let recorded = read(state, |state| state.replicas().replicas().clone());
+        let others = recorded
+            .into_iter()
+            .filter(|(replica, _)| *replica != context.replica && !reached.contains(replica))
+            .map(|(_, addresses)| addresses.internal);
+        configured.iter().copied().chain(others).collect()
+    }
+}
+
+/// Keeps the wanted connections up until it is dropped.
+pub(crate) async fn keep_links(context: Arc<PeerContext>, links: Arc<Links>, state: SharedHandle) {
+    let mut tasks = Tasks::default();
+    let mut ticker = interval(REVIEW_INTERVAL);
+    loop {
+        ticker.tick().await;
+        let wanted = links.wanted(&context, &state);
+        tasks.drop_unwanted(&wanted, &links);
+        for address in wanted {
+            tasks.ensure(address, &context, &links);
+        }
+    }
+}
+
+/// The tasks of the connections; ends them all when it is dropped.
+#[derive(Default)]
+struct Tasks {
+    running: BTreeMap<SocketAddr, AbortHandle>,
+}
+
+impl Tasks {
+    fn ensure(&mut self, address: SocketAddr, context: &Arc<PeerContext>, links: &Arc<Links>) {
+        if self.running.contains_key(&address) {
+            return;
+        }
+        let (sender, queue) = mpsc::channel(QUEUE);
+        let (context, links) = (Arc::clone(context), Arc::clone(links));
+        let task = tokio::spawn(keep_link(context, links, address, queue, sender));
+        self.running.insert(address, task.abort_handle());
+    }
+
+    fn drop_unwanted(&mut self, wanted: &BTreeSet<SocketAddr>, links: &Links) {
+        self.running.retain(|address, task| {
+            let is_wanted = wanted.contains(address);
+            if !is_wanted {
+                task.abort();
+                links.remove(*address);
+            }
+            is_wanted
+        });
+    }
+}
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        for task in self.running.values() {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/server/context.rs
@@ -0,0 +1,70 @@
+//! What the tasks of a replica share.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use sablehaven_consensus::ReplicaId;
+use sablehaven_wire::ControlToRelay;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Config,
+    driver::{DriverHandle, Published, SharedHandle, read},
+    membership::AgentObservation,
+    metrics::Metrics,
+    operator::CallError,
+    peers::{Links, PeerContext},
+    relays::Registry,
+    replicas::ReplicaAddresses,
+};
+
+/// What the tasks of a replica share.
+pub(crate) struct Context {
+    pub(crate) config: Arc<Config>,
+    pub(crate) replica: ReplicaId,
+    pub(crate) driver: DriverHandle,
+    pub(crate) state: SharedHandle,
+    pub(crate) published: watch::Receiver<Published>,
+    pub(crate) registry: Registry,
+    pub(crate) observations: mpsc::Sender<AgentObservation>,
+    pub(crate) peers: Arc<PeerContext>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) metrics: Metrics,
+    /// Cancelled when the replica takes no new work.
+    pub(crate) stopping: CancellationToken,
+}
+
+impl Context {
+    pub(crate) fn is_leader(&self) -> bool {
+        self.published.borrow().is_leader()
+    }
+
+    /// Has a quorum confirm that this replica leads, so that what it has applied is current.
+    pub(crate) async fn require_proof(&self) -> Result<(), CallError> {
+        match self.driver.prove_leadership().await {
+            Some(_) => Ok(()),
+            None => Err(CallError::NotLeader),
+        }
+    }
+
+    /// What a relay is told when this replica does not lead.
+    pub(crate) fn not_leader(&self) -> ControlToRelay {
+        let leader = self.other_leader().map(|addresses| addresses.internal);
+        ControlToRelay::NotLeader { leader }
+    }
+
+    /// The leader's operators' interface, where another replica leads.
+    pub(crate) fn leader_http(&self) -> Option<SocketAddr> {
+        self.other_leader().map(|addresses| addresses.http)
+    }
+
+    fn other_leader(&self) -> Option<ReplicaAddresses> {
+        let leader = self.published.borrow().leader?;
+        if leader == self.replica {
+            return None;
+        }
+        read(&self.state, |state| {
+            state.replicas().replicas().get(&leader).copied()
+        })
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/server/handle.rs
@@ -0,0 +1,90 @@
+//! A running control replica and its stop.
+
+use std::{sync::Arc, time::Duration};
+
+use sablehaven_consensus::ReplicaId;
+use sablehaven_telemetry::Telemetry;
+use sablehaven_types::BoundAddresses;
+use salvo::server::ServerHandle;
+use tokio::{task::JoinHandle, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::{context::Context, tasks::Tasks};
+
+/// Longest time for handing over leadership at a planned stop.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(5);
+
+/// Longest time for requests in flight at a planned stop.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+
+/// A running control replica.
+pub struct Handle {
+    pub(super) addresses: BoundAddresses,
+    pub(super) context: Arc<Context>,
+    pub(super) telemetry: Telemetry,
+    /// Links to replicas, the leader's duties and the accepting of connections.
+    pub(super) background: Tasks,
+    /// Connections of relays.
+    pub(super) relays: Tasks,
+    pub(super) stop_driver: CancellationToken,
+    pub(super) driver: JoinHandle<()>,
+    pub(super) http: ServerHandle,
+    pub(super) http_server: JoinHandle<()>,
+}
+
+impl Handle {
+    /// The addresses that this replica listens on.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.addresses
+    }
+
+    /// The identity of this replica's disk.
+    pub fn replica(&self) -> ReplicaId {
+        self.context.replica
+    }
+
+    /// A planned stop: not ready, leadership handed over, relays told to go, requests in flight
+    /// finished, everything synced.
+    pub async fn stop(self) {
+        self.telemetry.set_ready(false);
+        // Leadership goes first: while it does, proposals in flight are still answered.
+        let handed_over = timeout(HAND_OVER_LIMIT, self.context.driver.hand_over_all());
+        if handed_over.await.is_err() {
+            log::warn!("stop: no other replica took over leadership in time");
+        }
+        self.context.stopping.cancel();
+        self.http.stop_graceful(DRAIN_LIMIT);
+        self.relays.finish(DRAIN_LIMIT).await;
+        self.end().await;
+    }
+
+    /// Ends at once without handing anything over, as a crash would; everything is gone on return.
+    pub async fn kill(self) {
+        self.telemetry.set_ready(false);
+        self.stop_driver.cancel();
+        self.http.stop_forceful();
+        self.relays.end().await;
+        self.end().await;
+    }
+
+    /// The order must hold: whatever asks the driver ends before it.
+    async fn end(self) {
+        let http = self.http_server.await;
+        self.background.end().await;
+        self.stop_driver.cancel();
+        let driver = self.driver.await;
+        if http.is_err() || driver.is_err() {
+            log::error!("stop: a task of the replica panicked");
+        }
+    }
+
+    /// Resolves only if the replica cannot go on; says the step and the place.
+    pub async fn failed(&mut self) -> String {
+        let mut published = self.context.published.clone();
+        let failed = published.wait_for(|published| published.failure.is_some());
+        match failed.await {
+            Ok(published) => published.failure.clone().unwrap_or_default(),
+            Err(_) => "control: the driver ended".to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/server/mod.rs
@@ -0,0 +1,11 @@
+//! The process: listeners, tasks, and their start and stop.
+
+mod accept;
+mod context;
+mod handle;
+mod start;
+mod tasks;
+
+pub(crate) use context::Context;
+pub use handle::Handle;
+pub use start::{Listeners, start, start_on};
--- /dev/null
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -0,0 +1,229 @@
+//! The start of a control replica.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use sablehaven_storage::{Opened, RealDisk, Storage};
+use sablehaven_telemetry::Telemetry;
+use sablehaven_types::BoundAddresses;
+use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{accept::accept_connections, context::Context, handle::Handle, tasks::Tasks};
+use crate::{
+    Config, StartError,
+    driver::{self, Driver, DriverParts, Published, SharedHandle},
+    leader,
+    membership::AgentObservation,
+    metrics::Metrics,
+    operator,
+    peers::{Directory, Links, PeerContext, form_or_join, keep_links},
+    relays::Registry,
+    replicas::ReplicaAddresses,
+};
+
+/// Sockets that listen already.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For internal connections.
+    pub internal: TcpListener,
+    /// For the operators' interface.
+    pub http: TcpListener,
+}
+
+impl Listeners {
+    /// Listens where the settings say.
+    ///
+    /// # Errors
+    /// [`StartError::Listen`] with the address.
+    pub async fn bind(config: &Config) -> Result<Self, StartError> {
+        Ok(Self {
+            internal: listen(config.internal_listen).await?,
+            http: listen(config.http_listen).await?,
+        })
+    }
+
+    fn addresses(&self, config: &Config) -> Result<(SocketAddr, SocketAddr), StartError> {
+        let internal = local_address(&self.internal, config.internal_listen)?;
+        let http = local_address(&self.http, config.http_listen)?;
+        Ok((internal, http))
+    }
+}
+
+/// Starts a control replica.
+///
+/// # Errors
+/// See [`StartError`].
+pub async fn start(config: Config, telemetry: Telemetry) -> Result<Handle, StartError> {
+    check(&config)?;
+    let listeners = Listeners::bind(&config).await?;
+    start_on(config, telemetry, listeners).await
+}
+
+/// Starts a control replica on sockets that listen already.
+///
+/// # Errors
+/// See [`StartError`].
+pub async fn start_on(
+    config: Config,
+    telemetry: Telemetry,
+    listeners: Listeners,
+) -> Result<Handle, StartError> {
+    check(&config)?;
+    let (internal, http) = listeners.addresses(&config)?;
+    let own = ReplicaAddresses {
+        internal: config.internal_advertise.unwrap_or(internal),
+        http: config.http_advertise.unwrap_or(http),
+    };
+    let config = Arc::new(config);
+    let opened = open_storage(Arc::clone(&config)).await?;
+    let (context, driver, observations) = assemble(config, opened, own, &telemetry)?;
+    let stop_driver = CancellationToken::new();
+    let driver = tokio::spawn(driver.run(stop_driver.clone()));
+    let background = Tasks::default();
+    let relays = Tasks::default();
+    let (http_handle, http_server) = serve_http(&context, &telemetry, listeners.http, http)?;
+    spawn_background(&context, &background, observations);
+    background.spawn(accept_connections(
+        Arc::clone(&context),
+        listeners.internal,
+        background.clone(),
+        relays.clone(),
+    ));
+    telemetry.set_ready(true);
+    Ok(Handle {
+        addresses: BoundAddresses {
+            http: Some(http),
+            internal: Some(internal),
+        },
+        context,
+        telemetry,
+        background,
+        relays,
+        stop_driver,
+        driver,
+        http: http_handle,
+        http_server,
+    })
+}
+
+fn check(config: &Config) -> Result<(), StartError> {
+    let errors = config.validate("control");
+    if errors.is_empty() {
+        Ok(())
+    } else {
+        Err(StartError::Settings { errors })
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| StartError::Listen { address, source })
+}
+
+fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
+    let local = listener.local_addr();
+    local.map_err(|source| StartError::Listen { address, source })
+}
+
+/// Opening reads the whole log, so it runs apart from the tasks.
+async fn open_storage(config: Arc<Config>) -> Result<Opened, StartError> {
+    let open = move || {
+        let disk = Arc::new(RealDisk);
+        Storage::open(&config.data_folder, disk, config.storage())
+    };
+    match tokio::task::spawn_blocking(open).await {
+        Ok(opened) => opened.map_err(|source| StartError::Storage { source }),
+        Err(panicked) => std::panic::resume_unwind(panicked.into_panic()),
+    }
+}
+
+type Assembled = (Arc<Context>, Driver, mpsc::Receiver<AgentObservation>);
+
+/// Puts the parts together; nothing runs yet.
+fn assemble(
+    config: Arc<Config>,
+    opened: Opened,
+    own: ReplicaAddresses,
+    telemetry: &Telemetry,
+) -> Result<Assembled, StartError> {
+    let replica = opened.identity.replica;
+    let metrics = Metrics::register(telemetry);
+    let state = SharedHandle::default();
+    let (driver_handle, inputs) = driver::channel();
+    let (published, published_receiver) = watch::channel(Published::default());
+    let links = Arc::new(Links::new(metrics.clone()));
+    let directory = Directory::new(replica, own);
+    let driver = Driver::new(DriverParts {
+        config: Arc::clone(&config),
+        opened,
+        state: Arc::clone(&state),
+        handle: driver_handle.clone(),
+        inputs,
+        links: Arc::clone(&links),
+        directory: directory.clone(),
+        published,
+        metrics: metrics.clone(),
+    })?;
+    let peers = Arc::new(PeerContext {
+        config: Arc::clone(&config),
+        replica,
+        addresses: own,
+        directory,
+        driver: driver_handle.clone(),
+    });
+    let (observations, observation_queue) = mpsc::channel(leader::OBSERVATION_QUEUE);
+    let context = Arc::new(Context {
+        replica,
+        driver: driver_handle,
+        state,
+        published: published_receiver,
+        registry: Registry::new(config.lease_duration()),
+        config,
+        observations,
+        peers,
+        links,
+        metrics,
+        stopping: CancellationToken::new(),
+    });
+    Ok((context, driver, observation_queue))
+}
+
+fn serve_http(
+    context: &Arc<Context>,
+    telemetry: &Telemetry,
+    listener: TcpListener,
+    address: SocketAddr,
+) -> Result<(ServerHandle, JoinHandle<()>), StartError> {
+    let router = operator::router(context).push(telemetry.router());
+    let acceptor = TcpAcceptor::try_from(listener);
+    let acceptor = acceptor.map_err(|source| StartError::Listen { address, source })?;
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    let task = tokio::spawn(async move { server.serve(router).await });
+    Ok((handle, task))
+}
+
+fn spawn_background(
+    context: &Arc<Context>,
+    background: &Tasks,
+    observations: mpsc::Receiver<AgentObservation>,
+) {
+    let peers = &context.peers;
+    background.spawn(form_or_join(Arc::clone(peers)));
+    background.spawn(keep_links(
+        Arc::clone(peers),
+        Arc::clone(&context.links),
+        Arc::clone(&context.state),
+    ));
+    let observing = leader::propose_observations(Arc::clone(context), observations);
+    background.spawn(observing);
+    background.spawn(leader::propose_watchers(Arc::clone(context)));
+    if let Some(platform) = context.config.platform.clone() {
+        background.spawn(leader::poll_platform(Arc::clone(context), platform));
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-control/tests/support/mod.rs
@@ -0,0 +1,282 @@
+//! A cluster of control replicas in one process, and clients of its interfaces.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod cut;
+pub mod operator;
+pub mod relay;
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    sync::OnceLock,
+    time::Duration,
+};
+
+use sablehaven_consensus::ReplicaId;
+use sablehaven_control::{Config, Handle, Listeners, StartError, start_on};
+use sablehaven_telemetry::Telemetry;
+use sablehaven_types::{
+    ApplyCommand, BackendId, Configuration, ConfigurationChange, IndexSnapshot, RoutingSettings,
+    SchemaSource, ServiceConfiguration, ServiceName, ShardAssignment, ShardId, SnapshotId,
+};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+
+/// Longest time that a condition may take; generous, since the machine may be busy.
+pub const LIMIT: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a condition.
+pub const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+pub const SERVICE: &str = "stock.Search";
+
+const SCHEMA: &str = r#"
+syntax = "proto3";
+package stock;
+import "sablehaven/options.proto";
+option (sablehaven.deployment) = { regions: { name: "palermo" zones: ["palermo-a"] } };
+service Search {
+  option (sablehaven.service) = { maximum_shards: 64 minimum_replicas: 1 };
+  rpc Get(GetRequest) returns (GetReply) {
+    option (sablehaven.method) = { deadline_ms: 300 lookup: { key: "depot" } };
+  }
+}
+message GetRequest { string depot = 1; }
+message GetReply { string depot = 1; }
+"#;
+
+/// Shows the replicas' errors of a failing test on standard error.
+pub fn install_logger() {
+    static INSTALLED: OnceLock<()> = OnceLock::new();
+    INSTALLED.get_or_init(|| {
+        // Another logger in this process is as good.
+        let _ = Telemetry::new("control test").install_logger();
+    });
+}
+
+/// One machine of the cluster: its addresses and its disk stay when the replica on it stops.
+pub struct Machine {
+    pub config: Config,
+    pub handle: Option<Handle>,
+    listeners: Option<Listeners>,
+}
+
+/// A cluster of control replicas in one process.
+pub struct Cluster {
+    pub machines: Vec<Machine>,
+    folder: TempDir,
+}
+
+async fn listen(address: SocketAddr) -> TcpListener {
+    TcpListener::bind(address).await.expect("listen")
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Settings with short times, for tests.
+pub fn test_config(folder: &Path) -> Config {
+    Config {
+        deployment: "test".to_owned(),
+        data_folder: folder.to_owned(),
+        ledger_groups: 2,
+        lease_duration_ms: 1_500,
+        ..Config::default()
+    }
+}
+
+impl Machine {
+    /// A machine with reserved addresses, where nothing runs yet.
+    pub async fn new(folder: PathBuf) -> Self {
+        let listeners = Listeners {
+            internal: listen(any_port()).await,
+            http: listen(any_port()).await,
+        };
+        let mut config = test_config(&folder);
+        config.internal_listen = listeners.internal.local_addr().expect("address");
+        config.http_listen = listeners.http.local_addr().expect("address");
+        Self {
+            config,
+            handle: None,
+            listeners: Some(listeners),
+        }
+    }
+
+    pub async fn try_start(&mut self) -> Result<(), StartError> {
+        let listeners = match self.listeners.take() {
+            Some(listeners) => listeners,
+            None => Listeners::bind(&self.config).await?,
+        };
+        let telemetry = Telemetry::new("control");
+        let handle = start_on(self.config.clone(), telemetry, listeners).await?;
+        self.handle = Some(handle);
+        Ok(())
+    }
+
+    pub async fn start(&mut self) {
+        self.try_start().await.expect("start replica");
+    }
+
+    pub async fn kill(&mut self) {
+        self.handle.take().expect("a running replica").kill().await;
+    }
+
+    pub async fn stop(&mut self) {
+        self.handle.take().expect("a running replica").stop().await;
+    }
+
+    /// Loses everything on the disk.
+    pub fn lose_disk(&self) {
+        std::fs::remove_dir_all(&self.config.data_folder).expect("remove data folder");
+    }
+
+    pub fn replica(&self) -> ReplicaId {
+        self.handle.as_ref().expect("a running replica").replica()
+    }
+
+    pub fn http(&self) -> SocketAddr {
+        self.config.http_listen
+    }
+
+    pub fn internal(&self) -> SocketAddr {
+        self.config.internal_listen
+    }
+}
+
+impl Cluster {
+    /// Machines that know each other, where nothing runs yet.
+    pub async fn prepare(size: usize) -> Self {
+        install_logger();
+        let folder = TempDir::new().expect("temporary folder");
+        let mut machines = Vec::new();
+        for number in 0..size {
+            machines.push(Machine::new(folder.path().join(format!("machine-{number}"))).await);
+        }
+        let addresses: Vec<SocketAddr> = machines.iter().map(Machine::internal).collect();
+        for machine in &mut machines {
+            machine.config.bootstrap = true;
+            let own = machine.internal();
+            let others = addresses.iter().filter(|address| **address != own);
+            machine.config.peers = others.copied().collect();
+        }
+        Self { machines, folder }
+    }
+
+    /// A cluster that has elected a leader.
+    pub async fn start(size: usize) -> Self {
+        let mut cluster = Self::prepare(size).await;
+        cluster.start_all().await;
+        cluster.leader().await;
+        cluster
+    }
+
+    pub async fn start_all(&mut self) {
+        for machine in &mut self.machines {
+            if machine.handle.is_none() {
+                machine.start().await;
+            }
+        }
+    }
+
+    /// One more machine, with a new disk, that knows the others.
+    pub async fn add_machine(&mut self) -> usize {
+        let number = self.machines.len();
+        let folder = self.folder.path().join(format!("machine-{number}"));
+        let mut machine = Machine::new(folder).await;
+        machine.config.peers = self.machines.iter().map(Machine::internal).collect();
+        self.machines.push(machine);
+        number
+    }
+
+    pub fn operator(&self) -> operator::Operator {
+        operator::Operator::new(self.machines.iter().map(Machine::http).collect())
+    }
+
+    /// The machine whose replica leads and has recorded the members.
+    pub async fn leader(&self) -> usize {
+        let operator = self.operator();
+        wait_for("a leader", || async {
+            for (number, machine) in self.machines.iter().enumerate() {
+                let Some(handle) = &machine.handle else {
+                    continue;
+                };
+                let Some(status) = operator.try_status(machine.http()).await else {
+                    continue;
+                };
+                let leads_all = status
+                    .groups
+                    .iter()
+                    .all(|group| group.leader == Some(handle.replica()) && group.applied > 0);
+                if leads_all && !status.replicas.is_empty() {
+                    return Some(number);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// A machine whose replica runs and does not lead.
+    pub async fn follower(&self) -> usize {
+        let leader = self.leader().await;
+        let running = |number: &usize| self.machines[*number].handle.is_some();
+        let others = (0..self.machines.len()).filter(|number| *number != leader);
+        others.into_iter().find(running).expect("a follower")
+    }
+}
+
+/// Looks until there is something to see.
+pub async fn wait_for<Output, Look, Looking>(what: &str, mut look: Look) -> Output
+where
+    Look: FnMut() -> Looking,
+    Looking: Future<Output = Option<Output>>,
+{
+    let started = std::time::Instant::now();
+    loop {
+        if let Some(output) = look().await {
+            return output;
+        }
+        assert!(started.elapsed() < LIMIT, "{what}: not within {LIMIT:?}");
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+pub fn service_configuration(generation: u64) -> ServiceConfiguration {
+    ServiceConfiguration {
+        snapshot: IndexSnapshot {
+            id: SnapshotId {
+                generation,
+                partition_map: 1,
+            },
+            shards: vec![ShardAssignment {
+                shard: ShardId(0),
+                replicas: vec![BackendId::from("server-1")],
+            }],
+        },
+        routing: RoutingSettings::default(),
+    }
+}
+
+/// A valid command that makes the version after `expected_version`.
+pub fn command(id: &str, expected_version: u64) -> ApplyCommand {
+    let configuration = Configuration {
+        version: 0,
+        schema: SchemaSource {
+            file_name: "schema.proto".to_owned(),
+            text: SCHEMA.to_owned(),
+        },
+        services: [(
+            ServiceName::from(SERVICE),
+            service_configuration(expected_version + 1),
+        )]
+        .into(),
+    };
+    ApplyCommand {
+        command_id: id.into(),
+        operator: "olga".into(),
+        reason: "a test".into(),
+        expected_version,
+        change: ConfigurationChange::ReplaceAll { configuration },
+    }
+}
