Control: tests of relays' link and of replacing machines

Cause: leases, reports, ledger calls through a leader change, lost disks and replacements had no proof. Change: tests with real replicas: silent cut behind forwarders, planned stop, platform list, lost disk, replacement by phases, second failure after a repair.

--- /dev/null
+++ b/crates/sablehaven-control/tests/relays.rs
@@ -0,0 +1,366 @@
+//! The relays' link: updates, leases, ledger calls, reports, observations, the platform's list.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sablehaven_control::operator::{ControlStatus, WaitReply, paths};
+use sablehaven_types::{
+    AgentId, ApplyOutcome, BackendRecord, BackendState, ClaimAnswer, ClaimId, LedgerKey,
+    LedgerReply, LedgerRequest, Observation, ObservationKind, Placement, RecordedOutcome,
+};
+use sablehaven_wire::{AgentStatus, ControlToRelay, RelayToControl, StateUpdate};
+use support::{Cluster, SERVICE, command, cut::Forwarder, relay::Relay, wait_for};
+
+fn update(message: ControlToRelay) -> Option<StateUpdate> {
+    match message {
+        ControlToRelay::Update(update) => Some(update),
+        _ => None,
+    }
+}
+
+fn key(request: &str) -> LedgerKey {
+    let now = std::time::SystemTime::now();
+    let now = now.duration_since(std::time::UNIX_EPOCH).expect("a clock");
+    LedgerKey {
+        caller: "pantry".into(),
+        request: request.into(),
+        issued_at_ms: now.as_millis() as u64,
+    }
+}
+
+fn claim(key: &LedgerKey, claim: u64) -> LedgerRequest {
+    LedgerRequest::Claim {
+        key: key.clone(),
+        claim: ClaimId(claim),
+        fingerprint: 1,
+    }
+}
+
+fn agent_status(version: u64, lease_age_ms: u64) -> AgentStatus {
+    AgentStatus {
+        configuration_version: version,
+        placement: Placement {
+            region: "palermo".into(),
+            zone: "palermo-a".into(),
+        },
+        interest: Default::default(),
+        lease_age_ms,
+    }
+}
+
+fn report(agents: &[(&str, Option<AgentStatus>)]) -> RelayToControl {
+    let agents = agents
+        .iter()
+        .map(|(agent, status)| (AgentId::from(*agent), status.clone()));
+    RelayToControl::Agents(agents.collect())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_relay_gets_the_whole_state_then_deltas_and_is_not_taken_back() {
+    let cluster = Cluster::start(3).await;
+    let operator = cluster.operator();
+    operator.apply(&command("c0", 0)).await;
+    // Any replica serves updates.
+    let follower = cluster.follower().await;
+    let mut relay = Relay::connect(cluster.machines[follower].internal()).await;
+    relay.watch(0).await;
+    let whole = relay.receive_some(update).await;
+    assert!(whole.full && whole.schema.is_some());
+    assert_eq!(whole.configuration_version, 1);
+    operator.apply(&command("c1", 1)).await;
+    let delta = relay.receive_some(update).await;
+    assert!(!delta.full && delta.schema.is_none(), "{delta:?}");
+    assert_eq!(delta.from_revision, whole.revision);
+    assert_eq!(delta.configuration_version, 2);
+    assert!(delta.services.contains_key(&SERVICE.into()));
+    // A relay that is there already, or ahead of this replica, gets nothing.
+    let mut ahead = Relay::connect(cluster.machines[follower].internal()).await;
+    ahead.watch(delta.revision + 10).await;
+    let told = ahead.receive().await;
+    assert!(
+        matches!(told, Some(ControlToRelay::NotLeader { .. })),
+        "{told:?}"
+    );
+    assert!(ahead.is_silent_for(Duration::from_millis(300)).await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn only_the_leader_proves_and_others_name_it() {
+    let cluster = Cluster::start(3).await;
+    let operator = cluster.operator();
+    operator.apply(&command("c0", 0)).await;
+    let leader = cluster.leader().await;
+    let follower = cluster.follower().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    let grant = relay.lease(41).await.expect("a lease");
+    assert_eq!((grant.nonce, grant.configuration_version), (41, 1));
+    assert!(grant.revision > 0 && grant.duration_ms == 1_500);
+    let mut relay = Relay::connect(cluster.machines[follower].internal()).await;
+    relay.send(RelayToControl::RequestLease { nonce: 42 }).await;
+    let told = relay.receive().await;
+    let named = Some(cluster.machines[leader].internal());
+    assert_eq!(told, Some(ControlToRelay::NotLeader { leader: named }));
+}
+
+/// Three replicas whose connections to each other pass through forwarders, one for each direction.
+async fn cluster_behind_forwarders() -> (Cluster, BTreeMap<(usize, usize), Forwarder>) {
+    let mut cluster = Cluster::prepare(3).await;
+    let mut forwarders = BTreeMap::new();
+    for from in 0..3 {
+        let mut peers = Vec::new();
+        for to in (0..3).filter(|to| *to != from) {
+            let forwarder = Forwarder::start(cluster.machines[to].internal()).await;
+            peers.push(forwarder.address);
+            forwarders.insert((from, to), forwarder);
+        }
+        cluster.machines[from].config.peers = peers;
+    }
+    cluster.start_all().await;
+    cluster.leader().await;
+    (cluster, forwarders)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_silently_cut_off_leader_proves_nothing_and_takes_no_command() {
+    let (cluster, forwarders) = cluster_behind_forwarders().await;
+    let operator = cluster.operator();
+    operator.apply(&command("c0", 0)).await;
+    let leader = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    relay.lease(1).await.expect("a lease");
+    let around = |(from, to): &(usize, usize)| *from == leader || *to == leader;
+    for (_, forwarder) in forwarders.iter().filter(|(pair, _)| around(pair)) {
+        forwarder.cut();
+    }
+    // Asked after the cut, so no quorum can confirm it: the answer is never a lease.
+    assert_eq!(relay.lease(2).await, None);
+    let old = operator
+        .try_status(cluster.machines[leader].http())
+        .await
+        .expect("a status");
+    let next = wait_for("another leader", || async {
+        let others = (0..3).filter(|number| *number != leader);
+        for number in others {
+            let status = operator.try_status(cluster.machines[number].http()).await?;
+            if status.leader == Some(status.replica) {
+                return Some(number);
+            }
+        }
+        None
+    })
+    .await;
+    let rest = support::operator::Operator::new(vec![cluster.machines[next].http()]);
+    let outcome = rest.apply(&command("c1", 1)).await;
+    assert_eq!(outcome, ApplyOutcome::Accepted { version: 2 });
+    let stale = operator
+        .try_status(cluster.machines[leader].http())
+        .await
+        .expect("a status");
+    assert_eq!(stale.configuration_version, old.configuration_version);
+    for forwarder in forwarders.values() {
+        forwarder.heal();
+    }
+    wait_for("the cut-off replica to catch up", || async {
+        let status = operator.try_status(cluster.machines[leader].http()).await?;
+        (status.configuration_version == 2).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_claim_is_granted_once_through_a_leader_change() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    let keys: Vec<LedgerKey> = (0..20).map(|number| key(&format!("r{number}"))).collect();
+    for (number, key) in keys.iter().enumerate() {
+        let reply = relay.ledger(claim(key, number as u64)).await;
+        assert_eq!(reply, LedgerReply::Claim(ClaimAnswer::Granted));
+    }
+    let settled = LedgerRequest::Settle {
+        key: keys[0].clone(),
+        claim: ClaimId(0),
+        outcome: RecordedOutcome::Done { body: vec![9] },
+    };
+    assert_eq!(relay.ledger(settled).await, LedgerReply::Recorded);
+    cluster.machines[leader].kill().await;
+    let next = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[next].internal()).await;
+    for (number, key) in keys.iter().enumerate() {
+        let other = relay.ledger(claim(key, 100 + number as u64)).await;
+        let expected = match number {
+            0 => ClaimAnswer::Settled(RecordedOutcome::Done { body: vec![9] }),
+            _ => ClaimAnswer::Held,
+        };
+        assert_eq!(other, LedgerReply::Claim(expected));
+    }
+    let look_up: ClaimAnswer = cluster
+        .operator()
+        .call(reqwest::Method::POST, paths::LOOK_UP, Some(&keys[1]))
+        .await;
+    assert_eq!(look_up, ClaimAnswer::Held);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replica_that_does_not_lead_says_at_once_when_to_come_back() {
+    let cluster = Cluster::start(3).await;
+    let follower = cluster.follower().await;
+    let mut relay = Relay::connect(cluster.machines[follower].internal()).await;
+    let reply = relay.ledger(claim(&key("r"), 1)).await;
+    assert!(
+        matches!(reply, LedgerReply::Unavailable { .. }),
+        "{reply:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_planned_stop_sends_relays_away_and_answers_what_they_asked() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    relay.watch(0).await;
+    relay.lease(1).await.expect("a lease");
+    let mut calls = Vec::new();
+    for number in 0..50 {
+        calls.push((number, claim(&key(&format!("r{number}")), number)));
+    }
+    relay.send(RelayToControl::Ledger(calls)).await;
+    let handle = cluster.machines[leader].handle.take().expect("running");
+    let stopping = tokio::spawn(handle.stop());
+    let mut answered = 0;
+    let mut went_away = false;
+    while let Some(message) = relay.receive().await {
+        match message {
+            ControlToRelay::Ledger(replies) => answered += replies.len(),
+            ControlToRelay::GoAway => went_away = true,
+            _ => {}
+        }
+    }
+    stopping.await.expect("stop");
+    assert!(went_away);
+    assert_eq!(answered, 50);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn waiting_names_the_agents_that_are_behind() {
+    let cluster = Cluster::start(3).await;
+    let operator = cluster.operator();
+    operator.apply(&command("c0", 0)).await;
+    let leader = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    relay.watch(0).await;
+    let with_lease = Some(agent_status(1, 10));
+    let without_lease = Some(agent_status(0, 60_000));
+    let agents = [
+        ("ahead", with_lease),
+        ("lapsed", without_lease),
+        ("late", Some(agent_status(0, 5))),
+    ];
+    relay.send(report(&agents)).await;
+    wait_for("the report", || async {
+        let status: ControlStatus = operator.try_status(cluster.machines[leader].http()).await?;
+        (status.agents.len() == 3).then_some(())
+    })
+    .await;
+    let path = format!("{}?version=1&timeout_ms=2000", paths::WAIT);
+    let reply: WaitReply = operator.get(&path).await;
+    assert!(!reply.in_force && !reply.settling);
+    let behind: Vec<&str> = reply
+        .behind
+        .iter()
+        .map(|each| each.agent.as_str())
+        .collect();
+    assert_eq!(behind, ["late"]);
+    relay
+        .send(report(&[("late", Some(agent_status(1, 5)))]))
+        .await;
+    let reply: WaitReply = operator.get(&path).await;
+    assert!(reply.in_force, "{reply:?}");
+    // Not made yet, so not in force, whoever watches.
+    let path = format!("{}?version=2&timeout_ms=10", paths::WAIT);
+    let reply: WaitReply = operator.get(&path).await;
+    assert!(!reply.in_force);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn agents_of_a_lost_relay_count_until_their_leases_must_have_run_out() {
+    let cluster = Cluster::start(1).await;
+    let operator = cluster.operator();
+    operator.apply(&command("c0", 0)).await;
+    let mut relay = Relay::connect(cluster.machines[0].internal()).await;
+    relay.watch(0).await;
+    relay
+        .send(report(&[("gone", Some(agent_status(0, 0)))]))
+        .await;
+    wait_for("the report", || async {
+        let status = operator.try_status(cluster.machines[0].http()).await?;
+        (status.agents.len() == 1).then_some(())
+    })
+    .await;
+    drop(relay);
+    let path = format!("{}?version=1&timeout_ms=50", paths::WAIT);
+    let reply: WaitReply = operator.get(&path).await;
+    assert_eq!(reply.behind.len(), 1, "{reply:?}");
+    let path = format!("{}?version=1&timeout_ms=20000", paths::WAIT);
+    let reply: WaitReply = operator.get(&path).await;
+    assert!(reply.in_force, "{reply:?}");
+}
+
+fn machine(number: u16, state: BackendState) -> BackendRecord {
+    BackendRecord {
+        id: format!("server-{number}").into(),
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 9_000 + number).into(),
+        placement: Placement {
+            region: "palermo".into(),
+            zone: "palermo-a".into(),
+        },
+        state,
+        incarnation: 1,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_platform_list_and_observations_reach_relays() {
+    let machines: Vec<BackendRecord> = (1..5).map(|n| machine(n, BackendState::Live)).collect();
+    let platform = support::platform::Platform::start(machines).await;
+    let mut cluster = Cluster::prepare(3).await;
+    for machine in &mut cluster.machines {
+        machine.config.platform = Some(platform.config());
+    }
+    cluster.start_all().await;
+    let leader = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    relay.watch(0).await;
+    relay.send(report(&[("a", Some(agent_status(0, 0)))])).await;
+    let listed = relay.receive_some(update).await;
+    assert_eq!(listed.backends.len(), 4);
+    let drains = Observation {
+        backend: "server-2".into(),
+        service: SERVICE.into(),
+        incarnation: 1,
+        kind: ObservationKind::Draining,
+    };
+    let observations = vec![(AgentId::from("a"), drains)];
+    relay.send(RelayToControl::Observe { observations }).await;
+    let changed = |message| update(message).filter(|update| !update.backends.is_empty());
+    let drained = relay.receive_some(changed).await;
+    let record = drained.backends[&"server-2".into()]
+        .as_ref()
+        .expect("a record");
+    assert_eq!(record.state, BackendState::Leaving);
+    platform.list(vec![
+        machine(1, BackendState::Leaving),
+        machine(2, BackendState::Live),
+    ]);
+    let left = relay.receive_some(changed).await;
+    let record = left.backends[&"server-1".into()]
+        .as_ref()
+        .expect("a record");
+    assert_eq!(record.state, BackendState::Leaving);
+    let removed = relay.receive_some(changed).await;
+    assert_eq!(removed.backends[&"server-4".into()], None);
+    let known: Vec<BackendRecord> = cluster.operator().get(paths::BACKENDS).await;
+    assert_eq!(known.len(), 2);
+}
--- /dev/null
+++ b/crates/sablehaven-control/tests/replacement.rs
@@ -0,0 +1,235 @@
+//! Lost disks, replacement of machines, and failures close to a repair.
+
+mod support;
+
+use sablehaven_control::{
+    operator::{AddReplica, RemoveReplica, ReplaceReplica, paths},
+    replicas::ReplicasOutcome,
+};
+use sablehaven_types::{
+    ApplyOutcome, ClaimAnswer, ClaimId, Configuration, LedgerKey, LedgerReply, LedgerRequest,
+};
+use support::{Cluster, command, relay::Relay, wait_for};
+
+async fn apply_some(cluster: &Cluster, from: u64, count: u64) {
+    let operator = cluster.operator();
+    for version in from..from + count {
+        let outcome = operator
+            .apply(&command(&format!("c{version}"), version))
+            .await;
+        let version = version + 1;
+        assert_eq!(outcome, ApplyOutcome::Accepted { version });
+    }
+}
+
+/// Waits until no change of the replicas is under way, and every group has `voters` voters.
+async fn wait_until_changed(cluster: &Cluster, voters: usize) {
+    let leader = cluster.leader().await;
+    let operator = cluster.operator();
+    wait_for("the change of replicas", || async {
+        let status = operator.try_status(cluster.machines[leader].http()).await?;
+        let all = status
+            .groups
+            .iter()
+            .all(|group| group.voters.len() == voters && group.learners.is_empty());
+        (status.change.is_none() && all && status.replicas.len() == voters).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replica_with_a_lost_disk_waits_until_it_is_added() {
+    let mut cluster = Cluster::start(3).await;
+    apply_some(&cluster, 0, 3).await;
+    let leader = cluster.leader().await;
+    let old = cluster.machines[leader].replica();
+    cluster.machines[leader].kill().await;
+    cluster.machines[leader].lose_disk();
+    // It may bootstrap by its settings, and still forms nothing beside the deployment of the others.
+    cluster.machines[leader].start().await;
+    let new = cluster.machines[leader].replica();
+    assert_ne!(new, old);
+    let next = cluster.leader().await;
+    apply_some(&cluster, 3, 2).await;
+    let operator = cluster.operator();
+    let blank = operator
+        .try_status(cluster.machines[leader].http())
+        .await
+        .expect("a status");
+    assert!(!blank.is_formed);
+    assert!(
+        blank
+            .groups
+            .iter()
+            .all(|group| group.voters.is_empty() && group.last_index == 0)
+    );
+    let seen = operator
+        .try_status(cluster.machines[next].http())
+        .await
+        .expect("a status");
+    assert!(seen.groups[0].voters.contains(&old) && !seen.groups[0].voters.contains(&new));
+
+    let address = cluster.machines[leader].internal();
+    let outcome = operator
+        .change(paths::REPLACE, &ReplaceReplica { old, address })
+        .await;
+    assert!(
+        matches!(outcome, ReplicasOutcome::Started { .. }),
+        "{outcome:?}"
+    );
+    wait_until_changed(&cluster, 3).await;
+    // A second failure right after the repair: the new replica carries the deployment with another.
+    let third = (0..3)
+        .find(|number| *number != leader && *number != next)
+        .expect("a third");
+    cluster.machines[third].kill().await;
+    apply_some(&cluster, 5, 2).await;
+    let configuration: Configuration = operator.get(paths::CONFIGURATION).await;
+    assert_eq!(configuration.version, 7);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_running_replica_is_replaced_and_changes_come_one_at_a_time() {
+    let mut cluster = Cluster::prepare(3).await;
+    for machine in &mut cluster.machines {
+        // The newcomer must be brought up by a snapshot.
+        machine.config.snapshot_entries = 16;
+    }
+    cluster.start_all().await;
+    apply_some(&cluster, 0, 40).await;
+    let leader = cluster.leader().await;
+    let operator = cluster.operator();
+    let fourth = cluster.add_machine().await;
+    let fifth = cluster.add_machine().await;
+    cluster.machines[fifth].start().await;
+    let follower = cluster.follower().await;
+    let old = cluster.machines[follower].replica();
+    // The fourth machine does not run yet, so nobody answers there.
+    let address = cluster.machines[fourth].internal();
+    let outcome = operator
+        .change(paths::REPLACE, &ReplaceReplica { old, address })
+        .await;
+    assert!(
+        matches!(outcome, ReplicasOutcome::Refused { .. }),
+        "{outcome:?}"
+    );
+    cluster.machines[fourth].start().await;
+    let outcome = operator
+        .change(paths::REPLACE, &ReplaceReplica { old, address })
+        .await;
+    assert!(
+        matches!(outcome, ReplicasOutcome::Started { .. }),
+        "{outcome:?}"
+    );
+    let second = AddReplica {
+        address: cluster.machines[fifth].internal(),
+    };
+    // Either the first is still under way, or it is done already; never both at once.
+    let outcome = operator.change(paths::ADD, &second).await;
+    let was_busy = matches!(outcome, ReplicasOutcome::Busy { .. });
+    let was_done = matches!(outcome, ReplicasOutcome::Started { change: 2 });
+    assert!(was_busy || was_done, "{outcome:?}");
+    if was_busy {
+        wait_until_changed(&cluster, 3).await;
+        let outcome = operator.change(paths::ADD, &second).await;
+        assert!(
+            matches!(outcome, ReplicasOutcome::Started { .. }),
+            "{outcome:?}"
+        );
+    }
+    wait_until_changed(&cluster, 4).await;
+    let removed = cluster.machines[leader].replica();
+    let remove = RemoveReplica { replica: removed };
+    // The leader removes itself and another takes over.
+    let outcome = operator.change(paths::REMOVE, &remove).await;
+    assert!(
+        matches!(outcome, ReplicasOutcome::Started { .. }),
+        "{outcome:?}"
+    );
+    wait_for("the leader to be out", || async {
+        let status = operator.try_status(cluster.machines[fifth].http()).await?;
+        let gone = status
+            .groups
+            .iter()
+            .all(|group| !group.voters.contains(&removed));
+        (gone && status.change.is_none() && status.replicas.len() == 3).then_some(())
+    })
+    .await;
+    cluster.machines[follower].kill().await;
+    cluster.machines[leader].kill().await;
+    apply_some(&cluster, 40, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replacement_that_never_comes_up_can_be_called_off() {
+    let mut cluster = Cluster::start(3).await;
+    let operator = cluster.operator();
+    let fourth = cluster.add_machine().await;
+    cluster.machines[fourth].start().await;
+    let follower = cluster.follower().await;
+    let old = cluster.machines[follower].replica();
+    let new = cluster.machines[fourth].replica();
+    let address = cluster.machines[fourth].internal();
+    let add = operator.change(paths::ADD, &AddReplica { address }).await;
+    assert!(matches!(add, ReplicasOutcome::Started { .. }), "{add:?}");
+    cluster.machines[fourth].kill().await;
+    let off = RemoveReplica { replica: new };
+    let outcome = wait_for("the change to end either way", || async {
+        let outcome = operator.change(paths::REMOVE, &off).await;
+        (!matches!(outcome, ReplicasOutcome::Busy { .. })).then_some(outcome)
+    });
+    // If it had its vote before it died, it is removed as any member is.
+    assert!(matches!(outcome.await, ReplicasOutcome::Started { .. }));
+    wait_until_changed(&cluster, 3).await;
+    let status = operator
+        .try_status(cluster.machines[follower].http())
+        .await
+        .expect("a status");
+    assert!(status.groups[0].voters.contains(&old));
+    apply_some(&cluster, 0, 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_ledger_survives_the_replacement_of_every_machine() {
+    let mut cluster = Cluster::start(3).await;
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let key = LedgerKey {
+        caller: "pantry".into(),
+        request: "pallet-7".into(),
+        issued_at_ms: now.expect("a clock").as_millis() as u64,
+    };
+    let claim = |id| LedgerRequest::Claim {
+        key: key.clone(),
+        claim: ClaimId(id),
+        fingerprint: 1,
+    };
+    let leader = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    assert_eq!(
+        relay.ledger(claim(1)).await,
+        LedgerReply::Claim(ClaimAnswer::Granted)
+    );
+    for number in 0..3 {
+        let old = cluster.machines[number].replica();
+        cluster.machines[number].kill().await;
+        cluster.machines[number].lose_disk();
+        cluster.machines[number].start().await;
+        let address = cluster.machines[number].internal();
+        let operator = cluster.operator();
+        cluster.leader().await;
+        let outcome = operator
+            .change(paths::REPLACE, &ReplaceReplica { old, address })
+            .await;
+        assert!(
+            matches!(outcome, ReplicasOutcome::Started { .. }),
+            "{outcome:?}"
+        );
+        wait_until_changed(&cluster, 3).await;
+    }
+    let leader = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    assert_eq!(
+        relay.ledger(claim(2)).await,
+        LedgerReply::Claim(ClaimAnswer::Held)
+    );
+}
--- a/crates/sablehaven-control/tests/support/mod.rs
+++ b/crates/sablehaven-control/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cut;
 pub mod operator;
+pub mod platform;
 pub mod relay;
 
 use std::{
