--- /dev/null
+++ b/crates/sablehaven-storage/examples/storage_bench/append.rs
@@ -0,0 +1,153 @@
+//! Appending batches, in turns with a plain loop that appends and syncs as many bytes.
+
+use std::{
+    error::Error,
+    fs::File,
+    os::unix::fs::FileExt,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use sablehaven_consensus::{Entry, EntryPayload};
+use sablehaven_storage::{GroupWrite, Options, Storage};
+
+use crate::{open_with, options, statistics::median};
+
+const BATCH_SIZES: [u64; 4] = [1, 8, 64, 512];
+/// The groups that a batch is spread over.
+const GROUPS: u64 = 8;
+/// The size of a command, in bytes: about that of a ledger claim.
+const COMMAND_BYTES: usize = 200;
+
+/// Prints a row for each batch size.
+pub fn measure(scratch: &Path, rounds: usize, batches: u64) -> Result<(), Box<dyn Error>> {
+    for allocation_bytes in [options().allocation_bytes, 0] {
+        measure_allocation(scratch, allocation_bytes, rounds, batches)?;
+    }
+    Ok(())
+}
+
+fn measure_allocation(
+    scratch: &Path,
+    allocation_bytes: u64,
+    rounds: usize,
+    batches: u64,
+) -> Result<(), Box<dyn Error>> {
+    println!(
+        "\nAppending, allocating {allocation_bytes} bytes at a time: {batches} batches a round, \
+         medians of {rounds} rounds"
+    );
+    println!(
+        "| records a batch | syncs a record | bytes a batch | records/s | plain loop, records/s | ratio | ratios seen |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for size in BATCH_SIZES {
+        let folder = scratch.join(format!("append-{size}-{allocation_bytes}"));
+        let storage = open_with(
+            &folder,
+            Options {
+                allocation_bytes,
+                ..options()
+            },
+        )?;
+        let plain = File::create(scratch.join(format!("plain-{size}-{allocation_bytes}")))?;
+        measure_size(storage.storage, &plain, size, rounds, batches)?;
+    }
+    Ok(())
+}
+
+fn measure_size(
+    mut storage: Storage,
+    plain: &File,
+    size: u64,
+    rounds: usize,
+    batches: u64,
+) -> Result<(), Box<dyn Error>> {
+    let mut plain_length = 0;
+    let (mut rates, mut plain_rates, mut ratios) = (Vec::new(), Vec::new(), Vec::new());
+    let mut next_index = 1;
+    // One round more than asked for: the first warms both up and is not counted.
+    for round in 0..=rounds {
+        let bytes_before = storage.counters().log_bytes;
+        let took = append(&mut storage, &mut next_index, size, batches)?;
+        let bytes = (storage.counters().log_bytes - bytes_before) / batches;
+        let plain_took = append_plainly(plain, &mut plain_length, bytes, batches)?;
+        if round > 0 {
+            let records = (size * batches) as f64;
+            rates.push(records / took.as_secs_f64());
+            plain_rates.push(records / plain_took.as_secs_f64());
+            ratios.push(plain_took.as_secs_f64() / took.as_secs_f64());
+        }
+    }
+    let counters = storage.counters();
+    let records = size * batches * (rounds as u64 + 1);
+    let syncs = counters.log_syncs as f64 / records as f64;
+    let bytes = counters.log_bytes / counters.log_syncs;
+    let ratio = median(&mut ratios);
+    let (lowest, highest) = (ratios[0], ratios[ratios.len() - 1]);
+    let (rate, plain_rate) = (median(&mut rates), median(&mut plain_rates));
+    println!(
+        "| {size} | {syncs:.4} | {bytes} | {rate:.0} | {plain_rate:.0} | {ratio:.2} | {lowest:.2} to {highest:.2} |"
+    );
+    Ok(())
+}
+
+/// Appends batches; each group's records of a batch have consecutive indices.
+fn append(
+    storage: &mut Storage,
+    next_index: &mut u64,
+    size: u64,
+    batches: u64,
+) -> Result<Duration, Box<dyn Error>> {
+    let mut took = Duration::ZERO;
+    for _ in 0..batches {
+        let batch = batch(*next_index, size);
+        *next_index += size.div_ceil(GROUPS);
+        let begin = Instant::now();
+        storage.write(&batch)?;
+        took += begin.elapsed();
+    }
+    Ok(took)
+}
+
+fn batch(first_index: u64, size: u64) -> Vec<GroupWrite> {
+    let groups = GROUPS.min(size);
+    let write = |group: u64| GroupWrite {
+        group: group as u32,
+        entries: (0..size / groups)
+            .map(|offset| entry(first_index + offset))
+            .collect(),
+        ..GroupWrite::default()
+    };
+    (0..groups).map(write).collect()
+}
+
+/// An entry whose command is different for each index.
+pub fn entry(index: u64) -> Entry {
+    let mut command = vec![0; COMMAND_BYTES];
+    for (place, byte) in command.iter_mut().enumerate() {
+        *byte = (index as usize * 31 + place * 7) as u8;
+    }
+    Entry {
+        index,
+        term: 1,
+        payload: EntryPayload::Command(command),
+    }
+}
+
+/// The least that any log must do: write the bytes after the last ones, then sync.
+fn append_plainly(
+    file: &File,
+    length: &mut u64,
+    bytes: u64,
+    batches: u64,
+) -> Result<Duration, Box<dyn Error>> {
+    let content = vec![7; usize::try_from(bytes)?];
+    let begin = Instant::now();
+    for _ in 0..batches {
+        file.write_all_at(&content, *length)?;
+        file.sync_data()?;
+        *length += bytes;
+    }
+    Ok(begin.elapsed())
+}
--- /dev/null
+++ b/crates/sablehaven-storage/examples/storage_bench/main.rs
@@ -0,0 +1,66 @@
+//! Measures storage on the disk of a folder: appending beside a plain append-and-sync loop of the same
+//! bytes, and recovery against the log's length and a snapshot's size.
+//!
+//!     cargo run --release -p sablehaven-storage --example storage_bench -- --folder target
+
+mod append;
+mod recovery;
+mod statistics;
+
+use std::{
+    error::Error,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use clap::{Arg, Command, value_parser};
+use sablehaven_storage::{Opened, Options, RealDisk, Storage, StorageError};
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let arguments = command().get_matches();
+    let parent: &PathBuf = arguments.get_one("folder").ok_or("no folder")?;
+    let rounds: &usize = arguments.get_one("rounds").ok_or("no rounds")?;
+    let batches: &u64 = arguments.get_one("batches").ok_or("no batches")?;
+    let scratch = tempfile::tempdir_in(parent)?;
+    append::measure(scratch.path(), *rounds, *batches)?;
+    recovery::measure_log(scratch.path(), *rounds)?;
+    recovery::measure_snapshot(scratch.path(), *rounds)?;
+    Ok(())
+}
+
+fn command() -> Command {
+    let folder = Arg::new("folder")
+        .long("folder")
+        .help("Where the scratch folder is made; its disk is what is measured")
+        .default_value("target")
+        .value_parser(value_parser!(PathBuf));
+    let rounds = Arg::new("rounds")
+        .long("rounds")
+        .help("Rounds of each measurement; the table shows medians")
+        .default_value("9")
+        .value_parser(value_parser!(usize));
+    let batches = Arg::new("batches")
+        .long("batches")
+        .help("Batches in a round of appending")
+        .default_value("200")
+        .value_parser(value_parser!(u64));
+    Command::new("storage_bench")
+        .about("Measures appending and recovery of sablehaven-storage")
+        .args([folder, rounds, batches])
+}
+
+fn options() -> Options {
+    Options {
+        deployment: "bench".to_owned(),
+        ..Options::default()
+    }
+}
+
+/// Opens a data folder with the default settings.
+fn open(folder: &Path) -> Result<Opened, StorageError> {
+    open_with(folder, options())
+}
+
+fn open_with(folder: &Path, options: Options) -> Result<Opened, StorageError> {
+    Storage::open(folder, Arc::new(RealDisk), options)
+}
--- /dev/null
+++ b/crates/sablehaven-storage/examples/storage_bench/recovery.rs
@@ -0,0 +1,108 @@
+//! Opening a data folder, against the log's length and a snapshot's size. The files are in the page
+//! cache, since they have just been written: a cold disk adds its own reading time.
+
+use std::{error::Error, path::Path, time::Instant};
+
+use sablehaven_consensus::{Snapshot, SnapshotMetadata};
+use sablehaven_storage::GroupWrite;
+
+use crate::{
+    append::entry,
+    open,
+    statistics::{fit, median},
+};
+
+const LOG_RECORDS: [u64; 5] = [10_000, 50_000, 100_000, 250_000, 500_000];
+const SNAPSHOT_MEBIBYTES: [usize; 5] = [1, 16, 64, 128, 256];
+/// How many entries a batch has while the log is filled.
+const FILL_BATCH: u64 = 500;
+const MEBIBYTE: usize = 1024 * 1024;
+
+/// Prints recovery times against the number of records in the log, and their line.
+pub fn measure_log(scratch: &Path, rounds: usize) -> Result<(), Box<dyn Error>> {
+    println!("\nRecovery against log length: medians of {rounds} openings, warm page cache");
+    println!("| records | log, MiB | open, ms |");
+    println!("|---|---|---|");
+    let mut points = Vec::new();
+    for records in LOG_RECORDS {
+        let folder = scratch.join(format!("log-{records}"));
+        let bytes = fill(&folder, records)?;
+        let time = opening_ms(&folder, rounds)?;
+        println!(
+            "| {records} | {:.1} | {time:.1} |",
+            bytes as f64 / MEBIBYTE as f64
+        );
+        points.push((records as f64 / 1000.0, time));
+        std::fs::remove_dir_all(&folder)?;
+    }
+    print_line(&points, "1,000 records");
+    Ok(())
+}
+
+/// Prints recovery times against the size of one snapshot, and their line.
+pub fn measure_snapshot(scratch: &Path, rounds: usize) -> Result<(), Box<dyn Error>> {
+    println!("\nRecovery against snapshot size: medians of {rounds} openings, warm page cache");
+    println!("| snapshot, MiB | write, ms | open, ms |");
+    println!("|---|---|---|");
+    let mut points = Vec::new();
+    for mebibytes in SNAPSHOT_MEBIBYTES {
+        let folder = scratch.join(format!("snapshot-{mebibytes}"));
+        let write = store_snapshot(&folder, mebibytes)?;
+        let time = opening_ms(&folder, rounds)?;
+        println!("| {mebibytes} | {write:.1} | {time:.1} |");
+        points.push((mebibytes as f64, time));
+        std::fs::remove_dir_all(&folder)?;
+    }
+    print_line(&points, "MiB");
+    Ok(())
+}
+
+fn fill(folder: &Path, records: u64) -> Result<u64, Box<dyn Error>> {
+    let mut storage = open(folder)?.storage;
+    let mut index = 1;
+    while index <= records {
+        let end = (index + FILL_BATCH).min(records + 1);
+        let write = GroupWrite {
+            entries: (index..end).map(entry).collect(),
+            ..GroupWrite::default()
+        };
+        storage.write(&[write])?;
+        index = end;
+    }
+    Ok(storage.counters().log_bytes)
+}
+
+fn store_snapshot(folder: &Path, mebibytes: usize) -> Result<f64, Box<dyn Error>> {
+    fill(folder, 1)?;
+    let mut storage = open(folder)?.storage;
+    let metadata = SnapshotMetadata {
+        index: 1,
+        term: 1,
+        ..SnapshotMetadata::default()
+    };
+    let data = (0..mebibytes * MEBIBYTE)
+        .map(|place| (place * 31) as u8)
+        .collect();
+    let begin = Instant::now();
+    storage.compact(0, &Snapshot { metadata, data })?;
+    Ok(begin.elapsed().as_secs_f64() * 1000.0)
+}
+
+fn opening_ms(folder: &Path, rounds: usize) -> Result<f64, Box<dyn Error>> {
+    let mut times = Vec::new();
+    for _ in 0..rounds {
+        let begin = Instant::now();
+        let opened = open(folder)?;
+        times.push(begin.elapsed().as_secs_f64() * 1000.0);
+        drop(opened);
+    }
+    Ok(median(&mut times))
+}
+
+fn print_line(points: &[(f64, f64)], unit: &str) {
+    let line = fit(points);
+    println!(
+        "Line: {:.2} ms + {:.4} ms (standard error {:.4}) a {unit}; residual standard error {:.2} ms",
+        line.intercept, line.slope, line.slope_error, line.residual_error
+    );
+}
--- a/crates/sablehaven-storage/src/commit.rs
+++ b/crates/sablehaven-storage/src/commit.rs
@@ -12,7 +12,7 @@
     segment::{self, MAXIMUM_RECORD_BYTES},
     snapshot_file,
     snapshot_writer::PreparedSnapshot,
-    storage::Storage,
+    storage::{ActiveSegment, Storage},
     survey::SegmentSummary,
     synced_position::SyncedPosition,
     write::GroupWrite,
@@ -56,12 +56,12 @@
         &mut self,
         batch: &[GroupWrite],
         record: &Record<'_>,
-        frame: &[u8],
+        frame: Vec<u8>,
     ) -> Result<(), StorageError> {
         // The order must hold: a record may refer only to snapshot files that are durable, or a
         // crash would leave a reference to a file that is not there.
         self.write_snapshots(batch, record)?;
-        if self.is_full(frame) {
+        if self.is_full(&frame) {
             self.begin_segment()?;
         }
         self.append(frame)?;
@@ -183,23 +183,29 @@
             length,
             ..SegmentSummary::default()
         };
-        self.active.file = self.folder.open_file(&names::segment(number))?;
-        let closed = std::mem::replace(&mut self.active.summary, summary);
-        self.closed.push_back(closed);
+        let next = ActiveSegment {
+            file: self.folder.open_file(&names::segment(number))?,
+            summary,
+            allocated: length,
+        };
+        let closed = std::mem::replace(&mut self.active, next);
+        self.closed.push_back(closed.summary);
         self.counters.segments_begun += 1;
         Ok(())
     }
 
     /// The one write and the one sync of a record.
-    fn append(&mut self, frame: &[u8]) -> Result<(), StorageError> {
+    fn append(&mut self, mut frame: Vec<u8>) -> Result<(), StorageError> {
+        let frame_bytes = frame.len() as u64;
+        self.allocate(&mut frame);
         let active = &mut self.active;
-        active.file.write_at(active.summary.length, frame)?;
+        active.file.write_at(active.summary.length, &frame)?;
         active.file.sync()?;
-        active.summary.length += frame.len() as u64;
+        active.summary.length += frame_bytes;
         active.summary.records += 1;
         self.next_sequence += 1;
         self.counters.records += 1;
-        self.counters.log_bytes += frame.len() as u64;
+        self.counters.log_bytes += frame_bytes;
         self.counters.log_syncs += 1;
         self.synced.write(SyncedPosition {
             segment: active.summary.number,
@@ -207,6 +213,20 @@
         })
     }
 
+    /// Where a record does not fit into the file, lets it bring along the space for the next ones,
+    /// as far as the segment may grow.
+    fn allocate(&mut self, frame: &mut Vec<u8>) {
+        let active = &mut self.active;
+        let end = active.summary.length + frame.len() as u64;
+        if end <= active.allocated {
+            return;
+        }
+        let wanted = end + self.options.allocation_bytes;
+        active.allocated = wanted.min(self.options.segment_bytes).max(end);
+        let added = active.allocated - end;
+        frame.resize(frame.len() + added as usize, 0);
+    }
+
     /// The files of the snapshots that a record replaces.
     fn replaced_snapshots(&self, record: &Record<'_>) -> Vec<String> {
         let with_snapshot = record
--- a/crates/sablehaven-storage/src/format.rs
+++ b/crates/sablehaven-storage/src/format.rs
@@ -177,13 +177,13 @@
     })
 }
 
-/// Whether a whole frame with a sequence number over `sequence` begins anywhere after `offset`.
-pub(crate) fn later_frame_exists(bytes: &[u8], offset: usize, seed: u32, sequence: u64) -> bool {
+/// Whether a whole frame with a sequence number over `sequence` begins anywhere after the first byte.
+pub(crate) fn later_frame_exists(bytes: &[u8], seed: u32, sequence: u64) -> bool {
     let is_later = |candidate| match read_frame(bytes, candidate, seed) {
         Ok(frame) => frame.sequence > sequence,
         Err(_) => false,
     };
-    (offset + 1..bytes.len()).any(is_later)
+    (1..bytes.len()).any(is_later)
 }
 
 /// A file header followed by one frame.
--- a/crates/sablehaven-storage/src/segment.rs
+++ b/crates/sablehaven-storage/src/segment.rs
@@ -85,15 +85,22 @@
         Ok(end == bytes.len())
     }
 
-    /// The next record; `None` at the end of the file.
+    /// The next record; `None` where only allocated space follows, which is zeros.
     pub(crate) fn next(&mut self) -> Option<Result<RecordAt<'a>, Flaw>> {
-        if self.position == self.bytes.len() {
+        if is_zeros(&self.bytes[self.position..]) {
             return None;
         }
         Some(self.read_next())
     }
 
-    /// Where the next record begins, in bytes; after the last one, the segment's length.
+    /// The bytes from the next record on, without the zeros at the end of the file.
+    pub(crate) fn rest(&self) -> &'a [u8] {
+        let rest = &self.bytes[self.position..];
+        let last = rest.iter().rposition(|byte| *byte != 0);
+        &rest[..last.map_or(0, |last| last + 1)]
+    }
+
+    /// Where the next record begins, in bytes; after the last one, where the records end.
     pub(crate) fn position(&self) -> u64 {
         self.position as u64
     }
@@ -143,15 +150,15 @@
     /// A record is written and synced before the next one is begun. So a torn write is the last
     /// thing in the file, and no longer than one record; anything else is damage.
     fn flaw(&self, bad: BadFrame) -> Flaw {
-        let rest = self.bytes.len() - self.position;
-        let begins_record = match bad {
-            BadFrame::PayloadChecksum { end } => end == self.bytes.len(),
+        let can_begin_torn_write = match bad {
+            BadFrame::PayloadChecksum { end } => is_zeros(&self.bytes[end..]),
             BadFrame::TooLong => false,
             BadFrame::HeaderCutShort | BadFrame::HeaderChecksum | BadFrame::PayloadCutShort => true,
         };
-        let may_be_torn = begins_record
-            && rest as u64 <= MAXIMUM_RECORD_BYTES
-            && !later_frame_exists(self.bytes, self.position, self.seed, self.next_sequence);
+        let rest = self.rest();
+        let may_be_torn = can_begin_torn_write
+            && rest.len() as u64 <= MAXIMUM_RECORD_BYTES
+            && !later_frame_exists(rest, self.seed, self.next_sequence);
         Flaw {
             offset: self.position as u64,
             reason: bad.to_string(),
@@ -160,6 +167,10 @@
     }
 }
 
+fn is_zeros(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| *byte == 0)
+}
+
 /// Writes a new segment's file durably, with no record in it; returns its length in bytes.
 pub(crate) fn begin(folder: &Folder, start: &SegmentStart) -> Result<u64, StorageError> {
     let name = names::segment(start.number);
--- a/crates/sablehaven-storage/src/snapshot_file.rs
+++ b/crates/sablehaven-storage/src/snapshot_file.rs
@@ -71,7 +71,9 @@
         let reason = "the file is not the snapshot that the log refers to";
         return Err(folder.damaged(&name, FILE_HEADER_BYTES as u64, reason));
     }
-    let data = content.split_off(data_begin);
+    // Moves the data to the front in place: a copy would need as much memory again.
+    content.drain(..data_begin);
+    let data = content;
     if data.len() as u64 != reference.data_bytes {
         let reason = format!(
             "{} bytes of data in place of {}",
--- a/crates/sablehaven-storage/src/storage.rs
+++ b/crates/sablehaven-storage/src/storage.rs
@@ -89,6 +89,8 @@
 pub(crate) struct ActiveSegment {
     pub(crate) file: FolderFile,
     pub(crate) summary: SegmentSummary,
+    /// The file's length: the records' end, or more where space was allocated.
+    pub(crate) allocated: u64,
 }
 
 impl Storage {
@@ -113,7 +115,7 @@
         // Everything has been read and found right; only now may the folder be changed.
         let file = recovery::make_durable(&folder, &survey)?;
         recovery::remove_leftovers(&folder, &survey)?;
-        let cut_tail = survey.torn_tail.take();
+        let cut_tail = survey.torn_tail.clone();
         let storage = Self::from_survey(folder, lock, options, survey, file)?;
         Ok(Opened {
             storage,
@@ -138,6 +140,15 @@
             segment: summary.number,
             length: summary.length,
         })?;
+        let allocated = match survey.torn_tail {
+            Some(_) => summary.length,
+            None => survey.file_bytes,
+        };
+        let active = ActiveSegment {
+            file,
+            summary,
+            allocated,
+        };
         let replayed = survey.replay.groups.into_iter();
         Ok(Self {
             folder,
@@ -148,7 +159,7 @@
                 .map(|(group, replayed)| (group, replayed.state))
                 .collect(),
             closed,
-            active: ActiveSegment { file, summary },
+            active,
             next_sequence: survey.next_sequence,
             synced,
             counters: StorageCounters::default(),
@@ -170,7 +181,7 @@
         }
         let record = self.record_of_batch(batch)?;
         let frame = self.encode(&record)?;
-        let result = self.commit(batch, &record, &frame);
+        let result = self.commit(batch, &record, frame);
         self.note_failure(result)
     }
 
@@ -203,7 +214,7 @@
             self.check_covers_entries(prepared.group, &prepared.reference.metadata)?;
             let record = prepared.record();
             let frame = self.encode(&record)?;
-            self.commit(&[], &record, &frame)
+            self.commit(&[], &record, frame)
         };
         self.note_failure(result)
     }
--- a/crates/sablehaven-storage/src/survey.rs
+++ b/crates/sablehaven-storage/src/survey.rs
@@ -27,6 +27,8 @@
     /// The log's last record, if the last segment has one.
     pub(crate) last_record: Option<LastRecord>,
     pub(crate) next_sequence: u64,
+    /// The length of the last segment's file, with the space allocated after the records.
+    pub(crate) file_bytes: u64,
     synced: Option<SyncedPosition>,
 }
 
@@ -55,7 +57,7 @@
     pub path: PathBuf,
     /// The offset, in bytes, from which it was cut.
     pub offset: u64,
-    /// How many bytes were cut.
+    /// How many bytes were cut, without zeros at the end.
     pub bytes: u64,
 }
 
@@ -71,6 +73,7 @@
             torn_tail: None,
             last_record: None,
             next_sequence: 0,
+            file_bytes: 0,
             synced,
         }
     }
@@ -131,7 +134,8 @@
         self.next_sequence = reader.next_sequence();
         if number == self.manifest.last_segment {
             self.last_record = reader.last_record().map(LastRecord::from);
-            self.end_log(folder, &name, &summary, flaw, content.len())?;
+            self.file_bytes = content.len() as u64;
+            self.end_log(folder, &name, &summary, flaw, reader.rest())?;
         } else if let Some(flaw) = flaw {
             return Err(folder.damaged(&name, flaw.offset, flaw.reason));
         }
@@ -193,7 +197,7 @@
         name: &str,
         summary: &SegmentSummary,
         flaw: Option<Flaw>,
-        file_bytes: usize,
+        rest: &[u8],
     ) -> Result<(), StorageError> {
         if let Some(flaw) = flaw {
             if !flaw.may_be_torn {
@@ -202,7 +206,7 @@
             self.torn_tail = Some(CutTail {
                 path: folder.path_of(name),
                 offset: flaw.offset,
-                bytes: file_bytes as u64 - flaw.offset,
+                bytes: rest.len() as u64,
             });
         }
         self.check_synced_length(folder, name, summary)
