--- a/crates/sablehaven-storage/src/segment.rs
+++ b/crates/sablehaven-storage/src/segment.rs
@@ -155,10 +155,11 @@
             BadFrame::TooLong => false,
             BadFrame::HeaderCutShort | BadFrame::HeaderChecksum | BadFrame::PayloadCutShort => true,
         };
-        let rest = self.rest();
+        // Zeros at the end are searched too: a later record may end in some.
+        let written = &self.bytes[self.position..];
         let may_be_torn = can_begin_torn_write
-            && rest.len() as u64 <= MAXIMUM_RECORD_BYTES
-            && !later_frame_exists(rest, self.seed, self.next_sequence);
+            && self.rest().len() as u64 <= MAXIMUM_RECORD_BYTES
+            && !later_frame_exists(written, self.seed, self.next_sequence);
         Flaw {
             offset: self.position as u64,
             reason: bad.to_string(),
--- a/crates/sablehaven-storage/tests/damage.rs
+++ b/crates/sablehaven-storage/tests/damage.rs
@@ -108,7 +108,8 @@
     let before = segments(&disk);
     let mut storage = open(&disk).expect("whole").storage;
     let (group, index) = (9, 1);
-    let last = [entries_write(group, vec![entry(index, 1, b"last")])];
+    // It ends in zeros, as the space after it does.
+    let last = [entries_write(group, vec![entry(index, 1, &[1, 0, 0])])];
     let name = segments(&disk).pop().expect("a segment");
     let last_record = stored_end(&disk, &name);
     storage.write(&last).expect("written");
