--- a/crates/sablehaven-storage/src/commit.rs
+++ b/crates/sablehaven-storage/src/commit.rs
@@ -1,5 +1,7 @@
 //! How a batch becomes durable: checks, the record, segment changes and removal.
 
+use std::collections::BTreeSet;
+
 use sablehaven_consensus::SnapshotMetadata;
 
 use crate::{
@@ -24,9 +26,10 @@
         &self,
         batch: &'a [GroupWrite],
     ) -> Result<Record<'a>, StorageError> {
-        let mut writes: Vec<RecordWrite<'a>> = Vec::with_capacity(batch.len());
+        let mut writes = Vec::with_capacity(batch.len());
+        let mut groups = BTreeSet::new();
         for write in batch {
-            if writes.iter().any(|earlier| earlier.group == write.group) {
+            if !groups.insert(write.group) {
                 let reason = "the batch holds the group twice";
                 return Err(invalid_write(write.group, reason));
             }
--- a/crates/sablehaven-storage/src/disk.rs
+++ b/crates/sablehaven-storage/src/disk.rs
@@ -53,4 +53,4 @@
 }
 
 /// An exclusive lock; dropping it releases it.
-pub trait DiskLock: Debug + Send {}
+pub trait DiskLock: Debug + Send + Sync {}
--- a/crates/sablehaven-storage/src/inspect.rs
+++ b/crates/sablehaven-storage/src/inspect.rs
@@ -22,7 +22,7 @@
 /// What a data folder holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inspection {
-    /// Who it belongs to; `None` where it has no readable identity.
+    /// Who it belongs to; `None` in a folder that is not formatted or whose identity is damaged.
     pub identity: Option<Identity>,
     /// The log's segments, in order.
     pub segments: Vec<SegmentReport>,
@@ -115,7 +115,7 @@
 impl Inspection {
     fn read(&mut self, folder: &Folder) -> Result<(), StorageError> {
         let Some(identity) = Identity::read(folder)? else {
-            return Ok(());
+            return recovery::check_unformatted(folder);
         };
         self.identity = Some(identity.clone());
         let manifest = Manifest::read(folder, identity.replica)?;
--- a/crates/sablehaven-storage/src/recovery.rs
+++ b/crates/sablehaven-storage/src/recovery.rs
@@ -146,28 +146,34 @@
     Ok(identity)
 }
 
-/// Removes what an interrupted formatting left. Anything more means that the identity was lost,
-/// and is refused.
+/// Removes what an interrupted formatting left.
 fn clear_unfinished_format(folder: &Folder) -> Result<(), StorageError> {
-    let list = folder.list()?;
-    for name in &list {
-        let is_snapshot = names::is_snapshot(name);
-        let is_later_segment = names::segment_number(name).is_some_and(|n| n != FIRST_SEGMENT);
-        if is_snapshot || is_later_segment || *name == names::SYNCED_POSITION {
+    check_unformatted(folder)?;
+    for name in folder.list()? {
+        let is_segment = names::segment_number(&name).is_some();
+        if is_segment || name == names::MANIFEST || names::is_temporary(&name) {
+            folder.remove(&name)?;
+        }
+    }
+    Ok(())
+}
+
+/// Checks that a folder without an identity holds no more than an interrupted formatting leaves.
+/// Anything more means that the identity was lost.
+pub(crate) fn check_unformatted(folder: &Folder) -> Result<(), StorageError> {
+    for name in folder.list()? {
+        let is_snapshot = names::is_snapshot(&name);
+        let is_later_segment = names::segment_number(&name).is_some_and(|n| n != FIRST_SEGMENT);
+        if is_snapshot || is_later_segment || name == names::SYNCED_POSITION {
             let reason = format!("the file is missing, but there is {name}");
             return Err(folder.damaged(names::IDENTITY, 0, reason));
         }
     }
     let first = names::segment(FIRST_SEGMENT);
-    if let Some(content) = folder.read(&first, MAXIMUM_FILE_BYTES)? {
-        check_without_records(folder, &first, &content)?;
-    }
-    for name in list {
-        if name == first || name == names::MANIFEST || names::is_temporary(&name) {
-            folder.remove(&name)?;
-        }
+    match folder.read(&first, MAXIMUM_FILE_BYTES)? {
+        Some(content) => check_without_records(folder, &first, &content),
+        None => Ok(()),
     }
-    Ok(())
 }
 
 fn check_without_records(folder: &Folder, name: &str, content: &[u8]) -> Result<(), StorageError> {
--- a/crates/sablehaven-storage/src/snapshot_writer.rs
+++ b/crates/sablehaven-storage/src/snapshot_writer.rs
@@ -1,19 +1,25 @@
 //! Writing snapshot files apart from the log.
 
+use std::sync::Arc;
+
 use sablehaven_consensus::{ReplicaId, Snapshot};
 
 use crate::{
+    disk::DiskLock,
     error::StorageError,
     folder::Folder,
     record::{Record, RecordSnapshot, RecordWrite, SnapshotReference},
     snapshot_file,
 };
 
-/// Writes snapshot files; they count only once [`crate::Storage::compact_to`] has taken them.
+/// Writes snapshot files; they count only once [`crate::Storage::compact_to`] has taken them. Keeps
+/// the folder locked, as the storage does.
 #[derive(Clone, Debug)]
 pub struct SnapshotWriter {
     folder: Folder,
     replica: ReplicaId,
+    /// The folder stays locked for as long as anything may still be written to it.
+    _lock: Arc<dyn DiskLock>,
 }
 
 /// A snapshot whose file is durable and which the log does not refer to yet.
@@ -24,8 +30,12 @@
 }
 
 impl SnapshotWriter {
-    pub(crate) fn new(folder: Folder, replica: ReplicaId) -> Self {
-        Self { folder, replica }
+    pub(crate) fn new(folder: Folder, replica: ReplicaId, lock: Arc<dyn DiskLock>) -> Self {
+        Self {
+            folder,
+            replica,
+            _lock: lock,
+        }
     }
 
     /// Writes a snapshot's file and syncs it. Use one writer at a time for a group.
--- a/crates/sablehaven-storage/src/storage.rs
+++ b/crates/sablehaven-storage/src/storage.rs
@@ -81,7 +81,7 @@
     pub(crate) counters: StorageCounters,
     pub(crate) failure: Option<String>,
     /// Held for as long as the storage lives; last, so that it is released last.
-    _lock: Box<dyn DiskLock>,
+    lock: Arc<dyn DiskLock>,
 }
 
 /// The segment that is written to.
@@ -108,7 +108,7 @@
     ) -> Result<Opened, StorageError> {
         let folder = Folder::new(folder, disk);
         folder.create()?;
-        let lock = folder.lock()?;
+        let lock = Arc::from(folder.lock()?);
         let (identity, formatted) = recovery::identify(&folder, &options)?;
         let mut survey = recovery::read_all(&folder, identity.clone())?;
         let groups = recovery::restore(&folder, &mut survey)?;
@@ -128,7 +128,7 @@
 
     fn from_survey(
         folder: Folder,
-        lock: Box<dyn DiskLock>,
+        lock: Arc<dyn DiskLock>,
         options: Options,
         survey: Survey,
         file: FolderFile,
@@ -164,7 +164,7 @@
             synced,
             counters: StorageCounters::default(),
             failure: None,
-            _lock: lock,
+            lock,
         })
     }
 
@@ -222,7 +222,11 @@
     /// Writes snapshots of this replica's own state without holding up the log: it can be used on
     /// another thread while the storage takes writes.
     pub fn snapshot_writer(&self) -> SnapshotWriter {
-        SnapshotWriter::new(self.folder.clone(), self.identity.replica)
+        SnapshotWriter::new(
+            self.folder.clone(),
+            self.identity.replica,
+            self.lock.clone(),
+        )
     }
 
     /// The groups that should be compacted since their entries keep the oldest segment from being
--- a/crates/sablehaven-storage/tests/damage.rs
+++ b/crates/sablehaven-storage/tests/damage.rs
@@ -91,10 +91,7 @@
             assert_refused(&disk, &name, &format!("{name} cut to {length}"));
         }
         disk.lose_file(&file(&name));
-        match open(&disk) {
-            Err(StorageError::Damaged { path, .. }) => assert_eq!(path, file(&name)),
-            other => panic!("{name} lost: {other:?}"),
-        }
+        assert_refused(&disk, &name, &format!("{name} lost"));
         disk.damage(&file(&name), original);
     }
     assert_eq!(open(&disk).expect("as it was").groups, model);
--- a/crates/sablehaven-storage/tests/folder.rs
+++ b/crates/sablehaven-storage/tests/folder.rs
@@ -136,7 +136,8 @@
         .expect("compacted");
     assert!(segments(&disk) > 6, "group 1 still needs them");
     assert_eq!(storage.groups_to_compact(), [1]);
-    let prepared = storage.snapshot_writer().write(1, &snapshot(20, 1, b"1"));
+    let writer = storage.snapshot_writer();
+    let prepared = writer.write(1, &snapshot(20, 1, b"1"));
     write_round(&mut storage, 1, 21);
     storage
         .compact_to(prepared.expect("written"))
@@ -144,6 +145,9 @@
     assert!(segments(&disk) <= 2);
     assert_eq!(storage.groups_to_compact(), [0; 0]);
     drop(storage);
+    let while_writing = open(&disk);
+    assert!(matches!(while_writing, Err(StorageError::InUse { .. })));
+    drop(writer);
     // The vote was in a segment that is gone.
     let opened = open(&disk).expect("opened");
     assert_eq!(opened.groups[&2].restored.hard_state, vote);
--- a/crates/sablehaven-storage/tests/fuzz.rs
+++ b/crates/sablehaven-storage/tests/fuzz.rs
@@ -174,7 +174,7 @@
             }
             Err(error) => {
                 prop_assert!(error.to_string().contains("/data/"), "{}", error);
-                prop_assert!(!inspection.damage.is_empty() || inspection.identity.is_none());
+                prop_assert!(!inspection.damage.is_empty());
             }
         }
     }
