--- a/crates/sablehaven-storage/src/storage.rs
+++ b/crates/sablehaven-storage/src/storage.rs
@@ -81,7 +81,7 @@
     pub(crate) counters: StorageCounters,
     pub(crate) failure: Option<String>,
     /// Held for as long as the storage lives; last, so that it is released last.
-    _lock: Box<dyn DiskLock>,
+    lock: Arc<dyn DiskLock>,
 }
 
 /// The segment that is written to.
@@ -89,6 +89,8 @@
 pub(crate) struct ActiveSegment {
     pub(crate) file: FolderFile,
     pub(crate) summary: SegmentSummary,
+    /// The file's length: the records' end, or more where space was allocated.
+    pub(crate) allocated: u64,
 }
 
 impl Storage {
@@ -106,14 +108,14 @@
     ) -> Result<Opened, StorageError> {
         let folder = Folder::new(folder, disk);
         folder.create()?;
-        let lock = folder.lock()?;
+        let lock = Arc::from(folder.lock()?);
         let (identity, formatted) = recovery::identify(&folder, &options)?;
         let mut survey = recovery::read_all(&folder, identity.clone())?;
         let groups = recovery::restore(&folder, &mut survey)?;
         // Everything has been read and found right; only now may the folder be changed.
         let file = recovery::make_durable(&folder, &survey)?;
         recovery::remove_leftovers(&folder, &survey)?;
-        let cut_tail = survey.torn_tail.take();
+        let cut_tail = survey.torn_tail.clone();
         let storage = Self::from_survey(folder, lock, options, survey, file)?;
         Ok(Opened {
             storage,
@@ -126,7 +128,7 @@
 
     fn from_survey(
         folder: Folder,
-        lock: Box<dyn DiskLock>,
+        lock: Arc<dyn DiskLock>,
         options: Options,
         survey: Survey,
         file: FolderFile,
@@ -138,6 +140,15 @@
             segment: summary.number,
             length: summary.length,
         })?;
+        let allocated = match survey.torn_tail {
+            Some(_) => summary.length,
+            None => survey.file_bytes,
+        };
+        let active = ActiveSegment {
+            file,
+            summary,
+            allocated,
+        };
         let replayed = survey.replay.groups.into_iter();
         Ok(Self {
             folder,
@@ -148,12 +159,12 @@
                 .map(|(group, replayed)| (group, replayed.state))
                 .collect(),
             closed,
-            active: ActiveSegment { file, summary },
+            active,
             next_sequence: survey.next_sequence,
             synced,
             counters: StorageCounters::default(),
             failure: None,
-            _lock: lock,
+            lock,
         })
     }
 
@@ -170,7 +181,7 @@
         }
         let record = self.record_of_batch(batch)?;
         let frame = self.encode(&record)?;
-        let result = self.commit(batch, &record, &frame);
+        let result = self.commit(batch, &record, frame);
         self.note_failure(result)
     }
 
@@ -203,7 +214,7 @@
             self.check_covers_entries(prepared.group, &prepared.reference.metadata)?;
             let record = prepared.record();
             let frame = self.encode(&record)?;
-            self.commit(&[], &record, &frame)
+            self.commit(&[], &record, frame)
         };
         self.note_failure(result)
     }
@@ -211,7 +222,11 @@
     /// Writes snapshots of this replica's own state without holding up the log: it can be used on
     /// another thread while the storage takes writes.
     pub fn snapshot_writer(&self) -> SnapshotWriter {
-        SnapshotWriter::new(self.folder.clone(), self.identity.replica)
+        SnapshotWriter::new(
+            self.folder.clone(),
+            self.identity.replica,
+            self.lock.clone(),
+        )
     }
 
     /// The groups that should be compacted since their entries keep the oldest segment from being
