The whole path as separate processes: command line, harness, first integration tests

Ruled out: starting the sablehaven binary from other packages' tests (cargo gives a binary's path only to its own package); the integration package has a binary of its own that runs each role with the same code. Change: sablehaven with control, relay, agent, settings, schema, data and operator; settings template of every key; harness with one loopback address a process, proxies before every interface, restart, freeze, lost disk; tests of a query, of a request that may not be repeated through several agents, of racing operators and of a change that is not valid.

--- a/crates/sablehaven-agent/src/config.rs
+++ b/crates/sablehaven-agent/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
 
@@ -20,6 +20,8 @@
     pub deployment: String,
     /// Where callers reach the agent; port 0 takes a free one.
     pub http_listen: SocketAddr,
+    /// The IP number from which outgoing connections are made; where it is absent the system chooses.
+    pub connect_from: Option<IpAddr>,
     /// Where the agent runs.
     pub placement: Placement,
     /// The services that callers of this agent use; empty means all.
@@ -80,6 +82,7 @@
         Self {
             deployment: String::new(),
             http_listen: SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, DEFAULT_HTTP_PORT)),
+            connect_from: None,
             placement: Placement {
                 region: RegionName(String::new()),
                 zone: ZoneName(String::new()),
--- a/crates/sablehaven-agent/src/role.rs
+++ b/crates/sablehaven-agent/src/role.rs
@@ -73,6 +73,7 @@
     subscription_config
         .deployment
         .clone_from(&config.deployment);
+    subscription_config.connect_from = config.connect_from;
     let subscription = Subscription::start(subscription_config, identity);
     subscription.metrics().register(&telemetry);
     let connections = connection_settings(&config);
@@ -188,6 +189,7 @@
 
 fn connection_settings(config: &Config) -> ConnectionSettings {
     ConnectionSettings {
+        connect_from: config.connect_from,
         connect: config.timing.connect(),
         ping: config.timing.connection_ping(),
         reply_body_bytes: config.limits.reply_body_bytes,
--- a/crates/sablehaven-agent/src/transport.rs
+++ b/crates/sablehaven-agent/src/transport.rs
@@ -4,7 +4,10 @@
 mod connections;
 mod reply;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 pub use client::{AttemptEnd, AttemptMessage, AttemptReport, BackendClient};
 pub use connections::BackendConnections;
@@ -15,6 +18,8 @@
 /// Settings of the connections to back ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionSettings {
+    /// The IP number from which connections are made; where it is absent the system chooses.
+    pub connect_from: Option<IpAddr>,
     /// Time that opening a connection may take.
     pub connect: Duration,
     /// Interval of HTTP/2 pings, and the time within which one must be answered.
--- a/crates/sablehaven-agent/src/transport/client.rs
+++ b/crates/sablehaven-agent/src/transport/client.rs
@@ -76,6 +76,7 @@
             .http2_prior_knowledge()
             .no_proxy()
             .tcp_nodelay(true)
+            .local_address(settings.connect_from)
             .connect_timeout(settings.connect)
             .pool_idle_timeout(None)
             .pool_max_idle_per_host(1)
--- a/crates/sablehaven-cli/src/arguments.rs
+++ b/crates/sablehaven-cli/src/arguments.rs
@@ -87,7 +87,9 @@
         .arg_required_else_help(true)
         .subcommand(
             Command::new("check")
-                .about("Checks a settings file and names key, value and allowed range of each error")
+                .about(
+                    "Checks a settings file and names key, value and allowed range of each error",
+                )
                 .arg(file("file", "The settings file")),
         )
         .subcommand(
@@ -256,7 +258,11 @@
             Command::new("look-up")
                 .about("Shows what is recorded of one request")
                 .arg(text("caller", "caller", "The caller"))
-                .arg(text("request", "request", "The caller's id for the request"))
+                .arg(text(
+                    "request",
+                    "request",
+                    "The caller's id for the request",
+                ))
                 .arg(
                     Arg::new("issued_at_ms")
                         .long("issued-at-ms")
@@ -324,8 +330,9 @@
 
 /// Parses a replica's identity as `operator status` shows it: 16 hexadecimal digits.
 fn parse_replica(text: &str) -> Result<u64, String> {
-    u64::from_str_radix(text, 16)
-        .map_err(|_| "expected an identity of 16 hexadecimal digits, see `operator status`".to_owned())
+    u64::from_str_radix(text, 16).map_err(|_| {
+        "expected an identity of 16 hexadecimal digits, see `operator status`".to_owned()
+    })
 }
 
 fn json() -> Arg {
--- a/crates/sablehaven-cli/src/data_command.rs
+++ b/crates/sablehaven-cli/src/data_command.rs
@@ -3,8 +3,12 @@
 use std::path::PathBuf;
 
 use clap::ArgMatches;
+use sablehaven_storage::Inspection;
 
-use crate::error::{CommandError, ExitStatus};
+use crate::{
+    error::{CommandError, ExitStatus},
+    output::{Output, table},
+};
 
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitStatus, CommandError> {
     match matches.subcommand() {
@@ -19,11 +23,68 @@
         path: path.clone(),
         reason: error.to_string(),
     })?;
-    if matches.get_flag("json") {
-        let text = serde_json::to_string_pretty(&report).map_err(CommandError::Encode)?;
-        println!("{text}");
+    Output::new(matches.get_flag("json")).print(&report, || describe(&report))?;
+    Ok(if report.damage.is_empty() {
+        ExitStatus::Success
     } else {
-        print!("{report}");
+        ExitStatus::Invalid
+    })
+}
+
+fn describe(report: &Inspection) -> String {
+    let mut text = match &report.identity {
+        Some(identity) => format!(
+            "replica {} of deployment {}\n",
+            identity.replica, identity.deployment
+        ),
+        None => "no identity: not formatted, or damaged\n".to_owned(),
+    };
+    text.push('\n');
+    text.push_str(&table(
+        ["segment", "bytes", "records"],
+        report.segments.iter().map(|segment| {
+            [
+                segment.file.clone(),
+                segment.bytes.to_string(),
+                segment.records.to_string(),
+            ]
+        }),
+    ));
+    text.push('\n');
+    text.push_str(&table(
+        [
+            "group",
+            "term",
+            "snapshot at",
+            "snapshot bytes",
+            "last entry",
+            "entries",
+        ],
+        report.groups.iter().map(|(group, state)| {
+            [
+                group.to_string(),
+                state.hard_state.term.to_string(),
+                state.snapshot.index.to_string(),
+                state.snapshot_bytes.unwrap_or(0).to_string(),
+                state.last_index.to_string(),
+                state.entries.to_string(),
+            ]
+        }),
+    ));
+    if let Some(tail) = &report.torn_tail {
+        text.push_str(&format!(
+            "\nunfinished write in {} at offset {}, {} bytes; the next start cuts it\n",
+            tail.file, tail.offset, tail.bytes
+        ));
+    }
+    for damage in &report.damage {
+        let offset = damage
+            .offset
+            .map_or_else(String::new, |offset| format!(" at offset {offset}"));
+        text.push_str(&format!(
+            "\ndamage in {}{offset}: {}\n",
+            damage.file, damage.reason
+        ));
     }
-    Ok(ExitStatus::Success)
+    text
 }
--- a/crates/sablehaven-cli/src/lib.rs
+++ b/crates/sablehaven-cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod data_command;
 mod error;
 mod operator;
+mod output;
 mod role_command;
 mod schema_command;
 mod settings;
@@ -15,6 +16,7 @@
 
 pub use arguments::command;
 pub use error::{CommandError, ExitStatus};
+pub use operator::OperatorClient;
 pub use settings::{RoleName, Settings, SettingsError};
 
 use std::{ffi::OsString, process::ExitCode};
--- /dev/null
+++ b/crates/sablehaven-cli/src/operator/mod.rs
@@ -0,0 +1,64 @@
+//! `sablehaven operator`: every action of an operator, each with a table or JSON as its result.
+
+mod apply;
+mod client;
+mod control_machines;
+
+mod reads;
+
+pub use client::OperatorClient;
+
+use std::{net::SocketAddr, time::Duration};
+
+use clap::ArgMatches;
+
+use crate::error::{CommandError, ExitStatus};
+use crate::output::Output;
+
+/// What every operator action needs.
+struct Context {
+    client: OperatorClient,
+    output: Output,
+}
+
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitStatus, CommandError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(CommandError::Runtime)?;
+    runtime.block_on(dispatch(matches))
+}
+
+async fn dispatch(matches: &ArgMatches) -> Result<ExitStatus, CommandError> {
+    let Some((action, action_matches)) = matches.subcommand() else {
+        unreachable!("clap requires a subcommand");
+    };
+    let context = context(matches, action_matches)?;
+    match action {
+        "apply" => apply::apply(&context, action_matches).await,
+        "wait" => apply::wait(&context, action_matches).await,
+        "configuration" => reads::configuration(&context).await,
+        "history" => reads::history(&context).await,
+        "backends" => reads::backends(&context).await,
+        "status" => reads::status(&context).await,
+        "ledger" => reads::ledger(&context, action_matches).await,
+        "transfer-leadership" => control_machines::transfer(&context, action_matches).await,
+        "control-machines" => control_machines::run(&context, action_matches).await,
+        _ => unreachable!("clap knows every action"),
+    }
+}
+
+fn context(matches: &ArgMatches, action_matches: &ArgMatches) -> Result<Context, CommandError> {
+    let control: Vec<SocketAddr> = matches
+        .get_many("control")
+        .unwrap_or_default()
+        .copied()
+        .collect();
+    let limit_ms: u64 = *action_matches
+        .get_one("timeout_ms")
+        .expect("the time has a default");
+    Ok(Context {
+        client: OperatorClient::new(control, Duration::from_millis(limit_ms))?,
+        output: Output::new(action_matches.get_flag("json")),
+    })
+}
--- a/crates/sablehaven-cli/src/schema_command.rs
+++ b/crates/sablehaven-cli/src/schema_command.rs
@@ -20,10 +20,7 @@
     let Some(schema) = load(path)? else {
         return Ok(ExitStatus::Invalid);
     };
-    let methods: usize = schema
-        .services()
-        .map(|service| service.methods.len())
-        .sum();
+    let methods: usize = schema.services().map(|service| service.methods.len()).sum();
     println!(
         "{}: valid, {} services with {methods} methods",
         path.display(),
@@ -37,12 +34,11 @@
     let Some(schema) = load(path)? else {
         return Ok(ExitStatus::Invalid);
     };
-    let source = sablehaven_schema::generate_client(&schema).map_err(|error| {
-        CommandError::Parse {
+    let source =
+        sablehaven_schema::generate_client(&schema).map_err(|error| CommandError::Parse {
             path: path.clone(),
             reason: error.to_string(),
-        }
-    })?;
+        })?;
     match matches.get_one::<PathBuf>("output") {
         Some(output) => std::fs::write(output, source).map_err(|source| CommandError::Write {
             path: output.clone(),
--- a/crates/sablehaven-cli/src/settings.rs
+++ b/crates/sablehaven-cli/src/settings.rs
@@ -190,17 +190,17 @@
     // Parsed into the typed settings first, so that an error names its line in the file.
     toml::from_str::<Settings>(&text)
         .map_err(|error| error.to_string())
-        .and_then(|_| text.parse::<toml::Table>().map_err(|error| error.to_string()))
+        .and_then(|_| {
+            text.parse::<toml::Table>()
+                .map_err(|error| error.to_string())
+        })
         .map_err(|reason| SettingsError::Parse {
             path: path.display().to_string(),
             reason: reason.trim_end().to_owned(),
         })
 }
 
-fn apply_override(
-    table: &mut toml::Table,
-    change: &SettingOverride,
-) -> Result<(), SettingsError> {
+fn apply_override(table: &mut toml::Table, change: &SettingOverride) -> Result<(), SettingsError> {
     let (last, sections) = change
         .keys
         .split_last()
--- a/crates/sablehaven-control/src/config.rs
+++ b/crates/sablehaven-control/src/config.rs
@@ -1,7 +1,7 @@
 //! Settings of a control replica.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     time::Duration,
 };
@@ -28,6 +28,8 @@
     pub http_advertise: Option<SocketAddr>,
     /// The address that others reach `internal_listen` at, if it is another one.
     pub internal_advertise: Option<SocketAddr>,
+    /// The IP number from which outgoing connections are made; where it is absent the system chooses.
+    pub connect_from: Option<IpAddr>,
     /// Where the replica runs.
     pub placement: Placement,
     /// The folder of the log and the snapshots; one process at a time.
@@ -87,6 +89,7 @@
             internal_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             http_advertise: None,
             internal_advertise: None,
+            connect_from: None,
             placement: Placement {
                 region: String::new().into(),
                 zone: String::new().into(),
--- a/crates/sablehaven-control/src/leader/platform.rs
+++ b/crates/sablehaven-control/src/leader/platform.rs
@@ -54,7 +54,11 @@
 /// Polls while this replica leads, until it stops. The list lags and a poll may fail: what is known
 /// stays in force meanwhile.
 pub(crate) async fn poll_platform(context: Arc<Context>, config: PlatformConfig) {
-    let client = match reqwest::Client::builder().timeout(POLL_TIMEOUT).build() {
+    let client = match reqwest::Client::builder()
+        .timeout(POLL_TIMEOUT)
+        .local_address(context.config.connect_from)
+        .build()
+    {
         Ok(client) => client,
         Err(error) => {
             log::error!("set up platform client: {error}");
--- a/crates/sablehaven-control/src/peers/introduction.rs
+++ b/crates/sablehaven-control/src/peers/introduction.rs
@@ -8,7 +8,9 @@
 };
 
 use sablehaven_consensus::{Message, ReplicaId};
-use sablehaven_wire::{Connection, Hello, PROTOCOL_VERSION, PeerMessage, Role, WireError, connect};
+use sablehaven_wire::{
+    Connection, Hello, PROTOCOL_VERSION, PeerMessage, Role, WireError, connect_from,
+};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -230,7 +232,13 @@
     context: &PeerContext,
     address: SocketAddr,
 ) -> Result<(PeerConnection, Introduction), PeerError> {
-    let mut connection = connect(address, &context.hello(), Role::Control).await?;
+    let mut connection = connect_from(
+        context.config.connect_from,
+        address,
+        &context.hello(),
+        Role::Control,
+    )
+    .await?;
     let theirs = context.introduce(&mut connection).await?;
     Ok((connection, theirs))
 }
--- a/crates/sablehaven-relay/src/config.rs
+++ b/crates/sablehaven-relay/src/config.rs
@@ -1,7 +1,7 @@
 //! Settings of a relay.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
@@ -20,6 +20,8 @@
     pub http_listen: SocketAddr,
     /// Address of the internal interface (agents).
     pub internal_listen: SocketAddr,
+    /// The IP number from which outgoing connections are made; where it is absent the system chooses.
+    pub connect_from: Option<IpAddr>,
     /// Where the relay runs.
     pub placement: Placement,
     /// The control replicas' internal addresses, the near ones first.
@@ -76,6 +78,7 @@
             deployment: String::new(),
             http_listen: any_port,
             internal_listen: any_port,
+            connect_from: None,
             placement: Placement {
                 region: "".into(),
                 zone: "".into(),
--- a/crates/sablehaven-relay/src/control/link.rs
+++ b/crates/sablehaven-relay/src/control/link.rs
@@ -4,7 +4,7 @@
 
 use sablehaven_wire::{
     Connection, ControlToRelay, LeaseGrant, LeaseRequests, RelayToControl, Role, StateUpdate,
-    UpdateFit, WireError, connect,
+    UpdateFit, WireError, connect_from,
 };
 use tokio::time::{Interval, MissedTickBehavior, interval, sleep, sleep_until, timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -117,7 +117,8 @@
 
 impl Link {
     async fn open(hub: Arc<Hub>, peer: SocketAddr) -> Result<Self, LinkError> {
-        let connection = connect(peer, &hub.hello(), Role::Control).await?;
+        let connection =
+            connect_from(hub.config.connect_from, peer, &hub.hello(), Role::Control).await?;
         let now = hub.clock.now();
         Ok(Self {
             id: hub.new_link(),
--- a/crates/sablehaven-subscription/src/config.rs
+++ b/crates/sablehaven-subscription/src/config.rs
@@ -1,6 +1,9 @@
 //! Settings of an agent's subscription.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use sablehaven_types::SettingError;
 use serde::{Deserialize, Serialize};
@@ -16,6 +19,9 @@
     /// The deployment; the agent copies its own here, so it is no setting of its own.
     #[serde(skip)]
     pub deployment: String,
+    /// The IP number from which connections are made; the agent copies its own here.
+    #[serde(skip)]
+    pub connect_from: Option<IpAddr>,
     /// Time between two requests for a lease, in milliseconds.
     pub lease_request_interval_ms: u64,
     /// How long a relay may take to give a usable lease before another one is tried, in
@@ -48,6 +54,7 @@
         Self {
             relays: Vec::new(),
             deployment: String::new(),
+            connect_from: None,
             lease_request_interval_ms: 750,
             lease_wait_ms: 700,
             retry_minimum_ms: 100,
--- a/crates/sablehaven-subscription/src/session.rs
+++ b/crates/sablehaven-subscription/src/session.rs
@@ -4,7 +4,7 @@
 
 use sablehaven_types::LedgerReply;
 use sablehaven_wire::{
-    AgentToRelay, Connection, RelayToAgent, Role, StateUpdate, UpdateFit, WireError, connect,
+    AgentToRelay, Connection, RelayToAgent, Role, StateUpdate, UpdateFit, WireError, connect_from,
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -113,7 +113,13 @@
     peer: SocketAddr,
     channels: SessionChannels,
 ) -> Result<(), SessionError> {
-    let connection = connect(peer, &shared.hello(), Role::Relay).await?;
+    let connection = connect_from(
+        shared.config.connect_from,
+        peer,
+        &shared.hello(),
+        Role::Relay,
+    )
+    .await?;
     let mut session = Session {
         shared,
         id,
--- a/testing/sablehaven-harness/src/caller.rs
+++ b/testing/sablehaven-harness/src/caller.rs
@@ -7,6 +7,10 @@
 
 use crate::HarnessError;
 
+/// Deadline of the harness's own requests, in milliseconds. Generous, so that a verdict does not
+/// depend on the machine's speed.
+const DEADLINE_MS: u64 = 30_000;
+
 /// Sends JSON requests to one agent.
 #[derive(Clone, Debug)]
 pub struct HttpCaller {
@@ -66,6 +70,7 @@
             peer: format!("agent {}", self.agent),
             reason: reason.to_string(),
         };
+        let request = request.header(http::DEADLINE_MS, DEADLINE_MS.to_string());
         let response = request.send().await.map_err(error)?;
         let status = response.status().as_u16();
         let envelope = response.json().await.map_err(error)?;
--- a/testing/sablehaven-harness/src/deployment.rs
+++ b/testing/sablehaven-harness/src/deployment.rs
@@ -6,14 +6,8 @@
 };
 
 use sablehaven_cli::{OperatorClient, RoleName, Settings};
-use sablehaven_standins::{
-    caller::AgentTarget,
-    host::AdminClient,
-    platform::LIST_PATH,
-};
-use sablehaven_types::{
-    ApplyCommand, ApplyOutcome, ConfigurationChange, Placement,
-};
+use sablehaven_standins::{caller::AgentTarget, host::AdminClient, platform::LIST_PATH};
+use sablehaven_types::{ApplyCommand, ApplyOutcome, ConfigurationChange, Placement};
 use tempfile::TempDir;
 
 use crate::{
@@ -110,10 +104,15 @@
     /// Prepares one more control replica, which is to join; it is not started.
     pub async fn prepare_joining_control(&mut self) -> Result<usize, HarnessError> {
         let index = self.control.len();
-        let placement = self.plan.fleet.placements()[index % self.plan.fleet.placements().len()]
-            .clone();
+        let placement =
+            self.plan.fleet.placements()[index % self.plan.fleet.placements().len()].clone();
         let node = self
-            .prepare(NodeKind::Role(RoleName::Control), "control", index, placement)
+            .prepare(
+                NodeKind::Role(RoleName::Control),
+                "control",
+                index,
+                placement,
+            )
             .await?;
         self.control.push(node);
         self.write_control_settings(index, false)?;
@@ -157,13 +156,12 @@
             seed: plan.seed,
         })
         .await?;
-        let host_file = serde_json::to_string(&plan.host_file()).map_err(|error| {
-            HarnessError::File {
+        let host_file =
+            serde_json::to_string(&plan.host_file()).map_err(|error| HarnessError::File {
                 step: "encode",
                 path: stand_ins.folder().to_owned(),
                 reason: error.to_string(),
-            }
-        })?;
+            })?;
         stand_ins.write_settings(&host_file)?;
         stand_ins.start().await?;
         let admin_error = |reason: String| HarnessError::Peer {
@@ -171,8 +169,8 @@
             peer: NOWHERE.to_owned(),
             reason,
         };
-        let admin = AdminClient::new(stand_ins.http())
-            .map_err(|error| admin_error(error.to_string()))?;
+        let admin =
+            AdminClient::new(stand_ins.http()).map_err(|error| admin_error(error.to_string()))?;
         let report = admin
             .host()
             .await
@@ -329,7 +327,10 @@
     let mut nodes: Vec<&Node> = nodes.iter().collect();
     nodes.sort_by_key(|node| {
         let other = node.placement();
-        (other.region != placement.region, other.zone != placement.zone)
+        (
+            other.region != placement.region,
+            other.zone != placement.zone,
+        )
     });
     nodes.into_iter().map(Node::internal).collect()
 }
--- a/testing/sablehaven-harness/src/lib.rs
+++ b/testing/sablehaven-harness/src/lib.rs
@@ -20,4 +20,4 @@
 pub use plan::{DeploymentPlan, PlanSize};
 pub use process::ManagedProcess;
 pub use program::{Program, child_main};
-pub use wait::{WAIT_LIMIT, until};
+pub use wait::{WAIT_LIMIT, now_ms, until};
--- a/testing/sablehaven-harness/src/plan.rs
+++ b/testing/sablehaven-harness/src/plan.rs
@@ -35,8 +35,6 @@
     pub platform_lag_ms: u64,
     /// Settings of the roles that all processes start from (durations, limits).
     pub settings: sablehaven_cli::Settings,
-    /// Whether the proxies add the fleet file's latencies between zones and regions.
-    pub with_latency: bool,
 }
 
 impl DeploymentPlan {
@@ -62,7 +60,6 @@
             seed: 1,
             platform_lag_ms: 500,
             settings: sablehaven_cli::Settings::default(),
-            with_latency: false,
         })
     }
 
--- a/testing/sablehaven-harness/src/wait.rs
+++ b/testing/sablehaven-harness/src/wait.rs
@@ -1,8 +1,8 @@
-//! Waiting for a condition.
+//! Waiting for a condition, and the time of day.
 
 use std::{
     future::Future,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::HarnessError;
@@ -36,3 +36,11 @@
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
 }
+
+/// The time now, in milliseconds since the Unix epoch.
+pub fn now_ms() -> u64 {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
--- a/testing/sablehaven-integration/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Integration tests with real processes.
