Faults: faults of connections from one address

Cause: a machine is cut off from some others; the harness gives each process a loopback address of its own, by which a proxy can tell who connected. Change: set_faults_from and heal_from beside the faults for everyone. Not measured.

--- a/testing/sablehaven-faults/src/fault.rs
+++ b/testing/sablehaven-faults/src/fault.rs
@@ -1,6 +1,6 @@
 //! The faults that a proxy can bring about.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, net::IpAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -95,3 +95,18 @@
     /// Headers keep their order, since their compression depends on it.
     pub reorder_within: Option<Duration>,
 }
+
+/// The faults in force on a proxy: for everyone, and for those who connect from some addresses.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct FaultTable {
+    pub everyone: Faults,
+    /// Stand in place of those for everyone.
+    pub by_source: BTreeMap<IpAddr, Faults>,
+}
+
+impl FaultTable {
+    /// The faults of connections from an address.
+    pub(crate) fn of(&self, source: IpAddr) -> &Faults {
+        self.by_source.get(&source).unwrap_or(&self.everyone)
+    }
+}
--- a/testing/sablehaven-faults/src/flow.rs
+++ b/testing/sablehaven-faults/src/flow.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::VecDeque,
     io,
+    net::IpAddr,
     sync::{Arc, PoisonError, atomic::Ordering},
     time::Duration,
 };
@@ -17,7 +18,7 @@
 };
 
 use crate::{
-    fault::{Direction, DirectionFaults, Faults},
+    fault::{Direction, DirectionFaults, FaultTable},
     http2::Reorderer,
     proxy::Shared,
 };
@@ -49,7 +50,8 @@
 pub(crate) struct Flow {
     direction: Direction,
     shared: Arc<Shared>,
-    faults: watch::Receiver<Faults>,
+    source: IpAddr,
+    faults: watch::Receiver<FaultTable>,
     in_transit: VecDeque<InTransit>,
     in_transit_bytes: usize,
     has_ended: bool,
@@ -67,9 +69,10 @@
 }
 
 impl Flow {
-    pub(crate) fn new(direction: Direction, shared: &Arc<Shared>) -> Self {
+    pub(crate) fn new(direction: Direction, source: IpAddr, shared: &Arc<Shared>) -> Self {
         Self {
             direction,
+            source,
             shared: Arc::clone(shared),
             faults: shared.faults.subscribe(),
             in_transit: VecDeque::new(),
@@ -108,7 +111,11 @@
     }
 
     fn current(&self) -> DirectionFaults {
-        *self.faults.borrow().direction(self.direction)
+        *self
+            .faults
+            .borrow()
+            .of(self.source)
+            .direction(self.direction)
     }
 
     async fn next_step(&mut self, from: &ReadHalf<'_>) -> Step {
@@ -201,7 +208,11 @@
     }
 
     fn resets_after_delivery(&self) -> bool {
-        let share = self.faults.borrow().reset_after_delivery_per_mille;
+        let share = self
+            .faults
+            .borrow()
+            .of(self.source)
+            .reset_after_delivery_per_mille;
         self.direction == Direction::Forward && self.happens(share)
     }
 
--- a/testing/sablehaven-faults/src/proxy.rs
+++ b/testing/sablehaven-faults/src/proxy.rs
@@ -1,7 +1,7 @@
 //! The proxy: accepts, connects on, and lets two flows copy.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    fault::{Direction, Faults},
+    fault::{Direction, FaultTable, Faults},
     flow::{Ending, Flow},
 };
 
@@ -54,7 +54,7 @@
 /// What the connections of one proxy share.
 pub(crate) struct Shared {
     upstream: Mutex<SocketAddr>,
-    pub faults: watch::Sender<Faults>,
+    pub faults: watch::Sender<FaultTable>,
     connections: Mutex<CancellationToken>,
     pub random: Mutex<Pcg64Mcg>,
     accepted: AtomicU64,
@@ -78,7 +78,7 @@
         let address = listener.local_addr().map_err(error)?;
         let shared = Arc::new(Shared {
             upstream: Mutex::new(upstream),
-            faults: watch::Sender::new(Faults::default()),
+            faults: watch::Sender::new(FaultTable::default()),
             connections: Mutex::new(CancellationToken::new()),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
             accepted: AtomicU64::new(0),
@@ -105,24 +105,43 @@
         *current.unwrap_or_else(PoisonError::into_inner) = upstream;
     }
 
-    /// Replaces the faults, also for open connections.
+    /// Replaces the faults for everyone, also on open connections.
     pub fn set_faults(&self, faults: Faults) {
-        self.shared.faults.send_replace(faults);
+        self.change_faults(|current| *current = faults);
     }
 
-    /// Changes some of the faults, also for open connections.
+    /// Changes some of the faults for everyone, also on open connections.
     pub fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
-        self.shared.faults.send_modify(change);
+        let faults = &self.shared.faults;
+        faults.send_modify(|table| change(&mut table.everyone));
     }
 
-    /// The faults in force.
+    /// Replaces the faults for those who connect from an address, also on open connections. They
+    /// stand in place of the faults for everyone.
+    pub fn set_faults_from(&self, source: IpAddr, faults: Faults) {
+        let table = &self.shared.faults;
+        table.send_modify(|table| {
+            table.by_source.insert(source, faults);
+        });
+    }
+
+    /// Ends the faults that are only for those who connect from an address; those for everyone hold
+    /// for them again.
+    pub fn heal_from(&self, source: IpAddr) {
+        let table = &self.shared.faults;
+        table.send_modify(|table| {
+            table.by_source.remove(&source);
+        });
+    }
+
+    /// The faults in force for everyone.
     pub fn faults(&self) -> Faults {
-        *self.shared.faults.borrow()
+        self.shared.faults.borrow().everyone
     }
 
     /// Ends every fault.
     pub fn heal(&self) {
-        self.set_faults(Faults::default());
+        self.shared.faults.send_replace(FaultTable::default());
     }
 
     /// Resets every open connection on both sides.
@@ -162,19 +181,19 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((near, _)) = listener.accept().await {
+    while let Ok((near, source)) = listener.accept().await {
         shared.accepted.fetch_add(1, Ordering::Relaxed);
-        if shared.faults.borrow().refuse_connections {
+        if shared.faults.borrow().of(source.ip()).refuse_connections {
             shared.refused.fetch_add(1, Ordering::Relaxed);
             reset(&near);
             continue;
         }
-        tokio::spawn(carry(near, Arc::clone(&shared)));
+        tokio::spawn(carry(near, source.ip(), Arc::clone(&shared)));
     }
 }
 
 /// Carries one connection until it ends.
-async fn carry(mut near: TcpStream, shared: Arc<Shared>) {
+async fn carry(mut near: TcpStream, source: IpAddr, shared: Arc<Shared>) {
     let dropped = shared.connection_token();
     let far = tokio::select! {
         far = TcpStream::connect(shared.upstream()) => far,
@@ -186,7 +205,7 @@
     // A proxy must not add waits of its own to small writes; an error leaves only that wait.
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    let ending = copy_both_ways(&mut near, &mut far, &shared, &dropped).await;
+    let ending = copy_both_ways(&mut near, &mut far, source, &shared, &dropped).await;
     match ending {
         Ending::Closed => {}
         Ending::Reset => {
@@ -206,13 +225,14 @@
 async fn copy_both_ways(
     near: &mut TcpStream,
     far: &mut TcpStream,
+    source: IpAddr,
     shared: &Arc<Shared>,
     dropped: &CancellationToken,
 ) -> Ending {
     let (near_reader, near_writer) = near.split();
     let (far_reader, far_writer) = far.split();
-    let forward = Flow::new(Direction::Forward, shared).copy(near_reader, far_writer);
-    let backward = Flow::new(Direction::Backward, shared).copy(far_reader, near_writer);
+    let forward = Flow::new(Direction::Forward, source, shared).copy(near_reader, far_writer);
+    let backward = Flow::new(Direction::Backward, source, shared).copy(far_reader, near_writer);
     let both = async {
         tokio::pin!(forward, backward);
         tokio::select! {
--- a/testing/sablehaven-faults/tests/proxy.rs
+++ b/testing/sablehaven-faults/tests/proxy.rs
@@ -230,3 +230,23 @@
     let moved = timeout(PATIENCE, received.recv()).await.expect("in time");
     assert_eq!(moved.expect("server lives"), b"moved");
 }
+
+#[tokio::test]
+async fn faults_of_one_source_spare_the_others_and_end_alone() {
+    let mut spared = link().await;
+    let source = std::net::IpAddr::from([127, 0, 0, 77]);
+    let socket = tokio::net::TcpSocket::new_v4().expect("socket");
+    socket.bind((source, 0).into()).expect("bound");
+    let mut cut = socket
+        .connect(spared.proxy.address())
+        .await
+        .expect("connected");
+    spared.proxy.set_faults_from(source, Faults::freeze());
+    cut.write_all(b"held").await.expect("written");
+    spared.send("passed").await;
+    assert_eq!(spared.receive(6).await.expect("echo"), b"passed");
+    assert_eq!(spared.server_receives().await, b"passed");
+    assert!(timeout(A_WHILE, spared.received.recv()).await.is_err());
+    spared.proxy.heal_from(source);
+    assert_eq!(spared.server_receives().await, b"held");
+}
