Stand-ins: load tests no longer depend on the machine's speed

Change: back ends of the load tests have room for everything and calls have a minute; the deadline that ends running work is one second. The checks are as strict as before.

--- a/testing/sablehaven-standins/tests/standins/backend.rs
+++ b/testing/sablehaven-standins/tests/standins/backend.rs
@@ -128,7 +128,7 @@
     assert_eq!(header(&refused, http::REFUSED), http::REFUSED_DEADLINE);
     blocking.abort();
     wait_until("the slot is free", || backend.status().running == 0).await;
-    let runs = attempt(&client, &host, "a", "Search").header(http::DEADLINE_MS, "30");
+    let runs = attempt(&client, &host, "a", "Search").header(http::DEADLINE_MS, "1000");
     let ended = runs.send().await.expect("end");
     assert_eq!(ended.status(), 504);
     assert!(!ended.headers().contains_key(http::REFUSED));
--- a/testing/sablehaven-standins/tests/standins/caller.rs
+++ b/testing/sablehaven-standins/tests/standins/caller.rs
@@ -105,6 +105,14 @@
     (host, agent.expect("baseline starts"))
 }
 
+/// A back end that neither sheds nor runs out of time, however slow the machine is.
+fn roomy(id: &str) -> BackendSettings {
+    BackendSettings {
+        slots: 1_000,
+        ..settings(id)
+    }
+}
+
 /// An agent that nobody can reach.
 fn unreachable_agent(placement: &Placement) -> AgentTarget {
     AgentTarget {
@@ -140,7 +148,7 @@
         }],
         mix: vec![entry("Search"), entry("Reserve")],
         resends: 0,
-        deadline: None,
+        deadline: Some(Duration::from_secs(60)),
         items: 2,
     };
     let recorder = Recorder::new();
@@ -164,7 +172,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_undisturbed_run_keeps_the_promises_about_answers() {
-    let (host, agent) = start([settings("a"), settings("b")]).await;
+    let (host, agent) = start([roomy("a"), roomy("b")]).await;
     let history = drive(&host, &agent, Duration::from_secs(1)).await;
     let report = check(&history, &Limits::default());
     for promise in [
@@ -178,7 +186,8 @@
     let summary = summarise(&history);
     assert!(summary.calls > 100);
     let count = |outcome: &str| summary.outcomes.get(outcome).copied().unwrap_or(0);
-    assert_eq!(count("done") + count("not_connected"), summary.calls);
+    let reached = count("done") + count("not_connected");
+    assert_eq!(reached, summary.calls, "{summary:?}");
     assert!(count("not_connected") > 10, "{summary:?}");
     assert_eq!((summary.coverage(), summary.extra_load()), (1.0, 0.0));
 }
@@ -187,13 +196,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slow_answers_do_not_slow_the_callers_down() {
     let slow = |id: &str| BackendSettings {
-        slots: 1_000,
         service_time: ServiceTime {
             median_us: 400_000,
             sigma: 0.0,
             ..ServiceTime::default()
         },
-        ..settings(id)
+        ..roomy(id)
     };
     let (host, agent) = start([slow("a"), slow("b")]).await;
     let history = drive(&host, &agent, Duration::from_secs(1)).await;
@@ -215,7 +223,7 @@
         },
         ..settings("b")
     };
-    let (host, agent) = start([settings("a"), shedding]).await;
+    let (host, agent) = start([roomy("a"), shedding]).await;
     let history = drive(&host, &agent, Duration::from_millis(500)).await;
     let summary = summarise(&history);
     assert!((0.2..0.8).contains(&summary.coverage()), "{summary:?}");
