--- /dev/null
+++ b/crates/sablehaven-relay/tests/relay.rs
@@ -0,0 +1,513 @@
+//! A relay between scripted control replicas and agents on loopback.
+
+mod support;
+
+use std::time::Duration;
+
+use sablehaven_subscription::Subscription;
+use sablehaven_telemetry::Telemetry;
+use sablehaven_types::{AgentId, BackendState, ClaimAnswer, LedgerReply, SchemaSource};
+use sablehaven_wire::{
+    AgentStatus, AgentToRelay, ControlToRelay, RelayToAgent, RelayToControl, Role, StateUpdate,
+    WireError, connect,
+};
+use support::{
+    AgentConnection, address, changes, claim, control_double::ControlDouble, current_at, draining,
+    full_state, hello, relay_config, start_relay, subscribe, until, watch_bare,
+};
+
+const SEARCH: &str = "stock.Search";
+const RESERVE: &str = "stock.Reserve";
+const CALL_LIMIT: Duration = Duration::from_secs(55);
+const GRANTED: LedgerReply = LedgerReply::Claim(ClaimAnswer::Granted);
+
+async fn control_at(revision: u64) -> ControlDouble {
+    ControlDouble::start(full_state(revision, &[SEARCH, RESERVE])).await
+}
+
+/// The last status of the agent that the replica was told, if any.
+fn last_status(control: &ControlDouble, agent: &str) -> Option<Option<AgentStatus>> {
+    let agent = AgentId::from(agent);
+    let script = control.script();
+    let mut statuses = script.received.iter().filter_map(|message| match message {
+        RelayToControl::Agents(statuses) => statuses.get(&agent).cloned(),
+        _ => None,
+    });
+    statuses.next_back()
+}
+
+fn ledger_calls(control: &ControlDouble) -> usize {
+    let script = control.script();
+    let batches = script.received.iter().map(|message| match message {
+        RelayToControl::Ledger(calls) => calls.len(),
+        _ => 0,
+    });
+    batches.sum()
+}
+
+fn call_in_background(subscription: &Subscription) -> tokio::task::JoinHandle<LedgerReply> {
+    let calling = subscription.clone();
+    tokio::spawn(async move { calling.ledger(claim(1), CALL_LIMIT).await })
+}
+
+#[tokio::test]
+async fn a_change_reaches_agents_and_their_acknowledgements_reach_control() {
+    let control = control_at(10).await;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let agent = subscribe("agent-1", &[&relay], &[SEARCH]);
+    current_at(&agent, 10).await;
+    let revision = control.commit(changes(SEARCH, 2));
+    current_at(&agent, revision).await;
+    until("the acknowledgement", || {
+        last_status(&control, "agent-1")
+            .flatten()
+            .is_some_and(|status| {
+                status.configuration_version == revision && status.lease_age_ms < 3_000
+            })
+    })
+    .await;
+    agent.stop().await;
+    until("the goodbye", || {
+        last_status(&control, "agent-1") == Some(None)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn agents_hear_only_of_their_services_and_equal_ones_share_the_encoding() {
+    let control = control_at(10).await;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let searching: Vec<_> = (0..10)
+        .map(|number| subscribe(&format!("search-{number}"), &[&relay], &[SEARCH]))
+        .collect();
+    let reserving = subscribe("reserve", &[&relay], &[RESERVE]);
+    for agent in searching.iter().chain([&reserving]) {
+        current_at(agent, 10).await;
+    }
+    let encoded = relay.metrics().encoded_updates.get();
+    assert!(encoded <= 2, "{encoded} encodings for two interests");
+    let revision = control.commit(changes(SEARCH, 2));
+    for agent in searching.iter().chain([&reserving]) {
+        current_at(agent, revision).await;
+    }
+    let encoded = relay.metrics().encoded_updates.get() - encoded;
+    assert_eq!(encoded, 2, "one encoding for each interest");
+    let view = reserving.view();
+    assert_eq!(view.services.keys().collect::<Vec<_>>(), [&RESERVE.into()]);
+    assert_eq!(view.backends.keys().collect::<Vec<_>>(), [&RESERVE.into()]);
+    assert_eq!(
+        searching[0].view().services[&SEARCH.into()]
+            .snapshot
+            .id
+            .generation,
+        2
+    );
+}
+
+#[tokio::test]
+async fn an_agent_that_starts_after_hundreds_of_changes_takes_one_update() {
+    let control = control_at(10).await;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let early = subscribe("early", &[&relay], &[]);
+    current_at(&early, 10).await;
+    let mut revision = 0;
+    for generation in 0..400 {
+        revision = control.commit(changes(SEARCH, generation));
+    }
+    current_at(&early, revision).await;
+    let late = subscribe("late", &[&relay], &[]);
+    current_at(&late, revision).await;
+    assert_eq!(late.metrics().updates.get(), 1);
+    assert_eq!(late.metrics().full_updates.get(), 1);
+    assert_eq!(*late.view(), *early.view());
+}
+
+#[tokio::test]
+async fn a_restarted_relay_behind_the_agents_does_not_lead_them_back() {
+    let control = control_at(10).await;
+    let lagging = control_at(5).await;
+    lagging.script().leads = false;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let mut restarted = relay_config(&[&lagging]);
+    restarted.lease_timeout_ms = 50_000;
+    let restarted = start_relay(restarted).await;
+    let agent = subscribe("agent-1", &[&relay, &restarted], &[]);
+    current_at(&agent, 10).await;
+    until("the relay that lags has its state", || {
+        restarted.metrics().revision.get() == 5
+    })
+    .await;
+    relay.stop().await;
+    until("the agent has moved", || {
+        restarted.metrics().agents.get() == 1
+    })
+    .await;
+    for _ in 5..10 {
+        lagging.commit(changes(SEARCH, 77));
+    }
+    until("the relay has caught up", || {
+        restarted.metrics().revision.get() == 10
+    })
+    .await;
+    assert_eq!(agent.view().revision, 10);
+    lagging.commit(changes(SEARCH, 78));
+    until("the next revision", || agent.view().revision == 11).await;
+    assert_eq!(agent.metrics().updates.get(), 2);
+}
+
+#[tokio::test]
+async fn a_silently_cut_off_relay_stops_granting_and_its_agents_move() {
+    let cut = control_at(10).await;
+    let healthy = control_at(10).await;
+    let mut near_config = relay_config(&[&cut]);
+    near_config.lease_timeout_ms = 50_000;
+    let telemetry = Telemetry::new("relay");
+    let near = sablehaven_relay::start(near_config, telemetry.clone());
+    let near = near.await.expect("start");
+    let far = start_relay(relay_config(&[&healthy])).await;
+    let agent = subscribe("agent-1", &[&near, &far], &[]);
+    current_at(&agent, 10).await;
+    until("the near relay is ready", || telemetry.is_ready()).await;
+    cut.script().frozen = true;
+    until("the agent moves", || {
+        agent.metrics().relay_changes.get() == 2
+    })
+    .await;
+    let revision = healthy.commit(changes(SEARCH, 2));
+    current_at(&agent, revision).await;
+    until("the near relay has no proof left", || !telemetry.is_ready()).await;
+    let granted = near.metrics().leases.get();
+    let bare_request = AgentToRelay::RequestLease { nonce: 1 };
+    let mut bare = watch_bare(&near, "bare", revision).await;
+    bare.writer.send(&bare_request).await.expect("request");
+    let goes_on = far.metrics().leases.get() + 20;
+    until("the far relay goes on", || {
+        far.metrics().leases.get() > goes_on
+    })
+    .await;
+    assert_eq!(near.metrics().leases.get(), granted);
+}
+
+#[tokio::test]
+async fn a_silently_cut_off_control_replica_is_left_for_another() {
+    let cut = control_at(10).await;
+    let healthy = control_at(10).await;
+    let mut config = relay_config(&[&cut, &healthy]);
+    config.lease_timeout_ms = 500;
+    let relay = start_relay(config).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    current_at(&agent, 10).await;
+    cut.script().frozen = true;
+    let revision = healthy.commit(changes(SEARCH, 2));
+    current_at(&agent, revision).await;
+}
+
+#[tokio::test]
+async fn with_every_relay_cut_off_an_agent_says_that_it_is_not_current() {
+    let control = control_at(10).await;
+    control.script().lease_ms = 400;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    current_at(&agent, 10).await;
+    control.script().frozen = true;
+    until("the lease has run out", || !agent.lease().current).await;
+    until("control hears of it when it is back", || {
+        control.script().frozen = false;
+        agent.lease().current
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_relay_follows_the_leader() {
+    let follower = control_at(10).await;
+    let leader = control_at(10).await;
+    follower.script().leads = false;
+    follower.script().leader = Some(leader.address);
+    let relay = start_relay(relay_config(&[&follower])).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    current_at(&agent, 10).await;
+    let revision = leader.commit(changes(SEARCH, 2));
+    current_at(&agent, revision).await;
+    // Leadership moves back; the other replica is told of the agents behind the relay.
+    follower.script().state = leader.script().state.clone();
+    follower.script().leads = true;
+    leader.script().leads = false;
+    leader.script().leader = Some(follower.address);
+    until("the new leader knows the agent", || {
+        last_status(&follower, "agent-1").flatten().is_some()
+    })
+    .await;
+    let revision = follower.commit(changes(SEARCH, 3));
+    current_at(&agent, revision).await;
+}
+
+#[tokio::test]
+async fn a_relay_without_a_leader_still_gives_agents_the_state() {
+    let follower = control_at(10).await;
+    follower.script().leads = false;
+    let relay = start_relay(relay_config(&[&follower])).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    until("the state", || agent.view().revision == 10).await;
+    assert!(!agent.lease().current);
+}
+
+#[tokio::test]
+async fn a_lost_control_replica_is_replaced_from_the_own_revision() {
+    let first = control_at(10).await;
+    let second = control_at(12).await;
+    let relay = start_relay(relay_config(&[&first, &second])).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    current_at(&agent, 10).await;
+    first.kill().await;
+    current_at(&agent, 12).await;
+    let asked =
+        |message: &RelayToControl| matches!(message, RelayToControl::Watch { revision: 10, .. });
+    assert!(second.script().received.iter().any(asked));
+}
+
+#[tokio::test]
+async fn a_gap_in_controls_updates_makes_the_relay_ask_again() {
+    let control = control_at(10).await;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    current_at(&agent, 10).await;
+    control.script().state.revision = 14;
+    let mut skipping = changes(SEARCH, 5);
+    skipping.from_revision = 13;
+    skipping.revision = 14;
+    skipping.configuration_version = 14;
+    control.send(ControlToRelay::Update(skipping));
+    current_at(&agent, 14).await;
+}
+
+#[tokio::test]
+async fn ledger_calls_of_many_agents_share_messages() {
+    let control = control_at(10).await;
+    let mut config = relay_config(&[&control]);
+    config.ledger_batch_delay_ms = 100;
+    let relay = start_relay(config).await;
+    let agents: Vec<_> = (0..20)
+        .map(|number| subscribe(&format!("agent-{number}"), &[&relay], &[]))
+        .collect();
+    for agent in &agents {
+        current_at(agent, 10).await;
+    }
+    let calls: Vec<_> = agents.iter().map(call_in_background).collect();
+    for call in calls {
+        assert_eq!(call.await.expect("call"), GRANTED);
+    }
+    assert_eq!(ledger_calls(&control), 20);
+    assert!(relay.metrics().ledger_batches.get() < 20);
+}
+
+#[tokio::test]
+async fn a_ledger_reply_lost_with_control_is_unavailable_and_the_relay_does_not_repeat_it() {
+    let first = control_at(10).await;
+    let second = control_at(10).await;
+    first.script().answers_ledger = false;
+    let relay = start_relay(relay_config(&[&first, &second])).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    current_at(&agent, 10).await;
+    let call = call_in_background(&agent);
+    until("the call arrives", || ledger_calls(&first) == 1).await;
+    first.kill().await;
+    let reply = call.await.expect("call");
+    assert!(
+        matches!(reply, LedgerReply::Unavailable { .. }),
+        "{reply:?}"
+    );
+    assert_eq!(agent.ledger(claim(2), CALL_LIMIT).await, GRANTED);
+    assert_eq!(ledger_calls(&second), 1);
+}
+
+#[tokio::test]
+async fn a_stopping_control_replica_still_answers_its_calls() {
+    let first = control_at(10).await;
+    let second = control_at(10).await;
+    first.script().answers_ledger = false;
+    let relay = start_relay(relay_config(&[&first, &second])).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    current_at(&agent, 10).await;
+    let call = call_in_background(&agent);
+    until("the call arrives", || ledger_calls(&first) == 1).await;
+    first.send(ControlToRelay::GoAway);
+    assert_eq!(agent.ledger(claim(2), CALL_LIMIT).await, GRANTED);
+    assert_eq!(ledger_calls(&second), 1);
+    first.send(ControlToRelay::Ledger(vec![(1, LedgerReply::Recorded)]));
+    assert_eq!(call.await.expect("call"), LedgerReply::Recorded);
+}
+
+#[tokio::test]
+async fn ledger_calls_wait_a_while_for_a_leader_and_end_in_time() {
+    let control = control_at(10).await;
+    control.script().leads = false;
+    let mut config = relay_config(&[&control]);
+    config.ledger_timeout_ms = 100;
+    let relay = start_relay(config).await;
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    until("the state", || agent.view().revision == 10).await;
+    let reply = agent.ledger(claim(1), CALL_LIMIT).await;
+    assert!(
+        matches!(reply, LedgerReply::Unavailable { .. }),
+        "{reply:?}"
+    );
+    assert_eq!(ledger_calls(&control), 0);
+}
+
+/// Large updates that an agent does not take: the relay keeps none of them for it.
+#[tokio::test]
+async fn a_slow_agent_skips_revisions_and_does_not_hold_others_up() {
+    let control = control_at(10).await;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let brisk = subscribe("brisk", &[&relay], &[]);
+    let mut slow = watch_bare(&relay, "slow", 0).await;
+    current_at(&brisk, 10).await;
+    let mut revision = 0;
+    for round in 0..100 {
+        let schema = SchemaSource {
+            file_name: format!("schema-{round}.proto"),
+            text: "x".repeat(256 * 1024),
+        };
+        revision = control.commit(StateUpdate {
+            schema: Some(schema),
+            ..StateUpdate::default()
+        });
+        until("the brisk agent follows", || {
+            brisk.view().revision == revision
+        })
+        .await;
+    }
+    let mut updates = 0;
+    let mut reached = 0;
+    while reached < revision {
+        if let RelayToAgent::Update(update) = slow.reader.receive().await.expect("receive") {
+            assert!(update.full || update.from_revision == reached);
+            reached = update.revision;
+            updates += 1;
+        }
+    }
+    assert!(updates < 60, "{updates} updates for 100 revisions");
+}
+
+#[tokio::test]
+async fn an_agent_that_takes_no_bytes_is_disconnected() {
+    let control = control_at(10).await;
+    let mut config = relay_config(&[&control]);
+    config.agent_send_timeout_ms = 100;
+    let relay = start_relay(config).await;
+    let _slow = watch_bare(&relay, "slow", 0).await;
+    until("it is connected", || relay.metrics().agents.get() == 1).await;
+    until("it is disconnected", || {
+        let schema = SchemaSource {
+            file_name: "schema.proto".to_owned(),
+            text: "x".repeat(1024 * 1024),
+        };
+        control.commit(StateUpdate {
+            schema: Some(schema),
+            ..StateUpdate::default()
+        });
+        relay.metrics().agents.get() == 0
+    })
+    .await;
+    assert_eq!(relay.metrics().agent_errors.get(), 1);
+}
+
+#[tokio::test]
+async fn a_draining_word_reaches_other_agents_before_control_commits_it() {
+    let control = control_at(10).await;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let observer = subscribe("observer", &[&relay], &[SEARCH]);
+    let other = subscribe("other", &[&relay], &[SEARCH]);
+    let elsewhere = subscribe("elsewhere", &[&relay], &[RESERVE]);
+    for agent in [&observer, &other, &elsewhere] {
+        current_at(agent, 10).await;
+    }
+    let backend = format!("{SEARCH}-backend");
+    observer.observe(draining(&backend, SEARCH, 1));
+    let state_at = |agent: &Subscription| agent.view().backends[&SEARCH.into()][0].state;
+    until("the hint", || state_at(&other) == BackendState::Leaving).await;
+    let late = subscribe("late", &[&relay], &[SEARCH]);
+    until("the hint for a new agent", || {
+        late.view().revision == 10 && state_at(&late) == BackendState::Leaving
+    })
+    .await;
+    until("control hears of it", || {
+        let is_report = |message: &RelayToControl| {
+            matches!(message, RelayToControl::Observe { observations } if observations.len() == 1)
+        };
+        control.script().received.iter().any(is_report)
+    })
+    .await;
+    assert_eq!(elsewhere.metrics().hints.get(), 0);
+    assert_eq!(observer.metrics().hints.get(), 1, "its own word only");
+}
+
+#[tokio::test]
+async fn a_planned_stop_moves_the_agents_and_answers_the_calls_in_flight() {
+    let control = control_at(10).await;
+    control.script().answers_ledger = false;
+    let near = start_relay(relay_config(&[&control])).await;
+    let far = start_relay(relay_config(&[&control])).await;
+    let agent = subscribe("agent-1", &[&near, &far], &[]);
+    current_at(&agent, 10).await;
+    let call = call_in_background(&agent);
+    until("the call arrives", || ledger_calls(&control) == 1).await;
+    let stopping = tokio::spawn(near.stop());
+    until("the agent has moved", || {
+        agent.metrics().relay_changes.get() == 2
+    })
+    .await;
+    control.send(ControlToRelay::Ledger(vec![(1, LedgerReply::Recorded)]));
+    assert_eq!(call.await.expect("call"), LedgerReply::Recorded);
+    stopping.await.expect("stop");
+    let revision = control.commit(changes(SEARCH, 2));
+    current_at(&agent, revision).await;
+    assert_eq!(agent.metrics().session_errors.get(), 0);
+}
+
+#[tokio::test]
+async fn one_proof_serves_all_agents() {
+    let control = control_at(10).await;
+    let mut config = relay_config(&[&control]);
+    config.lease_interval_ms = 250;
+    let relay = start_relay(config).await;
+    let agents: Vec<_> = (0..30)
+        .map(|number| subscribe(&format!("agent-{number}"), &[&relay], &[]))
+        .collect();
+    until("many leases", || relay.metrics().leases.get() >= 500).await;
+    let proofs = relay.metrics().proofs.get();
+    assert!(proofs * 4 < 500, "{proofs} proofs for 500 leases");
+    drop(agents);
+}
+
+#[tokio::test]
+async fn strangers_and_agents_too_many_are_turned_away() {
+    let control = control_at(10).await;
+    let mut config = relay_config(&[&control]);
+    config.maximum_agents = 1;
+    let relay = start_relay(config).await;
+    let mut stranger = hello(Role::Agent);
+    stranger.deployment = "tareas".to_owned();
+    let refused: Result<AgentConnection, _> =
+        connect(address(&relay), &stranger, Role::Relay).await;
+    assert!(matches!(refused, Err(WireError::Refused { .. })));
+    let agent = subscribe("agent-1", &[&relay], &[]);
+    current_at(&agent, 10).await;
+    let second: Result<AgentConnection, _> =
+        connect(address(&relay), &hello(Role::Agent), Role::Relay).await;
+    assert!(second.is_err());
+    assert_eq!(relay.metrics().agents_refused.get(), 1);
+}
+
+#[tokio::test]
+async fn settings_that_cannot_be_used_are_named() {
+    let control = control_at(10).await;
+    let mut config = relay_config(&[&control]);
+    assert!(config.validate("relay").is_empty());
+    config.control.clear();
+    config.lease_timeout_ms = 1;
+    let errors = config.validate("relay");
+    let keys: Vec<_> = errors.iter().map(|error| error.key.as_str()).collect();
+    assert_eq!(keys, ["relay.control", "relay.lease_timeout_ms"]);
+}
--- /dev/null
+++ b/crates/sablehaven-relay/tests/support/mod.rs
@@ -0,0 +1,199 @@
+//! Doubles and sample values for the relay's tests.
+#![allow(dead_code)]
+
+pub mod control_double;
+
+use std::{net::SocketAddr, time::Duration};
+
+use sablehaven_relay::{Config, Handle};
+use sablehaven_subscription::{AgentIdentity, Subscription};
+use sablehaven_telemetry::Telemetry;
+use sablehaven_types::{
+    BackendRecord, BackendState, ClaimId, IndexSnapshot, LedgerKey, LedgerRequest, Observation,
+    ObservationKind, Placement, ServiceConfiguration, SnapshotId,
+};
+use sablehaven_wire::{
+    AgentToRelay, Connection, Hello, PROTOCOL_VERSION, RelayToAgent, Role, StateUpdate, connect,
+};
+use tokio::time::{sleep, timeout};
+
+use control_double::{ControlDouble, DEPLOYMENT};
+
+/// Limit of every wait; far above what a busy machine needs.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+pub fn placement() -> Placement {
+    Placement {
+        region: "west".into(),
+        zone: "west-1".into(),
+    }
+}
+
+pub fn record(id: &str, service: &str, incarnation: u64, state: BackendState) -> BackendRecord {
+    BackendRecord {
+        id: id.into(),
+        service: service.into(),
+        address: "127.0.0.1:9000".parse().expect("address"),
+        placement: placement(),
+        state,
+        incarnation,
+    }
+}
+
+pub fn service(generation: u64) -> ServiceConfiguration {
+    ServiceConfiguration {
+        snapshot: IndexSnapshot {
+            id: SnapshotId {
+                generation,
+                partition_map: 1,
+            },
+            shards: Vec::new(),
+        },
+        routing: Default::default(),
+    }
+}
+
+/// Changes that set one service and one back end of it.
+pub fn changes(name: &str, generation: u64) -> StateUpdate {
+    let backend = record(
+        &format!("{name}-backend"),
+        name,
+        generation,
+        BackendState::Live,
+    );
+    StateUpdate {
+        services: [(name.into(), Some(service(generation)))].into(),
+        backends: [(backend.id.clone(), Some(backend))].into(),
+        ..StateUpdate::default()
+    }
+}
+
+/// A whole state with the given services.
+pub fn full_state(revision: u64, names: &[&str]) -> StateUpdate {
+    let mut state = StateUpdate {
+        full: true,
+        revision,
+        configuration_version: revision,
+        ..StateUpdate::default()
+    };
+    for name in names {
+        let update = changes(name, 1);
+        state.services.extend(update.services);
+        state.backends.extend(update.backends);
+    }
+    state
+}
+
+pub fn draining(backend: &str, service: &str, incarnation: u64) -> Observation {
+    Observation {
+        backend: backend.into(),
+        service: service.into(),
+        incarnation,
+        kind: ObservationKind::Draining,
+    }
+}
+
+pub fn claim(number: u64) -> LedgerRequest {
+    LedgerRequest::Claim {
+        key: LedgerKey {
+            caller: "pantry-7".into(),
+            request: format!("request-{number}").into(),
+            issued_at_ms: 1,
+        },
+        claim: ClaimId(number),
+        fingerprint: 1,
+    }
+}
+
+pub fn relay_config(control: &[&ControlDouble]) -> Config {
+    Config {
+        deployment: DEPLOYMENT.to_owned(),
+        placement: placement(),
+        control: control.iter().map(|replica| replica.address).collect(),
+        lease_interval_ms: 50,
+        lease_timeout_ms: 2_000,
+        retry_minimum_ms: 5,
+        retry_maximum_ms: 50,
+        stop_grace_ms: 50_000,
+        stop_limit_ms: 60_000,
+        ledger_timeout_ms: 50_000,
+        ..Config::default()
+    }
+}
+
+pub async fn start_relay(config: Config) -> Handle {
+    sablehaven_relay::start(config, Telemetry::new("relay"))
+        .await
+        .expect("start")
+}
+
+pub fn address(relay: &Handle) -> SocketAddr {
+    relay.addresses().internal.expect("listening")
+}
+
+/// A real subscription to the relays in order, interested in the given services.
+pub fn subscribe(name: &str, relays: &[&Handle], interest: &[&str]) -> Subscription {
+    let config = sablehaven_subscription::Config {
+        relays: relays.iter().map(|relay| address(relay)).collect(),
+        deployment: DEPLOYMENT.to_owned(),
+        lease_request_interval_ms: 50,
+        lease_wait_ms: 2_000,
+        retry_minimum_ms: 10,
+        retry_maximum_ms: 100,
+        failover_jitter_ms: 5,
+        observation_interval_ms: 10,
+        ..Default::default()
+    };
+    let identity = AgentIdentity {
+        agent: name.into(),
+        placement: placement(),
+        interest: interest.iter().map(|service| (*service).into()).collect(),
+    };
+    Subscription::start(config, identity)
+}
+
+pub type AgentConnection = Connection<RelayToAgent, AgentToRelay>;
+
+pub fn hello(role: Role) -> Hello {
+    Hello {
+        protocol_version: PROTOCOL_VERSION,
+        deployment: DEPLOYMENT.to_owned(),
+        role,
+        sender: "agent-double".to_owned(),
+    }
+}
+
+/// A bare connection of an agent that has sent its watch.
+pub async fn watch_bare(relay: &Handle, name: &str, revision: u64) -> AgentConnection {
+    let mut connection: AgentConnection = connect(address(relay), &hello(Role::Agent), Role::Relay)
+        .await
+        .expect("connect");
+    let watch = AgentToRelay::Watch {
+        agent: name.into(),
+        placement: placement(),
+        interest: Default::default(),
+        revision,
+    };
+    connection.writer.send(&watch).await.expect("watch");
+    connection
+}
+
+/// Waits until `condition` holds.
+pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let holds = async {
+        while !condition() {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(WAIT_LIMIT, holds)
+        .await
+        .unwrap_or_else(|_| panic!("not reached: {what}"));
+}
+
+/// Waits until the subscription has the revision in force and proved to be current.
+pub async fn current_at(subscription: &Subscription, revision: u64) {
+    until("the revision in force and current", || {
+        subscription.view().revision == revision && subscription.lease().current
+    })
+    .await;
+}
