Integration tests: control machines cut off, lost, replaced; restart after hundreds of changes

Cause: each promise needs a run that brings its failure about. Change: cuts by source address in the harness; four tests with real processes.

--- a/testing/sablehaven-harness/src/lib.rs
+++ b/testing/sablehaven-harness/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod deployment;
 mod error;
+mod network;
 mod node;
 mod plan;
 mod process;
--- a/testing/sablehaven-integration/tests/operators.rs
+++ b/testing/sablehaven-integration/tests/operators.rs
@@ -2,18 +2,8 @@
 
 mod support;
 
-use sablehaven_types::{ApplyOutcome, ConfigurationChange, RoutingSettings};
-use support::{ORDERING_PORTAL, small_plan, start};
-
-fn set_slots(slots: u32) -> ConfigurationChange {
-    ConfigurationChange::SetRouting {
-        service: ORDERING_PORTAL.into(),
-        routing: RoutingSettings {
-            slots_per_server: slots,
-            ..RoutingSettings::default()
-        },
-    }
-}
+use sablehaven_types::{ApplyOutcome, ConfigurationChange};
+use support::{set_slots, small_plan, start};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn racing_operators_get_one_winner_and_resends_get_the_first_outcome() {
--- a/testing/sablehaven-integration/tests/thin_path.rs
+++ b/testing/sablehaven-integration/tests/thin_path.rs
@@ -6,10 +6,7 @@
 use sablehaven_harness::now_ms;
 use sablehaven_types::{Outcome, ShardId};
 use serde_json::json;
-use support::{small_plan, start};
-
-const SEARCH_STOCK: &str = "/trinacria.OrderingPortal/SearchStock";
-const RESERVE_PALLET: &str = "/trinacria.OrderingPortal/ReservePallet";
+use support::{RESERVE_PALLET, SEARCH_STOCK, small_plan, start};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_query_is_fanned_out_merged_and_answered_with_its_snapshot_and_coverage() {
