Harness: keep a child's input open until it has ended

Cause: waiting for a tokio child closes its piped input first; the child takes that for its parent's death and exits with code 1, so every planned stop was an abrupt one. Change: the harness keeps the input beside the child.

--- a/testing/sablehaven-harness/src/process.rs
+++ b/testing/sablehaven-harness/src/process.rs
@@ -14,7 +14,7 @@
 use sablehaven_types::BoundAddresses;
 use tokio::{
     io::{AsyncBufReadExt, BufReader},
-    process::{Child, Command},
+    process::{Child, ChildStdin, Command},
     time::timeout,
 };
 
@@ -31,6 +31,9 @@
 pub struct ManagedProcess {
     name: String,
     child: Child,
+    /// Closing it ends the child. Waiting for a child closes its own input first, which would turn
+    /// a planned stop into an abrupt end, so the input is kept here.
+    _input: Option<ChildStdin>,
     addresses: BoundAddresses,
     error_file: PathBuf,
 }
@@ -80,6 +83,7 @@
         let addresses = serde_json::from_str(&line).map_err(|_| not_started())?;
         Ok(Self {
             name: name.to_owned(),
+            _input: child.stdin.take(),
             child,
             addresses,
             error_file,
