Agent: a replica that cannot be connected to costs no retry budget; harness waits for leases

Cause: after a replica of every shard was lost, the retries that connection refusals needed used up the retry budget, and 8 of 16 shards were missing though other replicas were well. Ruled out: a larger budget (it bounds the work of pressed back ends); a budget with a floor (extra load could then exceed the share). Change: a failure before any byte was sent is a first attempt somewhere else, as a drain is. Separately, the harness waits until each agent holds a lease: a reservation within the first half second was refused as not run, which is true and by design. A try to report ready only with a lease was reverted: an agent that starts in a region that is cut off could then answer no query, and two tests of the agent say that it must.

--- a/crates/sablehaven-agent/src/query/attempt.rs
+++ b/crates/sablehaven-agent/src/query/attempt.rs
@@ -91,7 +91,8 @@
         }
         AttemptEnd::Discarded(reason) => Err(reason),
         AttemptEnd::Refused { refusal, .. } => return Err(refused(shared.metrics, refusal)),
-        AttemptEnd::NotConnected(_) | AttemptEnd::Failed(_) => return Err(AttemptFailure::Failed),
+        AttemptEnd::NotConnected(_) => return Err(AttemptFailure::NotConnected),
+        AttemptEnd::Failed(_) => return Err(AttemptFailure::Failed),
     }
     .map_err(|reason| {
         shared.metrics.discarded(reason);
--- a/crates/sablehaven-agent/src/query/sub_request.rs
+++ b/crates/sablehaven-agent/src/query/sub_request.rs
@@ -19,6 +19,8 @@
     SnapshotGone,
     /// The back end refused because the deadline had passed.
     DeadlineRefused,
+    /// No connection could be opened: the back end did no work.
+    NotConnected,
     /// The connection or the back end failed.
     Failed,
     /// A reply came that could not be accepted.
@@ -33,7 +35,7 @@
             Self::Draining => AttemptOutcome::Draining,
             Self::SnapshotGone => AttemptOutcome::SnapshotGone,
             Self::DeadlineRefused => AttemptOutcome::DeadlineRefused,
-            Self::Failed | Self::BadReply => AttemptOutcome::Failed,
+            Self::NotConnected | Self::Failed | Self::BadReply => AttemptOutcome::Failed,
         }
     }
 
@@ -44,15 +46,19 @@
             Self::Draining => MissingReason::NoReplica,
             Self::SnapshotGone => MissingReason::SnapshotGone,
             Self::DeadlineRefused => MissingReason::Deadline,
-            Self::Failed => MissingReason::Failed,
+            Self::NotConnected | Self::Failed => MissingReason::Failed,
             Self::BadReply => MissingReason::BadReply,
         }
     }
 
-    /// Whether another attempt adds work to back ends that may be pressed. One that drains or lacks
-    /// the snapshot refused without working, so asking another replica is still the first work.
+    /// Whether another attempt adds work to back ends that may be pressed. One that drains, lacks the
+    /// snapshot or cannot be connected to did not work, so asking another replica is still the first
+    /// work.
     fn needs_budget(self) -> bool {
-        !matches!(self, Self::Draining | Self::SnapshotGone)
+        !matches!(
+            self,
+            Self::Draining | Self::SnapshotGone | Self::NotConnected
+        )
     }
 }
 
@@ -179,9 +185,10 @@
 /// One reason for several failed attempts: their common one, else the most telling. A lost snapshot
 /// or a deadline is only reported if every attempt says so, because another replica may do better.
 fn combined_reason(failures: &[AttemptFailure]) -> MissingReason {
-    const MOST_TELLING_FIRST: [AttemptFailure; 3] = [
+    const MOST_TELLING_FIRST: [AttemptFailure; 4] = [
         AttemptFailure::BadReply,
         AttemptFailure::Failed,
+        AttemptFailure::NotConnected,
         AttemptFailure::Shed,
     ];
     let Some(first) = failures.first() else {
--- a/testing/sablehaven-harness/src/deployment.rs
+++ b/testing/sablehaven-harness/src/deployment.rs
@@ -18,6 +18,9 @@
 /// a hang.
 const OPERATOR_LIMIT: Duration = Duration::from_secs(30);
 
+/// The line of an agent's metrics while it holds a lease.
+const LEASE_HELD: &str = "sablehaven_agent_lease_current 1";
+
 /// Placement of the stand-in host, which stands for machines everywhere.
 const NOWHERE: &str = "stand-ins";
 
@@ -40,7 +43,8 @@
 
 impl Deployment {
     /// Starts everything in four steps: stand-ins, control replicas (which form their groups),
-    /// the first configuration, relays and agents. Returns once every agent is ready.
+    /// the first configuration, relays and agents. Returns once every agent is ready and holds a
+    /// lease.
     pub async fn start(plan: DeploymentPlan, program: &Program) -> Result<Self, HarnessError> {
         let mut deployment = Self::start_stand_ins(plan, program).await?;
         deployment.start_control().await?;
@@ -134,6 +138,22 @@
         .await
     }
 
+    /// Waits until the agent holds a lease: before it, requests that may not be repeated are refused.
+    pub async fn wait_for_lease(&self, agent: &Node) -> Result<(), HarnessError> {
+        let url = format!("http://{}/metrics", agent.http());
+        let client = reqwest::Client::new();
+        until(&format!("{} holds a lease", agent.name()), || async {
+            let response = client.get(&url).send().await;
+            let response = response.map_err(|error| error.to_string())?;
+            let metrics = response.text().await.map_err(|error| error.to_string())?;
+            match metrics.lines().any(|line| line == LEASE_HELD) {
+                true => Ok(()),
+                false => Err("no lease".to_owned()),
+            }
+        })
+        .await
+    }
+
     async fn start_stand_ins(
         plan: DeploymentPlan,
         program: &Program,
@@ -240,6 +260,7 @@
         }
         for agent in &self.agents {
             self.wait_ready(agent).await?;
+            self.wait_for_lease(agent).await?;
         }
         Ok(())
     }
