--- a/crates/sablehaven-storage/tests/crash.rs
+++ b/crates/sablehaven-storage/tests/crash.rs
@@ -182,6 +182,7 @@
     ] {
         let result = disturb_all(Disturbance::Crash(loss), |_| ());
         let runs = result.unwrap_or_else(|violation| panic!("{loss:?}: {violation:?}"));
+        println!("{loss:?}: {runs} runs");
         assert!(runs > 1000, "{runs} runs");
     }
 }
@@ -190,6 +191,7 @@
 fn failed_operation_stops_acknowledging_and_loses_nothing() {
     let result = disturb_all(Disturbance::FailedOperation, |_| ());
     let runs = result.unwrap_or_else(|violation| panic!("{violation:?}"));
+    println!("{runs} runs");
     assert!(runs > 1000, "{runs} runs");
 }
 
