Storage: batches over 64 MiB are written as several records

Cause: control merges the writes of several readies into one batch; behind a slow disk it could pass the 64 MiB that a record may have, and the refusal (BatchTooLarge) would have stopped the replica. Ruled out: larger records, which would allow as large an allocation for a damaged length.

--- a/crates/sablehaven-storage/src/commit.rs
+++ b/crates/sablehaven-storage/src/commit.rs
@@ -2,17 +2,16 @@
 
 use std::collections::BTreeSet;
 
-use sablehaven_consensus::SnapshotMetadata;
+use sablehaven_consensus::{EntryPayload, SnapshotMetadata};
 
 use crate::{
     error::StorageError,
-    format::{FRAME_HEADER_BYTES, append_frame, checksum_seed},
+    format::{FRAME_HEADER_BYTES, MAXIMUM_PAYLOAD_BYTES, append_frame, checksum_seed},
     group_state::GroupState,
     manifest::Manifest,
     names,
     record::{Record, RecordEntry, RecordSnapshot, RecordWrite, SegmentStart},
-    segment::{self, MAXIMUM_RECORD_BYTES},
-    snapshot_file,
+    segment, snapshot_file,
     snapshot_writer::PreparedSnapshot,
     storage::{ActiveSegment, Storage},
     survey::SegmentSummary,
@@ -20,6 +19,9 @@
     write::GroupWrite,
 };
 
+/// The largest command, in bytes: a record's payload less ample room for what is beside it.
+const MAXIMUM_COMMAND_BYTES: usize = MAXIMUM_PAYLOAD_BYTES - 1024 * 1024;
+
 impl Storage {
     /// The record for a batch, checked against what is stored.
     pub(crate) fn record_of_batch<'a>(
@@ -33,24 +35,19 @@
                 let reason = "the batch holds the group twice";
                 return Err(invalid_write(write.group, reason));
             }
+            check_entry_sizes(write)?;
             writes.push(self.record_write(write)?);
         }
         Ok(Record { writes })
     }
 
-    /// The frame of a record; refuses one that is too long to be read back.
+    /// The frame of a record.
     pub(crate) fn encode(&self, record: &Record<'_>) -> Result<Vec<u8>, StorageError> {
         let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES);
         let seed = checksum_seed(self.identity.replica);
         let name = names::segment(self.manifest.last_segment);
         append_frame(&mut frame, seed, self.next_sequence, record)
             .map_err(|error| self.folder.encode_error(&name, error))?;
-        if frame.len() as u64 > MAXIMUM_RECORD_BYTES {
-            return Err(StorageError::BatchTooLarge {
-                bytes: frame.len() as u64,
-                allowed: MAXIMUM_RECORD_BYTES,
-            });
-        }
         Ok(frame)
     }
 
@@ -282,6 +279,24 @@
     }
 }
 
+/// An entry larger than this could not be read back; smaller ones fit into a record by themselves.
+fn check_entry_sizes(write: &GroupWrite) -> Result<(), StorageError> {
+    for entry in &write.entries {
+        let EntryPayload::Command(command) = &entry.payload else {
+            continue;
+        };
+        if command.len() > MAXIMUM_COMMAND_BYTES {
+            return Err(StorageError::EntryTooLarge {
+                group: write.group,
+                index: entry.index,
+                bytes: command.len() as u64,
+                allowed: MAXIMUM_COMMAND_BYTES as u64,
+            });
+        }
+    }
+    Ok(())
+}
+
 fn invalid_write(group: u32, reason: impl Into<String>) -> StorageError {
     StorageError::InvalidWrite {
         group,
--- a/crates/sablehaven-storage/src/error.rs
+++ b/crates/sablehaven-storage/src/error.rs
@@ -84,11 +84,15 @@
         /// What does not fit; nothing was written and storage stays usable.
         reason: String,
     },
-    /// write refused: the batch takes {bytes} bytes, allowed are {allowed}
-    BatchTooLarge {
-        /// The encoded size.
+    /// write for group {group} refused: entry {index} has {bytes} bytes, allowed are {allowed}
+    EntryTooLarge {
+        /// The group.
+        group: u32,
+        /// The entry.
+        index: u64,
+        /// Its command's size; nothing was written and storage stays usable.
         bytes: u64,
-        /// The largest size of a record.
+        /// The largest size of a command.
         allowed: u64,
     },
     /// refused, since an earlier step failed: {first}
--- a/crates/sablehaven-storage/src/lib.rs
+++ b/crates/sablehaven-storage/src/lib.rs
@@ -23,6 +23,7 @@
 mod segment;
 mod snapshot_file;
 mod snapshot_writer;
+mod split;
 mod storage;
 mod survey;
 mod synced_position;
--- /dev/null
+++ b/crates/sablehaven-storage/src/split.rs
@@ -0,0 +1,50 @@
+//! Splitting batches that are too large for one record.
+
+use crate::{error::StorageError, segment::MAXIMUM_RECORD_BYTES, write::GroupWrite};
+
+/// Two batches that together are the given one, in the order in which they must be written.
+///
+/// A group's hard state and snapshot stay with its first entries: entries may never be durable
+/// before the term in which they were received.
+///
+/// # Errors
+/// [`StorageError::EntryTooLarge`] where a single entry takes the `bytes` of the whole batch.
+pub(crate) fn halves(
+    batch: &[GroupWrite],
+    bytes: usize,
+) -> Result<[Vec<GroupWrite>; 2], StorageError> {
+    if let [write] = batch {
+        let [first, second] = halves_of_group(write).ok_or_else(|| too_large(write, bytes))?;
+        return Ok([vec![first], vec![second]]);
+    }
+    let (first, second) = batch.split_at(batch.len() / 2);
+    Ok([first.to_vec(), second.to_vec()])
+}
+
+fn too_large(write: &GroupWrite, bytes: usize) -> StorageError {
+    StorageError::EntryTooLarge {
+        group: write.group,
+        index: write.entries.first().map_or(0, |entry| entry.index),
+        bytes: bytes as u64,
+        allowed: MAXIMUM_RECORD_BYTES,
+    }
+}
+
+fn halves_of_group(write: &GroupWrite) -> Option<[GroupWrite; 2]> {
+    if write.entries.len() < 2 {
+        return None;
+    }
+    let (first, second) = write.entries.split_at(write.entries.len() / 2);
+    let first = GroupWrite {
+        group: write.group,
+        hard_state: write.hard_state,
+        entries: first.to_vec(),
+        snapshot: write.snapshot.clone(),
+    };
+    let second = GroupWrite {
+        group: write.group,
+        entries: second.to_vec(),
+        ..GroupWrite::default()
+    };
+    Some([first, second])
+}
--- a/crates/sablehaven-storage/src/storage.rs
+++ b/crates/sablehaven-storage/src/storage.rs
@@ -17,7 +17,9 @@
     manifest::Manifest,
     options::Options,
     recovery,
+    segment::MAXIMUM_RECORD_BYTES,
     snapshot_writer::{PreparedSnapshot, SnapshotWriter},
+    split,
     survey::{CutTail, SegmentSummary, Survey},
     synced_position::{SyncedPosition, SyncedPositionFile},
     write::GroupWrite,
@@ -168,10 +170,12 @@
         })
     }
 
-    /// Writes a batch for many groups as one record: one write, one sync. Durable on `Ok`.
+    /// Writes a batch for many groups as one record: one write, one sync. Durable on `Ok`. After a
+    /// crash an unfinished batch is there whole or not at all. A batch too large for one record is
+    /// written as several, one after the other.
     ///
     /// # Errors
-    /// [`StorageError::InvalidWrite`] and [`StorageError::BatchTooLarge`] leave storage as it was.
+    /// [`StorageError::InvalidWrite`] and [`StorageError::EntryTooLarge`] leave storage as it was.
     /// After any other error it is unknown whether the batch is durable, and every later call fails
     /// with [`StorageError::Poisoned`].
     pub fn write(&mut self, batch: &[GroupWrite]) -> Result<(), StorageError> {
@@ -180,7 +184,13 @@
             return Ok(());
         }
         let record = self.record_of_batch(batch)?;
-        let frame = self.encode(&record)?;
+        let encoded = self.encode(&record);
+        let frame = self.note_failure(encoded)?;
+        if frame.len() as u64 > MAXIMUM_RECORD_BYTES {
+            let [first, second] = split::halves(batch, frame.len())?;
+            self.write(&first)?;
+            return self.write(&second);
+        }
         let result = self.commit(batch, &record, frame);
         self.note_failure(result)
     }
@@ -213,8 +223,8 @@
         } else {
             self.check_covers_entries(prepared.group, &prepared.reference.metadata)?;
             let record = prepared.record();
-            let frame = self.encode(&record)?;
-            self.commit(&[], &record, frame)
+            self.encode(&record)
+                .and_then(|frame| self.commit(&[], &record, frame))
         };
         self.note_failure(result)
     }
