Storage: standard names for scanning and bad records

Cause: 'survey' and 'flaw' are not the field's words. Change: FolderScan, BadRecord; no behaviour changed. Conclusion: done.

--- a/crates/sablehaven-storage/src/commit.rs
+++ b/crates/sablehaven-storage/src/commit.rs
@@ -11,10 +11,10 @@
     manifest::Manifest,
     names,
     record::{Record, RecordEntry, RecordSnapshot, RecordWrite, SegmentStart},
+    scan::SegmentSummary,
     segment, snapshot_file,
     snapshot_writer::PreparedSnapshot,
     storage::{ActiveSegment, Storage},
-    survey::SegmentSummary,
     synced_position::SyncedPosition,
     write::GroupWrite,
 };
--- a/crates/sablehaven-storage/src/inspect.rs
+++ b/crates/sablehaven-storage/src/inspect.rs
@@ -15,8 +15,8 @@
     real_disk::RealDisk,
     recovery,
     replay::ReplayedGroup,
+    scan::{FolderScan, SegmentSummary},
     snapshot_file,
-    survey::{SegmentSummary, Survey},
 };
 
 /// What a data folder holds.
@@ -119,38 +119,38 @@
         };
         self.identity = Some(identity.clone());
         let manifest = Manifest::read(folder, identity.replica)?;
-        let mut survey = Survey::new(folder, identity, manifest);
-        let log = survey.read_log(folder);
-        self.describe(&survey);
+        let mut scan = FolderScan::new(folder, identity, manifest);
+        let log = scan.read_log(folder);
+        self.describe(&scan);
         if let Err(error) = log {
             self.note_damage(&error);
             return Ok(());
         }
-        self.check_snapshots(folder, &survey);
-        let checked = recovery::check_unnamed_segments(folder, &survey);
-        self.other_files.retain(|name| !is_stored(name, &survey));
+        self.check_snapshots(folder, &scan);
+        let checked = recovery::check_unnamed_segments(folder, &scan);
+        self.other_files.retain(|name| !is_stored(name, &scan));
         checked
     }
 
-    fn describe(&mut self, survey: &Survey) {
-        let segments = survey.segments.iter();
+    fn describe(&mut self, scan: &FolderScan) {
+        let segments = scan.segments.iter();
         self.segments = segments.map(SegmentReport::from).collect();
-        for (group, replayed) in &survey.replay.groups {
+        for (group, replayed) in &scan.replay.groups {
             self.groups.insert(*group, GroupReport::from(replayed));
         }
-        self.torn_tail = survey.torn_tail.as_ref().map(|tail| TornTail {
+        self.torn_tail = scan.torn_tail.as_ref().map(|tail| TornTail {
             file: file_name(&tail.path),
             offset: tail.offset,
             bytes: tail.bytes,
         });
     }
 
-    fn check_snapshots(&mut self, folder: &Folder, survey: &Survey) {
-        for (group, replayed) in &survey.replay.groups {
+    fn check_snapshots(&mut self, folder: &Folder, scan: &FolderScan) {
+        for (group, replayed) in &scan.replay.groups {
             let Some(reference) = &replayed.state.snapshot else {
                 continue;
             };
-            let replica = survey.identity.replica;
+            let replica = scan.identity.replica;
             if let Err(error) = snapshot_file::read(folder, replica, *group, reference) {
                 self.note_damage(&error);
             }
@@ -209,14 +209,14 @@
     }
 }
 
-fn is_stored(name: &str, survey: &Survey) -> bool {
+fn is_stored(name: &str, scan: &FolderScan) -> bool {
     const FIXED: [&str; 4] = [
         names::LOCK,
         names::IDENTITY,
         names::MANIFEST,
         names::SYNCED_POSITION,
     ];
-    FIXED.contains(&name) || recovery::is_needed(name, survey)
+    FIXED.contains(&name) || recovery::is_needed(name, scan)
 }
 
 fn file_name(path: &Path) -> String {
--- a/crates/sablehaven-storage/src/lib.rs
+++ b/crates/sablehaven-storage/src/lib.rs
@@ -20,12 +20,12 @@
 mod record;
 mod recovery;
 mod replay;
+mod scan;
 mod segment;
 mod snapshot_file;
 mod snapshot_writer;
 mod split;
 mod storage;
-mod survey;
 mod synced_position;
 mod write;
 
@@ -38,7 +38,7 @@
 };
 pub use options::Options;
 pub use real_disk::RealDisk;
+pub use scan::CutTail;
 pub use snapshot_writer::{PreparedSnapshot, SnapshotWriter};
 pub use storage::{Opened, RestoredGroup, Storage, StorageCounters};
-pub use survey::CutTail;
 pub use write::GroupWrite;
--- a/crates/sablehaven-storage/src/recovery.rs
+++ b/crates/sablehaven-storage/src/recovery.rs
@@ -10,10 +10,10 @@
     names,
     options::Options,
     record::SegmentStart,
+    scan::FolderScan,
     segment::{self, MAXIMUM_FILE_BYTES, SegmentReader},
     snapshot_file,
     storage::RestoredGroup,
-    survey::Survey,
 };
 
 /// The number of the first segment.
@@ -42,20 +42,23 @@
 }
 
 /// Reads everything and checks it, without changing anything.
-pub(crate) fn read_all(folder: &Folder, identity: Identity) -> Result<Survey, StorageError> {
+pub(crate) fn read_all(folder: &Folder, identity: Identity) -> Result<FolderScan, StorageError> {
     let manifest = Manifest::read(folder, identity.replica)?;
-    let mut survey = Survey::new(folder, identity, manifest);
-    survey.read_log(folder)?;
-    check_unnamed_segments(folder, &survey)?;
-    Ok(survey)
+    let mut scan = FolderScan::new(folder, identity, manifest);
+    scan.read_log(folder)?;
+    check_unnamed_segments(folder, &scan)?;
+    Ok(scan)
 }
 
 /// Checks that no segment beyond the manifest holds records.
-pub(crate) fn check_unnamed_segments(folder: &Folder, survey: &Survey) -> Result<(), StorageError> {
+pub(crate) fn check_unnamed_segments(
+    folder: &Folder,
+    scan: &FolderScan,
+) -> Result<(), StorageError> {
     let list = folder.list()?;
     let numbers = list.iter().filter_map(|name| names::segment_number(name));
-    for number in numbers.filter(|number| *number > survey.manifest.last_segment) {
-        survey.check_unused_segment(folder, number)?;
+    for number in numbers.filter(|number| *number > scan.manifest.last_segment) {
+        scan.check_unused_segment(folder, number)?;
     }
     Ok(())
 }
@@ -63,11 +66,11 @@
 /// What is handed to the replicas; reads the snapshots.
 pub(crate) fn restore(
     folder: &Folder,
-    survey: &mut Survey,
+    scan: &mut FolderScan,
 ) -> Result<BTreeMap<u32, RestoredGroup>, StorageError> {
-    let replica = survey.identity.replica;
+    let replica = scan.identity.replica;
     let mut restored = BTreeMap::new();
-    for (group, replayed) in &mut survey.replay.groups {
+    for (group, replayed) in &mut scan.replay.groups {
         let snapshot_data = match &replayed.state.snapshot {
             Some(reference) => Some(snapshot_file::read(folder, replica, *group, reference)?),
             None => None,
@@ -82,13 +85,13 @@
 }
 
 /// Cuts the torn tail, makes what was read durable, and returns the last segment's file.
-pub(crate) fn make_durable(folder: &Folder, survey: &Survey) -> Result<FolderFile, StorageError> {
-    let name = names::segment(survey.manifest.last_segment);
+pub(crate) fn make_durable(folder: &Folder, scan: &FolderScan) -> Result<FolderFile, StorageError> {
+    let name = names::segment(scan.manifest.last_segment);
     let mut file = folder.open_file(&name)?;
-    if let Some(tail) = &survey.torn_tail {
+    if let Some(tail) = &scan.torn_tail {
         file.truncate(tail.offset)?;
     }
-    if let Some(last) = &survey.last_record {
+    if let Some(last) = &scan.last_record {
         // The last record may have been read from memory only: its sync may have failed, or never
         // have come. A sync alone would not help, for after a failed one the system takes the pages
         // for written; writing the same bytes again makes the next sync write them.
@@ -100,9 +103,9 @@
 }
 
 /// Removes files that were never finished or are no longer needed.
-pub(crate) fn remove_leftovers(folder: &Folder, survey: &Survey) -> Result<(), StorageError> {
+pub(crate) fn remove_leftovers(folder: &Folder, scan: &FolderScan) -> Result<(), StorageError> {
     let mut list = folder.list()?;
-    list.retain(|name| is_leftover(name, survey));
+    list.retain(|name| is_leftover(name, scan));
     for name in list {
         folder.remove(&name)?;
     }
@@ -110,19 +113,19 @@
 }
 
 /// Whether the file is a segment or a snapshot that is part of what is stored.
-pub(crate) fn is_needed(name: &str, survey: &Survey) -> bool {
+pub(crate) fn is_needed(name: &str, scan: &FolderScan) -> bool {
     if let Some(number) = names::segment_number(name) {
-        return survey.manifest.names(number);
+        return scan.manifest.names(number);
     }
-    survey.replay.groups.iter().any(|(group, replayed)| {
+    scan.replay.groups.iter().any(|(group, replayed)| {
         let snapshot = replayed.state.snapshot.as_ref();
         snapshot.is_some_and(|reference| names::snapshot(*group, reference) == name)
     })
 }
 
-fn is_leftover(name: &str, survey: &Survey) -> bool {
+fn is_leftover(name: &str, scan: &FolderScan) -> bool {
     let is_own = names::segment_number(name).is_some() || names::is_snapshot(name);
-    names::is_temporary(name) || is_own && !is_needed(name, survey)
+    names::is_temporary(name) || is_own && !is_needed(name, scan)
 }
 
 /// Gives the folder an identity and an empty log. The identity comes last: a folder without one
--- a/crates/sablehaven-storage/src/survey.rs
+++ b/crates/sablehaven-storage/src/scan.rs
@@ -10,13 +10,13 @@
     names,
     record::{Record, SegmentStart},
     replay::Replay,
-    segment::{Flaw, MAXIMUM_FILE_BYTES, SegmentReader},
+    segment::{BadRecord, MAXIMUM_FILE_BYTES, SegmentReader},
     synced_position::SyncedPosition,
 };
 
 /// What was read of a data folder.
 #[derive(Debug)]
-pub(crate) struct Survey {
+pub(crate) struct FolderScan {
     pub(crate) identity: Identity,
     pub(crate) manifest: Manifest,
     /// The segments that were read to their end, in order.
@@ -61,8 +61,8 @@
     pub bytes: u64,
 }
 
-impl Survey {
-    /// A survey that has read nothing yet.
+impl FolderScan {
+    /// A scan that has read nothing yet.
     pub(crate) fn new(folder: &Folder, identity: Identity, manifest: Manifest) -> Self {
         let synced = SyncedPosition::read(folder, identity.replica);
         Self {
@@ -128,16 +128,16 @@
             number,
             ..SegmentSummary::default()
         };
-        let flaw = self.read_records(folder, &name, &mut reader, &mut summary)?;
+        let bad_record = self.read_records(folder, &name, &mut reader, &mut summary)?;
         summary.length = reader.position();
         summary.records = reader.records();
         self.next_sequence = reader.next_sequence();
         if number == self.manifest.last_segment {
             self.last_record = reader.last_record().map(LastRecord::from);
             self.file_bytes = content.len() as u64;
-            self.end_log(folder, &name, &summary, flaw, reader.rest())?;
-        } else if let Some(flaw) = flaw {
-            return Err(folder.damaged(&name, flaw.offset, flaw.reason));
+            self.end_log(folder, &name, &summary, bad_record, reader.rest())?;
+        } else if let Some(bad_record) = bad_record {
+            return Err(folder.damaged(&name, bad_record.offset, bad_record.reason));
         }
         self.segments.push(summary);
         Ok(())
@@ -170,18 +170,18 @@
         checked.map_err(|reason| folder.damaged(name, 0, reason))
     }
 
-    /// Reads a segment's records up to its end or to the first flaw, which is returned.
+    /// Reads a segment's records up to its end or to the first bad one, which is returned.
     fn read_records(
         &mut self,
         folder: &Folder,
         name: &str,
         reader: &mut SegmentReader<'_>,
         summary: &mut SegmentSummary,
-    ) -> Result<Option<Flaw>, StorageError> {
+    ) -> Result<Option<BadRecord>, StorageError> {
         while let Some(next) = reader.next() {
             let found = match next {
                 Ok(found) => found,
-                Err(flaw) => return Ok(Some(flaw)),
+                Err(bad_record) => return Ok(Some(bad_record)),
             };
             let applied = self.replay.apply(&found.record);
             applied.map_err(|reason| folder.damaged(name, found.offset, reason))?;
@@ -196,16 +196,16 @@
         folder: &Folder,
         name: &str,
         summary: &SegmentSummary,
-        flaw: Option<Flaw>,
+        bad_record: Option<BadRecord>,
         rest: &[u8],
     ) -> Result<(), StorageError> {
-        if let Some(flaw) = flaw {
-            if !flaw.may_be_torn {
-                return Err(folder.damaged(name, flaw.offset, flaw.reason));
+        if let Some(bad_record) = bad_record {
+            if !bad_record.may_be_torn {
+                return Err(folder.damaged(name, bad_record.offset, bad_record.reason));
             }
             self.torn_tail = Some(CutTail {
                 path: folder.path_of(name),
-                offset: flaw.offset,
+                offset: bad_record.offset,
                 bytes: rest.len() as u64,
             });
         }
--- a/crates/sablehaven-storage/src/segment.rs
+++ b/crates/sablehaven-storage/src/segment.rs
@@ -40,7 +40,7 @@
 
 /// Why a segment's next record cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Flaw {
+pub(crate) struct BadRecord {
     pub(crate) offset: u64,
     pub(crate) reason: String,
     /// Whether a write that a crash interrupted can have left it, in the log's last segment.
@@ -86,7 +86,7 @@
     }
 
     /// The next record; `None` where only allocated space follows, which is zeros.
-    pub(crate) fn next(&mut self) -> Option<Result<RecordAt<'a>, Flaw>> {
+    pub(crate) fn next(&mut self) -> Option<Result<RecordAt<'a>, BadRecord>> {
         if is_zeros(&self.bytes[self.position..]) {
             return None;
         }
@@ -121,10 +121,10 @@
         Some((begin as u64, &self.bytes[begin..self.position]))
     }
 
-    fn read_next(&mut self) -> Result<RecordAt<'a>, Flaw> {
+    fn read_next(&mut self) -> Result<RecordAt<'a>, BadRecord> {
         let begin = self.position;
-        let frame = read_frame(self.bytes, begin, self.seed).map_err(|bad| self.flaw(bad))?;
-        let record = self.decode(&frame).map_err(|reason| Flaw {
+        let frame = read_frame(self.bytes, begin, self.seed).map_err(|bad| self.bad_record(bad))?;
+        let record = self.decode(&frame).map_err(|reason| BadRecord {
             offset: begin as u64,
             reason,
             may_be_torn: false,
@@ -149,7 +149,7 @@
 
     /// A record is written and synced before the next one is begun. So a torn write is the last
     /// thing in the file, and no longer than one record; anything else is damage.
-    fn flaw(&self, bad: BadFrame) -> Flaw {
+    fn bad_record(&self, bad: BadFrame) -> BadRecord {
         let can_begin_torn_write = match bad {
             BadFrame::PayloadChecksum { end } => is_zeros(&self.bytes[end..]),
             BadFrame::TooLong => false,
@@ -160,7 +160,7 @@
         let may_be_torn = can_begin_torn_write
             && self.rest().len() as u64 <= MAXIMUM_RECORD_BYTES
             && !later_frame_exists(written, self.seed, self.next_sequence);
-        Flaw {
+        BadRecord {
             offset: self.position as u64,
             reason: bad.to_string(),
             may_be_torn,
--- a/crates/sablehaven-storage/src/storage.rs
+++ b/crates/sablehaven-storage/src/storage.rs
@@ -17,10 +17,10 @@
     manifest::Manifest,
     options::Options,
     recovery,
+    scan::{CutTail, FolderScan, SegmentSummary},
     segment::MAXIMUM_RECORD_BYTES,
     snapshot_writer::{PreparedSnapshot, SnapshotWriter},
     split,
-    survey::{CutTail, SegmentSummary, Survey},
     synced_position::{SyncedPosition, SyncedPositionFile},
     write::GroupWrite,
 };
@@ -112,13 +112,13 @@
         folder.create()?;
         let lock = Arc::from(folder.lock()?);
         let (identity, formatted) = recovery::identify(&folder, &options)?;
-        let mut survey = recovery::read_all(&folder, identity.clone())?;
-        let groups = recovery::restore(&folder, &mut survey)?;
+        let mut scan = recovery::read_all(&folder, identity.clone())?;
+        let groups = recovery::restore(&folder, &mut scan)?;
         // Everything has been read and found right; only now may the folder be changed.
-        let file = recovery::make_durable(&folder, &survey)?;
-        recovery::remove_leftovers(&folder, &survey)?;
-        let cut_tail = survey.torn_tail.clone();
-        let storage = Self::from_survey(folder, lock, options, survey, file)?;
+        let file = recovery::make_durable(&folder, &scan)?;
+        recovery::remove_leftovers(&folder, &scan)?;
+        let cut_tail = scan.torn_tail.clone();
+        let storage = Self::from_scan(folder, lock, options, scan, file)?;
         Ok(Opened {
             storage,
             identity,
@@ -128,41 +128,41 @@
         })
     }
 
-    fn from_survey(
+    fn from_scan(
         folder: Folder,
         lock: Arc<dyn DiskLock>,
         options: Options,
-        survey: Survey,
+        scan: FolderScan,
         file: FolderFile,
     ) -> Result<Self, StorageError> {
-        let mut closed = VecDeque::from(survey.segments);
+        let mut closed = VecDeque::from(scan.segments);
         let summary = closed.pop_back().unwrap_or_default();
-        let mut synced = SyncedPositionFile::create(&folder, survey.identity.replica)?;
+        let mut synced = SyncedPositionFile::create(&folder, scan.identity.replica)?;
         synced.write(SyncedPosition {
             segment: summary.number,
             length: summary.length,
         })?;
-        let allocated = match survey.torn_tail {
+        let allocated = match scan.torn_tail {
             Some(_) => summary.length,
-            None => survey.file_bytes,
+            None => scan.file_bytes,
         };
         let active = ActiveSegment {
             file,
             summary,
             allocated,
         };
-        let replayed = survey.replay.groups.into_iter();
+        let replayed = scan.replay.groups.into_iter();
         Ok(Self {
             folder,
-            identity: survey.identity,
+            identity: scan.identity,
             options,
-            manifest: survey.manifest,
+            manifest: scan.manifest,
             groups: replayed
                 .map(|(group, replayed)| (group, replayed.state))
                 .collect(),
             closed,
             active,
-            next_sequence: survey.next_sequence,
+            next_sequence: scan.next_sequence,
             synced,
             counters: StorageCounters::default(),
             failure: None,
--- a/crates/sablehaven-storage/tests/folder.rs
+++ b/crates/sablehaven-storage/tests/folder.rs
@@ -277,7 +277,7 @@
 }
 
 #[test]
-fn report_shows_torn_tail_strangers_and_leftovers() {
+fn report_shows_torn_tail_and_other_files() {
     let disk = FaultyDisk::new(1);
     let mut storage = open(&disk).expect("empty").storage;
     write_round(&mut storage, 1, 1);
