--- a/crates/sablehaven-routing/src/budget.rs
+++ b/crates/sablehaven-routing/src/budget.rs
@@ -1,26 +1,28 @@
 //! One budget for the hedges and retries of a service, as a share of the work that queries need.
 //!
 //! Tokens come only from needed work and start at zero, so the extra load since the start never
-//! exceeds the share. The first shed shrinks the budget at once; it recovers slowly.
+//! exceeds the share. Each shed, the first one included, at once takes one attempt off what a
+//! second of work earns; the budget recovers slowly.
 
 use std::time::Duration;
 
 use crate::interface::ExtraKind;
 
 /// Tokens that may be saved up, in seconds of the current needed work.
-const SAVED_SECONDS: f64 = 1.0;
+const SAVED_SECONDS: f64 = 0.25;
 /// Fewest tokens that may be saved up.
 const MIN_SAVED: f64 = 2.0;
-/// What is left of the budget after each interval with sheds.
-const SHRINK: f64 = 0.5;
+/// Extra attempts of one second's budget that one shed takes away: a service whose sheds reach
+/// [`RECOVERY_PER_SECOND`] of its budget divided by this keeps only the least.
+const SHED_COST: f64 = 1.0;
 /// Least that is left: enough to retry what single back ends shed.
-const MIN_FACTOR: f64 = 0.2;
+const MIN_FACTOR: f64 = 0.4;
 /// Below this factor no hedges are sent; what is left is for retries.
 const HEDGE_FACTOR: f64 = 0.5;
+/// Most attempts set aside for probes.
+const MAX_RESERVED: u32 = 2;
 /// Growth of the factor in each second without sheds.
-const RECOVERY_PER_SECOND: f64 = 0.05;
-/// Shortest time between two shrinks, so that sheds of one burst count once.
-const SHRINK_INTERVAL: Duration = Duration::from_millis(100);
+const RECOVERY_PER_SECOND: f64 = 0.1;
 /// Time constant of the rate of needed work.
 const RATE_CONSTANT: f64 = 1.0;
 
@@ -30,9 +32,9 @@
     share: f64,
     factor: f64,
     tokens: f64,
+    reserved: u32,
     needed_per_second: f64,
     updated_at: Duration,
-    shrunk_at: Option<Duration>,
 }
 
 impl ExtraBudget {
@@ -42,9 +44,9 @@
             share,
             factor: 1.0,
             tokens: 0.0,
+            reserved: 0,
             needed_per_second: 0.0,
             updated_at: Duration::ZERO,
-            shrunk_at: None,
         }
     }
 
@@ -53,7 +55,7 @@
         self.share = share;
     }
 
-    /// The part of the budget that sheds have left, from 0.2 to 1.
+    /// The part of the budget that sheds have left, from 0.4 to 1.
     pub fn factor(&self) -> f64 {
         self.factor
     }
@@ -66,9 +68,39 @@
         self.tokens = (self.tokens + needed * self.share * self.factor).min(self.cap());
     }
 
+    /// Sets one attempt aside for the request that serves as a probe: its back end may well not
+    /// answer, and then it needs a hedge, whatever the budget is by then. `false` means that the
+    /// budget cannot bear a probe now.
+    pub fn reserve(&mut self, now: Duration) -> bool {
+        self.advance(now);
+        if self.reserved >= MAX_RESERVED {
+            return false;
+        }
+        let taken = self.take_unreserved(ExtraKind::Hedge);
+        self.reserved += u32::from(taken);
+        taken
+    }
+
+    /// Gives back what was set aside for a probe, unless its hedge has taken it.
+    pub fn release(&mut self) {
+        if let Some(left) = self.reserved.checked_sub(1) {
+            self.reserved = left;
+            self.tokens = (self.tokens + 1.0).min(self.cap());
+        }
+    }
+
     /// Takes one hedge or retry; `false` means not allowed.
     pub fn take(&mut self, now: Duration, kind: ExtraKind) -> bool {
         self.advance(now);
+        if self.take_unreserved(kind) {
+            return true;
+        }
+        let left = self.reserved.checked_sub(1);
+        self.reserved = left.unwrap_or(0);
+        left.is_some()
+    }
+
+    fn take_unreserved(&mut self, kind: ExtraKind) -> bool {
         if kind == ExtraKind::Hedge && self.factor < HEDGE_FACTOR {
             return false;
         }
@@ -82,14 +114,9 @@
     /// Shrinks the budget, because a back end shed.
     pub fn shed(&mut self, now: Duration) {
         self.advance(now);
-        let recently = self
-            .shrunk_at
-            .is_some_and(|at| now.saturating_sub(at) < SHRINK_INTERVAL);
-        if recently {
-            return;
-        }
-        self.shrunk_at = Some(now);
-        self.factor = (self.factor * SHRINK).max(MIN_FACTOR);
+        let full_second = self.needed_per_second * self.share;
+        let bite = SHED_COST / full_second.max(SHED_COST);
+        self.factor = (self.factor - bite).max(MIN_FACTOR);
         self.tokens = self.tokens.min(self.cap());
     }
 
--- a/crates/sablehaven-routing/src/choice.rs
+++ b/crates/sablehaven-routing/src/choice.rs
@@ -119,12 +119,12 @@
         }
     }
 
-    /// Draws two ready members at a distance, all equally likely. With `slow_start`, a cold one
-    /// takes part only as often as its weight says.
+    /// Draws two ready members at a distance, all equally likely. With `weighted`, one that is
+    /// cold or sheds takes part only as often as its weight says.
     fn draw_pair(
         &self,
         distance: Distance,
-        slow_start: bool,
+        weighted: bool,
         random: &mut Pcg64Mcg,
     ) -> (Option<usize>, Option<usize>) {
         let mut pair = [None, None];
@@ -134,8 +134,9 @@
             if backend.distance != distance || !self.is_ready(backend) {
                 continue;
             }
-            let weight = backend.slow_start.weight(self.now, self.slow_start);
-            if slow_start && weight < 1.0 && random.random::<f64>() >= weight {
+            let weight = backend.slow_start.weight(self.now, self.slow_start)
+                * backend.pressure.shed_weight(self.now);
+            if weighted && weight < 1.0 && random.random::<f64>() >= weight {
                 continue;
             }
             seen += 1;
@@ -199,10 +200,11 @@
     fn cost(&self, member: usize) -> f64 {
         let backend = self.table.at(member);
         let average = self.latencies.average(backend.distance);
-        cost(
+        let cost = cost(
             self.load(member),
             backend.response.relative(self.now, average),
             backend.slow_start.weight(self.now, self.slow_start),
-        )
+        );
+        cost / backend.pressure.shed_weight(self.now)
     }
 }
--- a/crates/sablehaven-routing/src/health.rs
+++ b/crates/sablehaven-routing/src/health.rs
@@ -171,9 +171,13 @@
         self.probe_sent_at = Some(now);
     }
 
+    /// Notes that an attempt ended; whether it may have been the probe.
+    pub fn end_probe(&mut self) -> bool {
+        self.probe_sent_at.take().is_some()
+    }
+
     /// Takes in what one attempt showed; `jitter` from 0 to 1 spreads the pauses of many agents.
     pub fn record(&mut self, now: Duration, sign: Sign, jitter: f64) -> Change {
-        self.probe_sent_at = None;
         match sign {
             Sign::Answered => self.answered(),
             Sign::Refused => self.lives(),
--- a/crates/sablehaven-routing/src/knowledge.rs
+++ b/crates/sablehaven-routing/src/knowledge.rs
@@ -100,7 +100,7 @@
         });
         self.record_load(now, position, result);
         self.record_latency(now, position, result);
-        self.record_pressure(now, position, result.outcome);
+        self.record_pressure(now, position, result);
         restarted
     }
 
@@ -132,14 +132,17 @@
         self.latencies.record(now, backend.distance, result.latency);
     }
 
-    fn record_pressure(&mut self, now: Duration, position: usize, outcome: AttemptOutcome) {
-        match outcome {
+    /// The pressure averages over many replies, so a report counts whatever its age.
+    fn record_pressure(&mut self, now: Duration, position: usize, result: &AttemptResult) {
+        match result.outcome {
             AttemptOutcome::Replied => {
-                let load = self.table.at(position).load(now, &self.average);
+                let estimate = self.table.at(position).load(now, &self.average);
+                let load = result
+                    .load
+                    .map_or(estimate, |report| f64::from(report.running_and_queued));
+                let slots = self.settings.slots_per_server;
                 let backend = self.table.at_mut(position);
-                backend
-                    .pressure
-                    .replied(now, load, self.settings.slots_per_server);
+                backend.pressure.replied(now, load, slots);
             }
             AttemptOutcome::Shed | AttemptOutcome::DeadlineRefused => {
                 self.table.at_mut(position).pressure.shed(now);
--- a/crates/sablehaven-routing/src/pressure.rs
+++ b/crates/sablehaven-routing/src/pressure.rs
@@ -1,4 +1,4 @@
-//! How pressed a back end is, as a running average over replies and sheds.
+//! How pressed a back end is, and how much it sheds, as running averages over replies and sheds.
 
 use std::time::Duration;
 
@@ -10,22 +10,29 @@
 /// Sample of a shed: the queue is full, at about twice the slots beyond those that run.
 const SHED_PRESSURE: f64 = 3.0;
 
+/// Time after which a shed rate without new attempts has lost all but 1/e of its value: a back end
+/// that shed gets work again, even if nothing else brings it back.
+const SHED_RATE_CONSTANT: Duration = Duration::from_secs(10);
+/// Least part of its share that a back end keeps while it sheds.
+const MIN_SHED_WEIGHT: f64 = 0.02;
+
 /// The pressure of one back end: 1 means that all slots are busy and nothing waits.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pressure {
     average: f64,
+    shed_rate: f64,
     sampled_at: Duration,
 }
 
 impl Pressure {
     /// Takes in the load of a back end that replied, in requests, against its slots.
     pub fn replied(&mut self, now: Duration, load: f64, slots: u32) {
-        self.sample(now, load / f64::from(slots.max(1)));
+        self.sample(now, load / f64::from(slots.max(1)), 0.0);
     }
 
     /// Takes in that the back end shed an attempt.
     pub fn shed(&mut self, now: Duration) {
-        self.sample(now, SHED_PRESSURE);
+        self.sample(now, SHED_PRESSURE, 1.0);
     }
 
     /// The pressure now.
@@ -34,8 +41,17 @@
         self.average * (-age / AGE_CONSTANT.as_secs_f64()).exp()
     }
 
-    fn sample(&mut self, now: Duration, sample: f64) {
+    /// The part of its share that the back end keeps, because of what it shed lately: the square of
+    /// what it does not shed, so that work moves to others faster than it is shed.
+    pub fn shed_weight(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.sampled_at).as_secs_f64();
+        let rate = self.shed_rate * (-age / SHED_RATE_CONSTANT.as_secs_f64()).exp();
+        (1.0 - rate).powi(2).max(MIN_SHED_WEIGHT)
+    }
+
+    fn sample(&mut self, now: Duration, sample: f64, shed: f64) {
         self.average += SAMPLE_WEIGHT * (sample - self.average);
+        self.shed_rate += SAMPLE_WEIGHT * (shed - self.shed_rate);
         self.sampled_at = now;
     }
 }
--- a/crates/sablehaven-routing/src/probe.rs
+++ b/crates/sablehaven-routing/src/probe.rs
@@ -18,12 +18,13 @@
         self.tokens = (self.tokens + PROBE_SHARE * f64::from(sub_requests)).min(MAX_SAVED);
     }
 
-    /// Takes one probe; `false` means not allowed.
-    pub fn take(&mut self) -> bool {
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+    /// Whether a probe is allowed.
+    pub fn has_one(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
+    /// Takes one probe.
+    pub fn take(&mut self) {
+        self.tokens = (self.tokens - 1.0).max(0.0);
     }
 }
--- a/crates/sablehaven-routing/src/router.rs
+++ b/crates/sablehaven-routing/src/router.rs
@@ -143,7 +143,11 @@
             return None;
         }
         let target = self.knowledge.choice(now, shard, exclude)?.probe_target()?;
-        self.probes.take().then_some(target)
+        if !self.probes.has_one() || !self.budget.reserve(now) {
+            return None;
+        }
+        self.probes.take();
+        Some(target)
     }
 
     fn step_spill(&mut self, now: Duration, shard: usize) {
@@ -222,6 +226,9 @@
         if self.knowledge.record(now, position, &result) {
             self.select_shards_of(position);
         }
+        if self.knowledge.table.at_mut(position).health.end_probe() {
+            self.budget.release();
+        }
         self.record_overload(now, position, result.outcome);
         self.record_health(now, position, &result);
     }
--- a/crates/sablehaven-routing/src/spill.rs
+++ b/crates/sablehaven-routing/src/spill.rs
@@ -11,14 +11,8 @@
 
 /// Time between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
-/// Pressure above which work moves outward.
-const HIGH_PRESSURE: f64 = 1.5;
-/// Pressure below which work moves back.
-const LOW_PRESSURE: f64 = 1.0;
-/// Work moves outward only if the farther replicas are less pressed by this much.
-const MIN_DIFFERENCE: f64 = 0.3;
 /// Part of the pressure difference that one outward step moves.
-const OUTWARD_GAIN: f64 = 0.06;
+const OUTWARD_GAIN: f64 = 0.1;
 /// Largest outward step.
 const MAX_OUTWARD_STEP: f64 = 0.08;
 /// Step back, as a share of the whole.
@@ -26,8 +20,32 @@
 /// Largest share that may leave a distance: the rest keeps showing whether it has room again.
 const MAX_OUTWARD: f64 = 0.95;
 
-/// Borders between distances that work may cross: zone to region, region to remote.
-const BORDERS: usize = DISTANCES.len() - 1;
+/// When work crosses the border between one distance and the farther ones.
+#[derive(Clone, Copy, Debug)]
+struct Border {
+    /// Pressure of the near replicas above which work moves outward.
+    high: f64,
+    /// Pressure of the near replicas below which work moves back.
+    low: f64,
+    /// Work moves outward only if the farther replicas are less pressed by this much.
+    difference: f64,
+}
+
+/// The borders, nearest first: zone to region, region to remote. Another zone is 1 ms away, less
+/// than most requests take, so work goes there before requests wait; another region is 10 ms away,
+/// so work goes there only once several wait for each slot.
+const BORDERS: [Border; DISTANCES.len() - 1] = [
+    Border {
+        high: 0.7,
+        low: 0.5,
+        difference: 0.05,
+    },
+    Border {
+        high: 1.5,
+        low: 1.0,
+        difference: 0.3,
+    },
+];
 
 /// Pressure of the replicas at each distance, `None` without an available one.
 ///
@@ -37,7 +55,7 @@
 /// The shares of one shard's work by distance, in one agent.
 #[derive(Clone, Debug)]
 pub struct Spill {
-    outward: [f64; BORDERS],
+    outward: [f64; BORDERS.len()],
     next_step: Duration,
 }
 
@@ -45,7 +63,7 @@
     /// Nothing spills yet; `phase` from 0 to 1 shifts the moments of the steps.
     pub fn new(now: Duration, phase: f64) -> Self {
         Self {
-            outward: [0.0; BORDERS],
+            outward: [0.0; BORDERS.len()],
             next_step: now + STEP_INTERVAL.mul_f64(phase),
         }
     }
@@ -58,13 +76,13 @@
     /// Takes one step; `phase` from 0 to 1 varies the time to the next.
     pub fn step(&mut self, now: Duration, pressures: &Pressures, phase: f64) {
         self.next_step = now + STEP_INTERVAL.mul_f64(0.75 + 0.5 * phase);
-        for border in 0..BORDERS {
-            let near = pressures[border];
-            let far = pressures[border + 1..].iter().flatten().copied();
+        for (index, border) in BORDERS.iter().enumerate() {
+            let near = pressures[index];
+            let far = pressures[index + 1..].iter().flatten().copied();
             let least_far = far.fold(None, |least: Option<f64>, next| {
                 Some(least.map_or(next, |least| least.min(next)))
             });
-            self.outward[border] = stepped(self.outward[border], near, least_far);
+            self.outward[index] = border.stepped(self.outward[index], near, least_far);
         }
     }
 
@@ -87,19 +105,21 @@
     }
 }
 
-fn stepped(share: f64, near: Option<f64>, far: Option<f64>) -> f64 {
-    let (Some(near), Some(far)) = (near, far) else {
-        return share;
-    };
-    let difference = near - far;
-    if near > HIGH_PRESSURE && difference > MIN_DIFFERENCE {
-        let step = (OUTWARD_GAIN * difference).min(MAX_OUTWARD_STEP);
-        return (share + step).min(MAX_OUTWARD);
-    }
-    let room_near = near < LOW_PRESSURE;
-    let far_is_worse = far > HIGH_PRESSURE && -difference > MIN_DIFFERENCE;
-    if room_near || far_is_worse {
-        return (share - INWARD_STEP).max(0.0);
+impl Border {
+    fn stepped(&self, share: f64, near: Option<f64>, far: Option<f64>) -> f64 {
+        let (Some(near), Some(far)) = (near, far) else {
+            return share;
+        };
+        let difference = near - far;
+        if near > self.high && difference > self.difference {
+            let step = (OUTWARD_GAIN * difference).min(MAX_OUTWARD_STEP);
+            return (share + step).min(MAX_OUTWARD);
+        }
+        let room_near = near < self.low;
+        let far_is_worse = far > self.high && -difference > self.difference;
+        if room_near || far_is_worse {
+            return (share - INWARD_STEP).max(0.0);
+        }
+        share
     }
-    share
 }
