Fleet: demo, run, load, experiment and check over real processes

Cause: the proof needs whole deployments, their histories checked, and a plain baseline beside the product. Callers of the demo stand beside their agents without a proxy, because a proxy accepts what a stopped agent refuses. An answer of a process that has no configuration yet and ran nothing is no reversion; one that answers without a configuration still is (tested). Stragglers are a behaviour now, so that they can begin while back ends run. Partial: capacity is not built; run adds no latencies yet.

--- /dev/null
+++ b/testing/sablehaven-fleet/src/experiment/topology.rs
@@ -0,0 +1,134 @@
+//! The deployment of an experiment: one service whose only method asks every shard.
+
+use sablehaven_harness::DeploymentPlan;
+use sablehaven_schema::{
+    DeploymentSchema, SchemaProblem,
+    fleet_file::{FleetFile, FleetRegion, FleetServer, FleetService, FleetSize, NetworkSettings},
+};
+use sablehaven_standins::backend::Behaviour;
+use sablehaven_types::{BackendId, ServiceName};
+
+use super::file::{Disturbance, Topology};
+
+/// The service of an experiment.
+pub(crate) const SERVICE: &str = "experiment.Index";
+/// Its method.
+pub(crate) const METHOD: &str = "Search";
+
+pub(crate) const REGION: &str = "here";
+pub(crate) const ZONE: &str = "here-a";
+
+const SCHEMA: &str = r#"
+syntax = "proto3";
+package experiment;
+import "sablehaven/options.proto";
+option (sablehaven.deployment) = { regions: { name: "here" zones: ["here-a"] } };
+service Index {
+  option (sablehaven.service) = { maximum_shards: 1024 minimum_replicas: 1 };
+  rpc Search(SearchRequest) returns (SearchReply) {
+    option (sablehaven.method) = { deadline_ms: 500 query: { concatenate: { field: "items" } } };
+  }
+}
+message SearchRequest { string text = 1; }
+message SearchReply { repeated Item items = 1; }
+message Item { string name = 1; uint32 quantity = 2; }
+"#;
+
+/// The schema of every experiment.
+pub(crate) fn schema() -> Result<DeploymentSchema, Vec<SchemaProblem>> {
+    DeploymentSchema::parse("experiment.proto", SCHEMA)
+}
+
+/// The fleet of a topology.
+fn fleet(topology: &Topology) -> FleetFile {
+    let size = FleetSize {
+        servers_per_mille: 1_000,
+        control_replicas: 1,
+        relays_per_region: 1,
+        agents_per_region: 1,
+    };
+    FleetFile {
+        deployment: "experiment".to_owned(),
+        regions: vec![FleetRegion {
+            name: REGION.into(),
+            zones: vec![ZONE.into()],
+        }],
+        network: NetworkSettings {
+            between_zones_ms: 0,
+            between_regions_ms: 0,
+            to_clients_ms: 0,
+            connection_cost_ms: 1,
+        },
+        full: size,
+        demo: size,
+        services: vec![FleetService {
+            name: ServiceName::from(SERVICE),
+            id_prefix: "index".to_owned(),
+            instance_zones: vec![ZONE.into(); topology.instances as usize],
+            servers_per_instance: topology.servers_per_instance,
+            shards: topology.shards,
+            slots_per_server: topology.slots,
+            connections_per_server: topology.connections,
+            queue_per_server: topology.queue,
+            service_time_us: topology.service_time_us,
+            cold_start_ms: 0,
+            cold_slowdown: 1,
+        }],
+    }
+}
+
+/// The plan of a scenario's deployment: one agent of the product beside the callers.
+pub(crate) fn plan(topology: &Topology, schema: &DeploymentSchema, seed: u64) -> DeploymentPlan {
+    let fleet = fleet(topology);
+    DeploymentPlan {
+        schema: schema.clone(),
+        size: fleet.full,
+        fleet,
+        seed,
+        platform_lag_ms: 0,
+        settings: Default::default(),
+    }
+}
+
+/// What happens to one back end.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Disturbed {
+    /// It behaves otherwise.
+    Behaves(BackendId, Behaviour),
+    /// It is lost.
+    Lost(BackendId),
+}
+
+/// What happens to each back end.
+///
+/// A server holds the same shards in every instance, so hitting one instance at each server position
+/// hits one replica of each shard; positions take instances in turn.
+pub(crate) fn disturbed(
+    servers: &[FleetServer],
+    topology: &Topology,
+    disturbance: &Disturbance,
+) -> Vec<Disturbed> {
+    let per_instance = topology.servers_per_instance as usize;
+    let instances = topology.instances as usize;
+    let stuck = disturbance.stuck_replicas as usize;
+    let lost = stuck + disturbance.lost_replicas as usize;
+    let shedding = disturbance.shedding_servers_per_mille as usize;
+    let disturb = |(place, server): (usize, &FleetServer)| {
+        let (instance, position) = (place / per_instance, place % per_instance);
+        let turn = (instance + instances - position % instances) % instances;
+        if (stuck..lost).contains(&turn) {
+            return Disturbed::Lost(server.id.clone());
+        }
+        // Spread evenly: the share rises by one server each time the product passes a whole.
+        let sheds = (place + 1) * shedding / 1_000 > place * shedding / 1_000;
+        let behaviour = Behaviour {
+            stuck: turn < stuck,
+            shed_per_mille: if sheds { disturbance.shed_per_mille } else { 0 },
+            straggler_per_mille: disturbance.slow_per_mille,
+            straggler_factor: disturbance.slow_factor,
+            ..Behaviour::default()
+        };
+        Disturbed::Behaves(server.id.clone(), behaviour)
+    };
+    servers.iter().enumerate().map(disturb).collect()
+}
--- /dev/null
+++ b/testing/sablehaven-fleet/src/measure/statistics.rs
@@ -0,0 +1,44 @@
+//! Medians and spreads over repeats.
+
+use serde::{Deserialize, Serialize};
+
+/// One figure over several repeats.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Spread {
+    /// The figure of each repeat, in the order in which they ran.
+    pub values: Vec<f64>,
+    /// The median.
+    pub median: f64,
+    /// The smallest.
+    pub smallest: f64,
+    /// The largest.
+    pub largest: f64,
+}
+
+impl Spread {
+    /// The spread of these values; `None` if there are none.
+    pub fn of(values: impl IntoIterator<Item = f64>) -> Option<Self> {
+        let values: Vec<f64> = values.into_iter().collect();
+        let mut sorted = values.clone();
+        sorted.sort_by(f64::total_cmp);
+        let (smallest, largest) = (*sorted.first()?, *sorted.last()?);
+        let middle = sorted.len() / 2;
+        let median = match sorted.len().is_multiple_of(2) {
+            true => (sorted[middle - 1] + sorted[middle]) / 2.0,
+            false => sorted[middle],
+        };
+        Some(Self {
+            values,
+            median,
+            smallest,
+            largest,
+        })
+    }
+
+    /// The ratios of paired repeats, candidate over baseline; pairs whose baseline is 0 are left out.
+    pub fn of_ratios(candidate: &Self, baseline: &Self) -> Option<Self> {
+        let pairs = candidate.values.iter().zip(&baseline.values);
+        let ratios = pairs.filter(|(_, baseline)| **baseline != 0.0);
+        Self::of(ratios.map(|(candidate, baseline)| candidate / baseline))
+    }
+}
--- /dev/null
+++ b/testing/sablehaven-fleet/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the fleet tool's pure parts.
+
+mod experiment_file;
+mod figures;
+mod measure;
--- a/testing/sablehaven-history/tests/history/checkers.rs
+++ b/testing/sablehaven-history/tests/history/checkers.rs
@@ -351,3 +351,21 @@
     story.push(Event::Call(call));
     assert_breaks(&story, Promise::AtMostOnce);
 }
+
+#[test]
+fn a_process_without_a_configuration_may_refuse_but_not_answer() {
+    for (outcome, is_broken) in [(Outcome::NotRun, false), (Outcome::Done, true)] {
+        let mut story = Story::kept();
+        let mut call = story.once_call(7, 9, 40 * SECOND, Outcome::NotRun);
+        if let CallResult::Answered(answer) = &mut call.result {
+            answer.configuration.version = 0;
+            answer.outcome = outcome;
+        }
+        story.push(Event::Call(call));
+        let report = check(&story.history(), &Limits::default());
+        let result = report
+            .result(Promise::ConfigurationNeverReverts)
+            .expect("result");
+        assert_eq!(!result.violations.is_empty(), is_broken, "{result:?}");
+    }
+}
--- a/testing/sablehaven-standins/src/caller/client.rs
+++ b/testing/sablehaven-standins/src/caller/client.rs
@@ -1,6 +1,11 @@
 //! One call to an agent, and what the caller can tell of its answer.
 
-use std::{error::Error, net::SocketAddr, time::Duration};
+use std::{
+    error::Error,
+    net::SocketAddr,
+    sync::{PoisonError, RwLock},
+    time::Duration,
+};
 
 use prost_reflect::DynamicMessage;
 use reqwest::Client;
@@ -26,9 +31,11 @@
 }
 
 /// Calls one agent over kept connections.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct AgentClient {
     target: AgentTarget,
+    /// Where the agent is reached now; it may come back elsewhere after a restart.
+    address: RwLock<SocketAddr>,
     client: Client,
 }
 
@@ -59,7 +66,16 @@
             .http2_prior_knowledge()
             .tcp_nodelay(true)
             .build()?;
-        Ok(Self { target, client })
+        Ok(Self {
+            address: RwLock::new(target.address),
+            target,
+            client,
+        })
+    }
+
+    /// Calls the agent at another address from now on.
+    pub fn set_address(&self, address: SocketAddr) {
+        *self.address.write().unwrap_or_else(PoisonError::into_inner) = address;
     }
 
     /// The agent.
@@ -95,7 +111,8 @@
     }
 
     async fn send(&self, asked: &Asked) -> Result<reqwest::Response, reqwest::Error> {
-        let url = format!("http://{}{}", self.target.address, asked.method.path);
+        let address = *self.address.read().unwrap_or_else(PoisonError::into_inner);
+        let url = format!("http://{address}{}", asked.method.path);
         // A request that was made from the schema can be written as JSON.
         let body = encode_json(&asked.request).unwrap_or_default();
         let deadline = asked.deadline;
--- a/testing/sablehaven-standins/src/caller/driver.rs
+++ b/testing/sablehaven-standins/src/caller/driver.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -132,6 +133,23 @@
         })
     }
 
+    /// Calls a restarted agent at its new address from now on.
+    pub fn set_address(&self, process: &str, address: SocketAddr) {
+        let agents = self.inner.agents.values().flatten();
+        let agents = agents.filter(|agent| agent.target().process == process);
+        agents.for_each(|agent| agent.set_address(address));
+    }
+
+    /// Sends one request besides the load and records the call.
+    pub async fn ask_once(&self, asked: &Asked) {
+        let region = RegionName::from("");
+        if let Some(agent) = self.inner.agents_for(&region).first() {
+            let call = self.inner.next_call();
+            let record = call_once(agent, asked, call, clock::now()).await;
+            self.inner.recorder.record(Event::Call(record));
+        }
+    }
+
     /// Sends until the duration has passed or `stop` is cancelled, then waits for the answers.
     pub async fn run(&self, stop: &CancellationToken) {
         let calls = TaskTracker::new();
