Fleet: capacity by hollow agents and back ends, latencies, experiment files

Change: fleet capacity grows real subscriptions behind one relay and lists machines without servers; slopes by least squares with their error, extrapolated to the target in a table that says so. Latencies between the roles stand in the proxies, apart from faults, and those to back ends in the back ends, by the caller's address. experiments/: stragglers, shedding, shards. Proof: tests of standins, faults and fleet pass; capacity not run yet.

--- a/testing/sablehaven-faults/src/fault.rs
+++ b/testing/sablehaven-faults/src/fault.rs
@@ -102,6 +102,8 @@
     pub everyone: Faults,
     /// Stand in place of those for everyone.
     pub by_source: BTreeMap<IpAddr, Faults>,
+    /// The distance of those who connect from some addresses; no fault, so healing leaves it.
+    pub latency: BTreeMap<IpAddr, Duration>,
 }
 
 impl FaultTable {
--- a/testing/sablehaven-faults/src/flow.rs
+++ b/testing/sablehaven-faults/src/flow.rs
@@ -118,6 +118,11 @@
             .direction(self.direction)
     }
 
+    fn latency(&self) -> Duration {
+        let table = self.faults.borrow();
+        table.latency.get(&self.source).copied().unwrap_or_default()
+    }
+
     async fn next_step(&mut self, from: &ReadHalf<'_>) -> Step {
         let is_held = self.current().hold;
         let may_read = !self.has_ended && self.in_transit_bytes < IN_TRANSIT_BYTES;
@@ -160,7 +165,7 @@
     fn send_off(&mut self, bytes: Bytes) {
         let faults = self.current();
         let jitter = faults.jitter.mul_f64(self.random_share());
-        let earliest = Instant::now() + faults.delay + jitter;
+        let earliest = Instant::now() + self.latency() + faults.delay + jitter;
         // Bytes never overtake each other, whatever the jitter.
         let last = self.in_transit.back().map(|last| last.arrives_at);
         let arrives_at = last.map_or(earliest, |last| last.max(earliest));
--- a/testing/sablehaven-faults/src/proxy.rs
+++ b/testing/sablehaven-faults/src/proxy.rs
@@ -134,6 +134,14 @@
         });
     }
 
+    /// Lets every byte to and from an address take this long, besides any fault. Healing leaves it.
+    pub fn set_latency_from(&self, source: IpAddr, one_way: Duration) {
+        let table = &self.shared.faults;
+        table.send_modify(|table| {
+            table.latency.insert(source, one_way);
+        });
+    }
+
     /// The faults in force for everyone.
     pub fn faults(&self) -> Faults {
         self.shared.faults.borrow().everyone
@@ -141,7 +149,10 @@
 
     /// Ends every fault.
     pub fn heal(&self) {
-        self.shared.faults.send_replace(FaultTable::default());
+        self.shared.faults.send_modify(|table| {
+            table.everyone = Faults::default();
+            table.by_source.clear();
+        });
     }
 
     /// Resets every open connection on both sides.
--- a/testing/sablehaven-faults/tests/proxy.rs
+++ b/testing/sablehaven-faults/tests/proxy.rs
@@ -131,6 +131,18 @@
     assert!(sent.elapsed() >= 2 * one_way);
 }
 
+#[tokio::test]
+async fn a_latency_is_no_fault_and_stays_when_faults_heal() {
+    let mut link = link().await;
+    let one_way = Duration::from_millis(60);
+    link.proxy.set_latency_from([127, 0, 0, 1].into(), one_way);
+    link.proxy.heal();
+    let sent = std::time::Instant::now();
+    link.send("question").await;
+    assert_eq!(link.receive(8).await.expect("echo"), b"question");
+    assert!(sent.elapsed() >= 2 * one_way);
+}
+
 #[tokio::test]
 async fn jitter_never_changes_the_order_of_bytes() {
     let mut link = link().await;
--- a/testing/sablehaven-fleet/src/command_line.rs
+++ b/testing/sablehaven-fleet/src/command_line.rs
@@ -122,7 +122,15 @@
                 .value_name("NUMBER")
                 .help("The largest number of hollow agents")
                 .default_value("1600")
-                .value_parser(value_parser!(u32).range(8..=20_000)),
+                .value_parser(value_parser!(u32).range(16..=20_000)),
+        )
+        .arg(
+            Arg::new("backends")
+                .long("backends")
+                .value_name("NUMBER")
+                .help("The largest number of hollow back ends")
+                .default_value("16000")
+                .value_parser(value_parser!(u32).range(16..=200_000)),
         )
         .arg(
             Arg::new("output")
--- a/testing/sablehaven-fleet/src/experiment/mod.rs
+++ b/testing/sablehaven-fleet/src/experiment/mod.rs
@@ -13,3 +13,4 @@
 pub use output::write;
 pub use report::{Comparison, ExperimentReport, Repeat, ScenarioReport};
 pub use runner::run;
+pub(crate) use topology::capacity_plan;
--- a/testing/sablehaven-fleet/src/experiment/topology.rs
+++ b/testing/sablehaven-fleet/src/experiment/topology.rs
@@ -9,6 +9,7 @@
 use sablehaven_types::{BackendId, ServiceName};
 
 use super::file::{Disturbance, Topology};
+use crate::world::FleetError;
 
 /// The service of an experiment.
 pub(crate) const SERVICE: &str = "experiment.Index";
@@ -87,6 +88,7 @@
         seed,
         platform_lag_ms: 0,
         settings: Default::default(),
+        hollow_backends: 0,
     }
 }
 
@@ -132,3 +134,25 @@
     };
     servers.iter().enumerate().map(disturb).collect()
 }
+
+/// The plan of a capacity measurement: one small service, three control replicas, one relay, one
+/// agent, and this many hollow back ends on the platform's list besides the service's own.
+pub(crate) fn capacity_plan(hollow_backends: u32) -> Result<DeploymentPlan, FleetError> {
+    const TOPOLOGY: Topology = Topology {
+        shards: 4,
+        instances: 2,
+        servers_per_instance: 2,
+        slots: 3,
+        queue: 16,
+        connections: 65,
+        service_time_us: 3_000,
+    };
+    let schema = schema().map_err(|problems| {
+        let problems: Vec<_> = problems.iter().map(ToString::to_string).collect();
+        FleetError::step("parse the experiments' schema", problems.join("; "))
+    })?;
+    let mut plan = plan(&TOPOLOGY, &schema, 1);
+    plan.size.control_replicas = 3;
+    plan.hollow_backends = hollow_backends;
+    Ok(plan)
+}
--- a/testing/sablehaven-fleet/src/lib.rs
+++ b/testing/sablehaven-fleet/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runs a deployment as real processes on one machine: demonstrates it, loads it, compares it with a
 //! plain baseline, checks recorded histories and measures the slopes of the capacity page.
 
+pub mod capacity;
 pub mod command_line;
 pub mod demo_command;
 pub mod deployment_folder;
--- a/testing/sablehaven-fleet/src/main.rs
+++ b/testing/sablehaven-fleet/src/main.rs
@@ -10,6 +10,7 @@
 
 use clap::ArgMatches;
 use sablehaven_fleet::{
+    capacity::{self, CapacitySettings},
     command_line::{self, value},
     demo_command::{self, DemoSettings},
     describe,
@@ -51,6 +52,7 @@
             Some(("load", matches)) => load(matches, &stop).await,
             Some(("experiment", matches)) => run_experiment(matches, &stop).await,
             Some(("check", matches)) => check(&value::<PathBuf>(matches, "history")),
+            Some(("capacity", matches)) => measure_capacity(matches, &stop).await,
             _ => Ok(false),
         }
     })
@@ -142,6 +144,28 @@
     Ok(true)
 }
 
+async fn measure_capacity(
+    matches: &ArgMatches,
+    stop: &CancellationToken,
+) -> Result<bool, FleetError> {
+    let settings = CapacitySettings {
+        most_agents: value(matches, "agents"),
+        most_backends: value(matches, "backends"),
+    };
+    let program = program()?;
+    let report = tokio::select! {
+        report = capacity::run(&settings, &program) => report?,
+        () = stop.cancelled() => return Ok(false),
+    };
+    println!("{}\n{}", report.slope_table(), report.target_table());
+    if let Some(folder) = matches.get_one::<PathBuf>("output") {
+        for path in capacity::write(&report, folder)? {
+            println!("{}", path.display());
+        }
+    }
+    Ok(true)
+}
+
 fn check(path: &Path) -> Result<bool, FleetError> {
     let history = History::read(path)?;
     let report = sablehaven_history::check(&history, &Limits::default());
--- a/testing/sablehaven-fleet/src/run_command.rs
+++ b/testing/sablehaven-fleet/src/run_command.rs
@@ -51,6 +51,7 @@
     plan.seed = settings.seed;
     progress.show(&format!("starting {}", plan.fleet.deployment));
     let mut world = World::start(plan, program).await?;
+    world.add_latencies().await?;
     show_addresses(&world);
     let duration = settings.duration.unwrap_or(ENDLESS);
     let load = LoadPlan {
--- a/testing/sablehaven-fleet/src/world/running.rs
+++ b/testing/sablehaven-fleet/src/world/running.rs
@@ -7,7 +7,7 @@
     BackendNotice, BackendNoticeKind, Event, ProcessStop, PublishedSnapshot, Recorder,
 };
 use sablehaven_standins::{
-    backend::HeldSnapshot,
+    backend::{HeldSnapshot, NetworkMap},
     caller::{AgentTarget, Driver, DriverSettings},
     clock,
 };
@@ -74,6 +74,36 @@
             .map_err(|reason| FleetError::step("set up callers", reason))
     }
 
+    /// Puts the fleet file's latencies between zones and regions on every link: between the roles by
+    /// their proxies, to the back ends by the back ends themselves.
+    pub async fn add_latencies(&self) -> Result<(), FleetError> {
+        let network = &self.deployment.plan().fleet.network;
+        let nodes: Vec<&Node> = self
+            .deployment
+            .control
+            .iter()
+            .chain(&self.deployment.relays)
+            .chain(&self.deployment.agents)
+            .collect();
+        let sources = nodes
+            .iter()
+            .map(|node| (node.source(), node.placement().clone()));
+        let map = NetworkMap {
+            between_zones_ms: network.between_zones_ms,
+            between_regions_ms: network.between_regions_ms,
+            sources: sources.collect(),
+        };
+        for node in &nodes {
+            for (source, placement) in &map.sources {
+                let one_way = map.between(placement, node.placement());
+                node.internal_proxy().set_latency_from(*source, one_way);
+                node.http_proxy().set_latency_from(*source, one_way);
+            }
+        }
+        self.deployment.admin().set_network(&map).await?;
+        Ok(())
+    }
+
     /// Rebuilds the index of a service: the next generation with the same partition map. Back ends
     /// hold both until no query can be pinned to the old one.
     pub async fn rebuild(&self, service: &ServiceName) -> Result<SnapshotId, FleetError> {
--- a/testing/sablehaven-harness/src/plan.rs
+++ b/testing/sablehaven-harness/src/plan.rs
@@ -35,6 +35,8 @@
     pub platform_lag_ms: u64,
     /// Settings of the roles that all processes start from (durations, limits).
     pub settings: sablehaven_cli::Settings,
+    /// Machines on the platform's list without a server behind them, for measurements of size.
+    pub hollow_backends: u32,
 }
 
 impl DeploymentPlan {
@@ -60,6 +62,7 @@
             seed: 1,
             platform_lag_ms: 500,
             settings: sablehaven_cli::Settings::default(),
+            hollow_backends: 0,
         })
     }
 
@@ -78,13 +81,17 @@
 
     /// The stand-in back ends and the platform's list.
     pub fn host_file(&self) -> HostFile {
-        HostFile::of_fleet(
+        let mut file = HostFile::of_fleet(
             &self.fleet,
             &self.size,
             &self.schema,
             self.platform_lag_ms,
             self.seed,
-        )
+        );
+        if let Some(platform) = &mut file.platform {
+            platform.hollow_machines = self.hollow_backends;
+        }
+        file
     }
 }
 
--- a/testing/sablehaven-standins/src/backend/handler.rs
+++ b/testing/sablehaven-standins/src/backend/handler.rs
@@ -49,8 +49,15 @@
         response: &mut Response,
         _control: &mut FlowCtrl,
     ) {
+        let source = request.remote_addr().ip();
+        let place = &self.shared.settings.placement;
+        let one_way = self.shared.network.one_way(source, place);
         match self.read(request).await {
-            Ok(attempt) => self.serve(attempt, response).await,
+            Ok(attempt) => {
+                pass(one_way).await;
+                self.serve(attempt, response).await;
+                pass(one_way).await;
+            }
             Err(problem) => {
                 response.status_code(StatusCode::BAD_REQUEST);
                 response.render(problem);
@@ -229,6 +236,13 @@
     }
 }
 
+/// Waits for the time that bytes are on their way.
+async fn pass(one_way: Duration) {
+    if !one_way.is_zero() {
+        tokio::time::sleep(one_way).await;
+    }
+}
+
 fn write_refusal(end: ExecutionEnd, response: &mut Response) {
     let (status, word) = match end {
         ExecutionEnd::RefusedDraining => (StatusCode::SERVICE_UNAVAILABLE, http::REFUSED_DRAINING),
--- a/testing/sablehaven-standins/src/backend/server.rs
+++ b/testing/sablehaven-standins/src/backend/server.rs
@@ -14,6 +14,7 @@
 use super::{
     handler::AttemptHandler,
     load::LoadReporter,
+    network::Network,
     record::ExecutionLog,
     settings::{BackendSettings, Behaviour, HeldSnapshot},
     state::{BackendStatus, State},
@@ -42,6 +43,15 @@
     pub slots: Semaphore,
     pub load: LoadReporter,
     pub log: ExecutionLog,
+    pub network: Network,
+}
+
+/// What the back ends of one process have in common; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Surroundings {
+    pub schema: Arc<DeploymentSchema>,
+    pub log: ExecutionLog,
+    pub network: Network,
 }
 
 /// One running back end.
@@ -59,18 +69,18 @@
 
 impl Backend {
     /// Binds and serves.
-    pub async fn start(
+    pub(crate) async fn start(
         settings: BackendSettings,
-        schema: Arc<DeploymentSchema>,
-        log: ExecutionLog,
+        surroundings: Surroundings,
         seed: u64,
     ) -> Result<Self, BackendError> {
         let shared = Arc::new(Shared {
             state: Arc::new(State::new(&settings, seed)),
             slots: Semaphore::new(settings.slots as usize),
             load: LoadReporter::default(),
-            schema,
-            log,
+            schema: surroundings.schema,
+            log: surroundings.log,
+            network: surroundings.network,
             settings,
         });
         let counts = Arc::new(ConnectionCounts::default());
--- a/testing/sablehaven-standins/src/host/admin.rs
+++ b/testing/sablehaven-standins/src/host/admin.rs
@@ -11,6 +11,7 @@
 //! | `POST /admin/backends/{id}/drain` | says that it drains |
 //! | `POST /admin/backends/{id}/lose` | loses the server at once |
 //! | `POST /admin/backends/{id}/restore` | starts the server again, cold, as its next incarnation |
+//! | `POST /admin/network` | replaces the map of latencies |
 //! | `GET /admin/platform` | the platform's true list, without lag |
 //! | `POST /admin/platform/list` | puts a record on the list, or replaces it |
 //! | `POST /admin/platform/remove` | takes the named back end off the list |
@@ -26,7 +27,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::running::Hosted;
-use crate::backend::{Backend, Behaviour, HeldSnapshot};
+use crate::backend::{Backend, Behaviour, HeldSnapshot, NetworkMap};
 
 /// Records in one page of executions.
 const PAGE_RECORDS: usize = 20_000;
@@ -59,6 +60,7 @@
     Drain,
     Lose,
     Restore,
+    Network,
     Platform,
     PlatformList,
     PlatformRemove,
@@ -87,6 +89,7 @@
         .push(post("backends/{id}/drain", Action::Drain))
         .push(post("backends/{id}/lose", Action::Lose))
         .push(post("backends/{id}/restore", Action::Restore))
+        .push(post("network", Action::Network))
         .push(get("platform", Action::Platform))
         .push(post("platform/list", Action::PlatformList))
         .push(post("platform/remove", Action::PlatformRemove))
@@ -119,6 +122,10 @@
             Action::Host | Action::Backends | Action::Executions | Action::Platform => {
                 self.show(request, response)
             }
+            Action::Network => {
+                let map: NetworkMap = body(request).await?;
+                self.hosted.network.replace(map);
+            }
             Action::PlatformList => {
                 let record: BackendRecord = body(request).await?;
                 self.hosted.platform.list(record);
--- a/testing/sablehaven-standins/src/host/client.rs
+++ b/testing/sablehaven-standins/src/host/client.rs
@@ -9,7 +9,7 @@
 
 use super::{ExecutionPage, HostReport, SnapshotDrop};
 use crate::{
-    backend::{BackendStatus, Behaviour, HeldSnapshot},
+    backend::{BackendStatus, Behaviour, HeldSnapshot, NetworkMap},
     platform::MachineList,
 };
 
@@ -106,6 +106,11 @@
         self.post(&format!("backends/{id}/restore"), &()).await
     }
 
+    /// Replaces the map of latencies between callers and back ends.
+    pub async fn set_network(&self, map: &NetworkMap) -> Result<(), AdminError> {
+        self.post("network", map).await
+    }
+
     /// The platform's list without its lag.
     pub async fn platform(&self) -> Result<MachineList, AdminError> {
         self.get("platform").await
--- a/testing/sablehaven-standins/src/host/fleet.rs
+++ b/testing/sablehaven-standins/src/host/fleet.rs
@@ -43,6 +43,7 @@
             platform: Some(PlatformSettings {
                 listen: any_port,
                 lag_ms: platform_lag_ms,
+                hollow_machines: 0,
             }),
             baseline: None,
             backends: backends.collect(),
--- a/testing/sablehaven-standins/src/host/running.rs
+++ b/testing/sablehaven-standins/src/host/running.rs
@@ -10,9 +10,9 @@
 
 use super::{HostError, HostFile, admin};
 use crate::{
-    backend::{Backend, ExecutionLog},
+    backend::{Backend, ExecutionLog, Network, Surroundings},
     baseline::BaselineAgent,
-    platform::Platform,
+    platform::{Platform, hollow_machines},
 };
 
 /// The addresses of a running host.
@@ -32,6 +32,7 @@
 pub(crate) struct Hosted {
     pub backends: BTreeMap<BackendId, Backend>,
     pub log: ExecutionLog,
+    pub network: Network,
     pub platform: Platform,
     /// Where the platform's list is served, once it is.
     pub platform_address: Option<SocketAddr>,
@@ -101,14 +102,21 @@
 pub async fn start(file: HostFile) -> Result<RunningHost, HostError> {
     let schema = DeploymentSchema::from_source(&file.schema).map_err(schema_error)?;
     let schema = Arc::new(schema);
-    let log = ExecutionLog::default();
+    let surroundings = Surroundings {
+        schema: Arc::clone(&schema),
+        log: ExecutionLog::default(),
+        network: Network::default(),
+    };
     let mut backends = BTreeMap::new();
     for (index, settings) in file.backends.into_iter().enumerate() {
         let seed = file.seed.wrapping_add(index as u64 + 1);
-        let backend = Backend::start(settings, Arc::clone(&schema), log.clone(), seed).await?;
+        let backend = Backend::start(settings, surroundings.clone(), seed).await?;
         backends.insert(backend.id().clone(), backend);
     }
-    let records = backends.values().map(Backend::record);
+    let mut records: Vec<_> = backends.values().map(Backend::record).collect();
+    if let (Some(settings), Some(pattern)) = (&file.platform, records.first().cloned()) {
+        records.extend(hollow_machines(&pattern, settings.hollow_machines));
+    }
     let lag_ms = file.platform.as_ref().map_or(0, |platform| platform.lag_ms);
     let platform = Platform::new(lag_ms, records);
     let mut servers = Vec::new();
@@ -128,7 +136,8 @@
     }
     let hosted = Arc::new(Hosted {
         backends,
-        log,
+        log: surroundings.log,
+        network: surroundings.network,
         platform,
         platform_address,
         baseline_address,
--- a/testing/sablehaven-standins/src/platform.rs
+++ b/testing/sablehaven-standins/src/platform.rs
@@ -23,6 +23,26 @@
     /// How far the list lags behind the truth, in milliseconds.
     #[serde(default)]
     pub lag_ms: u64,
+    /// Machines that are listed besides the back ends and have no server, in the first back end's
+    /// service and place.
+    #[serde(default)]
+    pub hollow_machines: u32,
+}
+
+/// Records of machines without a server, like `pattern` but for their identifiers and addresses.
+pub fn hollow_machines(pattern: &BackendRecord, count: u32) -> impl Iterator<Item = BackendRecord> {
+    // TEST-NET-2 (RFC 5737) holds no machines, so nothing can be reached by mistake.
+    const NOWHERE: [u8; 3] = [198, 51, 100];
+    let [first, second, third] = NOWHERE;
+    (0..count).map(move |number| {
+        let last = (number % 250) as u8 + 1;
+        let port = (number / 250 % 60_000) as u16 + 1;
+        BackendRecord {
+            id: BackendId(format!("hollow-{number}")),
+            address: ([first, second, third, last], port).into(),
+            ..pattern.clone()
+        }
+    })
 }
 
 /// The list as it is served.
--- a/testing/sablehaven-standins/tests/standins/host.rs
+++ b/testing/sablehaven-standins/tests/standins/host.rs
@@ -1,14 +1,14 @@
 //! A whole deployment's back ends, worked through the administration interface.
 
-use std::path::Path;
+use std::{path::Path, time::Duration};
 
 use sablehaven_schema::{DeploymentSchema, fleet_file::FleetFile};
 use sablehaven_standins::{
-    backend::{Behaviour, HeldSnapshot},
+    backend::{Behaviour, HeldSnapshot, NetworkMap},
     host::{self, AdminClient, AdminError, HostFile, RunningHost},
     platform::MachineList,
 };
-use sablehaven_types::{BackendId, BackendState, ShardId, SnapshotId};
+use sablehaven_types::{BackendId, BackendState, Placement, ShardId, SnapshotId, http};
 
 async fn start_trinacria() -> (RunningHost, AdminClient) {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deployments/trinacria");
@@ -88,3 +88,32 @@
         "{error}"
     );
 }
+
+#[tokio::test]
+async fn callers_from_another_region_wait_for_the_way_there_and_back() {
+    let (host, admin) = start_trinacria().await;
+    let record = &host.report().backends[0];
+    let far = Placement {
+        region: "elsewhere".into(),
+        zone: "elsewhere-a".into(),
+    };
+    let map = NetworkMap {
+        between_zones_ms: 0,
+        between_regions_ms: 60,
+        sources: [([127, 0, 0, 1].into(), far)].into(),
+    };
+    admin.set_network(&map).await.expect("network");
+    let method = format!("http://{}/{}/GetDonor", record.address, record.service);
+    let started = std::time::Instant::now();
+    let request = crate::common::client().post(method);
+    let request = request
+        .header(http::SHARD, "0")
+        .header(http::SNAPSHOT, "1.1");
+    let reply = request
+        .header(http::ATTEMPT, "1")
+        .send()
+        .await
+        .expect("reply");
+    assert!(reply.headers().contains_key(http::BACKEND), "{reply:?}");
+    assert!(started.elapsed() >= Duration::from_millis(120));
+}
