--- a/testing/sablehaven-simulator/src/checks/mod.rs
+++ b/testing/sablehaven-simulator/src/checks/mod.rs
@@ -39,9 +39,8 @@
     Progress,
 }
 
-/// A broken property.
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 /// {property:?} at {at} us: {detail}
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 pub struct Violation {
     /// The property.
     pub property: Property,
--- a/testing/sablehaven-simulator/src/disk.rs
+++ b/testing/sablehaven-simulator/src/disk.rs
@@ -91,6 +91,11 @@
         number
     }
 
+    /// Batches that are not synced yet.
+    pub fn unsynced_batches(&self) -> usize {
+        self.unsynced.len()
+    }
+
     /// The batch that was started last, if it is not synced yet.
     pub fn last_unsynced(&self) -> Option<u64> {
         self.unsynced.back().map(|batch| batch.number)
--- a/testing/sablehaven-simulator/src/faults.rs
+++ b/testing/sablehaven-simulator/src/faults.rs
@@ -252,6 +252,7 @@
                 }
             }
             Repair::MendRegion(region) => self.network.mend_region(region),
+            Repair::Links(_) if self.is_calm => {}
             Repair::Links(quality) => self.network.quality = quality,
         }
     }
--- a/testing/sablehaven-simulator/src/processes/control.rs
+++ b/testing/sablehaven-simulator/src/processes/control.rs
@@ -277,7 +277,10 @@
             Input::Packet { from, packet } => self.receive(context, from, packet),
             Input::Synced(batch) => self.synced(context, batch),
         }
-        self.work(context);
+        // What comes up while the disk is busy shares the next sync.
+        if self.disk.unsynced_batches() < context.settings.outstanding_syncs {
+            self.work(context);
+        }
         self.check_leaders(context);
     }
 }
--- a/testing/sablehaven-simulator/src/world.rs
+++ b/testing/sablehaven-simulator/src/world.rs
@@ -23,6 +23,9 @@
 /// Time between two ticks of a control process.
 const CONTROL_TICK: Micros = 50 * MILLISECOND;
 
+/// The longest sync once all faults are gone.
+const CALM_SYNC: Micros = 5 * MILLISECOND;
+
 /// Time between two ticks of any other process.
 const TICK: Micros = 50 * MILLISECOND;
 
@@ -199,6 +202,9 @@
         self.note(|| "calm".to_owned());
         self.is_calm = true;
         self.network.heal();
+        if let Some(administrator) = &mut self.administrator.role {
+            administrator.transfers = false;
+        }
         for node in self.restartable_nodes() {
             self.thaw(node);
             self.start(node);
@@ -265,7 +271,10 @@
     }
 
     fn start_sync(&mut self, machine: usize, batch: u64) {
-        let longest = self.settings.longest_sync;
+        let longest = match self.is_calm {
+            true => self.settings.longest_sync.min(CALM_SYNC),
+            false => self.settings.longest_sync,
+        };
         let mut duration = self.random.between(longest / 10, longest);
         if !self.is_calm && self.random.chance(self.settings.sync_stalls) {
             duration *= 20;
