Relay: tests that tell lost calls and waiting lease requests apart from late ones

Cause: with the mechanism switched off, two tests still passed: a lost ledger call ended by its time limit, and a lease request without a proof was made up for by the next one. Change: the first waits for an end long before the limit; the second sends one request only.

--- a/crates/sablehaven-relay/tests/relay.rs
+++ b/crates/sablehaven-relay/tests/relay.rs
@@ -13,12 +13,12 @@
 };
 use support::{
     AgentConnection, address, changes, claim, control_double::ControlDouble, current_at, draining,
-    full_state, hello, relay_config, start_relay, subscribe, until, watch_bare,
+    full_state, hello, receive, relay_config, start_relay, subscribe, until, watch_bare,
 };
 
 const SEARCH: &str = "stock.Search";
 const RESERVE: &str = "stock.Reserve";
-const CALL_LIMIT: Duration = Duration::from_secs(55);
+const CALL_LIMIT: Duration = Duration::from_secs(3_600);
 const GRANTED: LedgerReply = LedgerReply::Claim(ClaimAnswer::Granted);
 
 async fn control_at(revision: u64) -> ControlDouble {
@@ -242,6 +242,21 @@
     current_at(&agent, revision).await;
 }
 
+#[tokio::test]
+async fn a_lease_request_waits_for_the_first_proof() {
+    let control = control_at(10).await;
+    control.script().leads = false;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let mut agent = watch_bare(&relay, "bare", 0).await;
+    let request = AgentToRelay::RequestLease { nonce: 7 };
+    agent.writer.send(&request).await.expect("request");
+    let first = receive(&mut agent).await;
+    assert!(matches!(first, RelayToAgent::Update(_)), "{first:?}");
+    control.script().leads = true;
+    let grant = receive(&mut agent).await;
+    assert!(matches!(grant, RelayToAgent::Lease(grant) if grant.nonce == 7));
+}
+
 #[tokio::test]
 async fn a_relay_without_a_leader_still_gives_agents_the_state() {
     let follower = control_at(10).await;
@@ -306,12 +321,15 @@
     let first = control_at(10).await;
     let second = control_at(10).await;
     first.script().answers_ledger = false;
-    let relay = start_relay(relay_config(&[&first, &second])).await;
+    let mut config = relay_config(&[&first, &second]);
+    config.ledger_timeout_ms = CALL_LIMIT.as_millis() as u64;
+    let relay = start_relay(config).await;
     let agent = subscribe("agent-1", &[&relay], &[]);
     current_at(&agent, 10).await;
     let call = call_in_background(&agent);
     until("the call arrives", || ledger_calls(&first) == 1).await;
     first.kill().await;
+    until("the call ends long before its limit", || call.is_finished()).await;
     let reply = call.await.expect("call");
     assert!(
         matches!(reply, LedgerReply::Unavailable { .. }),
@@ -381,7 +399,7 @@
     let mut updates = 0;
     let mut reached = 0;
     while reached < revision {
-        if let RelayToAgent::Update(update) = slow.reader.receive().await.expect("receive") {
+        if let RelayToAgent::Update(update) = receive(&mut slow).await {
             assert!(update.full || update.from_revision == reached);
             reached = update.revision;
             updates += 1;
--- a/crates/sablehaven-relay/tests/support/mod.rs
+++ b/crates/sablehaven-relay/tests/support/mod.rs
@@ -178,6 +178,14 @@
     connection
 }
 
+/// The next message from the relay.
+pub async fn receive(agent: &mut AgentConnection) -> RelayToAgent {
+    timeout(WAIT_LIMIT, agent.reader.receive())
+        .await
+        .expect("a message in time")
+        .expect("receive")
+}
+
 /// Waits until `condition` holds.
 pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
     let holds = async {
