--- /dev/null
+++ b/crates/sablehaven-relay/examples/distribution_bench/processor_time.rs
@@ -0,0 +1,40 @@
+//! Processor time of groups of threads, and memory of the process, from `/proc`.
+
+use std::{fs, time::Duration};
+
+/// Processor time used so far by the threads whose name starts with `name`.
+pub fn of_threads(name: &str) -> Duration {
+    let Ok(threads) = fs::read_dir("/proc/self/task") else {
+        return Duration::ZERO;
+    };
+    let mut total = Duration::ZERO;
+    for thread in threads.flatten() {
+        let folder = thread.path();
+        let comm = fs::read_to_string(folder.join("comm")).unwrap_or_default();
+        if !comm.starts_with(name) {
+            continue;
+        }
+        let schedule = fs::read_to_string(folder.join("schedstat")).unwrap_or_default();
+        let nanoseconds = schedule
+            .split(' ')
+            .next()
+            .and_then(|text| text.parse().ok());
+        total += Duration::from_nanos(nanoseconds.unwrap_or(0));
+    }
+    total
+}
+
+/// Resident memory of the process, in MiB.
+pub fn resident_mib() -> f64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    let kib: f64 = kib.and_then(|text| text.parse().ok()).unwrap_or(f64::NAN);
+    kib / 1024.0
+}
+
+/// The machine's load average, to judge a run by.
+pub fn load_average() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split(' ').take(3).collect::<Vec<_>>().join(" ")
+}
