Relay, subscription: queue for a zone's connections; more time for a slow relay

Change: the relay's listeners queue 4,096 connections; a relay that was too slow as a candidate gets twice, three and four times the limit in the next attempts. The bench can use three real control replicas, and run without latencies. Ruled out: a longer first limit; a relay that is frozen must be left within the lease. Test: the second attempt's limit.

--- a/crates/sablehaven-relay/examples/distribution_bench/main.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/main.rs
@@ -3,6 +3,7 @@
 //!
 //! `cargo run --release -p sablehaven-relay --example distribution_bench -- --help`
 
+mod control_side;
 mod fit;
 mod fleet;
 mod latency;
@@ -16,7 +17,7 @@
 #[path = "../../tests/support/control_double.rs"]
 mod control_double;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 /// What a run measures.
 struct Options {
@@ -24,6 +25,8 @@
     relays: usize,
     changes: usize,
     seconds: u64,
+    latencies: fleet::Latencies,
+    control: fleet::ControlKind,
 }
 
 fn main() {
@@ -33,6 +36,14 @@
         relays: *matches.get_one("relays").expect("has a default"),
         changes: *matches.get_one("changes").expect("has a default"),
         seconds: *matches.get_one("seconds").expect("has a default"),
+        latencies: match matches.get_flag("no-latencies") {
+            true => fleet::Latencies::None,
+            false => fleet::Latencies::Brief,
+        },
+        control: match matches.get_flag("real-control") {
+            true => fleet::ControlKind::Real,
+            false => fleet::ControlKind::Double,
+        },
     };
     let parts = numbers_of(&matches, "parts");
     println!("load average before: {}", processor_time::load_average());
@@ -78,6 +89,18 @@
                 .value_parser(value_parser!(u64))
                 .help("Length of each phase at rest and under change, in seconds"),
         )
+        .arg(
+            Arg::new("no-latencies")
+                .long("no-latencies")
+                .action(ArgAction::SetTrue)
+                .help("Propagation without added latencies and forwarders"),
+        )
+        .arg(
+            Arg::new("real-control")
+                .long("real-control")
+                .action(ArgAction::SetTrue)
+                .help("Propagation from three real control replicas instead of the double"),
+        )
         .arg(
             Arg::new("parts")
                 .long("parts")
--- a/crates/sablehaven-relay/examples/distribution_bench/rest.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/rest.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Options, fit,
-    fleet::{BACKENDS, Fleet, Latencies, SERVICES, state},
+    fleet::{ControlKind, Fleet, Latencies},
     processor_time,
 };
 
@@ -41,7 +41,7 @@
     let mut changing = Vec::new();
     let mut control_link = Vec::new();
     for &count in &options.agents {
-        let mut fleet = Fleet::start(options.relays, Latencies::None, state(SERVICES, BACKENDS));
+        let mut fleet = Fleet::start(ControlKind::Double, options.relays, Latencies::None);
         fleet.grow_agents(count);
         fleet.settle();
         std::thread::sleep(WARM_UP);
--- a/crates/sablehaven-relay/examples/distribution_bench/returning.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/returning.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Options,
-    fleet::{BACKENDS, Fleet, Latencies, SERVICES, state},
+    fleet::{ControlKind, Fleet, Latencies},
     processor_time,
 };
 
@@ -25,7 +25,7 @@
     );
     println!("|---|---|---|---|---|---|---|---|");
     for &count in &options.agents {
-        let mut fleet = Fleet::start(2, Latencies::None, state(SERVICES, BACKENDS));
+        let mut fleet = Fleet::start(ControlKind::Double, 2, Latencies::None);
         measure_start(&mut fleet, count);
         std::thread::sleep(WARM_UP);
         measure_death(&mut fleet, count);
--- a/crates/sablehaven-relay/src/handle.rs
+++ b/crates/sablehaven-relay/src/handle.rs
@@ -6,7 +6,7 @@
 use sablehaven_types::{BoundAddresses, RelayId};
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
     task::JoinHandle,
     time::{Instant, MissedTickBehavior, interval, sleep},
 };
@@ -14,6 +14,10 @@
 
 use crate::{Config, RelayMetrics, control::link, hub::Hub, server};
 
+/// Connections that may wait to be accepted (the system may cap it). A zone's agents come back all
+/// at once; one that finds the queue full tries again only after a second.
+const BACKLOG: u32 = 4_096;
+
 /// Time between two looks at what has expired.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -48,8 +52,8 @@
 
 /// Starts a relay; it connects to control in the background.
 pub async fn start(config: Config, telemetry: Telemetry) -> Result<Handle, StartError> {
-    let http_listener = listen(config.http_listen, "HTTP").await?;
-    let listener = listen(config.internal_listen, "agents").await?;
+    let http_listener = listen(config.http_listen, "HTTP")?;
+    let listener = listen(config.internal_listen, "agents")?;
     let addresses = BoundAddresses {
         http: http_listener.local_addr().ok(),
         internal: listener.local_addr().ok(),
@@ -142,14 +146,23 @@
     }
 }
 
-async fn listen(address: SocketAddr, interface: &'static str) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| StartError::Listen {
-            address,
-            interface,
-            source,
-        })
+fn listen(address: SocketAddr, interface: &'static str) -> Result<TcpListener, StartError> {
+    bind(address).map_err(|source| StartError::Listen {
+        address,
+        interface,
+        source,
+    })
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // A relay that starts again takes its address back at once.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 /// A restarted relay is another one: control must not take its agents for those of the last run.
--- a/crates/sablehaven-subscription/src/relay_choice.rs
+++ b/crates/sablehaven-subscription/src/relay_choice.rs
@@ -66,11 +66,16 @@
         let doublings = history.failures.min(MAXIMUM_DOUBLINGS);
         let full = self.settings.minimum * 2_u32.pow(doublings);
         let full = full.min(self.settings.maximum);
-        history.failures += 1;
+        history.failures = history.failures.saturating_add(1);
         let jitter = self.random.random_range(0.5..=1.0);
         history.retry_at = now + full.mul_f64(jitter);
     }
 
+    /// Failures of the relay since it last gave a usable lease.
+    pub fn failures(&self, relay: usize) -> u32 {
+        self.relays.get(relay).map_or(0, |history| history.failures)
+    }
+
     /// The relay gave a usable lease.
     pub fn succeeded(&mut self, relay: usize) {
         if let Some(history) = self.relays.get_mut(relay) {
--- a/crates/sablehaven-subscription/src/supervisor.rs
+++ b/crates/sablehaven-subscription/src/supervisor.rs
@@ -8,6 +8,9 @@
 
 use crate::relay_choice::{RelayChoice, RetrySettings};
 
+/// Greatest multiple of the wait for a lease that a relay is given after failures.
+const MAXIMUM_WAIT_FACTOR: u32 = 4;
+
 /// Numbers the sessions of one subscription.
 pub type SessionId = u64;
 
@@ -56,6 +59,8 @@
     session: SessionId,
     relay: usize,
     since: Duration,
+    /// How long it may stay a candidate.
+    limit: Duration,
     connected: bool,
     going_away: bool,
     want: Want,
@@ -161,7 +166,7 @@
     /// Acts on the time that has passed.
     pub fn tick(&mut self, now: Duration, lease: LeaseHealth) -> Vec<Action> {
         let mut actions = Vec::new();
-        let overdue = |link: &mut Link| now >= link.since + self.settings.lease_wait;
+        let overdue = |link: &mut Link| now >= link.since + link.limit;
         if let Some(candidate) = self.candidate.take_if(overdue) {
             self.choice.failed(candidate.relay, now);
             actions.push(Action::Close(candidate.session));
@@ -175,7 +180,7 @@
     /// When [`Self::tick`] must be called next at the latest.
     pub fn wake_at(&self, now: Duration, lease: LeaseHealth) -> Option<Duration> {
         if let Some(candidate) = self.candidate {
-            return Some(candidate.since + self.settings.lease_wait);
+            return Some(candidate.since + candidate.limit);
         }
         let Some(active) = self.active else {
             let retry_at = self.choice.next_at(None)?;
@@ -228,6 +233,7 @@
             session,
             relay,
             since: now,
+            limit: self.candidate_limit(relay),
             connected: false,
             going_away: false,
             want,
@@ -235,6 +241,13 @@
         Some(Action::Open { session, relay })
     }
 
+    /// A relay that did not serve in time before gets more time, since it may be busy with a storm
+    /// of agents that too short a limit would keep going.
+    fn candidate_limit(&self, relay: usize) -> Duration {
+        let attempts = 1 + self.choice.failures(relay);
+        self.settings.lease_wait * attempts.min(MAXIMUM_WAIT_FACTOR)
+    }
+
     /// Makes the candidate the active session.
     fn promote(&mut self, now: Duration) -> Vec<Action> {
         let Some(mut candidate) = self.candidate.take() else {
--- a/crates/sablehaven-subscription/tests/supervisor.rs
+++ b/crates/sablehaven-subscription/tests/supervisor.rs
@@ -96,6 +96,18 @@
     assert!(retry_at > later, "the next attempt waits");
 }
 
+#[test]
+fn a_relay_that_was_too_slow_gets_more_time_the_next_time() {
+    let mut supervisor = supervisor(1);
+    let (first, _) = opened(&supervisor.tick(Duration::ZERO, NO_LEASE));
+    let now = SETTINGS.lease_wait;
+    assert_eq!(supervisor.tick(now, NO_LEASE), [Action::Close(first)]);
+    let now = now + SETTINGS.retry.minimum;
+    opened(&supervisor.tick(now, NO_LEASE));
+    let limit = supervisor.wake_at(now, NO_LEASE).expect("a limit");
+    assert_eq!(limit, now + 2 * SETTINGS.lease_wait);
+}
+
 #[test]
 fn a_renewal_by_the_active_relay_ends_the_search() {
     let (mut supervisor, active) = on_first_relay(2);
