--- a/crates/sablehaven-relay/examples/distribution_bench/fleet.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/fleet.rs
@@ -36,8 +36,8 @@
 /// Shards that a query touches, from the target.
 const SHARDS: u32 = 55;
 
-/// Replicas of a shard.
-const REPLICAS: usize = 3;
+/// Replicas of a shard, at least; more when a service has more servers than shards.
+const LEAST_REPLICAS: usize = 3;
 
 /// Bytes of the schema's text.
 const SCHEMA_BYTES: usize = 4_000;
@@ -232,20 +232,30 @@
     format!("depot-server-{number}")
 }
 
-/// Publishes a new generation of one service, with every shard's replicas.
+/// Publishes a new generation of one service at today's sizes, with every shard's replicas.
 pub fn snapshot_change(number: usize) -> StateUpdate {
-    let service = service_name(number % SERVICES);
-    let configuration = service_configuration(number as u64 + 2, BACKENDS);
+    snapshot_change_at(number, SERVICES, BACKENDS)
+}
+
+/// The same in a state of the given size.
+pub fn snapshot_change_at(number: usize, services: usize, backends: usize) -> StateUpdate {
+    let service = service_name(number % services);
+    let configuration = service_configuration(number as u64 + 2, services, backends);
     StateUpdate {
         services: [(service, Some(configuration))].into(),
         ..StateUpdate::default()
     }
 }
 
-fn service_configuration(generation: u64, backends: usize) -> ServiceConfiguration {
+fn service_configuration(
+    generation: u64,
+    services: usize,
+    backends: usize,
+) -> ServiceConfiguration {
+    let of_a_shard = (backends / services / SHARDS as usize).max(LEAST_REPLICAS);
     let shards = (0..SHARDS).map(|shard| {
-        let first = shard as usize * REPLICAS;
-        let replicas = (first..first + REPLICAS).map(|number| backend_name(number % backends));
+        let first = shard as usize * of_a_shard;
+        let replicas = (first..first + of_a_shard).map(|number| backend_name(number % backends));
         ShardAssignment {
             shard: ShardId(shard),
             replicas: replicas.map(Into::into).collect(),
@@ -277,7 +287,7 @@
         (record.id.clone(), Some(record))
     });
     let configured = (0..services).map(|number| {
-        let configuration = service_configuration(1, backends);
+        let configuration = service_configuration(1, services, backends);
         (service_name(number), Some(configuration))
     });
     StateUpdate {
--- a/crates/sablehaven-relay/examples/distribution_bench/snapshot.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/snapshot.rs
@@ -4,7 +4,7 @@
 
 use sablehaven_relay::{Distribution, Interest};
 
-use crate::fleet::{SERVICES, service_name, snapshot_change, state};
+use crate::fleet::{SERVICES, service_name, snapshot_change_at, state};
 
 /// Back ends of the states looked at; the last is the target's 120,000 servers over 40 services.
 const SIZES: [(usize, usize); 4] = [(SERVICES, 85), (SERVICES, 850), (40, 12_000), (40, 120_000)];
@@ -25,7 +25,7 @@
         let started = Instant::now();
         let of_one = bytes(&mut distribution, 0, &one);
         let encode = started.elapsed().as_secs_f64() * 1_000.0;
-        let mut change = snapshot_change(0);
+        let mut change = snapshot_change_at(0, services, backends);
         change.from_revision = 1;
         change.revision = 2;
         change.configuration_version = 2;
