--- a/crates/sablehaven-wire/src/connection.rs
+++ b/crates/sablehaven-wire/src/connection.rs
@@ -1,21 +1,22 @@
 //! Framing and the version handshake.
 
-use std::{marker::PhantomData, net::SocketAddr, time::Duration};
+use std::{
+    marker::PhantomData,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
-use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
+use futures::StreamExt;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
-    net::{
-        TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::{TcpSocket, TcpStream, tcp::OwnedReadHalf},
     time::timeout,
 };
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
 use crate::{
-    encoded::EncodedMessage,
+    encoded::{EncodedMessage, FRAME_HEADER_BYTES},
+    frame_queue::FrameQueue,
     message::{Hello, Role},
 };
 
@@ -29,9 +30,6 @@
 /// cannot make this process reserve memory.
 pub const MAXIMUM_HELLO_BYTES: usize = 4 * 1024;
 
-/// Bytes of the length in front of each frame.
-const FRAME_HEADER_BYTES: u64 = 4;
-
 /// Time that a connection attempt with its handshake may take.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -103,8 +101,7 @@
 /// The sending half of a connection.
 pub struct FrameWriter<Message> {
     peer: String,
-    inner: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    sent_bytes: u64,
+    queue: FrameQueue,
     message: PhantomData<fn(&Message)>,
 }
 
@@ -134,7 +131,7 @@
                 return Err(WireError::Closed { peer });
             }
         };
-        self.received_bytes += FRAME_HEADER_BYTES + frame.len() as u64;
+        self.received_bytes += (FRAME_HEADER_BYTES + frame.len()) as u64;
         rmp_serde::from_slice(&frame).map_err(|source| WireError::Decode {
             peer: self.peer.clone(),
             source,
@@ -177,20 +174,18 @@
         &mut self,
         message: &EncodedMessage<Message>,
     ) -> Result<(), WireError> {
-        let encoded = message.bytes();
-        self.sent_bytes += FRAME_HEADER_BYTES + encoded.len() as u64;
-        let result = self.inner.feed(encoded).await;
+        let result = self.queue.push(message.frame()).await;
         result.map_err(|source| self.send_error(source))
     }
 
     /// Bytes of all frames queued or sent so far, their lengths included.
     pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes
+        self.queue.total_bytes()
     }
 
     /// Sends what is queued.
     pub async fn flush(&mut self) -> Result<(), WireError> {
-        let result = SinkExt::<Bytes>::flush(&mut self.inner).await;
+        let result = self.queue.flush().await;
         result.map_err(|source| self.send_error(source))
     }
 
@@ -204,8 +199,7 @@
     fn retype<Other>(self) -> FrameWriter<Other> {
         FrameWriter {
             peer: self.peer,
-            inner: self.inner,
-            sent_bytes: self.sent_bytes,
+            queue: self.queue,
             message: PhantomData,
         }
     }
@@ -217,13 +211,28 @@
     hello: &Hello,
     expected: Role,
 ) -> Result<Connection<Incoming, Outgoing>, WireError>
+where
+    Incoming: DeserializeOwned,
+    Outgoing: Serialize,
+{
+    connect_from(None, address, hello, expected).await
+}
+
+/// As [`connect`], from the given IP number: a machine with several network interfaces says by it
+/// which one its control traffic takes.
+pub async fn connect_from<Incoming, Outgoing>(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    hello: &Hello,
+    expected: Role,
+) -> Result<Connection<Incoming, Outgoing>, WireError>
 where
     Incoming: DeserializeOwned,
     Outgoing: Serialize,
 {
     let peer = address.to_string();
     let attempt = async {
-        let stream = TcpStream::connect(address)
+        let stream = open_stream(source, address)
             .await
             .map_err(|source| WireError::Connect {
                 peer: peer.clone(),
@@ -244,6 +253,18 @@
     }
 }
 
+async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Shakes hands on an accepted stream; the caller looks at the other side's role in
 /// [`Connection::hello`] and then gives the halves their message types by [`Connection::retype`].
 pub async fn accept(
@@ -295,14 +316,13 @@
     let (read_half, write_half) = stream.into_split();
     let mut reader = FrameReader::<Hello> {
         peer: peer.clone(),
-        inner: FramedRead::new(read_half, codec(MAXIMUM_HELLO_BYTES)),
+        inner: FramedRead::new(read_half, decoder(MAXIMUM_HELLO_BYTES)),
         received_bytes: 0,
         message: PhantomData,
     };
     let mut writer = FrameWriter::<Hello> {
         peer: peer.clone(),
-        inner: FramedWrite::new(write_half, codec(MAXIMUM_FRAME_BYTES)),
-        sent_bytes: 0,
+        queue: FrameQueue::new(write_half),
         message: PhantomData,
     };
     writer.send(hello).await?;
@@ -340,7 +360,7 @@
     Ok(())
 }
 
-fn codec(maximum_frame_bytes: usize) -> LengthDelimitedCodec {
+fn decoder(maximum_frame_bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(maximum_frame_bytes)
         .new_codec()
