--- a/crates/sablehaven-schema/src/configuration.rs
+++ b/crates/sablehaven-schema/src/configuration.rs
@@ -7,7 +7,10 @@
     SnapshotId,
 };
 
-use crate::schema::{DeploymentSchema, ServiceSchema};
+use crate::{
+    compatibility::check_change,
+    schema::{DeploymentSchema, ServiceSchema},
+};
 
 /// The largest share or quantile that is given in thousandths.
 const PER_MILLE: u32 = 1_000;
@@ -23,6 +26,29 @@
     }
 }
 
+/// Checks a configuration document that replaces another: [`check_document`], and that a new schema
+/// breaks no method of a service that is configured before and after.
+///
+/// To take a breaking change into use, remove the service first; callers then get "not run".
+pub fn check_replacement(old: &Configuration, new: &Configuration) -> Vec<String> {
+    let new_schema = match DeploymentSchema::from_source(&new.schema) {
+        Ok(schema) => schema,
+        Err(problems) => return problems.iter().map(ToString::to_string).collect(),
+    };
+    let mut problems = new_schema.check_configuration(new);
+    if old.schema.text == new.schema.text {
+        return problems;
+    }
+    // A schema in force was valid when it was applied; the empty one before the first is not.
+    if let Ok(old_schema) = DeploymentSchema::from_source(&old.schema) {
+        let in_use = old.services.keys();
+        let in_use = in_use.filter(|name| new.services.contains_key(*name));
+        let changes = check_change(&old_schema, &new_schema, &in_use.cloned().collect());
+        problems.extend(changes.iter().map(ToString::to_string));
+    }
+    problems
+}
+
 impl DeploymentSchema {
     /// Checks a configuration document against this schema, and gives every problem in words for an
     /// operator.
--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -28,7 +28,7 @@
 };
 pub use compatibility::{BreakingChange, check_change};
 pub use compile::{MAX_SCHEMA_BYTES, OPTIONS_FILE, OPTIONS_TEXT};
-pub use configuration::check_document;
+pub use configuration::{check_document, check_replacement};
 pub use generate::{GenerateError, generate_client};
 pub use key::{KeyError, shard_for_key, shard_of_hash};
 pub use merge::{MergeError, merge};
--- a/crates/sablehaven-schema/tests/configuration.rs
+++ b/crates/sablehaven-schema/tests/configuration.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use sablehaven_schema::check_document;
+use sablehaven_schema::{check_document, check_replacement};
 use sablehaven_types::{
     BackendId, Configuration, IndexSnapshot, RoutingSettings, SchemaSource, ServiceConfiguration,
     ServiceName, ShardAssignment, ShardId, SnapshotId,
@@ -116,3 +116,22 @@
     assert_eq!(problems.len(), 5, "{problems:?}");
     assert!(problems[0].contains("routing.connections_per_server is 0, allowed is 1 to"));
 }
+
+#[test]
+fn a_replacement_may_not_break_a_service_that_stays_configured() {
+    let first = Configuration::default();
+    let old = document("shop.Shop", valid());
+    assert_eq!(check_replacement(&first, &old), [""; 0]);
+    let mut new = old.clone();
+    assert_eq!(check_replacement(&old, &new), [""; 0]);
+    new.schema.text = SHOP.replace("lookup: { key: \"text\" }", "once: { key: \"text\" }");
+    let problems = check_replacement(&old, &new);
+    assert_eq!(
+        problems,
+        ["method /shop.Shop/GetByText: was a lookup, is a once"]
+    );
+    new.services.clear();
+    assert_eq!(check_replacement(&old, &new), [""; 0]);
+    new.schema.text.clear();
+    assert!(!check_replacement(&old, &new).is_empty());
+}
