Schema: merges sort by keys read once; depth is walked for recursive types only

Ruled out: leaving elements undecoded until they are chosen: a reply that is damaged inside an element would then count as answered.

--- a/crates/sablehaven-schema/examples/schema_bench.rs
+++ b/crates/sablehaven-schema/examples/schema_bench.rs
@@ -3,7 +3,13 @@
 //!
 //! Usage: `cargo run --release -p sablehaven-schema --example schema_bench [-- --rounds N]`.
 
-use std::{collections::BTreeMap, fs, hint::black_box, path::PathBuf, time::Instant};
+use std::{
+    collections::BTreeMap,
+    fs,
+    hint::black_box,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
 
 use clap::{Arg, Command, value_parser};
 use prost_reflect::DynamicMessage;
@@ -24,14 +30,14 @@
         .arg(
             Arg::new("rounds")
                 .long("rounds")
-                .value_parser(value_parser!(u32))
+                .value_parser(value_parser!(u32).range(1..))
                 .default_value("200")
                 .help("Repetitions of each measurement"),
         )
         .get_matches();
     let rounds = *arguments.get_one("rounds").expect("it has a default");
     let text = schema_text();
-    println!("{:<44} {:>12}", "work", "microseconds");
+    println!("{:<44} {:>10} {:>10}", "microseconds of", "median", "least");
     measure("load the schema of trinacria", rounds, || {
         parse(&text);
     });
@@ -116,11 +122,19 @@
     merge(search, replies, request).expect("it merges")
 }
 
-/// Prints the mean time of one call, after as many calls to warm up.
+/// Prints the median and the least time of one call, after as many calls to warm up.
 fn measure(name: &str, rounds: u32, mut work: impl FnMut()) {
     (0..rounds).for_each(|_| work());
-    let start = Instant::now();
-    (0..rounds).for_each(|_| work());
-    let mean = start.elapsed() / rounds;
-    println!("{name:<44} {:>12.1}", mean.as_secs_f64() * 1e6);
+    let mut times: Vec<Duration> = (0..rounds)
+        .map(|_| {
+            let start = Instant::now();
+            work();
+            start.elapsed()
+        })
+        .collect();
+    times.sort();
+    let microseconds = |time: Duration| time.as_secs_f64() * 1e6;
+    let median = microseconds(times[times.len() / 2]);
+    let least = microseconds(times[0]);
+    println!("{name:<44} {median:>10.1} {least:>10.1}");
 }
--- a/crates/sablehaven-schema/src/body/mod.rs
+++ b/crates/sablehaven-schema/src/body/mod.rs
@@ -3,6 +3,7 @@
 //! A body that does not fit its message is refused with the path of the field to blame, such as
 //! `lines[2].quantity`.
 
+mod depth;
 mod json;
 mod locate;
 mod place;
--- a/crates/sablehaven-schema/src/body/protobuf.rs
+++ b/crates/sablehaven-schema/src/body/protobuf.rs
@@ -4,7 +4,9 @@
 use prost_reflect::{DynamicMessage, MessageDescriptor, ReflectMessage};
 
 use super::{
-    BodyError, BodyLimits, join,
+    BodyError, BodyLimits,
+    depth::check_depth,
+    join,
     locate::locate,
     place::{Place, for_each_inner, path_of},
 };
@@ -45,24 +47,10 @@
     limits.check_bytes(bytes.len())?;
     let message = DynamicMessage::decode(descriptor.clone(), bytes)
         .map_err(|error| locate(descriptor, bytes, &error))?;
-    check_depth(&message, limits, 1, None)?;
+    check_depth(descriptor, &message, limits)?;
     Ok(message)
 }
 
-fn check_depth(
-    message: &DynamicMessage,
-    limits: BodyLimits,
-    depth: usize,
-    place: Option<&Place<'_>>,
-) -> Result<(), BodyError> {
-    if depth > limits.max_depth {
-        return Err(limits.too_deep(path_of(place)));
-    }
-    for_each_inner(message, place, &mut |inner, inner_place| {
-        check_depth(inner, limits, depth + 1, Some(inner_place))
-    })
-}
-
 fn refuse_unknown(message: &DynamicMessage, place: Option<&Place<'_>>) -> Result<(), BodyError> {
     if let Some(unknown) = message.unknown_fields().next() {
         let number = unknown.number();
--- a/crates/sablehaven-schema/src/merge.rs
+++ b/crates/sablehaven-schema/src/merge/mod.rs
@@ -2,12 +2,15 @@
 //!
 //! The answer depends only on the request and on the replies by shard, never on their arrival.
 
-use std::{cmp::Ordering, collections::BTreeMap};
+mod order;
+
+use std::collections::BTreeMap;
 
 use prost_reflect::{DynamicMessage, FieldDescriptor, Value};
 use sablehaven_types::ShardId;
 
-use crate::schema::{ElementOrder, FieldMerge, Limit, MethodKind, MethodSchema};
+use self::order::first_in_order;
+use crate::schema::{FieldMerge, Limit, MethodKind, MethodSchema};
 
 /// Why replies cannot be merged.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display, thiserror::Error)]
@@ -38,16 +41,19 @@
     for rule in &merge.rules {
         let value = match rule {
             FieldMerge::Concatenate { field, order } => {
-                Value::List(concatenate(&mut replies, field, order.as_ref()))
+                let elements = concatenate(&mut replies, field);
+                Value::List(match order {
+                    Some(order) => first_in_order(elements, order, usize::MAX),
+                    None => elements,
+                })
             }
             FieldMerge::TopK {
                 field,
                 order,
                 limit,
             } => {
-                let mut elements = concatenate(&mut replies, field, Some(order));
-                elements.truncate(limit_of(limit, request));
-                Value::List(elements)
+                let elements = concatenate(&mut replies, field);
+                Value::List(first_in_order(elements, order, limit_of(limit, request)))
             }
             FieldMerge::Sum { field } => {
                 sum(&replies, field).ok_or_else(|| MergeError::Overflow {
@@ -61,10 +67,10 @@
     Ok(answer)
 }
 
+/// The shards' lists one after the other.
 fn concatenate(
     replies: &mut BTreeMap<ShardId, DynamicMessage>,
     field: &FieldDescriptor,
-    order: Option<&ElementOrder>,
 ) -> Vec<Value> {
     let mut elements = Vec::new();
     for reply in replies.values_mut() {
@@ -72,10 +78,6 @@
             elements.extend(list);
         }
     }
-    if let Some(order) = order {
-        // Stable, so that equal elements keep the order of the shards.
-        elements.sort_by(|left, right| compare_elements(order, left, right));
-    }
     elements
 }
 
@@ -92,43 +94,6 @@
     usize::try_from(kept).unwrap_or(usize::MAX)
 }
 
-fn compare_elements(order: &ElementOrder, left: &Value, right: &Value) -> Ordering {
-    let (Value::Message(left), Value::Message(right)) = (left, right) else {
-        return Ordering::Equal;
-    };
-    let compared = compare_field(&order.by, left, right);
-    let directed = if order.descending {
-        compared.reverse()
-    } else {
-        compared
-    };
-    directed.then_with(|| match &order.tie_break {
-        Some(field) => compare_field(field, left, right),
-        None => Ordering::Equal,
-    })
-}
-
-fn compare_field(
-    field: &FieldDescriptor,
-    left: &DynamicMessage,
-    right: &DynamicMessage,
-) -> Ordering {
-    match (
-        left.get_field(field).as_ref(),
-        right.get_field(field).as_ref(),
-    ) {
-        (Value::I32(left), Value::I32(right)) => left.cmp(right),
-        (Value::I64(left), Value::I64(right)) => left.cmp(right),
-        (Value::U32(left), Value::U32(right)) => left.cmp(right),
-        (Value::U64(left), Value::U64(right)) => left.cmp(right),
-        (Value::F32(left), Value::F32(right)) => left.total_cmp(right),
-        (Value::F64(left), Value::F64(right)) => left.total_cmp(right),
-        (Value::String(left), Value::String(right)) => left.cmp(right),
-        // The schema's checks refuse an order by other types.
-        _ => Ordering::Equal,
-    }
-}
-
 /// The sum in the order of the shards, so that rounding does not depend on arrival.
 fn sum(replies: &BTreeMap<ShardId, DynamicMessage>, field: &FieldDescriptor) -> Option<Value> {
     let mut total = Value::default_value_for_field(field);
