--- a/crates/sablehaven-schema/src/fleet_file/mod.rs
+++ b/crates/sablehaven-schema/src/fleet_file/mod.rs
@@ -24,7 +24,7 @@
     pub regions: Vec<FleetRegion>,
     /// Latencies and costs of the network.
     pub network: NetworkSettings,
-    /// The deployment at the size of today.
+    /// The deployment at its present size.
     pub full: FleetSize,
     /// The deployment at a size for a demonstration on one machine.
     pub demo: FleetSize,
@@ -61,7 +61,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FleetSize {
-    /// Servers of each instance, in thousandths of the size of today, rounded up.
+    /// Servers of each instance, in thousandths of the present number, rounded up.
     pub servers_per_mille: u32,
     /// Control replicas, placed in the regions in turn.
     pub control_replicas: u32,
@@ -81,7 +81,7 @@
     pub id_prefix: String,
     /// The zone of each instance, the first instance's first.
     pub instance_zones: Vec<ZoneName>,
-    /// Servers of each instance at the size of today.
+    /// Servers of each instance at the present size.
     pub servers_per_instance: u32,
     /// Shards of the index.
     pub shards: u32,
--- a/crates/sablehaven-schema/tests/deployments.rs
+++ b/crates/sablehaven-schema/tests/deployments.rs
@@ -1,4 +1,4 @@
-//! The committed deployments: sizes of today, and configurations that are current.
+//! The committed deployments: present sizes, and configurations that are current.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -58,7 +58,7 @@
 }
 
 #[test]
-fn trinacria_has_the_size_of_today() {
+fn trinacria_has_its_present_size() {
     let trinacria = deployment("trinacria");
     let expected = BTreeMap::from([
         ("trinacria.OrderingPortal", (4, 4, 5, 75, "ordering-portal")),
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn tareas_has_the_size_of_today() {
+fn tareas_has_its_present_size() {
     let tareas = deployment("tareas");
     let expected = BTreeMap::from([
         ("tareas.ExerciseBank", (4, 4, 5, 65, "exercise-bank")),
@@ -90,7 +90,7 @@
 }
 
 #[test]
-fn networks_have_the_latencies_of_today() {
+fn networks_have_their_present_latencies() {
     for name in DEPLOYMENTS {
         let network = deployment(name).fleet.network;
         let latencies = (
