Agent: benchmarks of cost and tail; a reply that breaks off after its last byte

Cause: the figures need a program; and a reply whose stream is reset after all bytes was only covered by the length check. The doubles no longer panic on an attempt cancelled in its body.

--- /dev/null
+++ b/crates/sablehaven-agent/examples/agent_bench/baseline.rs
@@ -0,0 +1,103 @@
+//! The plain baseline: a random replica of each shard, no hedging, no retries, no admission limit.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use sablehaven_agent::routing::{PolicyFactory, RoutingPolicy};
+use sablehaven_routing::{
+    Admission, AttemptResult, Chosen, ExtraKind, RouterCounters, ServiceUpdate,
+};
+use sablehaven_types::{BackendId, MissingReason, Observation, ShardId};
+
+/// When a caller may come back; the baseline refuses nobody.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+#[derive(Default)]
+struct RandomReplica {
+    replicas: BTreeMap<ShardId, Vec<Chosen>>,
+}
+
+/// Makes a baseline for each service.
+pub fn factory() -> PolicyFactory {
+    Arc::new(|_, _, _| Box::new(RandomReplica::default()))
+}
+
+impl RoutingPolicy for RandomReplica {
+    fn update(&mut self, _now: Duration, update: ServiceUpdate<'_>) {
+        let chosen = |id: &BackendId| {
+            let record = update.backends.iter().find(|record| record.id == *id)?;
+            Some(Chosen {
+                backend: record.id.clone(),
+                address: record.address,
+                incarnation: record.incarnation,
+            })
+        };
+        let shards = update.snapshot.shards.iter().map(|assignment| {
+            let replicas = assignment.replicas.iter().filter_map(chosen);
+            (assignment.shard, replicas.collect())
+        });
+        self.replicas = shards.collect();
+    }
+
+    fn admit(&mut self, _now: Duration, _sub_requests: u32) -> Admission {
+        Admission::Admitted
+    }
+
+    fn choose(&mut self, _now: Duration, shard: ShardId, exclude: &[BackendId]) -> Option<Chosen> {
+        let replicas = self.replicas.get(&shard)?;
+        let left: Vec<_> = replicas
+            .iter()
+            .filter(|chosen| !exclude.contains(&chosen.backend))
+            .collect();
+        if left.is_empty() {
+            return None;
+        }
+        let number = usize::try_from(rand::random::<u32>()).expect("at least 32 bits");
+        Some(left[number % left.len()].clone())
+    }
+
+    fn no_choice_reason(
+        &self,
+        _now: Duration,
+        _shard: ShardId,
+        _exclude: &[BackendId],
+    ) -> MissingReason {
+        MissingReason::NoReplica
+    }
+
+    fn hedge_after(
+        &self,
+        _now: Duration,
+        _shard: ShardId,
+        _chosen: &BackendId,
+    ) -> Option<Duration> {
+        None
+    }
+
+    fn take_extra(&mut self, _now: Duration, _kind: ExtraKind) -> bool {
+        false
+    }
+
+    fn sent(&mut self, _now: Duration, _backend: &BackendId) {}
+
+    fn finished(&mut self, _now: Duration, _backend: &BackendId, _result: AttemptResult) {}
+
+    fn retry_after(&self, _now: Duration) -> Duration {
+        RETRY_AFTER
+    }
+
+    fn take_observations(&mut self) -> Vec<Observation> {
+        Vec::new()
+    }
+
+    fn connections(&self) -> Vec<BackendId> {
+        let replicas = self.replicas.values().flatten();
+        let mut backends: Vec<_> = replicas.map(|chosen| chosen.backend.clone()).collect();
+        backends.sort();
+        backends.dedup();
+        backends
+    }
+
+    fn counters(&self) -> RouterCounters {
+        RouterCounters::default()
+    }
+}
--- a/crates/sablehaven-agent/tests/agent/replies.rs
+++ b/crates/sablehaven-agent/tests/agent/replies.rs
@@ -49,6 +49,18 @@
     is_discarded(Script::Truncated, "truncated").await;
 }
 
+/// Every byte has come, but the stream was reset before it said that it is whole.
+#[tokio::test]
+async fn a_reply_that_breaks_off_is_not_merged() {
+    let bed = Bed::start(2, 1).await;
+    bed.backends[1].always(Script::BrokenOff);
+    let agent = bed.agent().await;
+    let answer = agent.caller.search("oil").await;
+    assert_eq!(answer.items().len(), 1);
+    let coverage = answer.envelope.coverage.expect("coverage");
+    assert_eq!(coverage.answered, vec![ShardId(0)]);
+}
+
 #[tokio::test]
 async fn a_reply_that_is_no_message_is_discarded() {
     is_discarded(Script::Garbage, "undecodable").await;
--- a/crates/sablehaven-agent/tests/agent/rollover.rs
+++ b/crates/sablehaven-agent/tests/agent/rollover.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Semaphore;
 
 use crate::support::{
-    backend::Script,
+    backend::{BackendDouble, Script},
     bed::{Bed, FIRST},
     caller::Answer,
     eventually,
@@ -59,6 +59,7 @@
 #[tokio::test]
 async fn rebuilds_and_repartitioning_under_load_never_mix() {
     let bed = Arc::new(Bed::start(4, 2).await);
+    bed.backends.iter().for_each(BackendDouble::forget_attempts);
     let agent = bed.agent().await;
     let stop = Arc::new(AtomicBool::new(false));
     let callers = (0..8).map(|_| {
--- a/crates/sablehaven-agent/tests/agent/support/backend.rs
+++ b/crates/sablehaven-agent/tests/agent/support/backend.rs
@@ -5,12 +5,13 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
 use bytes::Bytes;
+use futures::StreamExt;
 use sablehaven_types::{ShardId, SnapshotId, http};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait,
@@ -39,6 +40,8 @@
     Echo(WrongEcho),
     /// Announces a whole body and breaks off in its middle.
     Truncated,
+    /// Sends the whole body, does not say that it is whole, and breaks off.
+    BrokenOff,
     /// Replies with bytes that are no message.
     Garbage,
     /// Replies, and says that it drains.
@@ -75,6 +78,8 @@
 struct State {
     script: Mutex<Chooser>,
     seen: Mutex<Vec<Seen>>,
+    count: AtomicU64,
+    forgets: AtomicBool,
     replied: AtomicU64,
     running: AtomicUsize,
     cancelled: AtomicUsize,
@@ -95,6 +100,8 @@
         let state = Arc::new(State {
             script: Mutex::new(Box::new(|_| Script::Reply)),
             seen: Mutex::default(),
+            count: AtomicU64::new(0),
+            forgets: AtomicBool::new(false),
             replied: AtomicU64::new(0),
             running: AtomicUsize::new(0),
             cancelled: AtomicUsize::new(0),
@@ -133,6 +140,16 @@
         self.state.seen.lock().expect("not poisoned").clone()
     }
 
+    /// Keeps no record of attempts from now on, for long runs.
+    pub fn forget_attempts(&self) {
+        self.state.forgets.store(true, Ordering::SeqCst);
+    }
+
+    /// The number of attempts seen.
+    pub fn count(&self) -> u64 {
+        self.state.count.load(Ordering::SeqCst)
+    }
+
     /// Attempts that were accepted and worked on to the end.
     pub fn replied(&self) -> u64 {
         self.state.replied.load(Ordering::SeqCst)
@@ -188,7 +205,10 @@
         response: &mut Response,
         _control: &mut FlowCtrl,
     ) {
-        let seen = read(request).await;
+        // An attempt that is cancelled before its body has come was not seen.
+        let Some(seen) = read(request).await else {
+            return;
+        };
         let previous = self.note(&seen);
         let script = (self.state.script.lock().expect("not poisoned"))(&seen);
         self.state.running.fetch_add(1, Ordering::SeqCst);
@@ -207,6 +227,10 @@
 
 impl Attempts {
     fn note(&self, seen: &Seen) -> Option<Seen> {
+        self.state.count.fetch_add(1, Ordering::SeqCst);
+        if self.state.forgets.load(Ordering::SeqCst) {
+            return None;
+        }
         let mut all = self.state.seen.lock().expect("not poisoned");
         let previous = all.last().cloned();
         all.push(seen.clone());
@@ -247,6 +271,7 @@
             }
             Script::Echo(_)
             | Script::Truncated
+            | Script::BrokenOff
             | Script::Garbage
             | Script::ReplyDraining
             | Script::PreviousReply => {}
@@ -279,6 +304,16 @@
         set(response, http::SNAPSHOT, &snapshot.to_string());
     }
     response.status_code(StatusCode::OK);
+    if matches!(script, Script::BrokenOff) {
+        let broken = async {
+            // Lets the head and the body go out first, as a server that breaks off later would.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            Err(std::io::Error::other("broken off by the script"))
+        };
+        let whole = futures::stream::iter([Ok(body)]);
+        response.stream(whole.chain(futures::stream::once(broken)));
+        return;
+    }
     if matches!(script, Script::Truncated) {
         set(response, "content-length", &body.len().to_string());
         let half = Bytes::copy_from_slice(&body[..body.len() / 2]);
@@ -307,15 +342,15 @@
         .expect("a valid header");
 }
 
-async fn read(request: &mut Request) -> Seen {
+async fn read(request: &mut Request) -> Option<Seen> {
     let headers: HashMap<String, String> = request
         .headers()
         .iter()
         .map(|(name, value)| (name.to_string(), value.to_str().expect("text").to_owned()))
         .collect();
-    let body = request.payload().await.expect("a body").clone();
+    let body = request.payload().await.ok()?.clone();
     let number = |name: &str| headers[name].parse::<u64>().expect("a number");
-    Seen {
+    Some(Seen {
         method: request.param("method").expect("a method"),
         attempt: number(http::ATTEMPT),
         shard: ShardId(u32::try_from(number(http::SHARD)).expect("a shard")),
@@ -323,5 +358,5 @@
         deadline_ms: number(http::DEADLINE_MS),
         request_id: headers.get(http::REQUEST_ID).cloned(),
         body,
-    }
+    })
 }
--- a/crates/sablehaven-agent/tests/agent/support/bed.rs
+++ b/crates/sablehaven-agent/tests/agent/support/bed.rs
@@ -133,12 +133,9 @@
         })
     }
 
-    /// Everything that the back ends saw.
-    pub fn attempts(&self) -> usize {
-        self.backends
-            .iter()
-            .map(|backend| backend.seen().len())
-            .sum()
+    /// The number of attempts that all back ends saw.
+    pub fn attempts(&self) -> u64 {
+        self.backends.iter().map(BackendDouble::count).sum()
     }
 
     fn assignment(&self, shard: usize) -> ShardAssignment {
