Agent: no request is served by an older plan than the agent has acknowledged

Cause: the subscription acknowledges a view before the agent has built its plan from it, so an operator could see a version in force that this agent did not yet serve by; and answers stated the view's version, not the plan's. Change: a request that starts waits for the plan of the view (milliseconds, at most 1 s), and its answer states the plan's version. The dispatch of once requests has a file of its own; one mapping from refusals to router outcomes in place of two. Tests: the new test fails without the wait (first iteration, generation 1 in place of 2). Ruled out: acknowledging from the agent, which would need a second step in the subscription.

--- a/crates/sablehaven-agent/src/agent.rs
+++ b/crates/sablehaven-agent/src/agent.rs
@@ -1,12 +1,16 @@
 //! What the requests of one agent share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use sablehaven_subscription::Subscription;
+use tokio::{sync::watch, time::timeout};
 use tokio_util::task::TaskTracker;
 
 use crate::{
@@ -14,6 +18,9 @@
     reason::Reason,
 };
 
+/// Longest wait of a request for a plan that is being built.
+const PLAN_WAIT: Duration = Duration::from_secs(1);
+
 /// The shared part of one agent.
 pub struct Agent {
     /// Settings.
@@ -25,6 +32,7 @@
     /// Requests that may not be repeated, each to the recording of its outcome.
     pub once_tasks: TaskTracker,
     plan: ArcSwap<AgentPlan>,
+    plan_revision: watch::Sender<u64>,
     stopping: AtomicBool,
 }
 
@@ -37,6 +45,7 @@
             metrics,
             once_tasks: TaskTracker::new(),
             plan: ArcSwap::default(),
+            plan_revision: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
         }
     }
@@ -46,9 +55,28 @@
         self.plan.load_full()
     }
 
+    /// The plan for a request that starts now. The subscription has told control which state this
+    /// agent has; a request that starts after that must not be served by an older plan, so it waits
+    /// for the building of the new one, which takes milliseconds.
+    pub async fn current_plan(&self) -> Arc<AgentPlan> {
+        let wanted = self.subscription.view().revision;
+        let plan = self.plan();
+        if plan.revision >= wanted {
+            return plan;
+        }
+        let mut revision = self.plan_revision.subscribe();
+        let built = revision.wait_for(|revision| *revision >= wanted);
+        // After the limit the older plan serves, and its answers say that they are not current.
+        let _ = timeout(PLAN_WAIT, built).await;
+        self.plan()
+    }
+
     /// Puts a plan in force.
     pub fn set_plan(&self, plan: AgentPlan) {
+        let revision = plan.revision;
         self.plan.store(Arc::new(plan));
+        // Only after the plan itself: who waits for the revision reads the plan next.
+        self.plan_revision.send_replace(revision);
     }
 
     /// Whether a planned stop has begun.
--- a/crates/sablehaven-agent/src/interface/handler.rs
+++ b/crates/sablehaven-agent/src/interface/handler.rs
@@ -25,7 +25,7 @@
     answer::Answer,
     metrics::RequestKind,
     once::{Moment, OnceHeaders, OnceRequest, is_resend},
-    plan::ServicePlan,
+    plan::{AgentPlan, ServicePlan},
     query::ReadRequest,
     reason::Reason,
 };
@@ -56,11 +56,13 @@
     ) {
         let arrived = Moment::now();
         let encoding = answer_encoding(request.headers());
-        let (kind, answer) = self.serve(request, arrived).await;
-        let latency = arrived.monotonic.elapsed();
         let agent = &self.agent;
+        let plan = agent.current_plan().await;
+        let (kind, answer) = self.serve(request, &plan, arrived).await;
+        let latency = arrived.monotonic.elapsed();
         agent.metrics.answered(kind, answer.outcome, latency);
-        let encoded = encode_answer(answer, agent.subscription.lease(), encoding);
+        let configuration = plan.age(agent.subscription.lease());
+        let encoded = encode_answer(answer, configuration, encoding);
         write(encoded, response);
         if agent.is_stopping() && request.version() < Version::HTTP_2 {
             let close = HeaderValue::from_static("close");
@@ -70,8 +72,12 @@
 }
 
 impl CallHandler {
-    async fn serve(&self, request: &mut Request, arrived: Moment) -> (RequestKind, Answer) {
-        let plan = self.agent.plan();
+    async fn serve(
+        &self,
+        request: &mut Request,
+        plan: &AgentPlan,
+        arrived: Moment,
+    ) -> (RequestKind, Answer) {
         if plan.schema.is_none() {
             let answer = self.agent.come_back(Reason::NotReady);
             return (RequestKind::Unrecognised, answer);
--- a/crates/sablehaven-agent/src/once.rs
+++ b/crates/sablehaven-agent/src/once.rs
@@ -6,6 +6,7 @@
 //! leave a claim without an outcome.
 
 mod decision;
+mod dispatch;
 mod fingerprint;
 mod flow;
 mod key;
--- /dev/null
+++ b/crates/sablehaven-agent/src/once/dispatch.rs
@@ -0,0 +1,65 @@
+//! The one dispatch of a request that may not be repeated.
+
+use std::{sync::Arc, time::Instant};
+
+use sablehaven_routing::{AttemptOutcome, Chosen};
+use sablehaven_schema::encode_protobuf;
+
+use super::flow::OnceRequest;
+use crate::{
+    metrics::Metrics,
+    query::AttemptFailure,
+    routing::AttemptTicket,
+    transport::{AttemptEnd, AttemptIdentity, AttemptMessage, AttemptReport},
+};
+
+/// The dispatch that a granted claim allows.
+pub struct Dispatch {
+    /// To whom.
+    pub chosen: Chosen,
+    /// What the reply must echo.
+    pub identity: AttemptIdentity,
+}
+
+/// The only place that sends a request that may not be repeated to a back end.
+pub async fn exchange(
+    request: &OnceRequest,
+    metrics: &Metrics,
+    dispatch: Dispatch,
+    accept_until: Instant,
+) -> AttemptEnd {
+    let Dispatch { chosen, identity } = dispatch;
+    let service = &request.service;
+    let now = service.router.now();
+    service.router.lock().policy.sent(now, &chosen.backend);
+    let router = Arc::clone(&service.router);
+    let ticket = AttemptTicket::new(router, chosen.backend.clone(), request.deadline());
+    metrics.sub_requests.inc();
+    let report = match service.connections.client(&chosen.backend, chosen.address) {
+        Err(error) => AttemptReport::not_connected(error),
+        Ok(client) => {
+            let message = AttemptMessage {
+                identity,
+                path: &request.method.path,
+                body: encode_protobuf(&request.message).into(),
+                deadline: request.deadline(),
+                accept_until,
+                once_key: Some(&request.headers.key),
+            };
+            client.attempt(message).await
+        }
+    };
+    ticket.finish(attempt_outcome(&report), report.signals);
+    report.end
+}
+
+fn attempt_outcome(report: &AttemptReport) -> AttemptOutcome {
+    match &report.end {
+        AttemptEnd::Replied(_) if report.signals.draining => AttemptOutcome::Draining,
+        AttemptEnd::Replied(_) => AttemptOutcome::Replied,
+        AttemptEnd::Refused { refusal, .. } => AttemptFailure::from(*refusal).outcome(),
+        AttemptEnd::NotConnected(_) | AttemptEnd::Discarded(_) | AttemptEnd::Failed(_) => {
+            AttemptOutcome::Failed
+        }
+    }
+}
--- a/crates/sablehaven-agent/src/once/flow.rs
+++ b/crates/sablehaven-agent/src/once/flow.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use prost_reflect::DynamicMessage;
-use sablehaven_routing::{Admission, AttemptOutcome, Chosen};
-use sablehaven_schema::{MethodSchema, decode_reply, encode_protobuf, shard_for_key};
+use sablehaven_routing::{Admission, Chosen};
+use sablehaven_schema::{MethodSchema, decode_reply, shard_for_key};
 use sablehaven_subscription::Subscription;
 use sablehaven_types::{
     AttemptId, ClaimId, IndexSnapshot, MissingReason, RecordedOutcome, ShardId, SnapshotId,
@@ -17,6 +17,7 @@
 
 use super::{
     decision::{ClaimDecision, DispatchCheck, DispatchDecision, Moment, after_dispatch},
+    dispatch::{Dispatch, exchange},
     fingerprint::fingerprint,
     key::OnceHeaders,
     ledger::LedgerEntry,
@@ -28,10 +29,7 @@
     metrics::Metrics,
     plan::ServicePlan,
     reason::Reason,
-    routing::AttemptTicket,
-    transport::{
-        AttemptEnd, AttemptIdentity, AttemptMessage, AttemptReport, DiscardReason, Refusal,
-    },
+    transport::{AttemptIdentity, DiscardReason},
 };
 
 /// The largest part of the time allowed that is kept back for giving up before the deadline.
@@ -68,12 +66,6 @@
     pub time_allowed: Duration,
 }
 
-/// The one dispatch that a granted claim allows.
-struct Dispatch {
-    chosen: Chosen,
-    identity: AttemptIdentity,
-}
-
 struct Flow {
     environment: OnceEnvironment,
     request: OnceRequest,
@@ -102,7 +94,8 @@
         flow.run().await;
     }
 
-    fn deadline(&self) -> Instant {
+    /// The caller's deadline on the monotonic clock.
+    pub(super) fn deadline(&self) -> Instant {
         self.arrived.monotonic + self.time_allowed
     }
 
@@ -332,51 +325,3 @@
         Answer::without_reply(reason).retry_after(retry_after)
     }
 }
-
-/// The only place that sends a request that may not be repeated to a back end.
-async fn exchange(
-    request: &OnceRequest,
-    metrics: &Metrics,
-    dispatch: Dispatch,
-    accept_until: Instant,
-) -> AttemptEnd {
-    let Dispatch { chosen, identity } = dispatch;
-    let service = &request.service;
-    let now = service.router.now();
-    service.router.lock().policy.sent(now, &chosen.backend);
-    let router = Arc::clone(&service.router);
-    let ticket = AttemptTicket::new(router, chosen.backend.clone(), request.deadline());
-    metrics.sub_requests.inc();
-    let report = match service.connections.client(&chosen.backend, chosen.address) {
-        Err(error) => AttemptReport::not_connected(error),
-        Ok(client) => {
-            let message = AttemptMessage {
-                identity,
-                path: &request.method.path,
-                body: encode_protobuf(&request.message).into(),
-                deadline: request.deadline(),
-                accept_until,
-                once_key: Some(&request.headers.key),
-            };
-            client.attempt(message).await
-        }
-    };
-    ticket.finish(attempt_outcome(&report), report.signals);
-    report.end
-}
-
-fn attempt_outcome(report: &AttemptReport) -> AttemptOutcome {
-    match &report.end {
-        AttemptEnd::Replied(_) if report.signals.draining => AttemptOutcome::Draining,
-        AttemptEnd::Replied(_) => AttemptOutcome::Replied,
-        AttemptEnd::Refused { refusal, .. } => match refusal {
-            Refusal::Shed => AttemptOutcome::Shed,
-            Refusal::Draining => AttemptOutcome::Draining,
-            Refusal::SnapshotGone => AttemptOutcome::SnapshotGone,
-            Refusal::Deadline => AttemptOutcome::DeadlineRefused,
-        },
-        AttemptEnd::NotConnected(_) | AttemptEnd::Discarded(_) | AttemptEnd::Failed(_) => {
-            AttemptOutcome::Failed
-        }
-    }
-}
--- a/crates/sablehaven-agent/src/plan.rs
+++ b/crates/sablehaven-agent/src/plan.rs
@@ -4,12 +4,12 @@
 //! one atomic swap. A request loads the plan once and keeps it to its end, so it never sees half of
 //! a change; routers and connections live on from plan to plan with what they have learned.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
 use sablehaven_routing::{AgentSite, ServiceUpdate};
 use sablehaven_schema::{DeploymentSchema, MethodSchema, SchemaProblem};
 use sablehaven_subscription::View;
-use sablehaven_types::{SchemaSource, ServiceConfiguration, ServiceName};
+use sablehaven_types::{ConfigurationAge, SchemaSource, ServiceConfiguration, ServiceName};
 
 use crate::{
     routing::{Observer, PolicyFactory, SharedRouter},
@@ -19,6 +19,12 @@
 /// What requests are served by, at one revision of the shared state.
 #[derive(Clone, Debug, Default)]
 pub struct AgentPlan {
+    /// The revision of the shared state that the plan was built from (0 for none).
+    pub revision: u64,
+    /// The version of the configuration in it.
+    pub configuration_version: u64,
+    /// When the plan was built; `None` for the empty plan of the start.
+    pub built_at: Option<Instant>,
     /// The schema; `None` until the first configuration has come.
     pub schema: Option<Arc<DeploymentSchema>>,
     /// The services that the agent serves.
@@ -35,6 +41,22 @@
 }
 
 impl AgentPlan {
+    /// What an answer made under this plan may say of its configuration, given the lease on the
+    /// state that the agent has. The two differ for a moment after a change; the plan then counts
+    /// as not proved since it was built, which errs to the older side.
+    pub fn age(&self, lease: ConfigurationAge) -> ConfigurationAge {
+        if lease.version == self.configuration_version {
+            return lease;
+        }
+        let built = self.built_at.map(|built_at| built_at.elapsed().as_millis());
+        let since_built = built.and_then(|age| u64::try_from(age).ok());
+        ConfigurationAge {
+            version: self.configuration_version,
+            current: false,
+            age_ms: since_built.map_or(u64::MAX, |age| age.max(lease.age_ms)),
+        }
+    }
+
     /// The method at an HTTP path, with its service.
     pub fn method(&self, path: &str) -> Option<(&MethodSchema, &Arc<ServicePlan>)> {
         let method = self.schema.as_ref()?.method_at(path)?;
@@ -92,6 +114,9 @@
         for (name, configuration) in &view.services {
             to_warm.extend(self.take_service(view, name, configuration));
         }
+        self.plan.revision = view.revision;
+        self.plan.configuration_version = view.configuration_version;
+        self.plan.built_at = Some(Instant::now());
         BuiltPlan {
             plan: self.plan.clone(),
             to_warm,
--- a/crates/sablehaven-agent/src/query/attempt.rs
+++ b/crates/sablehaven-agent/src/query/attempt.rs
@@ -13,9 +13,7 @@
     metrics::Metrics,
     plan::ServicePlan,
     routing::AttemptTicket,
-    transport::{
-        AttemptEnd, AttemptIdentity, AttemptMessage, AttemptReport, DiscardReason, Refusal,
-    },
+    transport::{AttemptEnd, AttemptIdentity, AttemptMessage, AttemptReport, DiscardReason},
 };
 
 /// What all sub-requests of one request share.
@@ -90,7 +88,10 @@
             decode_reply(&shared.method.output, &body).map_err(|_| DiscardReason::Undecodable)
         }
         AttemptEnd::Discarded(reason) => Err(reason),
-        AttemptEnd::Refused { refusal, .. } => return Err(refused(shared.metrics, refusal)),
+        AttemptEnd::Refused { refusal, .. } => {
+            shared.metrics.refused(refusal);
+            return Err(AttemptFailure::from(refusal));
+        }
         AttemptEnd::NotConnected(_) | AttemptEnd::Failed(_) => return Err(AttemptFailure::Failed),
     }
     .map_err(|reason| {
@@ -98,13 +99,3 @@
         AttemptFailure::BadReply
     })
 }
-
-fn refused(metrics: &Metrics, refusal: Refusal) -> AttemptFailure {
-    metrics.refused(refusal);
-    match refusal {
-        Refusal::Shed => AttemptFailure::Shed,
-        Refusal::Draining => AttemptFailure::Draining,
-        Refusal::SnapshotGone => AttemptFailure::SnapshotGone,
-        Refusal::Deadline => AttemptFailure::DeadlineRefused,
-    }
-}
--- a/crates/sablehaven-agent/src/query/sub_request.rs
+++ b/crates/sablehaven-agent/src/query/sub_request.rs
@@ -6,7 +6,7 @@
 use sablehaven_routing::{AttemptOutcome, Chosen, ExtraKind};
 use sablehaven_types::{BackendId, MissingReason, ShardId};
 
-use crate::routing::PinnedRouter;
+use crate::{routing::PinnedRouter, transport::Refusal};
 
 /// Why an attempt gave no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +25,17 @@
     BadReply,
 }
 
+impl From<Refusal> for AttemptFailure {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Shed => Self::Shed,
+            Refusal::Draining => Self::Draining,
+            Refusal::SnapshotGone => Self::SnapshotGone,
+            Refusal::Deadline => Self::DeadlineRefused,
+        }
+    }
+}
+
 impl AttemptFailure {
     /// What the router is told.
     pub fn outcome(self) -> AttemptOutcome {
--- a/crates/sablehaven-agent/tests/agent/queries.rs
+++ b/crates/sablehaven-agent/tests/agent/queries.rs
@@ -12,7 +12,6 @@
 use tokio::sync::Semaphore;
 
 use crate::support::{
-    LIMIT,
     backend::Script,
     bed::{AgentDouble, Bed, FIRST},
     caller::Answer,
@@ -43,6 +42,18 @@
     }
 }
 
+/// Plays the script for the next attempt, at whichever replica it arrives, and replies to all others.
+fn first_attempt(bed: &Bed, script: Script) {
+    let played = Arc::new(AtomicBool::new(false));
+    for backend in &bed.backends {
+        let (played, script) = (Arc::clone(&played), script.clone());
+        backend.choose(move |_| match played.swap(true, Ordering::SeqCst) {
+            false => script.clone(),
+            true => Script::Reply,
+        });
+    }
+}
+
 #[tokio::test]
 async fn a_query_merges_every_shard_and_says_so() {
     let bed = Bed::start(3, 1).await;
@@ -161,14 +172,10 @@
     let bed = Bed::start(1, 2).await;
     let agent = bed.agent().await;
     learn(&agent).await;
-    bed.backends[0].always(Script::Status(500));
-    let answers = async {
-        while agent.metric("sablehaven_agent_retries_total") == 0 {
-            let answer = agent.caller.search("oil").await;
-            assert!(answer.envelope.coverage.expect("coverage").is_complete());
-        }
-    };
-    tokio::time::timeout(LIMIT, answers).await.expect("a retry");
+    first_attempt(&bed, Script::Status(500));
+    let answer = agent.caller.search("oil").await;
+    assert!(answer.envelope.coverage.expect("coverage").is_complete());
+    assert_eq!(agent.metric("sablehaven_agent_retries_total"), 1);
 }
 
 #[tokio::test]
@@ -197,15 +204,7 @@
     let bed = Bed::start(1, 2).await;
     let agent = bed.agent().await;
     learn(&agent).await;
-    let stuck = Arc::new(AtomicBool::new(false));
-    for backend in &bed.backends {
-        // The first attempt after this is stuck, at whichever replica it arrives.
-        let stuck = Arc::clone(&stuck);
-        backend.choose(move |_| match stuck.swap(true, Ordering::SeqCst) {
-            false => Script::Never,
-            true => Script::Reply,
-        });
-    }
+    first_attempt(&bed, Script::Never);
     let answer = agent.caller.search("oil").await;
     assert!(answer.envelope.coverage.expect("coverage").is_complete());
     assert_eq!(agent.metric("sablehaven_agent_hedges_total"), 1);
--- a/crates/sablehaven-agent/tests/agent/rollover.rs
+++ b/crates/sablehaven-agent/tests/agent/rollover.rs
@@ -16,7 +16,7 @@
     bed::{Bed, FIRST},
     caller::Answer,
     eventually,
-    schema::mark,
+    schema::{mark, service},
 };
 
 const REBUILT: SnapshotId = SnapshotId {
@@ -254,3 +254,30 @@
         .await;
     assert_eq!(answer.envelope.outcome, Outcome::Done);
 }
+
+/// Control is told that an agent has a configuration as soon as its subscription does; a request
+/// that starts after that is served by nothing older.
+#[tokio::test]
+async fn a_request_after_the_acknowledgement_is_served_by_the_new_configuration() {
+    let bed = Bed::start(2, 1).await;
+    let agent = bed.agent().await;
+    for generation in 2..6 {
+        let id = SnapshotId {
+            generation,
+            partition_map: 1,
+        };
+        // A schema that takes long to parse, so that a request could overtake it.
+        let filler = (0..400).map(|number| {
+            format!("message Filler{generation}x{number} {{ string a = 1; string b = 2; }}\n")
+        });
+        let filler: String = filler.collect();
+        let version = bed.relay.publish(|state| {
+            state.schema_text.push_str(&filler);
+            state.services.insert(service(), bed.configuration(id));
+        });
+        eventually("acknowledged", || bed.relay.lock().acknowledged >= version).await;
+        let answer = agent.caller.search("q").await;
+        assert_eq!(answer.envelope.snapshot, Some(id));
+        assert!(answer.envelope.configuration.version >= version);
+    }
+}
