Control: a planned stop ends with the next leader known

Cause: the hand-over was done when this replica had stepped down, which says nothing of a successor; and three mechanisms (who may form a deployment, settling of a new leader, hand-over) could be switched off without a test noticing. Change: hand-over waits for another leader of every group, tests of each.

--- a/crates/sablehaven-control/src/driver/members.rs
+++ b/crates/sablehaven-control/src/driver/members.rs
@@ -5,6 +5,8 @@
 
 use sablehaven_consensus::{MembershipChange, ReplicaId, Status};
 
+use tokio::sync::oneshot;
+
 use super::{group::Group, input::HandOverError, machine::read, run::Driver};
 use crate::{
     replicas::{ChangePhase, ReplicaChange, ReplicasCommand, ReplicasState, Target},
@@ -24,7 +26,7 @@
         if self.groups[0].is_leader {
             self.lead_deployment(&replicas);
         }
-        if replicas.replicas().is_empty() || !self.hand_over.is_empty() {
+        if replicas.replicas().is_empty() || self.is_handing_over {
             return;
         }
         let target = replicas.target();
@@ -118,26 +120,43 @@
         result.map_err(HandOverError::Refused)
     }
 
-    /// Hands every group over for a planned stop; done when nothing is led and nobody waits.
-    pub(super) fn continue_hand_over(&mut self) {
-        if self.hand_over.is_empty() {
+    /// Hands every group over for a planned stop; done when nobody waits and every group has another
+    /// leader, or nobody could take it over.
+    pub(super) fn continue_hand_over(&mut self, now: Instant) {
+        let Some(hand_over) = &self.hand_over else {
             return;
-        }
+        };
+        // A leader would have been elected by then, so there is no quorum that could elect one.
+        let patience = 2 * self.config.election_timeout();
+        let is_late = now.duration_since(hand_over.started_at) >= patience;
         for group in self.groups.iter_mut().filter(|group| group.is_leader) {
-            hand_over(group);
-        }
-        let leads = |group: &Group| group.is_leader && successor(&group.replica.status()).is_some();
-        let is_busy = |group: &Group| leads(group) || !group.pending.is_empty();
-        if self.groups.iter().any(is_busy) {
-            return;
+            start_hand_over(group);
         }
-        for asker in self.hand_over.drain(..) {
+        let id = self.id;
+        let mut groups = self.groups.iter();
+        let is_done = groups.all(|group| {
+            let status = group.replica.status();
+            let has_other_leader = status.leader.is_some_and(|leader| leader != id);
+            let is_handed_over = if group.is_leader {
+                successor(&status).is_none()
+            } else {
+                has_other_leader || is_late
+            };
+            is_handed_over && group.pending.is_empty()
+        });
+        if is_done && let Some(hand_over) = self.hand_over.take() {
             // An asker that has given up waiting is not told.
-            let _ = asker.send(());
+            let _ = hand_over.asker.send(());
         }
     }
 }
 
+/// A planned stop under way.
+pub(crate) struct HandOver {
+    pub(super) asker: oneshot::Sender<()>,
+    pub(super) started_at: Instant,
+}
+
 /// Takes the next step towards the target; a refused one is tried again at the next tick.
 fn approach_target(group: &mut Group, target: &Target) {
     let status = group.replica.status();
@@ -196,7 +215,7 @@
         .map(|(peer, _)| *peer)
 }
 
-fn hand_over(group: &mut Group) {
+fn start_hand_over(group: &mut Group) {
     let status = group.replica.status();
     if status.transfer.is_some() {
         return;
--- a/crates/sablehaven-control/src/driver/run.rs
+++ b/crates/sablehaven-control/src/driver/run.rs
@@ -9,7 +9,7 @@
 use sablehaven_consensus::{Ready, Replica, ReplicaId, Restored};
 use sablehaven_storage::{GroupWrite, Opened, RestoredGroup, SnapshotWriter};
 use tokio::{
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, watch},
     time::MissedTickBehavior,
 };
 use tokio_util::sync::CancellationToken;
@@ -18,6 +18,7 @@
     group::Group,
     input::{DriverHandle, Input},
     machine::{Machine, SharedHandle, read},
+    members::HandOver,
     reads::ProofQueue,
     status::{DriverStatus, Published},
     storage_thread::{StorageDone, StorageJob, StorageStep, StorageThread},
@@ -56,7 +57,9 @@
     pub(super) directory: Directory,
     pub(super) snapshot_writer: SnapshotWriter,
     pub(super) proofs: ProofQueue,
-    pub(super) hand_over: Vec<oneshot::Sender<()>>,
+    pub(super) hand_over: Option<HandOver>,
+    /// Set for good by a planned stop: this replica gives leadership away.
+    pub(super) is_handing_over: bool,
     pub(super) published: watch::Sender<Published>,
     pub(super) metrics: Metrics,
     inputs: mpsc::Receiver<Input>,
@@ -97,7 +100,8 @@
             directory,
             snapshot_writer,
             proofs: ProofQueue::default(),
-            hand_over: Vec::new(),
+            hand_over: None,
+            is_handing_over: false,
             published,
             metrics,
             inputs,
@@ -187,7 +191,11 @@
                 metadata,
                 result,
             } => self.take_prepared_snapshot(group, metadata, result),
-            Input::HandOverAll(respond) => self.hand_over.push(respond),
+            Input::HandOverAll(asker) => {
+                self.is_handing_over = true;
+                let started_at = Instant::now();
+                self.hand_over = Some(HandOver { asker, started_at });
+            }
         }
         Ok(())
     }
@@ -202,7 +210,7 @@
         }
         self.publish_leadership(now);
         self.lead_members(now);
-        self.continue_hand_over();
+        self.continue_hand_over(now);
         self.start_due_snapshots()
     }
 
--- a/crates/sablehaven-control/src/peers/formation.rs
+++ b/crates/sablehaven-control/src/peers/formation.rs
@@ -71,3 +71,6 @@
     let voters = peers.iter().map(|peer| peer.replica).chain([own.replica]);
     Verdict::Form(voters.collect())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sablehaven-control/tests/relays.rs
+++ b/crates/sablehaven-control/tests/relays.rs
@@ -229,19 +229,44 @@
     let handle = cluster.machines[leader].handle.take().expect("running");
     let stopping = tokio::spawn(handle.stop());
     let mut answered = 0;
-    let mut went_away = false;
+    let mut leaders_at_go_away = None;
     while let Some(message) = relay.receive().await {
         match message {
             ControlToRelay::Ledger(replies) => answered += replies.len(),
-            ControlToRelay::GoAway => went_away = true,
+            ControlToRelay::GoAway => leaders_at_go_away = Some(count_leaders(&cluster).await),
             _ => {}
         }
     }
     stopping.await.expect("stop");
-    assert!(went_away);
+    // Leadership went first: the relay finds the next leader without waiting for an election.
+    assert_eq!(leaders_at_go_away, Some(1));
     assert_eq!(answered, 50);
 }
 
+async fn count_leaders(cluster: &Cluster) -> usize {
+    let operator = cluster.operator();
+    let mut leaders = 0;
+    for machine in &cluster.machines {
+        let status = operator.try_status(machine.http()).await;
+        let leads = status.is_some_and(|status| status.leader == Some(status.replica));
+        leaders += usize::from(leads);
+    }
+    leaders
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_new_leader_does_not_vouch_for_agents_that_it_may_not_know_yet() {
+    let mut cluster = Cluster::prepare(1).await;
+    // Its predecessor's leases would last longer than the test.
+    cluster.machines[0].config.lease_duration_ms = 3_600_000;
+    cluster.start_all().await;
+    let operator = cluster.operator();
+    operator.apply(&command("c0", 0)).await;
+    let path = format!("{}?version=1&timeout_ms=10", paths::WAIT);
+    let reply: WaitReply = operator.get(&path).await;
+    assert!(!reply.in_force && reply.settling && reply.behind.is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn waiting_names_the_agents_that_are_behind() {
     let cluster = Cluster::start(3).await;
