Control: tests of the write queue

Cause: the order of writes, syncs and messages was covered by whole clusters only. Change: unit tests and a property over random orders of readies and syncs.

--- a/crates/sablehaven-control/src/driver/writes.rs
+++ b/crates/sablehaven-control/src/driver/writes.rs
@@ -132,3 +132,6 @@
     entries.truncate(kept);
     entries.extend(new);
 }
+
+#[cfg(test)]
+mod tests;
