--- a/crates/sablehaven-control/examples/control_bench/client.rs
+++ b/crates/sablehaven-control/examples/control_bench/client.rs
@@ -117,7 +117,7 @@
                 assert!(is_granted(&reply), "{reply:?}");
                 let client = client as usize;
                 let latency = sent_at[client].elapsed().as_micros() as u64;
-                report.latency_us.saturating_record(latency);
+                report.latency_us.record(latency).expect("a latency");
                 report.granted += 1;
                 open -= 1;
                 due.push(client);
--- a/crates/sablehaven-control/examples/control_bench/throughput.rs
+++ b/crates/sablehaven-control/examples/control_bench/throughput.rs
@@ -205,7 +205,8 @@
             .await
             .expect("answer");
         let outcome: ApplyOutcome = response.json().await.expect("an outcome");
-        latency_us.saturating_record(started.elapsed().as_micros() as u64);
+        let latency = started.elapsed().as_micros() as u64;
+        latency_us.record(latency).expect("a latency");
         committed += 1;
         match outcome {
             ApplyOutcome::Accepted { version: made } => {
