--- a/testing/sablehaven-harness/src/process.rs
+++ b/testing/sablehaven-harness/src/process.rs
@@ -66,6 +66,8 @@
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(errors)
+            // Ctrl-C in a terminal is for the parent, which then stops its children as planned.
+            .process_group(0)
             .kill_on_drop(true)
             .spawn()
             .map_err(failed)?;
