Control: a new ledger refuses what was issued before it; unconfirmed reads

Cause: after the loss of all disks a deployment that is formed again has an empty ledger, and a resend of an earlier request would run again; and without a quorum the last configuration could not be read. Change: the first command of a ledger group is its opening, which sets the horizon (1 s slack for clocks); configuration, history and back ends can be read with unconfirmed=true. The simulator's forgetful ledger passes other commands on. The platform client ignores proxy settings of the environment. Ruled out: an operators' command for the horizon (it would be forgotten when it matters). Shown to fail: a new ledger without its opening grants the old key.

--- a/crates/sablehaven-control/src/driver/group.rs
+++ b/crates/sablehaven-control/src/driver/group.rs
@@ -128,11 +128,31 @@
         self.queued_calls.push(call);
     }
 
+    /// Opens a new ledger. Called before the first calls are proposed, so that in the log of a new
+    /// ledger its opening always comes first; a second opening changes nothing.
+    pub(crate) fn open_ledger(&mut self) {
+        if !self.machine.is_unopened_ledger() || !self.pending.is_empty() {
+            return;
+        }
+        let command = LedgerCommand::Open {
+            proposed_at_ms: clock::unix_ms(),
+        };
+        match codec::encode("encode ledger command", &command) {
+            Ok(encoded) => {
+                if let Ok(position) = self.replica.propose(vec![encoded]) {
+                    self.pending.push(position, Responder::None);
+                }
+            }
+            Err(error) => log::error!("{error}"),
+        }
+    }
+
     /// Proposes the queued calls as one entry.
     pub(crate) fn propose_calls(&mut self, limits: &LedgerLimits) {
         if self.queued_calls.is_empty() {
             return;
         }
+        self.open_ledger();
         let calls = std::mem::take(&mut self.queued_calls);
         let command = LedgerCommand::Batch {
             proposed_at_ms: clock::unix_ms(),
--- a/crates/sablehaven-control/src/driver/machine.rs
+++ b/crates/sablehaven-control/src/driver/machine.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// Whether this is a ledger that has not been opened yet.
+    pub(crate) fn is_unopened_ledger(&self) -> bool {
+        match self {
+            Self::Shared(_) => false,
+            Self::Ledger(state) => !state.is_open(),
+        }
+    }
+
     pub(crate) fn snapshot(&self) -> Result<Vec<u8>, CodecError> {
         match self {
             Self::Shared(state) => read(state, SharedState::snapshot),
--- a/crates/sablehaven-control/src/driver/run.rs
+++ b/crates/sablehaven-control/src/driver/run.rs
@@ -208,6 +208,9 @@
             group.is_leader = group.leads();
             group.pending.expire(group.is_leader, now, grace);
         }
+        for group in self.groups.iter_mut().filter(|group| group.is_leader) {
+            group.open_ledger();
+        }
         self.publish_leadership(now);
         self.lead_members(now);
         self.continue_hand_over(now);
--- a/crates/sablehaven-control/src/leader/platform.rs
+++ b/crates/sablehaven-control/src/leader/platform.rs
@@ -56,6 +56,7 @@
 pub(crate) async fn poll_platform(context: Arc<Context>, config: PlatformConfig) {
     let client = match reqwest::Client::builder()
         .timeout(POLL_TIMEOUT)
+        .no_proxy()
         .local_address(context.config.connect_from)
         .build()
     {
--- a/crates/sablehaven-control/src/ledger/mod.rs
+++ b/crates/sablehaven-control/src/ledger/mod.rs
@@ -17,6 +17,10 @@
 pub use self::limits::LedgerLimits;
 use crate::codec::{self, CodecError};
 
+/// How long before the opening of a ledger a key may have been issued, in milliseconds: callers'
+/// clocks differ a little, and nobody replaces a lost deployment by a new one within this time.
+const OPENING_SLACK_MS: u64 = 1_000;
+
 /// The group, counted from 1, that holds a key when keys are spread over `groups` groups.
 pub fn group_of_key(key: &LedgerKey, groups: u32) -> u32 {
     let mut hash = Xxh3::new();
@@ -58,6 +62,7 @@
     horizon_ms: u64,
     /// Bytes of all recorded reply bodies.
     body_bytes: u64,
+    is_open: bool,
 }
 
 impl LedgerState {
@@ -197,6 +202,14 @@
 /// A command of a ledger group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LedgerCommand {
+    /// The first command of a new ledger: keys issued before it are refused.
+    ///
+    /// A ledger is new also when a deployment was started again after the loss of all its disks.
+    /// What its predecessor had granted is not known any more, and must not be granted again.
+    Open {
+        /// The proposer's time, in milliseconds since the Unix epoch.
+        proposed_at_ms: u64,
+    },
     /// Requests that are applied together.
     Batch {
         /// The proposer's time, in milliseconds since the Unix epoch.
@@ -211,12 +224,31 @@
 impl LedgerState {
     /// Applies a committed command; the same on every replica.
     pub fn apply_command(&mut self, command: &LedgerCommand) -> Vec<LedgerReply> {
-        let LedgerCommand::Batch {
-            proposed_at_ms,
-            limits,
-            requests,
-        } = command;
-        self.apply(*proposed_at_ms, limits, requests)
+        match command {
+            LedgerCommand::Open { proposed_at_ms } => {
+                self.open(*proposed_at_ms);
+                Vec::new()
+            }
+            LedgerCommand::Batch {
+                proposed_at_ms,
+                limits,
+                requests,
+            } => self.apply(*proposed_at_ms, limits, requests),
+        }
+    }
+
+    /// Whether [`LedgerCommand::Open`] has been applied.
+    pub fn is_open(&self) -> bool {
+        self.is_open
+    }
+
+    fn open(&mut self, proposed_at_ms: u64) {
+        if self.is_open {
+            return;
+        }
+        self.is_open = true;
+        let horizon_ms = proposed_at_ms.saturating_sub(OPENING_SLACK_MS);
+        self.horizon_ms = self.horizon_ms.max(horizon_ms);
     }
 
     /// The state's encoding for a snapshot.
--- a/crates/sablehaven-control/src/operator/handlers.rs
+++ b/crates/sablehaven-control/src/operator/handlers.rs
@@ -10,7 +10,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
-    changes, reads,
+    changes,
+    reads::{self, Confirmation},
     types::{OperatorError, paths},
     wait::wait_until_in_force,
 };
@@ -116,10 +117,19 @@
                 response,
                 changes::apply(context, body(request).await?).await?,
             ),
-            Call::Configuration => render(response, reads::configuration(context).await?),
-            Call::History => render(response, reads::history(context).await?),
+            Call::Configuration => {
+                let confirmation = confirmation(request);
+                render(response, reads::configuration(context, confirmation).await?);
+            }
+            Call::History => {
+                let confirmation = confirmation(request);
+                render(response, reads::history(context, confirmation).await?);
+            }
             Call::Wait => self.wait(request, response).await?,
-            Call::Backends => render(response, reads::backends(context).await?),
+            Call::Backends => {
+                let confirmation = confirmation(request);
+                render(response, reads::backends(context, confirmation).await?);
+            }
             Call::Status => render(response, reads::status(context).await?),
             Call::Add => render(response, changes::add(context, body(request).await?).await?),
             Call::Remove => {
@@ -205,6 +215,14 @@
     serde_json::from_slice(payload).map_err(|error| bad_request(&error))
 }
 
+/// `unconfirmed=true` asks for what this replica has applied, whoever leads.
+fn confirmation(request: &Request) -> Confirmation {
+    match request.query::<bool>("unconfirmed") {
+        Some(true) => Confirmation::Waived,
+        _ => Confirmation::Required,
+    }
+}
+
 fn query<Value: std::str::FromStr>(request: &Request, name: &str) -> Result<Value, CallError> {
     let text: Option<String> = request.query(name);
     let value = text.and_then(|text| text.parse().ok());
--- a/crates/sablehaven-control/src/operator/reads.rs
+++ b/crates/sablehaven-control/src/operator/reads.rs
@@ -12,22 +12,48 @@
     server::Context,
 };
 
-pub(super) async fn configuration(context: &Context) -> Result<Configuration, CallError> {
-    context.require_proof().await?;
+/// Whether an answer must be confirmed by a quorum, or may be what this replica has applied: after
+/// the loss of a quorum that is all there is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Confirmation {
+    Required,
+    Waived,
+}
+
+impl Confirmation {
+    async fn obtain(self, context: &Context) -> Result<(), CallError> {
+        match self {
+            Self::Required => context.require_proof().await,
+            Self::Waived => Ok(()),
+        }
+    }
+}
+
+pub(super) async fn configuration(
+    context: &Context,
+    confirmation: Confirmation,
+) -> Result<Configuration, CallError> {
+    confirmation.obtain(context).await?;
     Ok(read(&context.state, |state| {
         state.configuration().current().clone()
     }))
 }
 
-pub(super) async fn history(context: &Context) -> Result<Vec<CommandRecord>, CallError> {
-    context.require_proof().await?;
+pub(super) async fn history(
+    context: &Context,
+    confirmation: Confirmation,
+) -> Result<Vec<CommandRecord>, CallError> {
+    confirmation.obtain(context).await?;
     Ok(read(&context.state, |state| {
         state.configuration().history().iter().cloned().collect()
     }))
 }
 
-pub(super) async fn backends(context: &Context) -> Result<Vec<BackendRecord>, CallError> {
-    context.require_proof().await?;
+pub(super) async fn backends(
+    context: &Context,
+    confirmation: Confirmation,
+) -> Result<Vec<BackendRecord>, CallError> {
+    confirmation.obtain(context).await?;
     Ok(read(&context.state, |state| {
         state.membership().records().values().cloned().collect()
     }))
--- a/crates/sablehaven-control/src/operator/types.rs
+++ b/crates/sablehaven-control/src/operator/types.rs
@@ -12,7 +12,8 @@
 pub mod paths {
     /// POST [`sablehaven_types::ApplyCommand`], answers [`sablehaven_types::ApplyOutcome`].
     pub const APPLY: &str = "/operator/v1/apply";
-    /// GET, answers [`sablehaven_types::Configuration`].
+    /// GET, answers [`sablehaven_types::Configuration`]. With `unconfirmed=true` here and in
+    /// [`HISTORY`] and [`BACKENDS`], any replica answers what it has applied.
     pub const CONFIGURATION: &str = "/operator/v1/configuration";
     /// GET, answers a list of [`sablehaven_types::CommandRecord`], oldest first.
     pub const HISTORY: &str = "/operator/v1/history";
--- a/crates/sablehaven-control/tests/ledger.rs
+++ b/crates/sablehaven-control/tests/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use sablehaven_control::ledger::{LedgerLimits, LedgerState, group_of_key};
+use sablehaven_control::ledger::{LedgerCommand, LedgerLimits, LedgerState, group_of_key};
 use sablehaven_types::{
     ClaimAnswer, ClaimId, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome,
 };
@@ -166,6 +166,30 @@
     assert_eq!(state.body_bytes(), 0);
 }
 
+#[test]
+fn a_new_ledger_refuses_what_was_issued_before_it_was_opened() {
+    let mut state = LedgerState::default();
+    let limits = LedgerLimits {
+        retention_ms: 3_600_000,
+        ..LIMITS
+    };
+    let claim_at = |state: &mut LedgerState, key, id| {
+        let replies = state.apply(50_001, &limits, &[claim(key, id)]);
+        replies[0].clone()
+    };
+    let open = |proposed_at_ms| LedgerCommand::Open { proposed_at_ms };
+    state.apply_command(&open(50_000));
+    let old = claim_at(&mut state, key(1, 48_999), 1);
+    let below = ClaimAnswer::BelowHorizon { horizon_ms: 49_000 };
+    assert_eq!(old, LedgerReply::Claim(below));
+    let new = claim_at(&mut state, key(2, 50_000), 2);
+    assert_eq!(new, LedgerReply::Claim(ClaimAnswer::Granted));
+    // Another leader's opening comes too late to mean anything.
+    state.apply_command(&open(90_000));
+    let still = claim_at(&mut state, key(2, 50_000), 3);
+    assert_eq!(still, LedgerReply::Claim(ClaimAnswer::Held));
+}
+
 #[test]
 fn keys_are_spread_over_the_groups() {
     let mut counts = BTreeMap::new();
--- a/crates/sablehaven-control/tests/replacement.rs
+++ b/crates/sablehaven-control/tests/replacement.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use reqwest::Method;
 use sablehaven_control::{
     operator::{AddReplica, RemoveReplica, ReplaceReplica, paths},
     replicas::ReplicasOutcome,
@@ -233,3 +234,56 @@
         LedgerReply::Claim(ClaimAnswer::Held)
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn after_the_loss_of_all_disks_nothing_issued_before_runs_again() {
+    let mut cluster = Cluster::start(1).await;
+    let key = LedgerKey {
+        caller: "pantry".into(),
+        request: "pallet-8".into(),
+        // Long before the ledger of any replica here was opened.
+        issued_at_ms: 1_000,
+    };
+    cluster.machines[0].kill().await;
+    cluster.machines[0].lose_disk();
+    cluster.machines[0].start().await;
+    let leader = cluster.leader().await;
+    let mut relay = Relay::connect(cluster.machines[leader].internal()).await;
+    let claim = LedgerRequest::Claim {
+        key,
+        claim: ClaimId(1),
+        fingerprint: 1,
+    };
+    let reply = relay.ledger(claim).await;
+    let is_refused = matches!(reply, LedgerReply::Claim(ClaimAnswer::BelowHorizon { .. }));
+    assert!(is_refused, "{reply:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn without_a_quorum_the_last_configuration_can_still_be_read_unconfirmed() {
+    let mut cluster = Cluster::start(3).await;
+    apply_some(&cluster, 0, 2).await;
+    let survivor = cluster.follower().await;
+    let operator = cluster.operator();
+    wait_for("the survivor to apply", || async {
+        let status = operator
+            .try_status(cluster.machines[survivor].http())
+            .await?;
+        (status.configuration_version == 2).then_some(())
+    })
+    .await;
+    for number in (0..3).filter(|number| *number != survivor) {
+        cluster.machines[number].kill().await;
+    }
+    let address = cluster.machines[survivor].http();
+    let confirmed = operator
+        .call_once::<Configuration>(Method::GET, address, paths::CONFIGURATION, None::<&()>)
+        .await;
+    assert!(matches!(confirmed, Some(Err(_))), "{confirmed:?}");
+    let path = format!("{}?unconfirmed=true", paths::CONFIGURATION);
+    let unconfirmed = operator
+        .call_once::<Configuration>(Method::GET, address, &path, None::<&()>)
+        .await;
+    let configuration = unconfirmed.expect("an answer").expect("a configuration");
+    assert_eq!(configuration.version, 2);
+}
--- a/testing/sablehaven-simulator/src/machine.rs
+++ b/testing/sablehaven-simulator/src/machine.rs
@@ -111,7 +111,10 @@
             proposed_at_ms,
             limits,
             mut requests,
-        } = command;
+        } = command
+        else {
+            return self.state.apply_command(&command);
+        };
         for request in &mut requests {
             self.hide_issue_time(proposed_at_ms, limits.retention_ms, request);
         }
