--- a/crates/sablehaven-control/tests/replacement.rs
+++ b/crates/sablehaven-control/tests/replacement.rs
@@ -238,11 +238,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn after_the_loss_of_all_disks_nothing_issued_before_runs_again() {
     let mut cluster = Cluster::start(1).await;
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let key = LedgerKey {
         caller: "pantry".into(),
         request: "pallet-8".into(),
-        // Long before the ledger of any replica here was opened.
-        issued_at_ms: 1_000,
+        // Within the retention, but before the new ledger is opened.
+        issued_at_ms: now.expect("a clock").as_millis() as u64 - 30_000,
     };
     cluster.machines[0].kill().await;
     cluster.machines[0].lose_disk();
