--- a/crates/sablehaven-control/src/driver/run.rs
+++ b/crates/sablehaven-control/src/driver/run.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_consensus::{Ready, Replica, ReplicaId, Restored};
+use sablehaven_consensus::{Ready, Replica, ReplicaId, Restored, Role};
 use sablehaven_storage::{GroupWrite, Opened, RestoredGroup, SnapshotWriter};
 use tokio::{
     sync::{mpsc, watch},
@@ -139,6 +139,8 @@
                 Some(input) = self.inputs.recv() => self.take_inputs(input).await?,
             }
             self.propose_queued();
+            // Before any message says so: whoever is sent here as to the leader must find one.
+            self.publish_leadership();
             self.take_readies()?;
             self.start_write();
             self.publish_revision();
@@ -211,7 +213,6 @@
         for group in self.groups.iter_mut().filter(|group| group.is_leader) {
             group.open_ledger();
         }
-        self.publish_leadership(now);
         self.lead_members(now);
         self.continue_hand_over(now);
         self.start_due_snapshots()
@@ -368,9 +369,9 @@
         Ok(())
     }
 
-    fn publish_leadership(&self, now: Instant) {
+    fn publish_leadership(&self) {
         let status = self.groups[0].replica.status();
-        let is_leader = self.groups[0].is_leader;
+        let is_leader = status.role == Role::Leader;
         let is_formed = !status.membership.voters.is_empty();
         self.published.send_if_modified(|published| {
             let before = published.clone();
@@ -378,7 +379,7 @@
             published.is_formed = is_formed;
             published.leading_since = match published.leading_since {
                 Some(since) if is_leader => Some(since),
-                _ => is_leader.then_some(now),
+                _ => is_leader.then(Instant::now),
             };
             *published != before
         });
