Schema: problems of an option are placed at the name to blame

Cause: a query's option spans a dozen lines, and its problems were all placed at its first one. Ruled out: the first place at which the name stands: where it stands twice that may be the wrong one, so then the statement's start is kept. Change: the option's span is searched for the quoted name or the number's own name. Conclusion: linker errors inside an option still come at the statement.

--- a/crates/sablehaven-schema/src/compile.rs
+++ b/crates/sablehaven-schema/src/compile.rs
@@ -42,8 +42,7 @@
 }
 
 /// Compiles a schema, or says what the compiler found wrong.
-pub(crate) fn compile(file_name: &str, text: &str) -> Result<Compiled, Vec<SchemaProblem>> {
-    let source = Source { file_name, text };
+pub(crate) fn compile(source: Source<'_>) -> Result<Compiled, Vec<SchemaProblem>> {
     source.check_size()?;
     source.check_nesting()?;
     let file = source.parse()?;
@@ -51,9 +50,13 @@
     source.link(imported, file)
 }
 
-struct Source<'a> {
-    file_name: &'a str,
-    text: &'a str,
+/// A schema's text and the name by which problems call it.
+#[derive(Clone, Copy)]
+pub(crate) struct Source<'a> {
+    /// The name.
+    pub file_name: &'a str,
+    /// The text.
+    pub text: &'a str,
 }
 
 impl Source<'_> {
--- a/crates/sablehaven-schema/src/field_rules.rs
+++ b/crates/sablehaven-schema/src/field_rules.rs
@@ -5,6 +5,7 @@
 use prost_reflect::{FieldDescriptor, Kind, MessageDescriptor};
 
 use crate::{
+    field_problem::FieldProblem,
     options::{Concatenate, Query, TopK, number},
     schema::{ElementOrder, FieldMerge, Limit},
 };
@@ -16,8 +17,8 @@
 pub(crate) struct MergeProblem {
     /// Field number of the part of the `Query` option, where one is to blame.
     pub part: Option<u32>,
-    /// The reason.
-    pub message: String,
+    /// What is wrong.
+    pub problem: FieldProblem,
 }
 
 /// The rules of a merge, and what is wrong with them.
@@ -28,32 +29,39 @@
 }
 
 impl ResolvedMerge {
-    fn add(&mut self, part: u32, rule: Result<FieldMerge, String>) {
+    fn add(&mut self, part: u32, rule: Result<FieldMerge, FieldProblem>) {
         match rule {
             Ok(rule) => self.rules.push(rule),
-            Err(message) => self.problems.push(MergeProblem {
+            Err(problem) => self.problems.push(MergeProblem {
                 part: Some(part),
-                message,
+                problem,
             }),
         }
     }
 }
 
 /// The field of the request whose hash chooses the shard.
-pub(crate) fn key_field(input: &MessageDescriptor, name: &str) -> Result<FieldDescriptor, String> {
+pub(crate) fn key_field(
+    input: &MessageDescriptor,
+    name: &str,
+) -> Result<FieldDescriptor, FieldProblem> {
     if name.is_empty() {
-        return Err("the option names no key".to_owned());
+        return Err(FieldProblem::of_whole("the option names no key".to_owned()));
     }
     let field = field_of(input, name)?;
     if field.is_list() || field.is_map() {
-        return Err(format!(
-            "key '{name}' is repeated, but must be a single value"
+        return Err(FieldProblem::of_name(
+            name,
+            format!("key '{name}' is repeated, but must be a single value"),
         ));
     }
     if !is_key_kind(&field.kind()) {
-        return Err(format!(
-            "key '{name}' has type {:?}, but must be text, bytes or a whole number",
-            field.kind()
+        return Err(FieldProblem::of_name(
+            name,
+            format!(
+                "key '{name}' has type {:?}, but must be text, bytes or a whole number",
+                field.kind()
+            ),
         ));
     }
     Ok(field)
@@ -88,7 +96,9 @@
         if !named.insert(name.as_str()) {
             resolved.problems.push(MergeProblem {
                 part: None,
-                message: format!("field '{name}' of the reply has more than one merge"),
+                problem: FieldProblem::of_whole(format!(
+                    "field '{name}' of the reply has more than one merge"
+                )),
             });
         }
     }
@@ -96,17 +106,17 @@
         if !named.contains(field.name()) {
             resolved.problems.push(MergeProblem {
                 part: None,
-                message: format!(
+                problem: FieldProblem::of_whole(format!(
                     "field '{}' of the reply {} has no merge (concatenate, top_k or sum)",
                     field.name(),
                     output.name()
-                ),
+                )),
             });
         }
     }
 }
 
-fn concatenate(output: &MessageDescriptor, rule: &Concatenate) -> Result<FieldMerge, String> {
+fn concatenate(output: &MessageDescriptor, rule: &Concatenate) -> Result<FieldMerge, FieldProblem> {
     let field = list_field(output, &rule.field)?;
     let order = if rule.order_by.is_empty() {
         None
@@ -125,10 +135,13 @@
     input: &MessageDescriptor,
     output: &MessageDescriptor,
     rule: &TopK,
-) -> Result<FieldMerge, String> {
+) -> Result<FieldMerge, FieldProblem> {
     let field = list_field(output, &rule.field)?;
     if rule.order_by.is_empty() {
-        return Err(format!("top_k of '{}' names no order_by", rule.field));
+        return Err(FieldProblem::of_whole(format!(
+            "top_k of '{}' names no order_by",
+            rule.field
+        )));
     }
     let order = element_order(&field, &rule.order_by, rule.descending, &rule.tie_break)?;
     let limit = limit(input, rule)?;
@@ -139,20 +152,24 @@
     })
 }
 
-fn limit(input: &MessageDescriptor, rule: &TopK) -> Result<Limit, String> {
+fn limit(input: &MessageDescriptor, rule: &TopK) -> Result<Limit, FieldProblem> {
     let default = rule.default_limit;
     let maximum = match rule.maximum_limit {
         0 => default,
         given => given,
     };
     if !(1..=MAX_LIMIT).contains(&default) {
-        return Err(format!(
-            "default_limit is {default}, allowed is 1 to {MAX_LIMIT}"
+        return Err(FieldProblem::of_option(
+            "default_limit",
+            format!("default_limit is {default}, allowed is 1 to {MAX_LIMIT}"),
         ));
     }
     if !(default..=MAX_LIMIT).contains(&maximum) {
-        return Err(format!(
-            "maximum_limit is {maximum}, allowed is the default_limit of {default} to {MAX_LIMIT}"
+        return Err(FieldProblem::of_option(
+            "maximum_limit",
+            format!(
+                "maximum_limit is {maximum}, allowed is the default_limit of {default} to {MAX_LIMIT}"
+            ),
         ));
     }
     Ok(Limit {
@@ -162,25 +179,35 @@
     })
 }
 
-fn limit_field(input: &MessageDescriptor, name: &str) -> Result<Option<FieldDescriptor>, String> {
+fn limit_field(
+    input: &MessageDescriptor,
+    name: &str,
+) -> Result<Option<FieldDescriptor>, FieldProblem> {
     if name.is_empty() {
         return Ok(None);
     }
     let field = field_of(input, name)?;
     if field.is_list() || field.kind() != Kind::Uint32 {
-        return Err(format!("limit '{name}' must be a single uint32"));
+        return Err(FieldProblem::of_name(
+            name,
+            format!("limit '{name}' must be a single uint32"),
+        ));
     }
     Ok(Some(field))
 }
 
-fn sum(output: &MessageDescriptor, name: &str) -> Result<FieldMerge, String> {
+fn sum(output: &MessageDescriptor, name: &str) -> Result<FieldMerge, FieldProblem> {
     let field = field_of(output, name)?;
     if field.is_list() || field.is_map() || !is_number_kind(&field.kind()) {
-        return Err(format!("sum of '{name}' must be of a single number"));
+        return Err(FieldProblem::of_name(
+            name,
+            format!("sum of '{name}' must be of a single number"),
+        ));
     }
     if field.containing_oneof().is_some() {
-        return Err(format!(
-            "sum of '{name}' must not be of an optional field or part of a oneof"
+        return Err(FieldProblem::of_name(
+            name,
+            format!("sum of '{name}' must not be of an optional field or part of a oneof"),
         ));
     }
     Ok(FieldMerge::Sum { field })
@@ -191,7 +218,7 @@
     by: &str,
     descending: bool,
     tie_break: &str,
-) -> Result<ElementOrder, String> {
+) -> Result<ElementOrder, FieldProblem> {
     let tie_break = if tie_break.is_empty() {
         None
     } else {
@@ -204,36 +231,46 @@
     })
 }
 
-fn ordered_field(list: &FieldDescriptor, name: &str) -> Result<FieldDescriptor, String> {
+fn ordered_field(list: &FieldDescriptor, name: &str) -> Result<FieldDescriptor, FieldProblem> {
     let Kind::Message(element) = list.kind() else {
-        return Err(format!(
-            "list '{}' holds no messages, so it cannot be ordered by '{name}'",
-            list.name()
+        return Err(FieldProblem::of_name(
+            name,
+            format!(
+                "list '{}' holds no messages, so it cannot be ordered by '{name}'",
+                list.name()
+            ),
         ));
     };
     let field = field_of(&element, name)?;
     let comparable = is_number_kind(&field.kind()) || field.kind() == Kind::String;
     if field.is_list() || field.is_map() || !comparable {
-        return Err(format!(
-            "list '{}' cannot be ordered by '{name}', which is no single number or text",
-            list.name()
+        return Err(FieldProblem::of_name(
+            name,
+            format!(
+                "list '{}' cannot be ordered by '{name}', which is no single number or text",
+                list.name()
+            ),
         ));
     }
     Ok(field)
 }
 
-fn list_field(output: &MessageDescriptor, name: &str) -> Result<FieldDescriptor, String> {
+fn list_field(output: &MessageDescriptor, name: &str) -> Result<FieldDescriptor, FieldProblem> {
     let field = field_of(output, name)?;
     if !field.is_list() {
-        return Err(format!("field '{name}' of the reply is no list"));
+        return Err(FieldProblem::of_name(
+            name,
+            format!("field '{name}' of the reply is no list"),
+        ));
     }
     Ok(field)
 }
 
-fn field_of(message: &MessageDescriptor, name: &str) -> Result<FieldDescriptor, String> {
-    message
-        .get_field_by_name(name)
-        .ok_or_else(|| format!("message {} has no field '{name}'", message.full_name()))
+fn field_of(message: &MessageDescriptor, name: &str) -> Result<FieldDescriptor, FieldProblem> {
+    message.get_field_by_name(name).ok_or_else(|| {
+        let reason = format!("message {} has no field '{name}'", message.full_name());
+        FieldProblem::of_name(name, reason)
+    })
 }
 
 fn is_key_kind(kind: &Kind) -> bool {
--- a/crates/sablehaven-schema/src/lib.rs
+++ b/crates/sablehaven-schema/src/lib.rs
@@ -11,6 +11,7 @@
 mod compile;
 mod configuration;
 pub mod envelope;
+mod field_problem;
 mod field_rules;
 pub mod fleet_file;
 mod generate;
--- a/crates/sablehaven-schema/src/locations.rs
+++ b/crates/sablehaven-schema/src/locations.rs
@@ -5,7 +5,7 @@
 use prost_reflect::{MethodDescriptor, ServiceDescriptor};
 use prost_types::FileDescriptorProto;
 
-use crate::problem::Position;
+use crate::problem::{Position, Span};
 
 /// Field numbers of `google/protobuf/descriptor.proto` that make up source paths.
 mod tag {
@@ -19,25 +19,20 @@
 
 /// The places of every part of a file, by source path.
 pub(crate) struct Locations {
-    positions: BTreeMap<Vec<i32>, Position>,
+    spans: BTreeMap<Vec<i32>, Span>,
 }
 
 impl Locations {
     /// Reads the places that the compiler recorded.
     pub(crate) fn of_file(file: &FileDescriptorProto) -> Self {
-        let mut positions = BTreeMap::new();
+        let mut spans = BTreeMap::new();
         let source = file.source_code_info.as_ref();
         for location in source.into_iter().flat_map(|info| &info.location) {
-            let [line, column, ..] = location.span[..] else {
-                continue;
-            };
-            let position = Position {
-                line: usize::try_from(line).unwrap_or(0) + 1,
-                column: usize::try_from(column).unwrap_or(0) + 1,
-            };
-            positions.entry(location.path.clone()).or_insert(position);
+            if let Some(span) = read_span(&location.span) {
+                spans.entry(location.path.clone()).or_insert(span);
+            }
         }
-        Self { positions }
+        Self { spans }
     }
 
     /// The `syntax` statement.
@@ -57,7 +52,7 @@
     }
 
     /// An option of the file.
-    pub(crate) fn file_option(&self, number: u32, within: &[u32]) -> Position {
+    pub(crate) fn file_option(&self, number: u32, within: &[u32]) -> Span {
         self.option(&[tag::FILE_OPTIONS], number, within)
     }
 
@@ -77,29 +72,54 @@
         method: &MethodDescriptor,
         number: u32,
         within: &[u32],
-    ) -> Position {
+    ) -> Span {
         let path = extend(method.path(), &[tag::METHOD_OPTIONS]);
         self.option(&path, number, within)
     }
 
-    fn option(&self, options: &[i32], number: u32, within: &[u32]) -> Position {
+    fn option(&self, options: &[i32], number: u32, within: &[u32]) -> Span {
         let mut path = options.to_vec();
         path.push(number.cast_signed());
         path.extend(within.iter().map(|part| part.cast_signed()));
-        self.nearest(&path)
+        self.nearest_span(&path)
     }
 
-    /// The place of the path itself, or else of something within it, or else of what holds it.
+    /// Where the span of [`Self::nearest_span`] starts.
     pub(crate) fn nearest(&self, path: &[i32]) -> Position {
+        self.nearest_span(path).start
+    }
+
+    /// The span of the path itself, or else of something within it, or else of what holds it.
+    fn nearest_span(&self, path: &[i32]) -> Span {
         (1..=path.len())
             .rev()
             .find_map(|length| self.first_within(&path[..length]))
-            .unwrap_or(Position::START)
+            .unwrap_or(Span::START)
     }
 
-    fn first_within(&self, path: &[i32]) -> Option<Position> {
-        let (found, position) = self.positions.range(path.to_vec()..).next()?;
-        found.starts_with(path).then_some(*position)
+    fn first_within(&self, path: &[i32]) -> Option<Span> {
+        let (found, span) = self.spans.range(path.to_vec()..).next()?;
+        found.starts_with(path).then_some(*span)
+    }
+}
+
+/// Reads a span as `google.protobuf.SourceCodeInfo` writes it: three numbers counted from 0 where it
+/// ends on the line where it starts, else four.
+fn read_span(numbers: &[i32]) -> Option<Span> {
+    let position = |line: i32, column: i32| Position {
+        line: usize::try_from(line).unwrap_or(0) + 1,
+        column: usize::try_from(column).unwrap_or(0) + 1,
+    };
+    match *numbers {
+        [line, start, end] => Some(Span {
+            start: position(line, start),
+            end: position(line, end),
+        }),
+        [line, column, end_line, end_column] => Some(Span {
+            start: position(line, column),
+            end: position(end_line, end_column),
+        }),
+        _ => None,
     }
 }
 
--- a/crates/sablehaven-schema/src/problem.rs
+++ b/crates/sablehaven-schema/src/problem.rs
@@ -41,6 +41,24 @@
         }
     }
 
+    /// The byte offset of this place; a place past the end gives the end.
+    pub(crate) fn offset_in(self, text: &str) -> usize {
+        let line_start = match self.line {
+            0 | 1 => Some(0),
+            line => text
+                .match_indices('\n')
+                .nth(line - 2)
+                .map(|(offset, _)| offset + 1),
+        };
+        let Some(line_start) = line_start else {
+            return text.len();
+        };
+        text[line_start..]
+            .char_indices()
+            .nth(self.column.saturating_sub(1))
+            .map_or(text.len(), |(offset, _)| line_start + offset)
+    }
+
     /// A problem at this place.
     pub(crate) fn problem(self, file: &str, message: impl Into<String>) -> SchemaProblem {
         SchemaProblem {
@@ -51,3 +69,34 @@
         }
     }
 }
+
+/// A part of a text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Span {
+    /// Where it starts.
+    pub start: Position,
+    /// Where it ends.
+    pub end: Position,
+}
+
+impl Span {
+    /// The start of a text of which nothing more is known.
+    pub(crate) const START: Self = Self {
+        start: Position::START,
+        end: Position::START,
+    };
+
+    /// The place of `blamed` within the span, or the span's start unless it stands there exactly once.
+    pub(crate) fn place_of(self, blamed: &str, text: &str) -> Position {
+        let start = self.start.offset_in(text);
+        let end = self.end.offset_in(text);
+        let mut found = match text.get(start..end) {
+            Some(part) if !blamed.is_empty() => part.match_indices(blamed),
+            _ => return self.start,
+        };
+        match (found.next(), found.next()) {
+            (Some((offset, _)), None) => Position::of_offset(text, start + offset),
+            _ => self.start,
+        }
+    }
+}
--- a/crates/sablehaven-schema/src/rules.rs
+++ b/crates/sablehaven-schema/src/rules.rs
@@ -6,11 +6,12 @@
 use sablehaven_types::{RegionName, ServiceName, ZoneName};
 
 use crate::{
-    compile::{Compiled, OPTIONS_FILE},
-    field_rules,
+    compile::{Compiled, OPTIONS_FILE, Source},
+    field_problem::FieldProblem,
+    field_rules::{self, MergeProblem},
     locations::Locations,
     options::{self, EXTENSION_NUMBER, Kind, MethodRule, ServiceRule, number},
-    problem::{Position, SchemaProblem},
+    problem::{Position, SchemaProblem, Span},
     schema::{Merge, MethodKind, MethodSchema, RegionSchema, ServiceSchema},
 };
 
@@ -29,7 +30,7 @@
 
 /// Collects every problem of one schema.
 pub(crate) struct Checker<'a> {
-    file_name: &'a str,
+    source: Source<'a>,
     compiled: &'a Compiled,
     locations: Locations,
     problems: Vec<SchemaProblem>,
@@ -37,9 +38,9 @@
 
 impl<'a> Checker<'a> {
     /// Checks of a compiled schema.
-    pub(crate) fn new(file_name: &'a str, compiled: &'a Compiled) -> Self {
+    pub(crate) fn new(source: Source<'a>, compiled: &'a Compiled) -> Self {
         Self {
-            file_name,
+            source,
             compiled,
             locations: Locations::of_file(compiled.file.file_descriptor_proto()),
             problems: Vec::new(),
@@ -64,7 +65,7 @@
 
     fn report(&mut self, position: Position, message: impl Into<String>) {
         self.problems
-            .push(position.problem(self.file_name, message));
+            .push(position.problem(self.source.file_name, message));
     }
 
     fn check_file(&mut self) {
@@ -92,21 +93,22 @@
             );
             return Vec::new();
         };
-        let position = self
+        let span = self
             .locations
             .file_option(EXTENSION_NUMBER, &[number::DEPLOYMENT_REGIONS]);
         if deployment.regions.is_empty() {
-            self.report(position, "the deployment has no regions");
+            self.report(span.start, "the deployment has no regions");
         }
         let mut region_names = BTreeSet::new();
         let mut zone_names = BTreeSet::new();
         for region in &deployment.regions {
-            self.check_place_name(position, "region", &region.name, &mut region_names);
+            self.check_place_name(span, "region", &region.name, &mut region_names);
             if region.zones.is_empty() {
+                let position = self.place_of_name(span, &region.name);
                 self.report(position, format!("region '{}' has no zones", region.name));
             }
             for zone in &region.zones {
-                self.check_place_name(position, "zone", zone, &mut zone_names);
+                self.check_place_name(span, "zone", zone, &mut zone_names);
             }
         }
         deployment.regions.into_iter().map(region_schema).collect()
@@ -114,11 +116,12 @@
 
     fn check_place_name<'n>(
         &mut self,
-        position: Position,
+        span: Span,
         what: &str,
         name: &'n str,
         seen: &mut BTreeSet<&'n str>,
     ) {
+        let position = self.place_of_name(span, name);
         if !is_place_name(name) {
             self.report(
                 position,
@@ -132,6 +135,10 @@
         }
     }
 
+    fn place_of_name(&self, span: Span, name: &str) -> Position {
+        span.place_of(&format!("\"{name}\""), self.source.text)
+    }
+
     fn check_services(&mut self) -> BTreeMap<ServiceName, ServiceSchema> {
         let mut services = BTreeMap::new();
         for service in self.file().services() {
@@ -213,27 +220,16 @@
         if (1..=MAX_DEADLINE_MS).contains(&deadline_ms) {
             return;
         }
-        let position = self.rule_position(method, &[number::RULE_DEADLINE_MS]);
-        self.report(
-            position,
-            format!(
-                "method '{}': deadline_ms is {deadline_ms}, allowed is 1 to {MAX_DEADLINE_MS}",
-                method.name()
-            ),
-        );
+        let message = format!("deadline_ms is {deadline_ms}, allowed is 1 to {MAX_DEADLINE_MS}");
+        let problem = FieldProblem::of_option("deadline_ms", message);
+        self.report_option(method, &[number::RULE_DEADLINE_MS], &problem);
     }
 
     fn check_kind(&mut self, method: &MethodDescriptor, kind: Option<Kind>) -> Option<MethodKind> {
         match kind {
             None => {
-                let position = self.rule_position(method, &[]);
-                self.report(
-                    position,
-                    format!(
-                        "method '{}' says neither query nor lookup nor once",
-                        method.name()
-                    ),
-                );
+                let message = "says neither query nor lookup nor once".to_owned();
+                self.report_option(method, &[], &FieldProblem::of_whole(message));
                 None
             }
             Some(Kind::Query(query)) => self.check_query(method, &query),
@@ -254,9 +250,8 @@
     ) -> Option<prost_reflect::FieldDescriptor> {
         match field_rules::key_field(&method.input(), key) {
             Ok(field) => Some(field),
-            Err(message) => {
-                let position = self.rule_position(method, &[rule]);
-                self.report(position, format!("method '{}': {message}", method.name()));
+            Err(problem) => {
+                self.report_option(method, &[rule], &problem);
                 None
             }
         }
@@ -269,15 +264,9 @@
     ) -> Option<MethodKind> {
         let resolved = field_rules::merge_rules(&method.input(), &method.output(), query);
         let complete = resolved.problems.is_empty();
-        for problem in resolved.problems {
-            let position = match problem.part {
-                Some(part) => self.rule_position(method, &[number::RULE_QUERY, part]),
-                None => self.rule_position(method, &[number::RULE_QUERY]),
-            };
-            self.report(
-                position,
-                format!("method '{}': {}", method.name(), problem.message),
-            );
+        for MergeProblem { part, problem } in resolved.problems {
+            let within: Vec<u32> = [number::RULE_QUERY].into_iter().chain(part).collect();
+            self.report_option(method, &within, &problem);
         }
         complete.then_some(MethodKind::Query {
             merge: Merge {
@@ -286,9 +275,14 @@
         })
     }
 
-    fn rule_position(&self, method: &MethodDescriptor, within: &[u32]) -> Position {
-        self.locations
-            .method_option(method, EXTENSION_NUMBER, within)
+    /// Reports a problem of a method's option, at the part of its text that is to blame.
+    fn report_option(&mut self, method: &MethodDescriptor, within: &[u32], problem: &FieldProblem) {
+        let span = self
+            .locations
+            .method_option(method, EXTENSION_NUMBER, within);
+        let position = span.place_of(&problem.blamed, self.source.text);
+        let message = format!("method '{}': {}", method.name(), problem.message);
+        self.report(position, message);
     }
 }
 
--- a/crates/sablehaven-schema/src/schema.rs
+++ b/crates/sablehaven-schema/src/schema.rs
@@ -5,7 +5,11 @@
 use prost_reflect::{FieldDescriptor, FileDescriptor, MessageDescriptor};
 use sablehaven_types::{RegionName, SchemaSource, ServiceName, ZoneName};
 
-use crate::{compile::compile, problem::SchemaProblem, rules::Checker};
+use crate::{
+    compile::{Source, compile},
+    problem::SchemaProblem,
+    rules::Checker,
+};
 
 /// A deployment's schema, checked.
 #[derive(Clone)]
@@ -22,8 +26,9 @@
     /// `file_name` is used in problems only. On failure every problem that was found is given, in
     /// the order of the text; options are checked once the text compiles.
     pub fn parse(file_name: &str, text: &str) -> Result<Self, Vec<SchemaProblem>> {
-        let compiled = compile(file_name, text)?;
-        let checked = Checker::new(file_name, &compiled).check()?;
+        let source = Source { file_name, text };
+        let compiled = compile(source)?;
+        let checked = Checker::new(source, &compiled).check()?;
         Ok(Self {
             source: SchemaSource {
                 file_name: file_name.to_owned(),
