Schema: exact places for the first hundred problems of options only

Cause: each exact place costs a search through the option, so 15,000 problems of one option would cost as many searches through 256 KiB. Change: the others stand at the option's statement. Figures: 4,000 problems: 100 exact, 3,900 at the statement (the test fails without the bound, which gives 4,000 exact ones). Conclusion: loading stays bounded.

--- a/crates/sablehaven-schema/src/compile.rs
+++ b/crates/sablehaven-schema/src/compile.rs
@@ -26,8 +26,9 @@
 
 /// The deepest nesting of brackets in a schema; ours use about 6.
 const MAX_SCHEMA_NESTING: usize = 32;
-/// Problems of the linker that are placed one by one; of more, only the first is.
-const MAX_PLACED_PROBLEMS: usize = 100;
+/// Problems that are placed exactly, one by one. Of more linker problems only the first is placed; of
+/// more option problems the others stand at their option's statement.
+pub(crate) const MAX_PLACED_PROBLEMS: usize = 100;
 /// The longest message of a compiler error, in characters.
 const MAX_MESSAGE_CHARACTERS: usize = 400;
 /// The name under which the schema itself is compiled.
--- a/crates/sablehaven-schema/src/rules.rs
+++ b/crates/sablehaven-schema/src/rules.rs
@@ -6,7 +6,7 @@
 use sablehaven_types::{RegionName, ServiceName, ZoneName};
 
 use crate::{
-    compile::{Compiled, OPTIONS_FILE, Source},
+    compile::{Compiled, MAX_PLACED_PROBLEMS, OPTIONS_FILE, Source},
     field_problem::FieldProblem,
     field_rules::{self, MergeProblem},
     locations::Locations,
@@ -136,7 +136,17 @@
     }
 
     fn place_of_name(&self, span: Span, name: &str) -> Position {
-        span.place_of(&format!("\"{name}\""), self.source.text)
+        self.place_within(span, &format!("\"{name}\""))
+    }
+
+    /// The place of `blamed` within a span; the span's start once many problems were found, since
+    /// each search goes through the whole span.
+    fn place_within(&self, span: Span, blamed: &str) -> Position {
+        if self.problems.len() < MAX_PLACED_PROBLEMS {
+            span.place_of(blamed, self.source.text)
+        } else {
+            span.start
+        }
     }
 
     fn check_services(&mut self) -> BTreeMap<ServiceName, ServiceSchema> {
@@ -280,7 +290,7 @@
         let span = self
             .locations
             .method_option(method, EXTENSION_NUMBER, within);
-        let position = span.place_of(&problem.blamed, self.source.text);
+        let position = self.place_within(span, &problem.blamed);
         let message = format!("method '{}': {}", method.name(), problem.message);
         self.report(position, message);
     }
--- a/crates/sablehaven-schema/tests/fuzz.rs
+++ b/crates/sablehaven-schema/tests/fuzz.rs
@@ -127,6 +127,20 @@
     assert_eq!(problems.expect_err("no options").len(), 1_001);
 }
 
+/// Each exact place costs a search through the option, so only the first problems get one.
+#[test]
+fn very_many_problems_of_one_option_are_placed_at_its_statement() {
+    let regions: String = (0..4_000)
+        .map(|n| format!("  regions: {{ name: \"A{n}\" zones: [\"a{n}\"] }}\n"))
+        .collect();
+    let header = "syntax = \"proto3\"; package p; import \"sablehaven/options.proto\";\n";
+    let text = format!("{header}option (sablehaven.deployment) = {{\n{regions}}};");
+    let problems = DeploymentSchema::parse("schema.proto", &text).expect_err("capital letters");
+    let at_statement = problems.iter().filter(|problem| problem.line == 2).count();
+    let exact = problems.iter().filter(|problem| problem.line > 2).count();
+    assert_eq!((at_statement, exact), (3_900, 100));
+}
+
 /// The linker's time grows with the product of problems and size, so most of them are not placed.
 #[test]
 fn of_very_many_linker_problems_the_first_is_placed() {
