--- a/crates/sablehaven-control/examples/control_bench/cluster.rs
+++ b/crates/sablehaven-control/examples/control_bench/cluster.rs
@@ -3,10 +3,12 @@
 use std::{
     net::{Ipv4Addr, SocketAddr},
     path::Path,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use sablehaven_control::{Config, Handle, Listeners, start_on};
+use sablehaven_control::{Config, Environment, Handle, Listeners, start_in};
+use sablehaven_storage::RealDisk;
 use sablehaven_telemetry::Telemetry;
 use tokio::net::TcpListener;
 
@@ -59,7 +61,11 @@
         };
         self.telemetry = Telemetry::new("control");
         let telemetry = self.telemetry.clone();
-        let handle = start_on(self.config.clone(), telemetry, listeners).await;
+        let environment = Environment {
+            listeners,
+            disk: Arc::new(RealDisk),
+        };
+        let handle = start_in(self.config.clone(), telemetry, environment).await;
         self.handle = Some(handle.expect("start replica"));
     }
 
--- a/crates/sablehaven-control/src/driver/group.rs
+++ b/crates/sablehaven-control/src/driver/group.rs
@@ -53,6 +53,8 @@
     pub(crate) is_running: bool,
     /// Whether the storage asks for one, to free old segments.
     pub(crate) is_wanted: bool,
+    /// When one could last not be written.
+    pub(crate) failed_at: Option<Instant>,
 }
 
 impl Group {
--- a/crates/sablehaven-control/src/driver/snapshots.rs
+++ b/crates/sablehaven-control/src/driver/snapshots.rs
@@ -1,5 +1,7 @@
 //! When snapshots of the state machines are taken, and how they reach the disk.
 
+use std::time::{Duration, Instant};
+
 use sablehaven_consensus::SnapshotMetadata;
 use sablehaven_storage::{PreparedSnapshot, StorageError};
 
@@ -10,6 +12,10 @@
     storage_thread::StorageJob,
 };
 
+/// Pause after a snapshot that could not be written: a full disk does not become empty at once, and
+/// each try costs the encoding of the state.
+const RETRY_PAUSE: Duration = Duration::from_secs(10);
+
 impl Driver {
     /// Starts the snapshots that are due. The state is encoded here, and written by another thread
     /// so that the log goes on meanwhile.
@@ -28,7 +34,9 @@
         let is_due = entries >= self.config.snapshot_entries
             || schedule.bytes >= self.config.snapshot_bytes
             || schedule.is_wanted;
-        is_due && entries > 0 && !schedule.is_running
+        let failed_at = schedule.failed_at;
+        let has_just_failed = failed_at.is_some_and(|at| at.elapsed() < RETRY_PAUSE);
+        is_due && entries > 0 && !schedule.is_running && !has_just_failed
     }
 
     fn start_snapshot(&mut self, position: usize) -> Result<(), Failure> {
@@ -79,7 +87,7 @@
                 log::error!("write snapshot of group {group}: {error}");
                 let schedule = &mut self.groups[group as usize].snapshots;
                 schedule.is_running = false;
-                schedule.is_wanted = false;
+                schedule.failed_at = Some(Instant::now());
             }
         }
     }
--- a/crates/sablehaven-control/src/lib.rs
+++ b/crates/sablehaven-control/src/lib.rs
@@ -23,4 +23,4 @@
 
 pub use config::{Config, PlatformConfig};
 pub use error::StartError;
-pub use server::{Handle, Listeners, start, start_on};
+pub use server::{Environment, Handle, Listeners, start, start_in};
--- a/crates/sablehaven-control/src/peers/introduction.rs
+++ b/crates/sablehaven-control/src/peers/introduction.rs
@@ -3,8 +3,8 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
 use sablehaven_consensus::{Message, ReplicaId};
@@ -94,26 +94,50 @@
 /// Where replicas are reached, as they last said; cheap to clone.
 #[derive(Clone, Debug)]
 pub(crate) struct Directory {
-    known: Arc<Mutex<BTreeMap<ReplicaId, ReplicaAddresses>>>,
+    own: ReplicaId,
+    known: Arc<Mutex<BTreeMap<ReplicaId, Heard>>>,
+}
+
+/// What a replica said, and when.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    addresses: ReplicaAddresses,
+    at: Instant,
 }
 
 impl Directory {
     /// A directory that holds this replica alone.
     pub(crate) fn new(own: ReplicaId, addresses: ReplicaAddresses) -> Self {
-        let known = BTreeMap::from([(own, addresses)]);
-        Self {
-            known: Arc::new(Mutex::new(known)),
-        }
+        let directory = Self {
+            own,
+            known: Arc::default(),
+        };
+        directory.record(own, addresses);
+        directory
     }
 
-    fn record(&self, introduction: &Introduction) {
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.insert(introduction.replica, introduction.addresses);
+    fn record(&self, replica: ReplicaId, addresses: ReplicaAddresses) {
+        let at = Instant::now();
+        self.lock().insert(replica, Heard { addresses, at });
     }
 
     pub(crate) fn addresses(&self, replica: ReplicaId) -> Option<ReplicaAddresses> {
-        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        known.get(&replica).copied()
+        self.lock().get(&replica).map(|heard| heard.addresses)
+    }
+
+    /// The other replicas that introduced themselves within a time.
+    pub(crate) fn heard_within(&self, time: Duration) -> BTreeMap<ReplicaId, SocketAddr> {
+        let known = self.lock();
+        let recent = known
+            .iter()
+            .filter(|(replica, heard)| **replica != self.own && heard.at.elapsed() < time);
+        recent
+            .map(|(replica, heard)| (*replica, heard.addresses.internal))
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<ReplicaId, Heard>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -191,7 +215,7 @@
                 theirs.ledger_groups, self.config.ledger_groups
             ));
         }
-        self.directory.record(&theirs);
+        self.directory.record(theirs.replica, theirs.addresses);
         Ok(theirs)
     }
 }
--- a/crates/sablehaven-control/src/peers/links.rs
+++ b/crates/sablehaven-control/src/peers/links.rs
@@ -24,6 +24,9 @@
 /// Time between two looks at which connections are wanted.
 const REVIEW_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
 
+/// Time for which a replica that dialled this one is dialled back.
+const HEARD_LIMIT: std::time::Duration = std::time::Duration::from_secs(60);
+
 /// The outgoing connections.
 pub(crate) struct Links {
     routes: RwLock<BTreeMap<SocketAddr, Route>>,
@@ -92,22 +95,43 @@
         routes.remove(&address);
     }
 
-    /// The addresses to dial: the configured ones, and those of the shared state for replicas that
-    /// no configured address leads to.
+    /// The addresses to dial: the configured ones, and for replicas that no configured address leads
+    /// to, those of the shared state and of replicas that dialled this one. The last are needed by a
+    /// new replica: it cannot answer a leader that its settings do not name, and learns the shared
+    /// state only by answering.
     fn wanted(&self, context: &PeerContext, state: &SharedHandle) -> BTreeSet<SocketAddr> {
-        let configured = &context.config.peers;
+        let mut wanted: BTreeSet<SocketAddr> = context.config.peers.iter().copied().collect();
+        let mut reached = self.replicas_at(&wanted);
+        reached.insert(context.replica);
+        let recorded = read(state, |state| state.replicas().replicas().clone());
+        for (replica, addresses) in recorded {
+            if reached.insert(replica) {
+                wanted.insert(addresses.internal);
+            }
+        }
+        for (replica, address) in context.directory.heard_within(HEARD_LIMIT) {
+            if reached.insert(replica) {
+                wanted.insert(address);
+            }
+        }
+        wanted.extend(self.up_to_others(&reached));
+        wanted
+    }
+
+    /// The replicas that answered last at these addresses.
+    fn replicas_at(&self, addresses: &BTreeSet<SocketAddr>) -> BTreeSet<ReplicaId> {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        let known = addresses.iter().filter_map(|address| routes.get(address));
+        known.map(|route| route.replica).collect()
+    }
+
+    /// Connections that are up and lead to none of these replicas.
+    fn up_to_others(&self, reached: &BTreeSet<ReplicaId>) -> Vec<SocketAddr> {
         let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
-        let reached: BTreeSet<ReplicaId> = configured
+        let others = routes
             .iter()
-            .filter_map(|address| routes.get(address))
-            .map(|route| route.replica)
-            .collect();
-        let recorded = read(state, |state| state.replicas().replicas().clone());
-        let others = recorded
-            .into_iter()
-            .filter(|(replica, _)| *replica != context.replica && !reached.contains(replica))
-            .map(|(_, addresses)| addresses.internal);
-        configured.iter().copied().chain(others).collect()
+            .filter(|(_, route)| route.is_up && !reached.contains(&route.replica));
+        others.map(|(address, _)| *address).collect()
     }
 }
 
--- a/crates/sablehaven-control/src/server/mod.rs
+++ b/crates/sablehaven-control/src/server/mod.rs
@@ -8,4 +8,4 @@
 
 pub(crate) use context::Context;
 pub use handle::Handle;
-pub use start::{Listeners, start, start_on};
+pub use start::{Environment, Listeners, start, start_in};
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use sablehaven_storage::{Opened, RealDisk, Storage};
+use sablehaven_storage::{Disk, Opened, RealDisk, Storage};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::BoundAddresses;
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
@@ -35,6 +35,15 @@
     pub http: TcpListener,
 }
 
+/// What a replica stands on besides its settings.
+#[derive(Debug)]
+pub struct Environment {
+    /// Sockets that listen already.
+    pub listeners: Listeners,
+    /// Holds the data folder.
+    pub disk: Arc<dyn Disk>,
+}
+
 impl Listeners {
     /// Listens where the settings say.
     ///
@@ -60,27 +69,31 @@
 /// See [`StartError`].
 pub async fn start(config: Config, telemetry: Telemetry) -> Result<Handle, StartError> {
     check(&config)?;
-    let listeners = Listeners::bind(&config).await?;
-    start_on(config, telemetry, listeners).await
+    let environment = Environment {
+        listeners: Listeners::bind(&config).await?,
+        disk: Arc::new(RealDisk),
+    };
+    start_in(config, telemetry, environment).await
 }
 
-/// Starts a control replica on sockets that listen already.
+/// Starts a control replica on sockets that listen already and on a given disk.
 ///
 /// # Errors
 /// See [`StartError`].
-pub async fn start_on(
+pub async fn start_in(
     config: Config,
     telemetry: Telemetry,
-    listeners: Listeners,
+    environment: Environment,
 ) -> Result<Handle, StartError> {
     check(&config)?;
+    let Environment { listeners, disk } = environment;
     let (internal, http) = listeners.addresses(&config)?;
     let own = ReplicaAddresses {
         internal: config.internal_advertise.unwrap_or(internal),
         http: config.http_advertise.unwrap_or(http),
     };
     let config = Arc::new(config);
-    let opened = open_storage(Arc::clone(&config)).await?;
+    let opened = open_storage(Arc::clone(&config), disk).await?;
     let (context, driver, observations) = assemble(config, opened, own, &telemetry)?;
     let stop_driver = CancellationToken::new();
     let driver = tokio::spawn(driver.run(stop_driver.clone()));
@@ -131,11 +144,8 @@
 }
 
 /// Opening reads the whole log, so it runs apart from the tasks.
-async fn open_storage(config: Arc<Config>) -> Result<Opened, StartError> {
-    let open = move || {
-        let disk = Arc::new(RealDisk);
-        Storage::open(&config.data_folder, disk, config.storage())
-    };
+async fn open_storage(config: Arc<Config>, disk: Arc<dyn Disk>) -> Result<Opened, StartError> {
+    let open = move || Storage::open(&config.data_folder, disk, config.storage());
     match tokio::task::spawn_blocking(open).await {
         Ok(opened) => opened.map_err(|source| StartError::Storage { source }),
         Err(panicked) => std::panic::resume_unwind(panicked.into_panic()),
--- a/crates/sablehaven-control/tests/replacement.rs
+++ b/crates/sablehaven-control/tests/replacement.rs
@@ -101,6 +101,8 @@
     let leader = cluster.leader().await;
     let operator = cluster.operator();
     let fourth = cluster.add_machine().await;
+    // It knows nobody by its settings; the leader finds it.
+    cluster.machines[fourth].config.peers.clear();
     let fifth = cluster.add_machine().await;
     cluster.machines[fifth].start().await;
     let follower = cluster.follower().await;
--- a/crates/sablehaven-control/tests/support/mod.rs
+++ b/crates/sablehaven-control/tests/support/mod.rs
@@ -9,12 +9,13 @@
 use std::{
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    sync::OnceLock,
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
 use sablehaven_consensus::ReplicaId;
-use sablehaven_control::{Config, Handle, Listeners, StartError, start_on};
+use sablehaven_control::{Config, Environment, Handle, Listeners, StartError, start_in};
+use sablehaven_storage::{Disk, RealDisk};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{
     ApplyCommand, BackendId, Configuration, ConfigurationChange, IndexSnapshot, RoutingSettings,
@@ -59,6 +60,7 @@
 pub struct Machine {
     pub config: Config,
     pub handle: Option<Handle>,
+    pub disk: Arc<dyn Disk>,
     listeners: Option<Listeners>,
 }
 
@@ -100,6 +102,7 @@
         Self {
             config,
             handle: None,
+            disk: Arc::new(RealDisk),
             listeners: Some(listeners),
         }
     }
@@ -110,7 +113,11 @@
             None => Listeners::bind(&self.config).await?,
         };
         let telemetry = Telemetry::new("control");
-        let handle = start_on(self.config.clone(), telemetry, listeners).await?;
+        let environment = Environment {
+            listeners,
+            disk: Arc::clone(&self.disk),
+        };
+        let handle = start_in(self.config.clone(), telemetry, environment).await?;
         self.handle = Some(handle);
         Ok(())
     }
