--- a/crates/sablehaven-relay/examples/distribution_bench/processor_time.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/processor_time.rs
@@ -1,13 +1,26 @@
 //! Processor time of groups of threads, and memory of the process, from `/proc`.
 
-use std::{fs, time::Duration};
+use std::{collections::HashMap, fs, time::Duration};
 
-/// Processor time used so far by the threads whose name starts with `name`.
-pub fn of_threads(name: &str) -> Duration {
-    let Ok(threads) = fs::read_dir("/proc/self/task") else {
-        return Duration::ZERO;
-    };
-    let mut total = Duration::ZERO;
+/// Processor time that each thread of a group had used at one moment, by thread.
+pub struct Sample(HashMap<String, Duration>);
+
+impl Sample {
+    /// Processor time used since an earlier sample, by the threads that still run.
+    pub fn since(&self, earlier: &Sample) -> Duration {
+        let threads = self.0.iter();
+        let used = threads.map(|(thread, now)| {
+            let before = earlier.0.get(thread).copied().unwrap_or_default();
+            now.saturating_sub(before)
+        });
+        used.sum()
+    }
+}
+
+/// Samples the threads whose name starts with `name`.
+pub fn of_threads(name: &str) -> Sample {
+    let threads = fs::read_dir("/proc/self/task").into_iter().flatten();
+    let mut sample = HashMap::new();
     for thread in threads.flatten() {
         let folder = thread.path();
         let comm = fs::read_to_string(folder.join("comm")).unwrap_or_default();
@@ -19,9 +32,10 @@
             .split(' ')
             .next()
             .and_then(|text| text.parse().ok());
-        total += Duration::from_nanos(nanoseconds.unwrap_or(0));
+        let used = Duration::from_nanos(nanoseconds.unwrap_or(0));
+        sample.insert(folder.display().to_string(), used);
     }
-    total
+    Sample(sample)
 }
 
 /// Resident memory of the process, in MiB.
--- a/crates/sablehaven-relay/examples/distribution_bench/rest.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/rest.rs
@@ -20,7 +20,7 @@
 /// Counters at one moment.
 struct Sample {
     moment: Instant,
-    processor: [f64; 3],
+    processor: [processor_time::Sample; 3],
     agent_received: u64,
     agent_sent: u64,
     control_bytes: u64,
@@ -88,7 +88,7 @@
         .sum();
     Sample {
         moment: Instant::now(),
-        processor: GROUPS.map(|group| processor_time::of_threads(group).as_secs_f64()),
+        processor: GROUPS.map(processor_time::of_threads),
         agent_received: received,
         agent_sent: sent,
         control_bytes,
@@ -104,8 +104,10 @@
     let seconds = (after.moment - before.moment).as_secs_f64();
     let agents = count as f64;
     let rate = |before: u64, after: u64| (after - before) as f64 / seconds;
-    let percent =
-        |group: usize| 100.0 * (after.processor[group] - before.processor[group]) / seconds;
+    let percent = |group: usize| {
+        let used = after.processor[group].since(&before.processor[group]);
+        100.0 * used.as_secs_f64() / seconds
+    };
     let received = rate(before.agent_received, after.agent_received) / agents;
     let sent = rate(before.agent_sent, after.agent_sent) / agents;
     let control_link = rate(before.control_bytes, after.control_bytes);
--- a/crates/sablehaven-relay/examples/distribution_bench/returning.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/returning.rs
@@ -48,7 +48,7 @@
     fleet.settle();
     let took = started.elapsed();
     fleet.relays.extend(second);
-    print(fleet, 0, count, "start", took, 0, processor);
+    print(fleet, 0, count, "start", took, 0, &processor);
 }
 
 fn measure_death(fleet: &mut Fleet, count: usize) {
@@ -75,7 +75,7 @@
         *without |= !agent.lease().current;
     }
     let without = without_lease.iter().filter(|without| **without).count();
-    print(fleet, 0, count, "relay dies", took, without, processor);
+    print(fleet, 0, count, "relay dies", took, without, &processor);
 }
 
 fn print(
@@ -85,9 +85,9 @@
     event: &str,
     took: Duration,
     without: usize,
-    processor_before: Duration,
+    processor_before: &processor_time::Sample,
 ) {
-    let processor = processor_time::of_threads("relay").saturating_sub(processor_before);
+    let processor = processor_time::of_threads("relay").since(processor_before);
     let metrics = fleet.relays[relay].handle.metrics();
     println!(
         "| {count} | {event} | {:.0} | {without} | {:.0} | {} | {:.0} | {:.0} |",
