--- a/crates/sablehaven-routing/src/admission.rs
+++ b/crates/sablehaven-routing/src/admission.rs
@@ -1,7 +1,7 @@
 //! Whether a request may start, given that back ends shed what is beyond their capacity.
 //!
 //! Without sheds there is no limit. Sheds set one: the rate of needed sub-requests falls in
-//! proportion to the part that was shed, then grows by small steps until back ends shed again, and
+//! proportion to the part that was shed, then grows, slowly at first, until back ends shed again, and
 //! goes away when demand stays below it. A request beyond the limit is refused at once, before any
 //! work is done for it, so that the work which is done makes whole answers.
 
@@ -10,21 +10,27 @@
 /// Time over which sheds are counted before the limit changes.
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Part of the attempts that may be shed without a change of the limit; retries cover it.
-const TOLERATED_SHEDS: f64 = 0.01;
+const TOLERATED_SHEDS: f64 = 0.015;
 /// Fewest attempts in an interval from which a change is made; fewer are carried over.
 const MIN_ATTEMPTS: u32 = 50;
 /// Part of the shed excess by which the limit falls.
-const DECREASE_GAIN: f64 = 0.5;
+const DECREASE_GAIN: f64 = 1.0;
 /// Largest fall in one interval.
-const MAX_DECREASE: f64 = 0.2;
-/// Growth of the limit in an interval without an excess of sheds.
-const INCREASE: f64 = 0.005;
-/// The limit goes away once it is this many times the demand.
-const RELEASE: f64 = 2.0;
+const MAX_DECREASE: f64 = 0.5;
+/// Growth of the limit in the first interval without an excess of sheds; it rises by as much in
+/// each further one, so that the limit stays close to a capacity just found, and soon finds one that
+/// has changed.
+const INCREASE: f64 = 0.0004;
+/// Largest growth in one interval.
+const MAX_INCREASE: f64 = 0.03;
+/// The limit goes away once it is this many times the demand, and
+const RELEASE: f64 = 1.3;
+/// so many intervals have passed without an excess of sheds.
+const RELEASE_INTERVALS: u32 = 20;
 /// Work that may start at once although the rate is used up, in seconds of the limit.
-const BURST_SECONDS: f64 = 0.05;
+const BURST_SECONDS: f64 = 0.1;
 /// Time constant of the measured rates, in seconds.
-const RATE_CONSTANT: f64 = 0.5;
+const RATE_CONSTANT: f64 = 0.25;
 
 /// A rate measured with exponential weights.
 #[derive(Clone, Copy, Debug, Default)]
@@ -56,6 +62,7 @@
     tokens_at: Duration,
     attempts: u32,
     sheds: u32,
+    calm_intervals: u32,
 }
 
 impl AdmissionLimit {
@@ -124,16 +131,19 @@
             let fall = (DECREASE_GAIN * excess_sheds).min(MAX_DECREASE);
             let base = self.limit.unwrap_or_else(|| self.admitted.at(now));
             self.limit = Some(base * (1.0 - fall));
+            self.calm_intervals = 0;
             return;
         }
         let Some(limit) = self.limit else {
             return;
         };
-        let demand = self.demand.at(now);
-        if limit > RELEASE * demand {
+        self.calm_intervals = self.calm_intervals.saturating_add(1);
+        let is_calm = self.calm_intervals >= RELEASE_INTERVALS;
+        if is_calm && limit > RELEASE * self.demand.at(now) {
             self.limit = None;
             return;
         }
-        self.limit = Some(limit * (1.0 + INCREASE));
+        let increase = INCREASE * f64::from(self.calm_intervals);
+        self.limit = Some(limit * (1.0 + increase.min(MAX_INCREASE)));
     }
 }
--- a/crates/sablehaven-routing/src/balance.rs
+++ b/crates/sablehaven-routing/src/balance.rs
@@ -10,7 +10,7 @@
 use crate::interface::LoadReport;
 
 /// Age at which a load report counts for 1/e of a fresh one.
-const REPORT_TIME_CONSTANT: Duration = Duration::from_millis(20);
+const REPORT_TIME_CONSTANT: Duration = Duration::from_millis(5);
 /// Age at which a response time counts for 1/e of a fresh one.
 const RESPONSE_TIME_CONSTANT: Duration = Duration::from_secs(5);
 /// Weight of one new response time in the running average.
--- a/crates/sablehaven-routing/src/budget.rs
+++ b/crates/sablehaven-routing/src/budget.rs
@@ -9,15 +9,16 @@
 use crate::interface::ExtraKind;
 
 /// Tokens that may be saved up, in seconds of the current needed work.
-const SAVED_SECONDS: f64 = 0.25;
+const SAVED_SECONDS: f64 = 0.5;
 /// Fewest tokens that may be saved up.
-const MIN_SAVED: f64 = 2.0;
+const MIN_SAVED: f64 = 5.0;
 /// Extra attempts of one second's budget that one shed takes away: a service whose sheds reach
 /// [`RECOVERY_PER_SECOND`] of its budget divided by this keeps only the least.
 const SHED_COST: f64 = 1.0;
-/// Least that is left: enough to retry what single back ends shed.
-const MIN_FACTOR: f64 = 0.4;
-/// Below this factor no hedges are sent; what is left is for retries.
+/// Part of the budget that sheds leave: retries of what one back end shed, at another that has room,
+/// cost the back ends little and make whole answers out of partial ones.
+const RETRY_PART: f64 = 0.8;
+/// Below this factor no hedges are sent: a hedge is work that runs twice.
 const HEDGE_FACTOR: f64 = 0.5;
 /// Most attempts set aside for probes.
 const MAX_RESERVED: u32 = 2;
@@ -55,7 +56,8 @@
         self.share = share;
     }
 
-    /// The part of the budget that sheds have left, from 0.4 to 1.
+    /// 1 without sheds; sheds lower it to 0. Below 0.5 there are no hedges, and at 0 a fifth of the
+    /// budget is gone.
     pub fn factor(&self) -> f64 {
         self.factor
     }
@@ -65,7 +67,7 @@
         self.advance(now);
         let needed = f64::from(sub_requests);
         self.needed_per_second += needed / RATE_CONSTANT;
-        self.tokens = (self.tokens + needed * self.share * self.factor).min(self.cap());
+        self.tokens = (self.tokens + needed * self.effective_share()).min(self.cap());
     }
 
     /// Sets one attempt aside for the request that serves as a probe: its back end may well not
@@ -116,13 +118,17 @@
         self.advance(now);
         let full_second = self.needed_per_second * self.share;
         let bite = SHED_COST / full_second.max(SHED_COST);
-        self.factor = (self.factor - bite).max(MIN_FACTOR);
+        self.factor = (self.factor - bite).max(0.0);
         self.tokens = self.tokens.min(self.cap());
     }
 
     fn cap(&self) -> f64 {
-        let saved = self.needed_per_second * self.share * SAVED_SECONDS;
-        (saved * self.factor).max(MIN_SAVED)
+        let saved = self.needed_per_second * self.effective_share() * SAVED_SECONDS;
+        saved.max(MIN_SAVED)
+    }
+
+    fn effective_share(&self) -> f64 {
+        self.share * (RETRY_PART + (1.0 - RETRY_PART) * self.factor)
     }
 
     fn advance(&mut self, now: Duration) {
--- a/crates/sablehaven-routing/src/interface.rs
+++ b/crates/sablehaven-routing/src/interface.rs
@@ -129,7 +129,8 @@
 /// What the router's mechanisms are set to now, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RouterState {
-    /// The part of the extra load budget that sheds have left, from 0 to 1.
+    /// 1 without sheds, lowered by them to 0: below 0.5 no hedges are sent, at 0 a fifth of the
+    /// extra load budget is gone.
     pub budget_factor: f64,
     /// The limit on needed work in sub-requests per second, while there is one.
     pub admission_limit: Option<f64>,
--- a/crates/sablehaven-routing/src/knowledge.rs
+++ b/crates/sablehaven-routing/src/knowledge.rs
@@ -11,9 +11,9 @@
 use crate::latency::LatencyDistribution;
 use crate::plan::Plans;
 
-/// Pressure at every distance from which a shed tells that the whole service is pressed, not one
-/// back end.
-const SERVICE_PRESSED: f64 = 1.2;
+/// Pressure of the least pressed replica from which a shed tells that the whole service is pressed,
+/// not single back ends.
+const SERVICE_PRESSED: f64 = 1.0;
 
 /// What one agent knows of one service.
 #[derive(Debug)]
@@ -69,16 +69,13 @@
             .is_some_and(|quantile| latency >= quantile)
     }
 
-    /// Whether the replicas at every distance are pressed in a shard of this back end.
+    /// Whether every replica of a shard of this back end is pressed, so that the shed tells of the
+    /// service and not of single back ends.
     pub fn service_is_pressed(&self, now: Duration, position: usize) -> bool {
         let shards = &self.table.at(position).shards;
         let plan = shards.first().and_then(|&shard| self.plans.get(shard));
-        plan.is_none_or(|plan| {
-            plan.pressures(now, &self.table)
-                .into_iter()
-                .flatten()
-                .all(|pressure| pressure >= SERVICE_PRESSED)
-        })
+        plan.and_then(|plan| plan.least_pressure(now, &self.table))
+            .is_none_or(|pressure| pressure >= SERVICE_PRESSED)
     }
 
     /// Whether every shard of this back end keeps enough replicas without it.
@@ -132,17 +129,16 @@
         self.latencies.record(now, backend.distance, result.latency);
     }
 
-    /// The pressure averages over many replies, so a report counts whatever its age.
     fn record_pressure(&mut self, now: Duration, position: usize, result: &AttemptResult) {
         match result.outcome {
             AttemptOutcome::Replied => {
                 let estimate = self.table.at(position).load(now, &self.average);
-                let load = result
-                    .load
-                    .map_or(estimate, |report| f64::from(report.running_and_queued));
+                let (load, age) = result.load.map_or((estimate, Duration::ZERO), |report| {
+                    (f64::from(report.running_and_queued), report.age)
+                });
                 let slots = self.settings.slots_per_server;
                 let backend = self.table.at_mut(position);
-                backend.pressure.replied(now, load, slots);
+                backend.pressure.replied(now, load, slots, age);
             }
             AttemptOutcome::Shed | AttemptOutcome::DeadlineRefused => {
                 self.table.at_mut(position).pressure.shed(now);
--- a/crates/sablehaven-routing/src/lib.rs
+++ b/crates/sablehaven-routing/src/lib.rs
@@ -5,10 +5,10 @@
 //! [`ServiceRouter::finished`], and asks for decisions. The order of calls for one request is
 //! [`ServiceRouter::admit`]; for each shard [`ServiceRouter::choose`] and, where that gives nothing,
 //! [`ServiceRouter::no_choice_reason`]; [`ServiceRouter::sent`] when the attempt goes out, and
-//! [`ServiceRouter::hedge_after`] for its timer. A hedge or retry first asks
-//! [`ServiceRouter::take_extra`], then chooses with the tried back ends excluded. Every attempt that
-//! was sent is reported exactly once with [`ServiceRouter::finished`], cancelled ones too, or its
-//! back end looks busy for ever.
+//! [`ServiceRouter::hedge_after`] for its timer. A hedge or retry is chosen with the tried back ends
+//! excluded, and only then asks [`ServiceRouter::take_extra`], so that the budget pays only for
+//! attempts that go out. Every attempt that was sent is reported exactly once with
+//! [`ServiceRouter::finished`], cancelled ones too, or its back end looks busy for ever.
 
 pub mod admission;
 mod backend;
--- a/crates/sablehaven-routing/src/plan.rs
+++ b/crates/sablehaven-routing/src/plan.rs
@@ -55,6 +55,16 @@
         })
     }
 
+    /// The pressure of the least pressed member that takes work.
+    pub fn least_pressure(&self, now: Duration, table: &BackendTable) -> Option<f64> {
+        self.members
+            .iter()
+            .map(|&member| table.at(member))
+            .filter(|backend| backend.health.availability(now) <= Availability::Pressed)
+            .map(|backend| backend.pressure.at(now))
+            .min_by(f64::total_cmp)
+    }
+
     /// Selects the members anew from the replicas that do not drain or leave. Each ejected member
     /// gets a replacement beside it.
     fn select_members(&mut self, agent: &AgentId, table: &BackendTable, bounds: &ConnectionBounds) {
--- a/crates/sablehaven-routing/src/pressure.rs
+++ b/crates/sablehaven-routing/src/pressure.rs
@@ -4,6 +4,9 @@
 
 /// Weight of one new sample.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Age at which a load report counts for 1/e of a fresh one. Many samples average out what a report
+/// of this age gets wrong; much older ones make the spill swing.
+const REPORT_AGE_CONSTANT: Duration = Duration::from_millis(200);
 /// Time after which an average without new samples has lost all but 1/e of its value: a back end of
 /// which nothing is heard is taken to have room, so that work finds its way back to it.
 const AGE_CONSTANT: Duration = Duration::from_secs(3);
@@ -25,14 +28,16 @@
 }
 
 impl Pressure {
-    /// Takes in the load of a back end that replied, in requests, against its slots.
-    pub fn replied(&mut self, now: Duration, load: f64, slots: u32) {
-        self.sample(now, load / f64::from(slots.max(1)), 0.0);
+    /// Takes in the load of a back end that replied, in requests, against its slots; the load is
+    /// known from a report of this age.
+    pub fn replied(&mut self, now: Duration, load: f64, slots: u32, report_age: Duration) {
+        let weight = (-report_age.as_secs_f64() / REPORT_AGE_CONSTANT.as_secs_f64()).exp();
+        self.sample(now, load / f64::from(slots.max(1)), weight, 0.0);
     }
 
     /// Takes in that the back end shed an attempt.
     pub fn shed(&mut self, now: Duration) {
-        self.sample(now, SHED_PRESSURE, 1.0);
+        self.sample(now, SHED_PRESSURE, 1.0, 1.0);
     }
 
     /// The pressure now.
@@ -49,8 +54,8 @@
         (1.0 - rate).powi(2).max(MIN_SHED_WEIGHT)
     }
 
-    fn sample(&mut self, now: Duration, sample: f64, shed: f64) {
-        self.average += SAMPLE_WEIGHT * (sample - self.average);
+    fn sample(&mut self, now: Duration, sample: f64, weight: f64, shed: f64) {
+        self.average += SAMPLE_WEIGHT * weight * (sample - self.average);
         self.shed_rate += SAMPLE_WEIGHT * (shed - self.shed_rate);
         self.sampled_at = now;
     }
--- a/crates/sablehaven-routing/src/spill.rs
+++ b/crates/sablehaven-routing/src/spill.rs
@@ -1,8 +1,8 @@
 //! How much of a shard's work leaves the near replicas when they are pressed.
 //!
-//! A share moves outward in small steps while the near replicas are pressed and the farther ones are
-//! less so, and back in smaller steps once the near ones have room. Between the two thresholds it
-//! stays. Each agent and shard takes its steps at moments of its own, so that agents do not swing
+//! A share moves outward in small steps while the near replicas are pressed, and more so than the
+//! farther ones by an allowed difference, and back when the difference is smaller or the near ones
+//! have room. Between the two thresholds it moves back only. Each agent and shard takes its steps at moments of its own, so that agents do not swing
 //! together.
 
 use std::time::Duration;
@@ -11,12 +11,13 @@
 
 /// Time between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
-/// Part of the pressure difference that one outward step moves.
-const OUTWARD_GAIN: f64 = 0.1;
-/// Largest outward step.
-const MAX_OUTWARD_STEP: f64 = 0.08;
-/// Step back, as a share of the whole.
-const INWARD_STEP: f64 = 0.02;
+/// Part of the pressure difference beyond the allowed one that a step moves, outward or back.
+/// Equal both ways, or the noise of the pressures would drive the share to one end.
+const GAIN: f64 = 0.05;
+/// Largest step outward.
+const MAX_OUTWARD_STEP: f64 = 0.15;
+/// Largest step back, and the step while the near replicas have room.
+const MAX_INWARD_STEP: f64 = 0.05;
 /// Largest share that may leave a distance: the rest keeps showing whether it has room again.
 const MAX_OUTWARD: f64 = 0.95;
 
@@ -27,7 +28,7 @@
     high: f64,
     /// Pressure of the near replicas below which work moves back.
     low: f64,
-    /// Work moves outward only if the farther replicas are less pressed by this much.
+    /// The near replicas may be more pressed than the farther ones by this much.
     difference: f64,
 }
 
@@ -36,14 +37,14 @@
 /// so work goes there only once several wait for each slot.
 const BORDERS: [Border; DISTANCES.len() - 1] = [
     Border {
-        high: 0.7,
-        low: 0.5,
+        high: 1.0,
+        low: 0.7,
         difference: 0.05,
     },
     Border {
         high: 1.5,
         low: 1.0,
-        difference: 0.3,
+        difference: 0.15,
     },
 ];
 
@@ -110,16 +111,15 @@
         let (Some(near), Some(far)) = (near, far) else {
             return share;
         };
-        let difference = near - far;
-        if near > self.high && difference > self.difference {
-            let step = (OUTWARD_GAIN * difference).min(MAX_OUTWARD_STEP);
-            return (share + step).min(MAX_OUTWARD);
-        }
-        let room_near = near < self.low;
-        let far_is_worse = far > self.high && -difference > self.difference;
-        if room_near || far_is_worse {
-            return (share - INWARD_STEP).max(0.0);
-        }
-        share
+        let excess = near - far - self.difference;
+        let step = if near < self.low {
+            -MAX_INWARD_STEP
+        } else if near < self.high {
+            (GAIN * excess).min(0.0)
+        } else {
+            GAIN * excess
+        };
+        let step = step.clamp(-MAX_INWARD_STEP, MAX_OUTWARD_STEP);
+        (share + step).clamp(0.0, MAX_OUTWARD)
     }
 }
