--- a/crates/sablehaven-agent/src/transport/reply.rs
+++ b/crates/sablehaven-agent/src/transport/reply.rs
@@ -178,12 +178,12 @@
     let mut put = |name: &'static str, value: HeaderValue| {
         headers.insert(HeaderName::from_static(name), value);
     };
-    put(http::ATTEMPT, HeaderValue::from(identity.attempt.0));
+    put(http::ATTEMPT, never_indexed(identity.attempt.0));
     put(http::SHARD, HeaderValue::from(identity.shard.0));
     put(http::SNAPSHOT, snapshot_value(identity.snapshot));
     put(
         http::DEADLINE_MS,
-        HeaderValue::from(whole_milliseconds(remaining)),
+        never_indexed(whole_milliseconds(remaining)),
     );
     put(
         "content-type",
@@ -192,6 +192,14 @@
     headers
 }
 
+/// A value that HTTP/2's header compression does not keep: one that differs each time would push the
+/// values that repeat out of its table.
+fn never_indexed(number: u64) -> HeaderValue {
+    let mut value = HeaderValue::from(number);
+    value.set_sensitive(true);
+    value
+}
+
 /// Adds the headers that name a request in the ledger, so that a back end can keep its own record.
 pub fn put_ledger_key(headers: &mut HeaderMap, key: &LedgerKey) {
     // Both texts came in as header values, so they are valid ones.
--- a/crates/sablehaven-agent/tests/agent/leaving.rs
+++ b/crates/sablehaven-agent/tests/agent/leaving.rs
@@ -3,7 +3,7 @@
 use sablehaven_types::{BackendState, ObservationKind, Outcome, http};
 
 use crate::support::{
-    backend::Script,
+    backend::{Script, first_attempt},
     bed::{AgentDouble, Bed},
     eventually,
 };
@@ -24,14 +24,17 @@
     assert_eq!(bed.backends[index].seen().len(), before);
 }
 
+/// The first reply says that its back end drains, whichever that is.
 #[tokio::test]
 async fn a_back_end_that_says_it_drains_gets_nothing_new_at_once() {
     let bed = Bed::start(1, 3).await;
-    bed.backends[1].always(Script::ReplyDraining);
+    first_attempt(&bed.backends, Script::ReplyDraining);
     let agent = bed.agent().await;
-    ask_until_seen(&agent, &bed, 1).await;
-    assert_eq!(bed.backends[1].seen().len(), 1);
-    assert_gets_nothing_new(&agent, &bed, 1).await;
+    let answer = agent.caller.search("q").await;
+    assert_eq!(answer.items().len(), 1, "the reply itself is used");
+    let index = bed.backends.iter().position(|backend| backend.count() == 1);
+    let index = index.expect("one back end was asked");
+    assert_gets_nothing_new(&agent, &bed, index).await;
 }
 
 #[tokio::test]
--- a/crates/sablehaven-agent/tests/agent/once.rs
+++ b/crates/sablehaven-agent/tests/agent/once.rs
@@ -334,6 +334,31 @@
     assert_eq!(bed.attempts(), 1);
 }
 
+#[tokio::test]
+async fn an_outcome_is_recorded_once_the_ledger_can_be_reached_again() {
+    let bed = Bed::start(1, 1).await;
+    let gate = Arc::new(Semaphore::new(0));
+    bed.backends[0].always(Script::Gate(Arc::clone(&gate)));
+    let agent = bed.agent().await;
+    let once = Once::fresh();
+    let caller = agent.caller.clone();
+    let sent = once.clone();
+    let asking = tokio::spawn(async move { caller.reserve(&sent).await });
+    eventually("it runs", || bed.backends[0].running() == 1).await;
+    bed.relay.lock().ledger.unreachable = true;
+    gate.add_permits(1);
+    let was_tried = || bed.relay.lock().ledger.unanswered > 0;
+    eventually("recording is tried", was_tried).await;
+    bed.relay.lock().ledger.unreachable = false;
+    let answer = asking.await.expect("answered");
+    assert_eq!(answer.envelope.outcome, Outcome::Done);
+    let recorded = entry(&bed, &once);
+    assert!(matches!(
+        recorded,
+        Some(Entry::Settled(_, RecordedOutcome::Done { .. }))
+    ));
+}
+
 #[tokio::test]
 async fn the_same_id_with_another_body_is_refused() {
     let bed = Bed::start(1, 1).await;
--- a/crates/sablehaven-agent/tests/agent/queries.rs
+++ b/crates/sablehaven-agent/tests/agent/queries.rs
@@ -1,10 +1,7 @@
 //! Queries: fan-out, coverage with reasons, hedges, retries, cancellation, look-ups.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -12,7 +9,7 @@
 use tokio::sync::Semaphore;
 
 use crate::support::{
-    backend::Script,
+    backend::{Script, first_attempt},
     bed::{AgentDouble, Bed, FIRST},
     caller::Answer,
     eventually,
@@ -42,18 +39,6 @@
     }
 }
 
-/// Plays the script for the next attempt, at whichever replica it arrives, and replies to all others.
-fn first_attempt(bed: &Bed, script: Script) {
-    let played = Arc::new(AtomicBool::new(false));
-    for backend in &bed.backends {
-        let (played, script) = (Arc::clone(&played), script.clone());
-        backend.choose(move |_| match played.swap(true, Ordering::SeqCst) {
-            false => script.clone(),
-            true => Script::Reply,
-        });
-    }
-}
-
 #[tokio::test]
 async fn a_query_merges_every_shard_and_says_so() {
     let bed = Bed::start(3, 1).await;
@@ -172,7 +157,7 @@
     let bed = Bed::start(1, 2).await;
     let agent = bed.agent().await;
     learn(&agent).await;
-    first_attempt(&bed, Script::Status(500));
+    first_attempt(&bed.backends, Script::Status(500));
     let answer = agent.caller.search("oil").await;
     assert!(answer.envelope.coverage.expect("coverage").is_complete());
     assert_eq!(agent.metric("sablehaven_agent_retries_total"), 1);
@@ -204,7 +189,7 @@
     let bed = Bed::start(1, 2).await;
     let agent = bed.agent().await;
     learn(&agent).await;
-    first_attempt(&bed, Script::Never);
+    first_attempt(&bed.backends, Script::Never);
     let answer = agent.caller.search("oil").await;
     assert!(answer.envelope.coverage.expect("coverage").is_complete());
     assert_eq!(agent.metric("sablehaven_agent_hedges_total"), 1);
--- a/crates/sablehaven-agent/tests/agent/support/backend.rs
+++ b/crates/sablehaven-agent/tests/agent/support/backend.rs
@@ -177,6 +177,18 @@
     }
 }
 
+/// Plays the script for the next attempt, at whichever replica it arrives, and replies to all others.
+pub fn first_attempt(backends: &[BackendDouble], script: Script) {
+    let played = Arc::new(AtomicBool::new(false));
+    for backend in backends {
+        let (played, script) = (Arc::clone(&played), script.clone());
+        backend.choose(move |_| match played.swap(true, Ordering::SeqCst) {
+            false => script.clone(),
+            true => Script::Reply,
+        });
+    }
+}
+
 struct Attempts {
     state: Arc<State>,
 }
--- a/crates/sablehaven-agent/tests/agent/support/ledger.rs
+++ b/crates/sablehaven-agent/tests/agent/support/ledger.rs
@@ -31,6 +31,8 @@
     pub losses: Losses,
     /// Answers nothing and does nothing.
     pub unreachable: bool,
+    /// Requests that came while it was not reachable.
+    pub unanswered: u32,
     /// What every claim is answered with, in place of the ledger's own word.
     pub forced: Option<ClaimAnswer>,
     fingerprints: HashMap<LedgerKey, u64>,
@@ -40,6 +42,7 @@
     /// Serves a request; `None` means that the reply is lost.
     pub fn serve(&mut self, request: &LedgerRequest) -> Option<LedgerReply> {
         if self.unreachable {
+            self.unanswered += 1;
             return None;
         }
         self.requests.push(request.clone());
