--- a/crates/sablehaven-agent/src/query/attempt.rs
+++ b/crates/sablehaven-agent/src/query/attempt.rs
@@ -92,7 +92,8 @@
             shared.metrics.refused(refusal);
             return Err(AttemptFailure::from(refusal));
         }
-        AttemptEnd::NotConnected(_) | AttemptEnd::Failed(_) => return Err(AttemptFailure::Failed),
+        AttemptEnd::NotConnected(_) => return Err(AttemptFailure::NotConnected),
+        AttemptEnd::Failed(_) => return Err(AttemptFailure::Failed),
     }
     .map_err(|reason| {
         shared.metrics.discarded(reason);
