Agent: tests of admission and of hints

Cause: refusal by the router's admission and another agent's word of a drain had no test here. Change: a scripted policy that refuses; a relay that passes a hint on.

--- a/crates/sablehaven-agent/tests/agent/leaving.rs
+++ b/crates/sablehaven-agent/tests/agent/leaving.rs
@@ -1,11 +1,12 @@
 //! Back ends that leave get no new work, whichever signal comes first.
 
-use sablehaven_types::{BackendState, ObservationKind, Outcome, http};
+use sablehaven_types::{BackendState, Observation, ObservationKind, Outcome, http};
 
 use crate::support::{
     backend::{Script, first_attempt},
     bed::{AgentDouble, Bed},
     eventually,
+    schema::service,
 };
 
 /// Searches until every replica has been asked, so that each has been chosen once.
@@ -76,6 +77,22 @@
     assert_eq!(agent.handle.backend_connections(), 2);
 }
 
+#[tokio::test]
+async fn another_agents_word_counts_before_control_has_committed_it() {
+    let bed = Bed::start(1, 3).await;
+    let agent = bed.agent().await;
+    ask_until_seen(&agent, &bed, 0).await;
+    bed.relay.hint(Observation {
+        backend: bed.id(0),
+        service: service(),
+        incarnation: 1,
+        kind: ObservationKind::Draining,
+    });
+    let dropped = || agent.handle.backend_connections() == 2;
+    eventually("the back end is left out", dropped).await;
+    assert_gets_nothing_new(&agent, &bed, 0).await;
+}
+
 #[tokio::test]
 async fn what_a_leaving_back_end_has_is_finished() {
     let bed = Bed::start(1, 1).await;
--- a/crates/sablehaven-agent/tests/agent/main.rs
+++ b/crates/sablehaven-agent/tests/agent/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the agent over loopback: real agent, real subscription, scripted back ends and a
 //! scripted relay with its ledger.
 
+mod admission;
 mod coverage_rules;
 mod http_interface;
 mod leaving;
--- a/crates/sablehaven-agent/tests/agent/sub_request_rules.rs
+++ b/crates/sablehaven-agent/tests/agent/sub_request_rules.rs
@@ -10,90 +10,16 @@
     query::{AttemptFailure, Step, SubRequest},
     routing::{PinnedRouter, RoutingPolicy},
 };
-use sablehaven_routing::{
-    Admission, AttemptResult, Chosen, ExtraKind, RouterCounters, ServiceUpdate,
-};
+use sablehaven_routing::ExtraKind;
 use sablehaven_types::{
-    BackendId, IndexSnapshot, MissingReason, Observation, ShardAssignment, ShardId, SnapshotId,
+    BackendId, IndexSnapshot, MissingReason, ShardAssignment, ShardId, SnapshotId,
 };
 
+use crate::support::policy::{HEDGE_AFTER, Scripted};
+
 const NOW: Duration = Duration::from_secs(1);
-const HEDGE_AFTER: Duration = Duration::from_millis(7);
 const SHARD: ShardId = ShardId(3);
 
-/// Replicas in order, and a number of extra attempts that the budget allows.
-struct Scripted {
-    replicas: Vec<BackendId>,
-    budget: u32,
-    taken: Vec<ExtraKind>,
-}
-
-impl Scripted {
-    fn new(replicas: usize, budget: u32) -> Self {
-        Self {
-            replicas: (0..replicas)
-                .map(|index| BackendId(format!("b{index}")))
-                .collect(),
-            budget,
-            taken: Vec::new(),
-        }
-    }
-}
-
-impl RoutingPolicy for Scripted {
-    fn update(&mut self, _: Duration, _: ServiceUpdate<'_>) {}
-
-    fn admit(&mut self, _: Duration, _: u32) -> Admission {
-        Admission::Admitted
-    }
-
-    fn choose(&mut self, _: Duration, _: ShardId, exclude: &[BackendId]) -> Option<Chosen> {
-        let backend = self.replicas.iter().find(|id| !exclude.contains(id))?;
-        Some(Chosen {
-            backend: backend.clone(),
-            address: "127.0.0.1:1".parse().expect("an address"),
-            incarnation: 1,
-        })
-    }
-
-    fn no_choice_reason(&self, _: Duration, _: ShardId, _: &[BackendId]) -> MissingReason {
-        MissingReason::NoReplica
-    }
-
-    fn hedge_after(&self, _: Duration, _: ShardId, _: &BackendId) -> Option<Duration> {
-        Some(HEDGE_AFTER)
-    }
-
-    fn take_extra(&mut self, _: Duration, kind: ExtraKind) -> bool {
-        if self.budget == 0 {
-            return false;
-        }
-        self.budget -= 1;
-        self.taken.push(kind);
-        true
-    }
-
-    fn sent(&mut self, _: Duration, _: &BackendId) {}
-
-    fn finished(&mut self, _: Duration, _: &BackendId, _: AttemptResult) {}
-
-    fn retry_after(&self, _: Duration) -> Duration {
-        Duration::ZERO
-    }
-
-    fn take_observations(&mut self) -> Vec<Observation> {
-        Vec::new()
-    }
-
-    fn connections(&self) -> Vec<BackendId> {
-        Vec::new()
-    }
-
-    fn counters(&self) -> RouterCounters {
-        RouterCounters::default()
-    }
-}
-
 fn pinned(replicas: &[&str]) -> IndexSnapshot {
     IndexSnapshot {
         id: SnapshotId {
--- a/crates/sablehaven-agent/tests/agent/support/bed.rs
+++ b/crates/sablehaven-agent/tests/agent/support/bed.rs
@@ -1,6 +1,10 @@
 //! A test bed: back ends, a relay and agents.
 
-use sablehaven_agent::{Config, Handle, start};
+use sablehaven_agent::{
+    Config, Handle,
+    routing::{PolicyFactory, service_routers},
+    start_with_policies,
+};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{
     BackendId, BackendRecord, BackendState, IndexSnapshot, Placement, RegionName, RoutingSettings,
@@ -78,10 +82,15 @@
         self.agent_with(self.config()).await
     }
 
-    /// Starts an agent and waits until it is ready and holds a lease.
     pub async fn agent_with(&self, config: Config) -> AgentDouble {
+        self.agent_routed(config, service_routers()).await
+    }
+
+    /// Starts an agent with these routing decisions, and waits until it is ready and holds a lease.
+    pub async fn agent_routed(&self, config: Config, policies: PolicyFactory) -> AgentDouble {
         let telemetry = Telemetry::new("agent");
-        let handle = start(config, telemetry.clone()).await.expect("starts");
+        let handle = start_with_policies(config, telemetry.clone(), policies).await;
+        let handle = handle.expect("starts");
         let address = handle.addresses().http.expect("listens");
         let agent = AgentDouble {
             handle,
--- a/crates/sablehaven-agent/tests/agent/support/mod.rs
+++ b/crates/sablehaven-agent/tests/agent/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod bed;
 pub mod caller;
 pub mod ledger;
+pub mod policy;
 pub mod relay;
 pub mod schema;
 
--- a/crates/sablehaven-agent/tests/agent/support/relay.rs
+++ b/crates/sablehaven-agent/tests/agent/support/relay.rs
@@ -15,7 +15,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{broadcast, watch},
 };
 
 use super::{ledger::LedgerDouble, schema};
@@ -46,6 +46,7 @@
     pub address: SocketAddr,
     state: Arc<Mutex<RelayState>>,
     changed: watch::Sender<u64>,
+    hints: broadcast::Sender<Observation>,
 }
 
 impl RelayDouble {
@@ -61,6 +62,7 @@
             address: listener.local_addr().expect("bound"),
             state: Arc::new(Mutex::new(state)),
             changed: watch::Sender::new(0),
+            hints: broadcast::Sender::new(16),
         };
         tokio::spawn(relay.clone().accept_all(listener));
         relay
@@ -82,6 +84,11 @@
         revision
     }
 
+    /// Passes another agent's word on, before control has committed it.
+    pub fn hint(&self, observation: Observation) {
+        self.hints.send(observation).expect("an agent listens");
+    }
+
     async fn accept_all(self, listener: TcpListener) {
         while let Ok((stream, peer)) = listener.accept().await {
             tokio::spawn(self.clone().serve(stream, peer));
@@ -101,12 +108,17 @@
         let connection: Connection<AgentToRelay, RelayToAgent> = connection.retype();
         let (mut reader, mut writer) = (connection.reader, connection.writer);
         let mut changed = self.changed.subscribe();
+        let mut hints = self.hints.subscribe();
         loop {
             let answer = tokio::select! {
                 message = reader.receive() => match message {
                     Ok(message) => self.answer(message),
                     Err(_) => return,
                 },
+                hint = hints.recv() => match hint {
+                    Ok(observation) => Some(RelayToAgent::Hint(vec![observation])),
+                    Err(_) => return,
+                },
                 result = changed.changed() => match result {
                     Ok(()) => Some(RelayToAgent::Update(self.update())),
                     Err(_) => return,
