Agent: routers' gauges; a wait for the plan that does not depend on the machine's speed

Cause: the routers' budget, limit and counts were not on the metrics page. One run of the acknowledgement test failed on the busy machine: the wait for a plan ended after 1 s, which a debug build's schema parse can take there, and an older plan served. Change: gauges by service; the wait is 10 s and ends at once when no further plan will come; a lost plan builder ends the role (Handle::failed) in place of staying at an old configuration.

--- a/crates/sablehaven-agent/examples/agent_bench/baseline.rs
+++ b/crates/sablehaven-agent/examples/agent_bench/baseline.rs
@@ -4,7 +4,7 @@
 
 use sablehaven_agent::routing::{PolicyFactory, RoutingPolicy};
 use sablehaven_routing::{
-    Admission, AttemptResult, Chosen, ExtraKind, RouterCounters, ServiceUpdate,
+    Admission, AttemptResult, Chosen, ExtraKind, RouterCounters, RouterState, ServiceUpdate,
 };
 use sablehaven_types::{BackendId, MissingReason, Observation, ShardId};
 
@@ -100,4 +100,8 @@
     fn counters(&self) -> RouterCounters {
         RouterCounters::default()
     }
+
+    fn state(&self) -> RouterState {
+        RouterState::default()
+    }
 }
--- a/crates/sablehaven-agent/src/agent.rs
+++ b/crates/sablehaven-agent/src/agent.rs
@@ -18,8 +18,8 @@
     reason::Reason,
 };
 
-/// Longest wait of a request for a plan that is being built.
-const PLAN_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait of a request for a plan that is being built; far more than a build takes.
+const PLAN_WAIT: Duration = Duration::from_secs(10);
 
 /// The shared part of one agent.
 pub struct Agent {
@@ -79,6 +79,11 @@
         self.plan_revision.send_replace(revision);
     }
 
+    /// No further plan will be built: requests wait for none.
+    pub fn end_plans(&self) {
+        self.plan_revision.send_replace(u64::MAX);
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/crates/sablehaven-agent/src/metrics.rs
+++ b/crates/sablehaven-agent/src/metrics.rs
@@ -1,5 +1,7 @@
 //! The agent's metrics.
 
+mod routing;
+
 use std::time::Duration;
 
 use prometheus_client::{
@@ -15,6 +17,8 @@
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{Coverage, MissingReason, Outcome};
 
+pub use routing::RoutingMetrics;
+
 use crate::transport::{DiscardReason, Refusal};
 
 /// Upper bound of the latency histogram's first bucket, in seconds.
@@ -86,6 +90,8 @@
     pub configuration_version: Gauge,
     /// 1 while the agent holds a lease.
     pub lease_current: Gauge,
+    /// What the routers do, by service.
+    pub routing: RoutingMetrics,
     /// Configurations that could not be put in force, because their schema does not parse.
     pub unusable_configurations: Counter,
 }
@@ -108,8 +114,10 @@
             configuration_version: Gauge::default(),
             lease_current: Gauge::default(),
             unusable_configurations: Counter::default(),
+            routing: RoutingMetrics::default(),
         };
         telemetry.register(|registry| metrics.register(registry));
+        telemetry.register(|registry| metrics.routing.register(registry));
         metrics
     }
 
--- a/crates/sablehaven-agent/src/role.rs
+++ b/crates/sablehaven-agent/src/role.rs
@@ -43,7 +43,7 @@
     address: SocketAddr,
     server: ServerHandle,
     serving: Option<JoinHandle<std::io::Result<()>>>,
-    following: JoinHandle<()>,
+    following: JoinHandle<String>,
 }
 
 /// Starts an agent. It is ready once its first configuration has come.
@@ -137,10 +137,16 @@
         let Some(serving) = self.serving.as_mut() else {
             return std::future::pending().await;
         };
-        let result = serving.await;
-        // A task that has ended must not be awaited again.
-        self.serving = None;
-        format!("serve callers on {}: ended with {result:?}", self.address)
+        tokio::select! {
+            result = serving => {
+                // A task that has ended must not be awaited again.
+                self.serving = None;
+                format!("serve callers on {}: ended with {result:?}", self.address)
+            }
+            result = &mut self.following => {
+                result.unwrap_or_else(|error| format!("follow the shared state: {error}"))
+            }
+        }
     }
 }
 
--- a/crates/sablehaven-agent/src/routing.rs
+++ b/crates/sablehaven-agent/src/routing.rs
@@ -6,14 +6,14 @@
 use std::{sync::Arc, time::Duration};
 
 use sablehaven_routing::{
-    Admission, AgentSite, AttemptResult, Chosen, ExtraKind, RouterCounters, ServiceRouter,
-    ServiceUpdate,
+    Admission, AgentSite, AttemptResult, Chosen, ExtraKind, RouterCounters, RouterState,
+    ServiceRouter, ServiceUpdate,
 };
 use sablehaven_types::{
     BackendId, MissingReason, Observation, RoutingSettings, ServiceName, ShardId,
 };
 
-pub use shared::{Observer, PinnedRouter, RouterState, SharedRouter};
+pub use shared::{Observer, PinnedRouter, PolicyState, SharedRouter};
 pub use ticket::AttemptTicket;
 
 /// The decisions that requests of one service ask for. [`ServiceRouter`] makes them in production;
@@ -48,6 +48,8 @@
     fn connections(&self) -> Vec<BackendId>;
     /// See [`ServiceRouter::counters`].
     fn counters(&self) -> RouterCounters;
+    /// See [`ServiceRouter::state`].
+    fn state(&self) -> RouterState;
 }
 
 impl RoutingPolicy for ServiceRouter {
@@ -103,6 +105,10 @@
     fn counters(&self) -> RouterCounters {
         Self::counters(self)
     }
+
+    fn state(&self) -> RouterState {
+        Self::state(self)
+    }
 }
 
 /// Makes the policy of one service.
--- a/crates/sablehaven-agent/src/routing/shared.rs
+++ b/crates/sablehaven-agent/src/routing/shared.rs
@@ -18,14 +18,14 @@
 pub struct SharedRouter {
     started: Instant,
     observer: Observer,
-    state: Mutex<RouterState>,
+    state: Mutex<PolicyState>,
 }
 
 /// What the lock protects.
 ///
 /// Policy and snapshot change together under one lock: a request that pinned the snapshot and then
 /// asks the policy sees either both of before or both of after an update, and can tell which.
-pub struct RouterState {
+pub struct PolicyState {
     /// The decisions.
     pub policy: Box<dyn RoutingPolicy>,
     /// The snapshot that the policy was last updated with, which new requests pin.
@@ -39,7 +39,7 @@
             id: SnapshotId::default(),
             shards: Vec::new(),
         };
-        let state = RouterState {
+        let state = PolicyState {
             policy,
             snapshot: Arc::new(snapshot),
         };
@@ -56,7 +56,7 @@
     }
 
     /// The policy, locked.
-    pub fn lock(&self) -> MutexGuard<'_, RouterState> {
+    pub fn lock(&self) -> MutexGuard<'_, PolicyState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -99,7 +99,7 @@
     }
 }
 
-impl RouterState {
+impl PolicyState {
     /// The decisions for a request that pinned a snapshot.
     pub fn pinned<'a>(&'a mut self, pinned: &'a IndexSnapshot) -> PinnedRouter<'a> {
         PinnedRouter {
--- a/crates/sablehaven-agent/src/updates.rs
+++ b/crates/sablehaven-agent/src/updates.rs
@@ -10,32 +10,42 @@
     transport::BackendClient,
 };
 
-/// Interval at which the lease's gauge is refreshed.
+/// Interval at which the gauges are refreshed.
 const GAUGE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Follows the subscription until it ends.
-pub async fn follow(agent: Arc<Agent>, mut builder: PlanBuilder, telemetry: Telemetry) {
+/// Follows the subscription until it ends; says why it ended.
+pub async fn follow(agent: Arc<Agent>, builder: PlanBuilder, telemetry: Telemetry) -> String {
+    let ended = follow_changes(&agent, builder, &telemetry).await;
+    agent.end_plans();
+    ended
+}
+
+async fn follow_changes(
+    agent: &Arc<Agent>,
+    mut builder: PlanBuilder,
+    telemetry: &Telemetry,
+) -> String {
     let mut changed = agent.subscription.changed();
     loop {
         // Marked as seen before the view is read: a change in between is then seen as a new one.
         changed.borrow_and_update();
-        let Some(returned) = rebuild(&agent, builder, &telemetry).await else {
-            return;
+        builder = match rebuild(agent, builder, telemetry).await {
+            Ok(builder) => builder,
+            Err(cause) => return cause,
         };
-        builder = returned;
-        if wait_for_change(&agent, &mut changed).await.is_err() {
-            return;
+        if wait_for_change(agent, &mut changed).await.is_err() {
+            return "follow the shared state: the subscription ended".to_owned();
         }
     }
 }
 
-/// Builds the current view's plan and puts it in force. `None` means that the builder was lost to a
-/// panic; the agent goes on with the plan it has.
+/// Builds the current view's plan and puts it in force. An error means that the builder was lost to
+/// a panic, so that the agent cannot take any later configuration.
 async fn rebuild(
     agent: &Arc<Agent>,
     mut builder: PlanBuilder,
     telemetry: &Telemetry,
-) -> Option<PlanBuilder> {
+) -> Result<PlanBuilder, String> {
     let view = agent.subscription.view();
     let version = view.configuration_version;
     let build = tokio::task::spawn_blocking(move || {
@@ -45,12 +55,13 @@
     let (builder, built) = match build.await {
         Ok(result) => result,
         Err(error) => {
-            log::error!("build the plan of configuration {version}: {error}");
-            return None;
+            return Err(format!(
+                "build the plan of configuration {version}: {error}"
+            ));
         }
     };
     put_in_force(agent, built, version, telemetry);
-    Some(builder)
+    Ok(builder)
 }
 
 fn put_in_force(agent: &Agent, built: BuiltPlan, version: u64, telemetry: &Telemetry) {
@@ -85,9 +96,19 @@
         tokio::select! {
             result = changed.changed() => return result,
             () = tokio::time::sleep(GAUGE_INTERVAL) => {
-                let current = agent.subscription.lease().current;
-                agent.metrics.lease_current.set(i64::from(current));
+                refresh_gauges(agent);
             }
         }
     }
 }
+
+fn refresh_gauges(agent: &Agent) {
+    let current = agent.subscription.lease().current;
+    agent.metrics.lease_current.set(i64::from(current));
+    for (name, service) in &agent.plan().services {
+        let router = service.router.lock();
+        let (counters, state) = (router.policy.counters(), router.policy.state());
+        drop(router);
+        agent.metrics.routing.show(name, counters, state);
+    }
+}
--- a/crates/sablehaven-agent/tests/agent/queries.rs
+++ b/crates/sablehaven-agent/tests/agent/queries.rs
@@ -273,3 +273,19 @@
         .expect("answered");
     assert_eq!(missing(&answer), only_missing(1, MissingReason::Shed));
 }
+
+#[tokio::test]
+async fn the_metrics_page_shows_requests_and_routing() {
+    let bed = Bed::start(3, 1).await;
+    let agent = bed.agent().await;
+    agent.caller.search("oil").await;
+    agent.caller.get("depot").await;
+    let requests =
+        |kind| format!("sablehaven_agent_requests_total{{kind=\"{kind}\",outcome=\"done\"}}");
+    assert_eq!(agent.metric(&requests("query")), 1);
+    assert_eq!(agent.metric(&requests("lookup")), 1);
+    assert_eq!(agent.metric("sablehaven_agent_sub_requests_total"), 4);
+    let needed = "sablehaven_routing_needed{service=\"test.Stock\"} 4.0";
+    let text = || agent.telemetry.encode_metrics();
+    eventually("the router's counts are shown", || text().contains(needed)).await;
+}
