--- a/crates/sablehaven-control/src/operator/changes.rs
+++ b/crates/sablehaven-control/src/operator/changes.rs
@@ -28,18 +28,18 @@
     command: ApplyCommand,
 ) -> Result<ApplyOutcome, CallError> {
     context.require_proof().await?;
-    let (first, next) = read(&context.state, |state| {
+    let (first, current, next) = read(&context.state, |state| {
         let configuration = state.configuration();
         let first = configuration.remembered(&command);
         let is_current = command.expected_version == configuration.current().version;
         let next = is_current.then(|| configuration.preview(&command.change));
-        (first, next)
+        (first, configuration.current().clone(), next)
     });
     if let Some(first) = first {
         return Ok(first);
     }
     // Outside the lock: parsing a schema takes milliseconds.
-    let reasons = validity::reasons_against(&command, next);
+    let reasons = validity::reasons_against(&command, &current, next);
     if !reasons.is_empty() {
         return Ok(ApplyOutcome::Invalid { reasons });
     }
--- a/crates/sablehaven-control/src/operator/validity.rs
+++ b/crates/sablehaven-control/src/operator/validity.rs
@@ -1,6 +1,6 @@
 //! Whether a change of the configuration is valid, checked before it is proposed.
 
-use sablehaven_schema::check_document;
+use sablehaven_schema::check_replacement;
 use sablehaven_types::{ApplyCommand, Configuration};
 
 /// Longest identifier of a command or an operator, in bytes.
@@ -9,14 +9,15 @@
 const MAXIMUM_REASON_BYTES: usize = 4_096;
 
 /// Every reason why a command must not be proposed, where `next` is what its change makes of the
-/// configuration; `None` where the command is against another version and is a conflict anyway.
+/// `current` configuration; `None` where the command is against another version and is a conflict anyway.
 pub(super) fn reasons_against(
     command: &ApplyCommand,
+    current: &Configuration,
     next: Option<Result<Configuration, Vec<String>>>,
 ) -> Vec<String> {
     let mut reasons = check_command(command);
     match next {
-        Some(Ok(next)) => reasons.extend(check_document(&next)),
+        Some(Ok(next)) => reasons.extend(check_replacement(current, &next)),
         Some(Err(found)) => reasons.extend(found),
         None => {}
     }
--- a/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
@@ -2,12 +2,18 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use reqwest::{Client, StatusCode};
-use sablehaven_control::{Listeners, operator::OperatorError, operator::paths, start_on};
+use sablehaven_control::{
+    Environment, Listeners, operator::OperatorError, operator::paths, start_in,
+};
+use sablehaven_storage::RealDisk;
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{
     ApplyCommand, ApplyOutcome, Configuration, ConfigurationChange, SchemaSource,
@@ -120,7 +126,11 @@
                 election_seed: number as u64,
                 ..Default::default()
             };
-            let started = start_on(config, Telemetry::new("control"), replica);
+            let environment = Environment {
+                listeners: replica,
+                disk: Arc::new(RealDisk),
+            };
+            let started = start_in(config, Telemetry::new("control"), environment);
             handles.push(started.await.expect("start control"));
         }
         let real = Self {
--- a/testing/sablehaven-integration/tests/operators.rs
+++ b/testing/sablehaven-integration/tests/operators.rs
@@ -56,3 +56,21 @@
         "{reasons:?}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_schema_that_breaks_a_method_in_use_is_refused() {
+    let deployment = start(small_plan()).await;
+    let mut configuration = deployment.plan().configuration();
+    let kept = configuration.schema.text.clone();
+    configuration.schema.text = kept.replace("uint32 limit = 4;", "string limit = 4;");
+    assert_ne!(configuration.schema.text, kept);
+    let change = ConfigurationChange::ReplaceAll { configuration };
+    let outcome = deployment.apply("breaking", 1, change).await;
+    let ApplyOutcome::Invalid { reasons } = outcome.expect("an outcome") else {
+        panic!("a breaking change was not refused");
+    };
+    assert!(
+        reasons.iter().any(|reason| reason.contains("limit")),
+        "{reasons:?}"
+    );
+}
