--- a/testing/sablehaven-simulator/src/world.rs
+++ b/testing/sablehaven-simulator/src/world.rs
@@ -59,6 +59,10 @@
     },
     /// Faults happen.
     Faults,
+    /// A leader that was just elected is hit by a fault.
+    Strike(NodeId),
+    /// A leader that was cut off with few others dies.
+    Stop(NodeId),
     /// A fault ends.
     Repair(Repair),
     /// All faults end.
@@ -191,6 +195,9 @@
             } => self.synced(machine, generation, batch),
             Event::Faults if self.is_calm => {}
             Event::Faults => self.inject_faults(),
+            Event::Strike(_) | Event::Stop(_) if self.is_calm => {}
+            Event::Stop(leader) => self.stop_struck(leader),
+            Event::Strike(leader) => self.strike(leader),
             Event::Repair(repair) => self.repair(repair),
             Event::Calm => self.calm(),
             Event::End => {}
@@ -226,7 +233,13 @@
     /// Hands an input to a process and does what it asks for.
     pub(crate) fn input(&mut self, node: NodeId, input: Input) {
         let mut effects = Effects::default();
+        let terms = self.checks.counts.terms;
         self.handle_input(node, input, &mut effects);
+        if let NodeId::Control(machine) = node
+            && self.checks.counts.terms > terms
+        {
+            self.strike_new_leader(machine);
+        }
         for (to, packet) in effects.packets {
             self.send(node, to, packet);
         }
