--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -58,7 +58,41 @@
     pub agents_per_service: BTreeMap<ServiceName, u32>,
 }
 
+/// Whether a receiver may apply an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpdateFit {
+    /// It leads forward from the receiver's state.
+    Applies,
+    /// Its revision is not larger than the receiver's; to be ignored.
+    Old,
+    /// It starts from another revision than the receiver's; to be asked for again.
+    Gap,
+    /// Its revision is larger, but its configuration version is smaller: the sender is faulty.
+    Reverted,
+}
+
+impl StateUpdate {
+    /// Whether a receiver at the given revision and configuration version may apply this update.
+    pub fn fit(&self, revision: u64, configuration_version: u64) -> UpdateFit {
+        if self.revision <= revision {
+            return UpdateFit::Old;
+        }
+        if self.configuration_version < configuration_version {
+            return UpdateFit::Reverted;
+        }
+        if !self.full && self.from_revision != revision {
+            return UpdateFit::Gap;
+        }
+        UpdateFit::Applies
+    }
+}
+
 /// An agent as its relay reports it to control.
+///
+/// The word of one relay says nothing about another's: an agent that moves is reported by both for
+/// a while, and the larger version is right, since an agent only moves forward. A relay reports
+/// again when an agent's lease runs out; until then a reported holder stays one, as long as the
+/// relay's own connection lives.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentStatus {
     /// The version of the configuration that it has put in force.
@@ -200,6 +234,6 @@
 pub struct PeerMessage {
     /// The consensus group.
     pub group: u32,
-    /// The encoded message.
-    pub payload: Vec<u8>,
+    /// The encoded message, as one byte string on the wire.
+    pub payload: bytes::Bytes,
 }
