Fleet: capacity in parts, for every line of the target

Cause: the capacity page needs slopes of relays, change rates, membership, events, ledger calls, storms, healing, latencies and subsets besides those over agents and back ends; one run of everything would be long on a busy machine. Ruled out: hollow agents in child processes; up to 9,600 subscriptions run in the tool's own, whose processor time is measured as a slope over their number. Figures: not measured yet; only the pure parts' tests have run.

--- a/testing/sablehaven-fleet/src/capacity/backends.rs
+++ b/testing/sablehaven-fleet/src/capacity/backends.rs
@@ -2,53 +2,65 @@
 
 use std::time::{Duration, Instant};
 
-use sablehaven_harness::{Deployment, Program, until};
+use sablehaven_harness::until;
 
 use super::{
-    hollow::HollowAgents,
-    report::{Slope, SlopeBuilder},
-    sample::{Sample, megabytes},
-    sizes,
+    Part, Run, SlopeSet,
+    agents::{add_changes, change},
+    bed::Bed,
+    figure, sizes,
+    usage::{at_rest, during},
 };
-use crate::{experiment::capacity_plan, progress::Progress, world::FleetError};
+use crate::{experiment::capacity_plan, world::FleetError};
 
-/// Time after the state is complete before memory is read.
+/// Time after the state is complete before anything is read.
 const SETTLE: Duration = Duration::from_secs(2);
 
-pub(super) async fn measure(
-    most: u32,
-    program: &Program,
-    progress: &Progress,
-) -> Result<Vec<Slope>, FleetError> {
-    let over = |what: &str, unit: &str| SlopeBuilder::new(what, unit, "back ends");
-    let mut control_memory = over("control replica, memory", "MB");
-    let mut relay_memory = over("relay, memory", "MB");
-    let mut new_agent_bytes = over("whole state for a new agent of all services", "KB");
-    let mut new_agent_time = over("time until a new agent is current", "ms");
-    for count in sizes(most) {
-        progress.show(&format!("{count} hollow back ends"));
-        let deployment = Deployment::start(capacity_plan(count)?, program).await?;
-        wait_for_backends(&deployment, count).await?;
+/// Time that is measured at rest.
+const REST: Duration = Duration::from_secs(4);
+
+/// Changes that are measured at each size.
+const CHANGES: u32 = 10;
+
+/// Readings of the platform's list a second, by the harness's settings.
+const READINGS_PER_SECOND: f64 = 5.0;
+
+pub(super) async fn measure(run: &Run<'_>) -> Result<SlopeSet, FleetError> {
+    let mut slopes = SlopeSet::new(Part::Backends, "back ends");
+    for count in sizes(run.settings.most_backends) {
+        run.progress.show(&format!("{count} hollow back ends"));
+        let bed = Bed::start(capacity_plan(count)?, run.program).await?;
+        wait_for_backends(&bed, count).await?;
         tokio::time::sleep(SETTLE).await;
-        let sample = Sample::take(&deployment)?;
-        control_memory.add(count, megabytes(sample.control));
-        relay_memory.add(count, megabytes(sample.relay));
-        let (bytes, time) = start_agent(&deployment).await?;
-        new_agent_bytes.add(count, bytes as f64 / 1e3);
-        new_agent_time.add(count, time.as_secs_f64() * 1e3);
+        measure_one(&mut slopes, f64::from(count), &bed).await?;
     }
-    let builders = [
-        control_memory,
-        relay_memory,
-        new_agent_bytes,
-        new_agent_time,
-    ];
-    Ok(builders.into_iter().map(SlopeBuilder::finish).collect())
+    Ok(slopes)
+}
+
+async fn measure_one(slopes: &mut SlopeSet, x: f64, bed: &Bed) -> Result<(), FleetError> {
+    let mut hollow = bed.hollow(&[0])?;
+    let start = Instant::now();
+    hollow.grow_to(1).await;
+    bed.settle(&hollow).await?;
+    slopes.add(figure::NEW_AGENT, x, start.elapsed().as_secs_f64() * 1e3);
+    slopes.add(figure::SNAPSHOT, x, hollow.bytes() as f64 / 1e3);
+    let rest = at_rest(bed, &hollow, REST).await?;
+    let leader = rest.core_per_mille(rest.leader_ms);
+    slopes.add(figure::POLL, x, leader / READINGS_PER_SECOND);
+    let agent = rest.core_per_mille(rest.agent_ms);
+    slopes.add(figure::AGENT_REST, x, agent);
+    slopes.add(figure::RELAY_MEMORY, x, rest.memory.relay);
+    slopes.add(figure::CONTROL_MEMORY, x, rest.memory.control);
+    slopes.add(figure::AGENT_MEMORY, x, rest.memory.agent);
+    let (usage, times) = during(bed, &hollow, change(bed, &hollow, CHANGES)).await?;
+    add_changes(slopes, x, &rest, &usage, &times);
+    hollow.stop().await;
+    Ok(())
 }
 
 /// Waits until control has taken the platform's whole list in.
-async fn wait_for_backends(deployment: &Deployment, count: u32) -> Result<(), FleetError> {
-    let operator = deployment.operator()?;
+pub(super) async fn wait_for_backends(bed: &Bed, count: u32) -> Result<(), FleetError> {
+    let operator = bed.deployment.operator()?;
     until("control knows every back end", || async {
         let all = operator
             .get::<Vec<serde_json::Value>>("/operator/v1/backends")
@@ -62,20 +74,3 @@
     .await?;
     Ok(())
 }
-
-/// Starts one hollow agent; gives the bytes and the time until it is current.
-async fn start_agent(deployment: &Deployment) -> Result<(u64, Duration), FleetError> {
-    let relay = &deployment.relays[0];
-    let address = relay
-        .process()
-        .and_then(|process| process.addresses().internal);
-    let address = address.ok_or_else(|| FleetError::step("find relay", "it has no address"))?;
-    let name = &deployment.plan().fleet.deployment;
-    let mut hollow = HollowAgents::new(address, name, relay.placement());
-    let start = Instant::now();
-    hollow.grow_to(1).await;
-    hollow.wait_for(1).await?;
-    let measured = (hollow.bytes(), start.elapsed());
-    hollow.stop().await;
-    Ok(measured)
-}
--- a/testing/sablehaven-fleet/src/command_line.rs
+++ b/testing/sablehaven-fleet/src/command_line.rs
@@ -4,6 +4,8 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use crate::capacity::Part;
+
 /// The name of the hidden subcommand under which the binary plays a child process.
 pub const CHILD: &str = "child";
 
@@ -115,14 +117,29 @@
 
 fn capacity() -> Command {
     Command::new("capacity")
-        .about("Measures the slopes of the capacity page with hollow agents")
+        .about("Measures the slopes of the capacity page and prints its tables")
+        .arg(
+            Arg::new("part")
+                .long("part")
+                .value_name("PART")
+                .help("What is measured; may be given many times [default: everything]")
+                .action(ArgAction::Append)
+                .value_parser(Part::ALL.map(Part::name)),
+        )
+        .arg(
+            Arg::new("print")
+                .long("print")
+                .help("Measures nothing: prints the tables from the output folder's report")
+                .requires("output")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("agents")
                 .long("agents")
                 .value_name("NUMBER")
                 .help("The largest number of hollow agents")
-                .default_value("1600")
-                .value_parser(value_parser!(u32).range(16..=20_000)),
+                .default_value("3200")
+                .value_parser(value_parser!(u32).range(96..=9_600)),
         )
         .arg(
             Arg::new("backends")
@@ -136,7 +153,10 @@
             Arg::new("output")
                 .long("output")
                 .value_name("FOLDER")
-                .help("Writes capacity.json and one SVG plot a slope into this folder")
+                .help(
+                    "Writes capacity.json and one SVG plot a slope into this folder; other parts \
+                     that were measured into it before are kept",
+                )
                 .value_parser(value_parser!(PathBuf)),
         )
 }
--- a/testing/sablehaven-fleet/src/main.rs
+++ b/testing/sablehaven-fleet/src/main.rs
@@ -10,7 +10,7 @@
 
 use clap::ArgMatches;
 use sablehaven_fleet::{
-    capacity::{self, CapacitySettings},
+    capacity::{self, CapacityReport, CapacitySettings, Part, subsets, target},
     command_line::{self, value},
     demo_command::{self, DemoSettings},
     describe,
@@ -148,24 +148,42 @@
     matches: &ArgMatches,
     stop: &CancellationToken,
 ) -> Result<bool, FleetError> {
-    let settings = CapacitySettings {
-        most_agents: value(matches, "agents"),
-        most_backends: value(matches, "backends"),
-    };
-    let program = program()?;
-    let report = tokio::select! {
-        report = capacity::run(&settings, &program) => report?,
-        () = stop.cancelled() => return Ok(false),
+    let folder = matches.get_one::<PathBuf>("output");
+    let mut report = match folder {
+        Some(folder) => CapacityReport::read(folder)?,
+        None => CapacityReport::default(),
     };
-    println!("{}\n{}", report.slope_table(), report.target_table());
-    if let Some(folder) = matches.get_one::<PathBuf>("output") {
-        for path in capacity::write(&report, folder)? {
-            println!("{}", path.display());
+    if !matches.get_flag("print") {
+        let settings = capacity_settings(matches);
+        let program = program()?;
+        tokio::select! {
+            measured = capacity::run(&settings, &program, &mut report) => measured?,
+            () = stop.cancelled() => return Ok(false),
+        }
+        if let Some(folder) = folder {
+            report.write(folder)?;
         }
     }
+    println!("{}", report.slope_table());
+    println!("{}", target::arithmetic_table());
+    println!("{}", target::table(&report));
+    println!("{}", subsets::table(&report.subsets));
     Ok(true)
 }
 
+fn capacity_settings(matches: &ArgMatches) -> CapacitySettings {
+    let names = matches.get_many::<String>("part").unwrap_or_default();
+    let mut parts: Vec<Part> = names.filter_map(|name| Part::of_name(name)).collect();
+    if parts.is_empty() {
+        parts = Part::ALL.to_vec();
+    }
+    CapacitySettings {
+        parts,
+        most_agents: value(matches, "agents"),
+        most_backends: value(matches, "backends"),
+    }
+}
+
 fn check(path: &Path) -> Result<bool, FleetError> {
     let history = History::read(path)?;
     let report = sablehaven_history::check(&history, &Limits::default());
--- a/testing/sablehaven-fleet/src/measure/statistics.rs
+++ b/testing/sablehaven-fleet/src/measure/statistics.rs
@@ -42,3 +42,11 @@
         Self::of(ratios.map(|(candidate, baseline)| candidate / baseline))
     }
 }
+
+/// The value below which the given share of values lies, which are ascending; `None` if there are
+/// none.
+pub fn quantile(ascending: &[f64], share: f64) -> Option<f64> {
+    let last = ascending.len().checked_sub(1)?;
+    let position = (last as f64 * share).round() as usize;
+    ascending.get(position).copied()
+}
