--- a/crates/sablehaven-routing/src/admission.rs
+++ b/crates/sablehaven-routing/src/admission.rs
@@ -10,7 +10,7 @@
 /// Time over which sheds are counted before the limit changes.
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Part of the attempts that may be shed without a change of the limit; retries cover it.
-const TOLERATED_SHEDS: f64 = 0.015;
+const TOLERATED_SHEDS: f64 = 0.01;
 /// Fewest attempts in an interval from which a change is made; fewer are carried over.
 const MIN_ATTEMPTS: u32 = 50;
 /// Part of the shed excess by which the limit falls.
--- a/crates/sablehaven-routing/src/balance.rs
+++ b/crates/sablehaven-routing/src/balance.rs
@@ -22,8 +22,11 @@
 const REPORT_CAP: f64 = 4.0;
 /// Weight of one new report in the average over all back ends.
 const AVERAGE_WEIGHT: f64 = 0.02;
-/// Bounds of the response time relative to the average.
-const RELATIVE_RESPONSE: (f64, f64) = (0.7, 6.0);
+/// Response time relative to the average up to which a back end counts as one like the others: small
+/// differences are noise, and following them turns all agents to the same back end.
+const USUAL_RESPONSE: f64 = 1.5;
+/// Greatest factor by which a slow back end costs more.
+const MAX_RESPONSE_FACTOR: f64 = 6.0;
 
 fn aged_weight(age: Duration, constant: Duration) -> f64 {
     (-age.as_secs_f64() / constant.as_secs_f64()).exp()
@@ -107,12 +110,13 @@
         self.seconds
     }
 
-    /// The response time relative to `average`; 1 where one of them is not known.
-    pub fn relative(&self, now: Duration, average: f64) -> f64 {
+    /// The factor by which the back end costs more, because it is slower than `average` by far; 1
+    /// where one of the times is not known.
+    pub fn factor(&self, now: Duration, average: f64) -> f64 {
         if self.seconds == 0.0 || average <= 0.0 {
             return 1.0;
         }
-        let ratio = (self.seconds / average).clamp(RELATIVE_RESPONSE.0, RELATIVE_RESPONSE.1);
+        let ratio = (self.seconds / average / USUAL_RESPONSE).clamp(1.0, MAX_RESPONSE_FACTOR);
         let weight = aged_weight(now.saturating_sub(self.recorded_at), RESPONSE_TIME_CONSTANT);
         1.0 + weight * (ratio - 1.0)
     }
@@ -122,6 +126,6 @@
 ///
 /// A cold back end has less room for what it holds already. Its empty room is not made to cost more,
 /// or it would never be chosen beside another empty one: how often it takes part is for the draw.
-pub fn cost(load: f64, relative_response: f64, slow_start_weight: f64) -> f64 {
-    (load / slow_start_weight + 1.0) * relative_response
+pub fn cost(load: f64, response_factor: f64, slow_start_weight: f64) -> f64 {
+    (load / slow_start_weight + 1.0) * response_factor
 }
--- a/crates/sablehaven-routing/src/budget.rs
+++ b/crates/sablehaven-routing/src/budget.rs
@@ -9,9 +9,9 @@
 use crate::interface::ExtraKind;
 
 /// Tokens that may be saved up, in seconds of the current needed work.
-const SAVED_SECONDS: f64 = 0.5;
+const SAVED_SECONDS: f64 = 0.2;
 /// Fewest tokens that may be saved up.
-const MIN_SAVED: f64 = 5.0;
+const MIN_SAVED: f64 = 2.0;
 /// Extra attempts of one second's budget that one shed takes away: a service whose sheds reach
 /// [`RECOVERY_PER_SECOND`] of its budget divided by this keeps only the least.
 const SHED_COST: f64 = 1.0;
--- a/crates/sablehaven-routing/src/choice.rs
+++ b/crates/sablehaven-routing/src/choice.rs
@@ -202,7 +202,7 @@
         let average = self.latencies.average(backend.distance);
         let cost = cost(
             self.load(member),
-            backend.response.relative(self.now, average),
+            backend.response.factor(self.now, average),
             backend.slow_start.weight(self.now, self.slow_start),
         );
         cost / backend.pressure.shed_weight(self.now)
--- a/crates/sablehaven-routing/src/pressure.rs
+++ b/crates/sablehaven-routing/src/pressure.rs
@@ -16,6 +16,9 @@
 /// Time after which a shed rate without new attempts has lost all but 1/e of its value: a back end
 /// that shed gets work again, even if nothing else brings it back.
 const SHED_RATE_CONSTANT: Duration = Duration::from_secs(10);
+/// Shed rate up to which a back end keeps its share: what a pressed service sheds here and there
+/// must not turn all agents to the same other back ends.
+const USUAL_SHED_RATE: f64 = 0.25;
 /// Least part of its share that a back end keeps while it sheds.
 const MIN_SHED_WEIGHT: f64 = 0.02;
 
@@ -51,7 +54,8 @@
     pub fn shed_weight(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.sampled_at).as_secs_f64();
         let rate = self.shed_rate * (-age / SHED_RATE_CONSTANT.as_secs_f64()).exp();
-        (1.0 - rate).powi(2).max(MIN_SHED_WEIGHT)
+        let excess = (rate - USUAL_SHED_RATE).max(0.0) / (1.0 - USUAL_SHED_RATE);
+        (1.0 - excess).powi(2).max(MIN_SHED_WEIGHT)
     }
 
     fn sample(&mut self, now: Duration, sample: f64, weight: f64, shed: f64) {
