Fleet: racing operators and back ends that come and go in runs with faults

Cause: a run with faults said nothing of the configuration's promises and of leaving. Change: three operators race with equal versions and resend each command; back ends of each service in turn are lost, leave, come back and are rebuilt; BackEnds is split from World.

--- a/testing/sablehaven-fleet/src/demo_command.rs
+++ b/testing/sablehaven-fleet/src/demo_command.rs
@@ -129,12 +129,12 @@
     }
     at(2).await;
     progress.show(&format!("rebuilding the index of {first}"));
-    let snapshot = world.rebuild(first).await?;
+    let snapshot = world.back_ends.rebuild(first).await?;
     progress.show(&format!(
         "snapshot {snapshot} of {first} is in force everywhere"
     ));
     at(7).await;
-    let backends = world.backends(second).await?;
+    let backends = world.back_ends.backends(second).await?;
     let [lost, leaving, ..] = &backends[..] else {
         return Err(FleetError::step(
             "demo",
@@ -142,13 +142,13 @@
         ));
     };
     progress.show(&format!("losing back end {}", lost.id));
-    world.lose(&lost.id).await?;
+    world.back_ends.lose(&lost.id).await?;
     at(10).await;
     progress.show(&format!("back end {} leaves", leaving.id));
-    world.leave(leaving).await?;
+    world.back_ends.leave(leaving).await?;
     at(13).await;
     progress.show(&format!("back end {} comes back, cold", lost.id));
-    world.restore(lost).await?;
+    world.back_ends.restore(lost).await?;
     progress.show("planned stop of agent-1; its callers go to other agents");
     world.stop_agent(0).await?;
     at(16).await;
--- a/testing/sablehaven-fleet/src/run_command.rs
+++ b/testing/sablehaven-fleet/src/run_command.rs
@@ -10,7 +10,7 @@
 use crate::{
     deployment_folder,
     progress::Progress,
-    world::{FaultRunner, FleetError, LoadPlan, World, targets},
+    world::{FaultRunner, FleetError, LoadPlan, World, disturb_back_ends, race, targets},
 };
 
 /// The load of a run that has no end of its own.
@@ -66,11 +66,7 @@
     let load_stop = stop.clone();
     let callers = tokio::spawn(async move { driver.run(&load_stop).await });
     if settings.with_faults {
-        let runner = FaultRunner::new(&schedule(&world, duration, settings.seed));
-        tokio::select! {
-            result = runner.run(&mut world, |what| progress.show(what)) => result?,
-            () = stop.cancelled() => {}
-        }
+        disturb(&mut world, duration, settings.seed, stop, progress).await?;
     }
     callers
         .await
@@ -84,6 +80,41 @@
     Ok((history, report))
 }
 
+/// Brings faults about on the processes while operators race and back ends come and go.
+async fn disturb(
+    world: &mut World,
+    duration: Duration,
+    seed: u64,
+    stop: &CancellationToken,
+    progress: Progress,
+) -> Result<(), FleetError> {
+    let quiet = CancellationToken::new();
+    let services = world.deployment.plan().schema.services();
+    let services = services.map(|service| service.name.clone()).collect();
+    let show = move |what: &str| progress.show(what);
+    let others = [
+        tokio::spawn(race(world.operators()?, quiet.clone())),
+        tokio::spawn(disturb_back_ends(
+            world.back_ends.clone(),
+            services,
+            quiet.clone(),
+            show,
+        )),
+    ];
+    let runner = FaultRunner::new(&schedule(world, duration, seed));
+    let faults = tokio::select! {
+        result = runner.run(world, show) => result,
+        () = stop.cancelled() => Ok(()),
+    };
+    quiet.cancel();
+    for other in others {
+        other
+            .await
+            .map_err(|error| FleetError::step("disturb", error))?;
+    }
+    faults
+}
+
 fn schedule(
     world: &World,
     duration: Duration,
