--- a/testing/sablehaven-fleet/src/demo_command.rs
+++ b/testing/sablehaven-fleet/src/demo_command.rs
@@ -33,6 +33,8 @@
     pub deployment: String,
     /// Seeds back ends and callers.
     pub seed: u64,
+    /// How much time the promises allow.
+    pub limits: Limits,
 }
 
 /// What a demonstration found.
@@ -88,7 +90,7 @@
     world.stop().await?;
     progress.show("checking every promise");
     let history = world.recorder.history();
-    let report = check(&history, &Limits::default());
+    let report = check(&history, &settings.limits);
     Ok(DemoResult { history, report })
 }
 
--- a/testing/sablehaven-fleet/src/main.rs
+++ b/testing/sablehaven-fleet/src/main.rs
@@ -74,6 +74,7 @@
     let settings = DemoSettings {
         deployment: value(matches, "deployment"),
         seed: value(matches, "seed"),
+        limits: Limits::default(),
     };
     let program = program()?;
     let result = tokio::select! {
