Relay: a planned stop is not held up by open HTTP connections; bench uses control's start

Cause: an HTTP connection with half a request held Handle::stop for 30 s, the library's limit for a request's head. Change: HTTP gets 1 s at the end of a planned stop; the bench starts real replicas with control's agreed start on addresses that the system has just given out.

--- a/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
@@ -7,7 +7,7 @@
 };
 
 use reqwest::{Client, StatusCode};
-use sablehaven_control::{Listeners, operator::OperatorError, operator::paths, start_on};
+use sablehaven_control::operator::{OperatorError, paths};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{
     ApplyCommand, ApplyOutcome, Configuration, ConfigurationChange, SchemaSource,
@@ -90,27 +90,23 @@
     /// Starts the replicas and applies the first configuration.
     pub async fn start() -> Self {
         let folder = TempDir::new().expect("temporary folder");
-        let mut listeners = Vec::new();
+        let mut listen = Vec::new();
         let mut internal = Vec::new();
         let mut http = Vec::new();
         for _ in 0..REPLICAS {
-            let replica = Listeners {
-                internal: listen().await,
-                http: listen().await,
-            };
-            let address = replica.internal.local_addr().expect("address");
+            let address = free_address().await;
+            listen.push(address);
             internal.push(delayed(address, REGION_LATENCY).await);
-            http.push(replica.http.local_addr().expect("address"));
-            listeners.push(replica);
+            http.push(free_address().await);
         }
         let mut handles = Vec::new();
-        for (number, replica) in listeners.into_iter().enumerate() {
+        for (number, internal_listen) in listen.into_iter().enumerate() {
             let others = internal
                 .iter()
                 .filter(|address| **address != internal[number]);
             let config = sablehaven_control::Config {
                 deployment: DEPLOYMENT.to_owned(),
-                internal_listen: replica.internal.local_addr().expect("address"),
+                internal_listen,
                 http_listen: http[number],
                 internal_advertise: Some(internal[number]),
                 placement: placement(),
@@ -120,7 +116,7 @@
                 election_seed: number as u64,
                 ..Default::default()
             };
-            let started = start_on(config, Telemetry::new("control"), replica);
+            let started = sablehaven_control::start(config, Telemetry::new("control"));
             handles.push(started.await.expect("start control"));
         }
         let real = Self {
@@ -183,9 +179,12 @@
     }
 }
 
-async fn listen() -> TcpListener {
+/// An address that the system has just given out. The replicas must know each other's before they
+/// listen themselves.
+async fn free_address() -> SocketAddr {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    TcpListener::bind(any_port).await.expect("listen")
+    let listener = TcpListener::bind(any_port).await.expect("listen");
+    listener.local_addr().expect("address")
 }
 
 /// The double's first state, with a schema that real control accepts.
--- a/crates/sablehaven-relay/src/handle.rs
+++ b/crates/sablehaven-relay/src/handle.rs
@@ -21,6 +21,9 @@
 /// Time between two looks at what has expired.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time that HTTP connections (health and metrics) get to end in a planned stop.
+const HTTP_STOP_LIMIT: Duration = Duration::from_secs(1);
+
 /// Time between two looks at whether a planned stop is done.
 const STOP_POLL: Duration = Duration::from_millis(10);
 
@@ -124,7 +127,7 @@
         self.end.cancel();
         self.sessions.close();
         self.sessions.wait().await;
-        self.http.stop_graceful(None);
+        self.http.stop_graceful(HTTP_STOP_LIMIT);
         for task in self.tasks {
             // A task that panicked has been reported by the panic hook.
             let _ = task.await;
--- a/crates/sablehaven-relay/tests/relay.rs
+++ b/crates/sablehaven-relay/tests/relay.rs
@@ -11,6 +11,12 @@
     AgentStatus, AgentToRelay, ControlToRelay, RelayToAgent, RelayToControl, Role, StateUpdate,
     WireError, connect,
 };
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
 use support::{
     AgentConnection, address, changes, claim, control_double::ControlDouble, current_at, draining,
     full_state, hello, receive, relay_config, start_relay, subscribe, until, watch_bare,
@@ -484,6 +490,28 @@
     assert_eq!(agent.metrics().session_errors.get(), 0);
 }
 
+/// A scraper of metrics that keeps its connection open must not hold the stop up.
+#[tokio::test]
+async fn a_planned_stop_does_not_wait_for_idle_http_connections() {
+    let control = control_at(10).await;
+    let relay = start_relay(relay_config(&[&control])).await;
+    let http = relay.addresses().http.expect("listening");
+    let mut scraper = TcpStream::connect(http).await.expect("connect");
+    let request = b"GET /metrics HTTP/1.1\r\nhost: relay\r\n\r\n";
+    scraper.write_all(request).await.expect("request");
+    let mut answer = vec![0; 1_024];
+    let count = scraper.read(&mut answer).await.expect("answer");
+    assert!(answer[..count].starts_with(b"HTTP/1.1 200 OK"));
+    let mut unfinished = TcpStream::connect(http).await.expect("connect");
+    unfinished
+        .write_all(&request[..20])
+        .await
+        .expect("half a request");
+    // Without a limit of its own the stop waits for the library's, which is 30 s.
+    let stopped = timeout(Duration::from_secs(20), relay.stop()).await;
+    assert!(stopped.is_ok(), "still stopping");
+}
+
 #[tokio::test]
 async fn one_proof_serves_all_agents() {
     let control = control_at(10).await;
