--- a/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
@@ -2,12 +2,22 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use reqwest::{Client, StatusCode};
+<<<<<<< HEAD
 use sablehaven_control::operator::{OperatorError, paths};
+=======
+use sablehaven_control::{
+    Environment, Listeners, operator::OperatorError, operator::paths, start_in,
+};
+use sablehaven_storage::RealDisk;
+>>>>>>> main
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{
     ApplyCommand, ApplyOutcome, Configuration, ConfigurationChange, SchemaSource,
@@ -116,7 +126,15 @@
                 election_seed: number as u64,
                 ..Default::default()
             };
+<<<<<<< HEAD
             let started = sablehaven_control::start(config, Telemetry::new("control"));
+=======
+            let environment = Environment {
+                listeners: replica,
+                disk: Arc::new(RealDisk),
+            };
+            let started = start_in(config, Telemetry::new("control"), environment);
+>>>>>>> main
             handles.push(started.await.expect("start control"));
         }
         let real = Self {
