--- a/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
@@ -10,14 +10,10 @@
 };
 
 use reqwest::{Client, StatusCode};
-<<<<<<< HEAD
-use sablehaven_control::operator::{OperatorError, paths};
-=======
 use sablehaven_control::{
     Environment, Listeners, operator::OperatorError, operator::paths, start_in,
 };
 use sablehaven_storage::RealDisk;
->>>>>>> main
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{
     ApplyCommand, ApplyOutcome, Configuration, ConfigurationChange, SchemaSource,
@@ -100,23 +96,27 @@
     /// Starts the replicas and applies the first configuration.
     pub async fn start() -> Self {
         let folder = TempDir::new().expect("temporary folder");
-        let mut listen = Vec::new();
+        let mut listeners = Vec::new();
         let mut internal = Vec::new();
         let mut http = Vec::new();
         for _ in 0..REPLICAS {
-            let address = free_address().await;
-            listen.push(address);
+            let replica = Listeners {
+                internal: listen().await,
+                http: listen().await,
+            };
+            let address = replica.internal.local_addr().expect("address");
             internal.push(delayed(address, REGION_LATENCY).await);
-            http.push(free_address().await);
+            http.push(replica.http.local_addr().expect("address"));
+            listeners.push(replica);
         }
         let mut handles = Vec::new();
-        for (number, internal_listen) in listen.into_iter().enumerate() {
+        for (number, replica) in listeners.into_iter().enumerate() {
             let others = internal
                 .iter()
                 .filter(|address| **address != internal[number]);
             let config = sablehaven_control::Config {
                 deployment: DEPLOYMENT.to_owned(),
-                internal_listen,
+                internal_listen: replica.internal.local_addr().expect("address"),
                 http_listen: http[number],
                 internal_advertise: Some(internal[number]),
                 placement: placement(),
@@ -126,15 +126,11 @@
                 election_seed: number as u64,
                 ..Default::default()
             };
-<<<<<<< HEAD
-            let started = sablehaven_control::start(config, Telemetry::new("control"));
-=======
             let environment = Environment {
                 listeners: replica,
                 disk: Arc::new(RealDisk),
             };
             let started = start_in(config, Telemetry::new("control"), environment);
->>>>>>> main
             handles.push(started.await.expect("start control"));
         }
         let real = Self {
@@ -197,12 +193,9 @@
     }
 }
 
-/// An address that the system has just given out. The replicas must know each other's before they
-/// listen themselves.
-async fn free_address() -> SocketAddr {
+async fn listen() -> TcpListener {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let listener = TcpListener::bind(any_port).await.expect("listen");
-    listener.local_addr().expect("address")
+    TcpListener::bind(any_port).await.expect("listen")
 }
 
 /// The double's first state, with a schema that real control accepts.
