Settings' checks and the monotonic clock stand once

Cause: four configurations each had a range check of their own, relay and subscription the same clock. Change: SettingChecks in sablehaven-types, MonotonicClock in sablehaven-wire, where leases are counted on it.

--- a/crates/sablehaven-agent/src/config.rs
+++ b/crates/sablehaven-agent/src/config.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use sablehaven_types::{Placement, RegionName, ServiceName, SettingError, ZoneName};
+use sablehaven_types::{Placement, RegionName, ServiceName, SettingChecks, SettingError, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// The agent's default HTTP port, beside the caller.
@@ -126,106 +126,52 @@
 impl Config {
     /// Every setting that cannot be used, its key under `prefix`.
     pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
-        let mut errors = Vec::new();
-        let mut require = |key: &str, text: &str| {
-            if text.is_empty() {
-                let key = format!("{prefix}.{key}");
-                errors.push(SettingError::new(&key, "''", "a name that is not empty"));
-            }
-        };
-        require("deployment", &self.deployment);
-        require("placement.region", self.placement.region.as_str());
-        require("placement.zone", self.placement.zone.as_str());
-        errors.extend(self.limits.validate(&format!("{prefix}.limits")));
-        errors.extend(self.timing.validate(&format!("{prefix}.timing")));
-        let subscription = format!("{prefix}.subscription");
-        errors.extend(self.subscription.validate(&subscription));
-        errors
-    }
-}
-
-/// A number with its key and allowed range.
-struct RangedSetting {
-    key: &'static str,
-    value: u64,
-    least: u64,
-    most: u64,
-}
-
-impl RangedSetting {
-    fn check(&self, prefix: &str) -> Option<SettingError> {
-        if (self.least..=self.most).contains(&self.value) {
-            return None;
-        }
-        let key = format!("{prefix}.{}", self.key);
-        let allowed = format!("{} to {}", self.least, self.most);
-        Some(SettingError::new(&key, self.value, &allowed))
-    }
-}
-
-fn check_ranges(prefix: &str, settings: &[RangedSetting]) -> Vec<SettingError> {
-    let errors = settings.iter().filter_map(|setting| setting.check(prefix));
-    errors.collect()
-}
-
-fn ranged(key: &'static str, value: u64, least: u64, most: u64) -> RangedSetting {
-    RangedSetting {
-        key,
-        value,
-        least,
-        most,
+        let mut checks = SettingChecks::new(prefix);
+        checks.name("deployment", &self.deployment);
+        checks.name("placement.region", self.placement.region.as_str());
+        checks.name("placement.zone", self.placement.zone.as_str());
+        checks.nested("limits", |prefix| self.limits.validate(prefix));
+        checks.nested("timing", |prefix| self.timing.validate(prefix));
+        checks.nested("subscription", |prefix| self.subscription.validate(prefix));
+        checks.into_errors()
     }
 }
 
 impl Limits {
     fn validate(&self, prefix: &str) -> Vec<SettingError> {
         const LARGEST_BODY: u64 = 64 * 1024 * 1024;
-        let settings = [
-            ranged(
-                "request_body_bytes",
-                self.request_body_bytes as u64,
-                1,
-                LARGEST_BODY,
-            ),
-            ranged(
-                "reply_body_bytes",
-                self.reply_body_bytes as u64,
-                1,
-                LARGEST_BODY,
-            ),
-            ranged(
-                "attempts_per_sub_request",
-                u64::from(self.attempts_per_sub_request),
-                1,
-                10,
-            ),
-            ranged("query_restarts", u64::from(self.query_restarts), 0, 10),
-        ];
-        check_ranges(prefix, &settings)
+        let mut checks = SettingChecks::new(prefix);
+        let request_body_bytes = self.request_body_bytes as u64;
+        checks.range("request_body_bytes", request_body_bytes, 1..=LARGEST_BODY);
+        let reply_body_bytes = self.reply_body_bytes as u64;
+        checks.range("reply_body_bytes", reply_body_bytes, 1..=LARGEST_BODY);
+        let attempts = self.attempts_per_sub_request;
+        checks.range("attempts_per_sub_request", attempts, 1..=10);
+        checks.range("query_restarts", self.query_restarts, 0..=10);
+        checks.into_errors()
     }
 }
 
 impl Timing {
     fn validate(&self, prefix: &str) -> Vec<SettingError> {
         const MINUTE: u64 = 60_000;
-        let settings = [
-            ranged("ledger_call_ms", self.ledger_call_ms, 10, MINUTE),
-            ranged("ledger_pause_ms", self.ledger_pause_ms, 1, MINUTE),
-            ranged("settle_ms", self.settle_ms, 100, 10 * MINUTE),
-            ranged("late_reply_ms", self.late_reply_ms, 0, 10 * MINUTE),
-            ranged(
-                "issue_age_limit_ms",
-                self.issue_age_limit_ms,
-                1_000,
-                60 * MINUTE,
-            ),
-            ranged("retry_after_ms", self.retry_after_ms, 1, 10 * MINUTE),
-            ranged("stop_notice_ms", self.stop_notice_ms, 0, MINUTE),
-            ranged("stop_limit_ms", self.stop_limit_ms, 100, 60 * MINUTE),
-            ranged("connection_ping_ms", self.connection_ping_ms, 100, MINUTE),
-            ranged("connect_ms", self.connect_ms, 10, MINUTE),
-        ];
-        check_ranges(prefix, &settings)
+        let mut checks = SettingChecks::new(prefix);
+        checks.range("ledger_call_ms", self.ledger_call_ms, 10..=MINUTE);
+        checks.range("ledger_pause_ms", self.ledger_pause_ms, 1..=MINUTE);
+        checks.range("settle_ms", self.settle_ms, 100..=10 * MINUTE);
+        checks.range("late_reply_ms", self.late_reply_ms, 0..=10 * MINUTE);
+        let issue_age_limit_ms = self.issue_age_limit_ms;
+        checks.range(
+            "issue_age_limit_ms",
+            issue_age_limit_ms,
+            1_000..=60 * MINUTE,
+        );
+        checks.range("retry_after_ms", self.retry_after_ms, 1..=10 * MINUTE);
+        checks.range("stop_notice_ms", self.stop_notice_ms, 0..=MINUTE);
+        checks.range("stop_limit_ms", self.stop_limit_ms, 100..=60 * MINUTE);
+        checks.range("connection_ping_ms", self.connection_ping_ms, 100..=MINUTE);
+        checks.range("connect_ms", self.connect_ms, 10..=MINUTE);
+        checks.into_errors()
     }
 
     /// One ledger call.
--- a/crates/sablehaven-control/src/config.rs
+++ b/crates/sablehaven-control/src/config.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use sablehaven_types::{Placement, SettingError};
+use sablehaven_types::{Placement, SettingChecks, SettingError};
 use serde::{Deserialize, Serialize};
 
 use crate::ledger::LedgerLimits;
@@ -115,38 +115,29 @@
 impl Config {
     /// Every setting that cannot be used; keys start with `prefix`.
     pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
-        let mut errors = self.ledger.validate(&format!("{prefix}.ledger"));
-        let mut require = |allowed: bool, key: &str, value: &dyn std::fmt::Display, range: &str| {
-            if !allowed {
-                let key = format!("{prefix}.{key}");
-                errors.push(SettingError::new(&key, value, range));
-            }
-        };
-        let named = !self.deployment.is_empty();
-        require(named, "deployment", &"empty", "a name");
-        let groups = self.ledger_groups;
-        let allowed = (1..=MAXIMUM_LEDGER_GROUPS).contains(&groups);
-        require(allowed, "ledger_groups", &groups, "1 to 64");
+        let mut checks = SettingChecks::new(prefix);
+        checks.nested("ledger", |prefix| self.ledger.validate(prefix));
+        checks.name("deployment", &self.deployment);
+        let groups = 1..=u64::from(MAXIMUM_LEDGER_GROUPS);
+        checks.range("ledger_groups", self.ledger_groups, groups);
         let tick = self.tick_ms;
-        require((1..=1_000).contains(&tick), "tick_ms", &tick, "1 to 1000");
+        checks.range("tick_ms", tick, 1..=1_000);
         let heartbeat = self.heartbeat_ms;
-        let range = "at least tick_ms";
-        require(heartbeat >= tick, "heartbeat_ms", &heartbeat, range);
+        let allowed = "at least tick_ms";
+        checks.require("heartbeat_ms", heartbeat >= tick, heartbeat, allowed);
         let election = self.election_timeout_ms;
-        let range = "more than 2 heartbeats and 3 ticks";
-        let allowed = election >= 2 * heartbeat + 3 * tick;
-        require(allowed, "election_timeout_ms", &election, range);
+        let holds = election >= 2 * heartbeat + 3 * tick;
+        let allowed = "more than 2 heartbeats and 3 ticks";
+        checks.require("election_timeout_ms", holds, election, allowed);
         let lease = self.lease_duration_ms;
-        let range = "at least 2 election timeouts";
-        require(lease >= 2 * election, "lease_duration_ms", &lease, range);
-        let entries = self.snapshot_entries;
-        require(entries >= 1, "snapshot_entries", &entries, "1 or more");
+        let allowed = "at least 2 election timeouts";
+        checks.require("lease_duration_ms", lease >= 2 * election, lease, allowed);
+        checks.at_least("snapshot_entries", self.snapshot_entries, 1);
         if let Some(platform) = &self.platform {
             let interval = platform.poll_interval_ms;
-            let key = "platform.poll_interval_ms";
-            require(interval >= 10, key, &interval, "10 or more");
+            checks.at_least("platform.poll_interval_ms", interval, 10);
         }
-        errors
+        checks.into_errors()
     }
 
     /// How long agents may rely on a proof that the leader was current.
--- a/crates/sablehaven-control/src/ledger/limits.rs
+++ b/crates/sablehaven-control/src/ledger/limits.rs
@@ -1,6 +1,6 @@
 //! Bounds of the ledger's memory and of the issue times that it accepts.
 
-use sablehaven_types::{RecordedOutcome, SettingError};
+use sablehaven_types::{RecordedOutcome, SettingChecks, SettingError};
 use serde::{Deserialize, Serialize};
 
 /// Bounds of one ledger group.
@@ -36,17 +36,11 @@
 impl LedgerLimits {
     /// Every setting that cannot be used; keys start with `prefix`.
     pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
-        let mut errors = Vec::new();
-        let mut at_least = |key: &str, value: u64, least: u64| {
-            if value < least {
-                let key = format!("{prefix}.{key}");
-                errors.push(SettingError::new(&key, value, &format!("at least {least}")));
-            }
-        };
-        at_least("retention_ms", self.retention_ms, 1_000);
-        at_least("future_ms", self.future_ms, 1);
-        at_least("entries", self.entries, 1);
-        errors
+        let mut checks = SettingChecks::new(prefix);
+        checks.at_least("retention_ms", self.retention_ms, 1_000);
+        checks.at_least("future_ms", self.future_ms, 1);
+        checks.at_least("entries", self.entries, 1);
+        checks.into_errors()
     }
 
     /// The outcome as it is recorded: a reply body over the limits is left out, and a resend then
--- a/crates/sablehaven-relay/src/config.rs
+++ b/crates/sablehaven-relay/src/config.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use sablehaven_types::{Placement, SettingError};
+use sablehaven_types::{Placement, SettingChecks, SettingError};
 use serde::{Deserialize, Serialize};
 
 use crate::control::ledger::LedgerLimits;
@@ -111,109 +111,65 @@
 impl Config {
     /// Every setting that cannot be used; `prefix` is the settings' path, such as `relay`.
     pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
-        let mut errors = Vec::new();
-        let mut require = |name: &str, holds: bool, value: &str, allowed: &str| {
-            if !holds {
-                let key = format!("{prefix}.{name}");
-                errors.push(SettingError::new(&key, value, allowed));
-            }
-        };
-        let region = self.placement.region.as_str();
-        let zone = self.placement.zone.as_str();
-        let name = "a name";
-        require("deployment", !self.deployment.is_empty(), "''", name);
-        require("placement.region", !region.is_empty(), "''", name);
-        require("placement.zone", !zone.is_empty(), "''", name);
-        let addresses = "at least one address";
-        require("control", !self.control.is_empty(), "[]", addresses);
-        errors.extend(self.validate_numbers(prefix));
-        errors
-    }
-
-    fn validate_numbers(&self, prefix: &str) -> Vec<SettingError> {
         const MINUTE: u64 = 60_000;
-        let ranges = [
-            ("lease_interval_ms", self.lease_interval_ms, 10, MINUTE),
-            (
-                "lease_timeout_ms",
-                self.lease_timeout_ms,
-                2 * self.lease_interval_ms,
-                MINUTE,
-            ),
-            ("retry_minimum_ms", self.retry_minimum_ms, 1, MINUTE),
-            (
-                "retry_maximum_ms",
-                self.retry_maximum_ms,
-                self.retry_minimum_ms,
-                10 * MINUTE,
-            ),
-            ("agent_silence_ms", self.agent_silence_ms, 1_000, MINUTE),
-            (
-                "agent_send_timeout_ms",
-                self.agent_send_timeout_ms,
-                100,
-                MINUTE,
-            ),
-            ("agent_forget_ms", self.agent_forget_ms, 100, 60 * MINUTE),
-            ("maximum_agents", self.maximum_agents.into(), 1, 100_000),
-            (
-                "concurrent_handshakes",
-                self.concurrent_handshakes.into(),
-                1,
-                100_000,
-            ),
-            (
-                "concurrent_snapshots",
-                self.concurrent_snapshots.into(),
-                1,
-                100_000,
-            ),
-            ("status_interval_ms", self.status_interval_ms, 1, MINUTE),
-            (
-                "observation_interval_ms",
-                self.observation_interval_ms,
-                1,
-                MINUTE,
-            ),
-            ("ledger_batch_delay_ms", self.ledger_batch_delay_ms, 0, 100),
-            (
-                "ledger_batch_limit",
-                self.ledger_batch_limit.into(),
-                1,
-                100_000,
-            ),
-            ("ledger_limit", self.ledger_limit.into(), 1, 1_000_000),
-            (
-                "ledger_agent_limit",
-                self.ledger_agent_limit.into(),
-                1,
-                1_000_000,
-            ),
-            ("ledger_timeout_ms", self.ledger_timeout_ms, 10, MINUTE),
-            (
-                "ledger_retry_after_ms",
-                self.ledger_retry_after_ms,
-                1,
-                MINUTE,
-            ),
-            ("stop_grace_ms", self.stop_grace_ms, 0, MINUTE),
-            (
-                "stop_limit_ms",
-                self.stop_limit_ms,
-                self.stop_grace_ms,
-                10 * MINUTE,
-            ),
-        ];
-        let outside = |&&(_, value, least, greatest): &&(&str, u64, u64, u64)| {
-            !(least..=greatest).contains(&value)
-        };
-        let errors = ranges.iter().filter(outside);
-        errors
-            .map(|(name, value, least, greatest)| {
-                let key = format!("{prefix}.{name}");
-                SettingError::new(&key, value, &format!("{least} to {greatest}"))
-            })
-            .collect()
+        let mut checks = SettingChecks::new(prefix);
+        checks.name("deployment", &self.deployment);
+        checks.name("placement.region", self.placement.region.as_str());
+        checks.name("placement.zone", self.placement.zone.as_str());
+        checks.addresses("control", &self.control);
+        checks.range("lease_interval_ms", self.lease_interval_ms, 10..=MINUTE);
+        checks.range(
+            "lease_timeout_ms",
+            self.lease_timeout_ms,
+            2 * self.lease_interval_ms..=MINUTE,
+        );
+        checks.range("retry_minimum_ms", self.retry_minimum_ms, 1..=MINUTE);
+        checks.range(
+            "retry_maximum_ms",
+            self.retry_maximum_ms,
+            self.retry_minimum_ms..=10 * MINUTE,
+        );
+        checks.range("agent_silence_ms", self.agent_silence_ms, 1_000..=MINUTE);
+        checks.range(
+            "agent_send_timeout_ms",
+            self.agent_send_timeout_ms,
+            100..=MINUTE,
+        );
+        checks.range("agent_forget_ms", self.agent_forget_ms, 100..=60 * MINUTE);
+        checks.range("maximum_agents", self.maximum_agents, 1..=100_000);
+        checks.range(
+            "concurrent_handshakes",
+            self.concurrent_handshakes,
+            1..=100_000,
+        );
+        checks.range(
+            "concurrent_snapshots",
+            self.concurrent_snapshots,
+            1..=100_000,
+        );
+        checks.range("status_interval_ms", self.status_interval_ms, 1..=MINUTE);
+        checks.range(
+            "observation_interval_ms",
+            self.observation_interval_ms,
+            1..=MINUTE,
+        );
+        checks.range("ledger_batch_delay_ms", self.ledger_batch_delay_ms, 0..=100);
+        checks.range("ledger_batch_limit", self.ledger_batch_limit, 1..=100_000);
+        checks.range("ledger_limit", self.ledger_limit, 1..=1_000_000);
+        checks.range("ledger_agent_limit", self.ledger_agent_limit, 1..=1_000_000);
+        checks.range("ledger_timeout_ms", self.ledger_timeout_ms, 10..=MINUTE);
+        checks.range(
+            "ledger_retry_after_ms",
+            self.ledger_retry_after_ms,
+            1..=MINUTE,
+        );
+        checks.range("stop_grace_ms", self.stop_grace_ms, 0..=MINUTE);
+        checks.range(
+            "stop_limit_ms",
+            self.stop_limit_ms,
+            self.stop_grace_ms..=10 * MINUTE,
+        );
+        checks.into_errors()
     }
 
     pub(crate) fn ledger_limits(&self) -> LedgerLimits {
--- a/crates/sablehaven-relay/src/hub.rs
+++ b/crates/sablehaven-relay/src/hub.rs
@@ -10,13 +10,14 @@
 };
 
 use sablehaven_types::{AgentId, LedgerReply, LedgerRequest, Observation, RelayId};
-use sablehaven_wire::{Hello, LeaseProof, PROTOCOL_VERSION, Role, StateUpdate, UpdateFit};
+use sablehaven_wire::{
+    Hello, LeaseProof, MonotonicClock, PROTOCOL_VERSION, Role, StateUpdate, UpdateFit,
+};
 use tokio::sync::{Notify, Semaphore, broadcast, mpsc, watch};
 
 use crate::{
     AgentDirectory, Config, Distribution, Frame, HintBoard, Interest, ObservationQueue,
     RelayMetrics, SessionId,
-    clock::Clock,
     control::ledger::{AgentReply, LedgerRouter, LinkId},
 };
 
@@ -47,7 +48,7 @@
 pub(crate) struct Hub {
     pub(crate) config: Config,
     pub(crate) relay: RelayId,
-    pub(crate) clock: Clock,
+    pub(crate) clock: MonotonicClock,
     pub(crate) metrics: RelayMetrics,
     /// The newest revision.
     pub(crate) revision: watch::Sender<u64>,
@@ -80,7 +81,7 @@
         Self {
             config,
             relay,
-            clock: Clock::start(),
+            clock: MonotonicClock::start(),
             metrics: RelayMetrics::default(),
             revision: watch::Sender::new(0),
             proof: watch::Sender::new(None),
--- a/crates/sablehaven-relay/src/lib.rs
+++ b/crates/sablehaven-relay/src/lib.rs
@@ -10,7 +10,6 @@
 //! [`AgentDirectory`], [`LedgerRouter`], [`HintBoard`], [`ObservationQueue`] and [`ControlChoice`].
 
 mod agent;
-mod clock;
 mod config;
 mod control;
 mod handle;
--- a/crates/sablehaven-subscription/src/config.rs
+++ b/crates/sablehaven-subscription/src/config.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use sablehaven_types::SettingError;
+use sablehaven_types::{SettingChecks, SettingError};
 use serde::{Deserialize, Serialize};
 
 use crate::{relay_choice::RetrySettings, supervisor::SupervisorSettings};
@@ -73,59 +73,43 @@
     /// Every setting that cannot be used; `prefix` is the settings' path, such as
     /// `agent.subscription`.
     pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
-        let mut errors = Vec::new();
-        if self.relays.is_empty() {
-            let key = format!("{prefix}.relays");
-            errors.push(SettingError::new(&key, "[]", "at least one address"));
-        }
-        let mut check = |name: &str, value: u64, least: u64, greatest: u64| {
-            if !(least..=greatest).contains(&value) {
-                let key = format!("{prefix}.{name}");
-                let allowed = format!("{least} to {greatest}");
-                errors.push(SettingError::new(&key, value, &allowed));
-            }
-        };
-        check(
+        let mut checks = SettingChecks::new(prefix);
+        checks.addresses("relays", &self.relays);
+        checks.range(
             "lease_request_interval_ms",
             self.lease_request_interval_ms,
-            10,
-            60_000,
+            10..=60_000,
         );
-        check("lease_wait_ms", self.lease_wait_ms, 50, 60_000);
-        check("retry_minimum_ms", self.retry_minimum_ms, 1, 60_000);
-        check(
+        checks.range("lease_wait_ms", self.lease_wait_ms, 50..=60_000);
+        checks.range("retry_minimum_ms", self.retry_minimum_ms, 1..=60_000);
+        checks.range(
             "retry_maximum_ms",
             self.retry_maximum_ms,
-            self.retry_minimum_ms,
-            600_000,
+            self.retry_minimum_ms..=600_000,
         );
-        check("failover_jitter_ms", self.failover_jitter_ms, 0, 60_000);
-        check(
+        checks.range("failover_jitter_ms", self.failover_jitter_ms, 0..=60_000);
+        checks.range(
             "return_interval_ms",
             self.return_interval_ms,
-            1_000,
-            86_400_000,
+            1_000..=86_400_000,
         );
-        check(
+        checks.range(
             "observation_interval_ms",
             self.observation_interval_ms,
-            1,
-            60_000,
+            1..=60_000,
         );
-        check("hint_lifetime_ms", self.hint_lifetime_ms, 100, 600_000);
-        check(
+        checks.range("hint_lifetime_ms", self.hint_lifetime_ms, 100..=600_000);
+        checks.range(
             "maximum_ledger_calls",
-            u64::from(self.maximum_ledger_calls),
-            1,
-            1_000_000,
+            self.maximum_ledger_calls,
+            1..=1_000_000,
         );
-        check(
+        checks.range(
             "ledger_retry_after_ms",
             self.ledger_retry_after_ms,
-            1,
-            60_000,
+            1..=60_000,
         );
-        errors
+        checks.into_errors()
     }
 
     pub(crate) fn supervisor_settings(&self) -> SupervisorSettings {
--- a/crates/sablehaven-subscription/src/lib.rs
+++ b/crates/sablehaven-subscription/src/lib.rs
@@ -4,7 +4,6 @@
 //! force), [`LeaseState`] (whether it is proved to be current), [`Supervisor`] (which relay to use)
 //! and [`ObservationBuffer`] (what to report). [`Subscription`] runs them over sockets.
 
-mod clock;
 mod config;
 mod lease;
 mod manager;
--- a/crates/sablehaven-subscription/src/shared.rs
+++ b/crates/sablehaven-subscription/src/shared.rs
@@ -7,12 +7,14 @@
 
 use arc_swap::ArcSwap;
 use sablehaven_types::{ConfigurationAge, Observation, ObservationKind};
-use sablehaven_wire::{Hello, LeaseGrant, PROTOCOL_VERSION, Role, StateUpdate, UpdateFit};
+use sablehaven_wire::{
+    Hello, LeaseGrant, MonotonicClock, PROTOCOL_VERSION, Role, StateUpdate, UpdateFit,
+};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::{
     Config, LeaseHealth, LeaseState, ObservationBuffer, Renewal, SessionId, SubscriptionMetrics,
-    View, ViewState, clock::Clock, subscription::AgentIdentity,
+    View, ViewState, subscription::AgentIdentity,
 };
 
 /// A call to the ledger on its way to a session.
@@ -32,7 +34,7 @@
 pub(crate) struct Shared {
     pub(crate) config: Config,
     pub(crate) identity: AgentIdentity,
-    pub(crate) clock: Clock,
+    pub(crate) clock: MonotonicClock,
     pub(crate) metrics: SubscriptionMetrics,
     /// The session that takes new ledger calls and observations.
     pub(crate) active: watch::Sender<Option<ActiveSession>>,
@@ -66,7 +68,7 @@
         Self {
             config,
             identity,
-            clock: Clock::start(),
+            clock: MonotonicClock::start(),
             metrics: SubscriptionMetrics::default(),
             active: watch::Sender::new(None),
             observed: Notify::new(),
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -13,6 +13,7 @@
 mod outcome;
 mod process;
 pub mod protobuf;
+mod setting;
 
 pub use configuration::{
     ApplyCommand, ApplyOutcome, CommandRecord, Configuration, ConfigurationChange, IndexSnapshot,
@@ -26,4 +27,5 @@
 pub use ledger::{ClaimAnswer, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome};
 pub use membership::{BackendRecord, BackendState, Observation, ObservationKind, Placement};
 pub use outcome::{ConfigurationAge, Envelope, Outcome, SnapshotId};
-pub use process::{BoundAddresses, SettingError};
+pub use process::BoundAddresses;
+pub use setting::{SettingChecks, SettingError};
--- a/crates/sablehaven-relay/src/clock.rs
+++ b/crates/sablehaven-wire/src/clock.rs
@@ -1,4 +1,4 @@
-//! The process's monotonic clock as durations since its start.
+//! The process's monotonic clock as durations since its start, on which leases are counted.
 
 use std::time::Duration;
 
@@ -6,23 +6,25 @@
 
 /// Reads the monotonic clock; copies share the same start.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
+pub struct MonotonicClock {
     start: Instant,
 }
 
-impl Clock {
-    pub(crate) fn start() -> Self {
+impl MonotonicClock {
+    /// A clock that reads 0 now.
+    pub fn start() -> Self {
         Self {
             start: Instant::now(),
         }
     }
 
-    pub(crate) fn now(&self) -> Duration {
+    /// The time since the start.
+    pub fn now(&self) -> Duration {
         self.start.elapsed()
     }
 
     /// The instant at which [`Self::now`] reads `at`.
-    pub(crate) fn instant(&self, at: Duration) -> Instant {
+    pub fn instant(&self, at: Duration) -> Instant {
         self.start + at
     }
 }
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -3,12 +3,14 @@
 //! Every connection starts with a [`Hello`] in each direction. Each frame is a four-byte big-endian
 //! length and one `rmp-serde` value.
 
+mod clock;
 mod connection;
 mod encoded;
 mod frame_queue;
 mod lease;
 mod message;
 
+pub use clock::MonotonicClock;
 pub use connection::{
     Connection, FrameReader, FrameWriter, MAXIMUM_FRAME_BYTES, MAXIMUM_HELLO_BYTES,
     PROTOCOL_VERSION, WireError, accept, connect, connect_from,
--- a/testing/sablehaven-simulator/tests/variants.rs
+++ b/testing/sablehaven-simulator/tests/variants.rs
@@ -2,7 +2,9 @@
 //! number of seeds. The same seeds pass with the mechanism in place, as `tests/seeds.rs` and the
 //! last test here show.
 
-use sablehaven_simulator::{Plan, Report, Scenario, Variant, checks::Property, run_seed, run_seeds};
+use sablehaven_simulator::{
+    Plan, Report, Scenario, Variant, checks::Property, run_seed, run_seeds,
+};
 
 /// Runs at the same time; the search for a rare violation is long for one.
 const JOBS: usize = 4;
@@ -20,7 +22,10 @@
 }
 
 fn property(report: &Report) -> Option<Property> {
-    report.violation.as_ref().map(|violation| violation.property)
+    report
+        .violation
+        .as_ref()
+        .map(|violation| violation.property)
 }
 
 fn plan(variant: Variant, scenario: Scenario) -> Plan {
