Agent: tests of once requests in two files

Change: claims and refusals apart from what happens after the dispatch; the test bed answers where a request stands. No test changed in what it checks.

--- a/crates/sablehaven-agent/tests/agent/main.rs
+++ b/crates/sablehaven-agent/tests/agent/main.rs
@@ -6,6 +6,7 @@
 mod http_interface;
 mod leaving;
 mod once;
+mod once_outcomes;
 mod once_rules;
 mod queries;
 mod replies;
--- a/crates/sablehaven-agent/tests/agent/stopping.rs
+++ b/crates/sablehaven-agent/tests/agent/stopping.rs
@@ -2,16 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use sablehaven_types::{Outcome, RecordedOutcome};
+use sablehaven_types::Outcome;
 use tokio::sync::Semaphore;
 
-use crate::support::{backend::Script, bed::Bed, caller::Once, eventually, ledger::Entry};
-
-fn is_recorded_as_done(bed: &Bed, once: &Once) -> bool {
-    let state = bed.relay.lock();
-    let entry = state.ledger.entries.get(&once.key);
-    matches!(entry, Some(Entry::Settled(_, RecordedOutcome::Done { .. })))
-}
+use crate::support::{backend::Script, bed::Bed, caller::Once, eventually};
 
 #[tokio::test]
 async fn requests_in_flight_are_finished_and_then_the_subscription_is_left() {
@@ -46,7 +40,7 @@
     let reserve = reserve.await.expect("answered");
     assert_eq!(reserve.envelope.outcome, Outcome::Done);
     stopping.await.expect("stopped");
-    assert!(is_recorded_as_done(&bed, &once));
+    assert!(bed.is_done(&once));
     eventually("the subscription is left", || bed.relay.lock().left == 1).await;
 }
 
@@ -91,5 +85,5 @@
     let stopping = tokio::spawn(agent.handle.stop());
     gate.add_permits(1);
     stopping.await.expect("stopped");
-    assert!(is_recorded_as_done(&bed, &once));
+    assert!(bed.is_done(&once));
 }
--- a/crates/sablehaven-agent/tests/agent/support/bed.rs
+++ b/crates/sablehaven-agent/tests/agent/support/bed.rs
@@ -7,14 +7,15 @@
 };
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{
-    BackendId, BackendRecord, BackendState, IndexSnapshot, Placement, RegionName, RoutingSettings,
-    ServiceConfiguration, ShardAssignment, ShardId, SnapshotId, ZoneName,
+    BackendId, BackendRecord, BackendState, IndexSnapshot, Placement, RecordedOutcome, RegionName,
+    RoutingSettings, ServiceConfiguration, ShardAssignment, ShardId, SnapshotId, ZoneName,
 };
 
 use super::{
     backend::BackendDouble,
-    caller::Caller,
+    caller::{Caller, Once},
     eventually,
+    ledger::Entry,
     relay::{DEPLOYMENT, RelayDouble},
     schema::service,
 };
@@ -147,6 +148,26 @@
         self.backends.iter().map(BackendDouble::count).sum()
     }
 
+    /// Where a request stands in the ledger.
+    pub fn entry(&self, once: &Once) -> Option<Entry> {
+        let state = self.relay.lock();
+        state.ledger.entries.get(&once.key).cloned()
+    }
+
+    pub fn is_released(&self, once: &Once) -> bool {
+        matches!(self.entry(once), Some(Entry::Released(_)))
+    }
+
+    pub fn is_done(&self, once: &Once) -> bool {
+        let entry = self.entry(once);
+        matches!(entry, Some(Entry::Settled(_, RecordedOutcome::Done { .. })))
+    }
+
+    pub fn is_settled_unknown(&self, once: &Once) -> bool {
+        let entry = self.entry(once);
+        matches!(entry, Some(Entry::Settled(_, RecordedOutcome::Unknown)))
+    }
+
     fn assignment(&self, shard: usize) -> ShardAssignment {
         let first = shard * self.replicas;
         ShardAssignment {
