Fleet: experiments over several regions, with a surge in one

Cause: a region at three times its capacity has to be seen with real processes too. Change: topologies of several regions, an agent in each, the first region's load may surge; figures for the share of the total capacity and for the longest swing.

--- a/testing/sablehaven-fleet/src/experiment/contenders.rs
+++ b/testing/sablehaven-fleet/src/experiment/contenders.rs
@@ -7,12 +7,8 @@
     caller::AgentTarget,
     host::{AdminClient, HostFile},
 };
-use sablehaven_types::Placement;
 
-use super::{
-    figures::Contender,
-    topology::{self, Disturbed},
-};
+use super::{figures::Contender, topology::Disturbed};
 use crate::{
     measure::process::{self, ProcessUse},
     world::FleetError,
@@ -56,20 +52,17 @@
         })
     }
 
-    /// The agent of a contender, as callers know it.
-    pub(super) fn target(&self, contender: Contender) -> Result<AgentTarget, FleetError> {
-        match contender {
-            Contender::Baseline => Ok(AgentTarget {
-                process: BASELINE.to_owned(),
-                address: self.baseline_proxy.address(),
-                placement: placement(),
-            }),
-            Contender::Candidate => {
-                let mut targets = self.deployment.agent_targets();
-                let first = targets.drain(..).next();
-                first.ok_or_else(|| FleetError::step("find agent", "there is none"))
+    /// The agents of a contender, as callers know them: the product's stands in each region, the
+    /// one of the baseline serves all regions.
+    pub(super) fn targets(&self, contender: Contender) -> Vec<AgentTarget> {
+        let mut targets = self.deployment.agent_targets();
+        if contender == Contender::Baseline {
+            for target in &mut targets {
+                target.process = BASELINE.to_owned();
+                target.address = self.baseline_proxy.address();
             }
         }
+        targets
     }
 
     /// What a contender's process has used.
@@ -109,13 +102,6 @@
     }
 }
 
-fn placement() -> Placement {
-    Placement {
-        region: topology::REGION.into(),
-        zone: topology::ZONE.into(),
-    }
-}
-
 async fn baseline_file(deployment: &Deployment) -> Result<HostFile, FleetError> {
     let plan = deployment.plan();
     let any_port = ([127, 0, 0, 1], 0).into();
--- a/testing/sablehaven-fleet/src/experiment/file.rs
+++ b/testing/sablehaven-fleet/src/experiment/file.rs
@@ -70,7 +70,7 @@
     pub disturbance: Disturbance,
 }
 
-/// Back ends of one service in one region; each instance is a whole copy of the index.
+/// Back ends of one service; each instance is a whole copy of the index.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Topology {
@@ -78,6 +78,9 @@
     pub shards: u32,
     /// Copies of the index, which is replicas of each shard.
     pub instances: u32,
+    /// Regions, each with an agent of the product; copies are spread over them in turn.
+    #[serde(default = "one")]
+    pub regions: u32,
     /// Servers of each copy.
     pub servers_per_instance: u32,
     /// Requests that a server runs at the same time.
@@ -98,7 +101,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadSettings {
-    /// Queries a second, each to every shard.
+    /// Queries a second of each region, each to every shard.
     pub queries_per_second: f64,
     /// Time for each query, in milliseconds.
     #[serde(default = "default_deadline_ms")]
@@ -121,6 +124,12 @@
     pub shed_per_mille: u32,
     /// Replicas of each shard that are lost.
     pub lost_replicas: u32,
+    /// How many times the first region's callers send what they sent before; 0 leaves them alone.
+    pub surge_factor: f64,
+}
+
+fn one() -> u32 {
+    1
 }
 
 fn default_repeats() -> u32 {
@@ -189,6 +198,7 @@
         let counts = [
             ("measure_ms", self.measure_ms),
             ("topology.shards", u64::from(topology.shards)),
+            ("topology.regions", u64::from(topology.regions)),
             ("topology.instances", u64::from(topology.instances)),
             (
                 "topology.servers_per_instance",
--- a/testing/sablehaven-fleet/src/experiment/report.rs
+++ b/testing/sablehaven-fleet/src/experiment/report.rs
@@ -53,12 +53,14 @@
 pub(super) type Figure = fn(&Figures) -> f64;
 
 /// Each figure with its name.
-const FIGURES: [(&str, Figure); 9] = [
+const FIGURES: [(&str, Figure); 11] = [
     ("queries", |figures| figures.queries),
     ("p50 ms", |figures| figures.p50_ms),
     ("p99 ms", |figures| figures.p99_ms),
     ("coverage", |figures| figures.coverage),
     ("goodput, shards/s", |figures| figures.goodput),
+    ("share of capacity", |figures| figures.share_of_capacity),
+    ("longest swing s", |figures| figures.longest_swing_s),
     ("extra load", |figures| figures.extra_load),
     ("extra requests", |figures| figures.extra_requests),
     ("agent us/request", |figures| figures.agent_us_per_request),
--- a/testing/sablehaven-fleet/src/experiment/runner.rs
+++ b/testing/sablehaven-fleet/src/experiment/runner.rs
@@ -6,7 +6,7 @@
 use sablehaven_history::{Event, Recorder};
 use sablehaven_schema::DeploymentSchema;
 use sablehaven_standins::{
-    caller::{Driver, DriverSettings, LoadShape, MixEntry, RegionLoad},
+    caller::{Driver, DriverSettings, LoadShape, MixEntry, RegionLoad, Surge},
     clock,
 };
 use tokio_util::sync::CancellationToken;
@@ -29,12 +29,9 @@
 /// them runs first alternates, so that neither always finds the other's traces.
 pub async fn run(file: &ExperimentFile, program: &Program) -> Result<ExperimentReport, FleetError> {
     let progress = Progress::default();
-    let schema = topology::schema().map_err(|problems| {
-        let problems: Vec<_> = problems.iter().map(ToString::to_string).collect();
-        FleetError::step("parse the experiments' schema", problems.join("; "))
-    })?;
     let mut scenarios = Vec::new();
     for scenario in &file.scenarios {
+        let schema = topology::schema(scenario.topology.regions)?;
         let mut repeats = Vec::new();
         for number in 0..file.repeats {
             let seed = file.seed.wrapping_add(u64::from(number));
@@ -124,7 +121,7 @@
         self.contenders.calm(&disturbed).await?;
         let executions = admin.executions(executions_before).await?;
         recorder.extend(executions.into_iter().map(Event::Execution));
-        let mut figures = figures(&recorder.history(), window, topology.shards);
+        let mut figures = figures(&recorder.history(), window, topology);
         let processor = used.processor.saturating_sub(used_before.processor);
         let requests = figures.queries * f64::from(topology.shards);
         figures.agent_us_per_request = processor.as_secs_f64() * 1e6 / requests.max(1.0);
@@ -141,13 +138,7 @@
             seed: self.seed,
             // The last queries of the window must not be the last of the load.
             duration: Duration::from_millis(time_ms) + deadline,
-            loads: vec![RegionLoad {
-                region: topology::REGION.into(),
-                shape: LoadShape {
-                    mean_per_second: scenario.load.queries_per_second,
-                    ..LoadShape::default()
-                },
-            }],
+            loads: self.loads(),
             mix: vec![MixEntry {
                 service: topology::SERVICE.into(),
                 method: topology::METHOD.to_owned(),
@@ -157,12 +148,34 @@
             deadline: Some(deadline),
             items: ITEMS,
         };
-        let target = self.contenders.target(contender)?;
-        Driver::new(settings, self.schema, &[target], recorder.clone())
+        let targets = self.contenders.targets(contender);
+        Driver::new(settings, self.schema, &targets, recorder.clone())
             .map_err(|reason| FleetError::step("set up callers", reason))
     }
 }
 
+impl ScenarioRun<'_> {
+    /// Every region's load; the first one's surges when the disturbance begins.
+    fn loads(&self) -> Vec<RegionLoad> {
+        let scenario = self.scenario;
+        let factor = scenario.disturbance.surge_factor;
+        let surge = (factor > 0.0).then_some(Surge {
+            from_ms: scenario.warm_up_ms,
+            until_ms: u64::MAX,
+            factor,
+        });
+        let loads = (0..scenario.topology.regions).map(|region| RegionLoad {
+            region: topology::place(region).region,
+            shape: LoadShape {
+                mean_per_second: scenario.load.queries_per_second,
+                surge: surge.filter(|_| region == 0),
+                ..LoadShape::default()
+            },
+        });
+        loads.collect()
+    }
+}
+
 async fn pause(milliseconds: u64) {
     tokio::time::sleep(Duration::from_millis(milliseconds)).await;
 }
--- a/testing/sablehaven-fleet/src/experiment/topology.rs
+++ b/testing/sablehaven-fleet/src/experiment/topology.rs
@@ -2,11 +2,11 @@
 
 use sablehaven_harness::DeploymentPlan;
 use sablehaven_schema::{
-    DeploymentSchema, SchemaProblem,
+    DeploymentSchema,
     fleet_file::{FleetFile, FleetRegion, FleetServer, FleetService, FleetSize, NetworkSettings},
 };
 use sablehaven_standins::backend::Behaviour;
-use sablehaven_types::{BackendId, ServiceName};
+use sablehaven_types::{BackendId, Placement, ServiceName};
 
 use super::file::{Disturbance, Topology};
 use crate::world::FleetError;
@@ -16,14 +16,11 @@
 /// Its method.
 pub(crate) const METHOD: &str = "Search";
 
-pub(crate) const REGION: &str = "here";
-pub(crate) const ZONE: &str = "here-a";
-
 const SCHEMA: &str = r#"
 syntax = "proto3";
 package experiment;
 import "sablehaven/options.proto";
-option (sablehaven.deployment) = { regions: { name: "here" zones: ["here-a"] } };
+option (sablehaven.deployment) = { REGIONS };
 service Index {
   option (sablehaven.service) = { maximum_shards: 1024 minimum_replicas: 1 };
   rpc Search(SearchRequest) returns (SearchReply) {
@@ -35,9 +32,34 @@
 message Item { string name = 1; uint32 quantity = 2; }
 "#;
 
-/// The schema of every experiment.
-pub(crate) fn schema() -> Result<DeploymentSchema, Vec<SchemaProblem>> {
-    DeploymentSchema::parse("experiment.proto", SCHEMA)
+/// The place of a region, counted from 0; each has one zone.
+pub(crate) fn place(region: u32) -> Placement {
+    let number = region + 1;
+    Placement {
+        region: format!("region-{number}").into(),
+        zone: format!("region-{number}-a").into(),
+    }
+}
+
+/// The schema of an experiment over this many regions.
+pub(crate) fn schema(regions: u32) -> Result<DeploymentSchema, FleetError> {
+    let regions = (0..regions).map(place);
+    let regions = regions.map(|Placement { region, zone }| {
+        format!("regions: {{ name: \"{region}\" zones: [\"{zone}\"] }}")
+    });
+    let regions: Vec<_> = regions.collect();
+    let text = SCHEMA.replace("REGIONS", &regions.join(" "));
+    DeploymentSchema::parse("experiment.proto", &text).map_err(|problems| {
+        let problems: Vec<_> = problems.iter().map(ToString::to_string).collect();
+        FleetError::step("parse the experiments' schema", problems.join("; "))
+    })
+}
+
+/// The region, counted from 0, in which a back end stands.
+pub(super) fn region_of(backend: &BackendId, regions: u32) -> Option<u32> {
+    let instance = backend.as_str().strip_prefix("index-")?.split('-').next()?;
+    let instance: u32 = instance.parse().ok()?;
+    Some((instance - 1) % regions)
 }
 
 /// The fleet of a topology.
@@ -50,10 +72,13 @@
     };
     FleetFile {
         deployment: "experiment".to_owned(),
-        regions: vec![FleetRegion {
-            name: REGION.into(),
-            zones: vec![ZONE.into()],
-        }],
+        regions: (0..topology.regions)
+            .map(place)
+            .map(|Placement { region, zone }| FleetRegion {
+                name: region,
+                zones: vec![zone],
+            })
+            .collect(),
         network: NetworkSettings {
             between_zones_ms: 0,
             between_regions_ms: 0,
@@ -65,7 +90,9 @@
         services: vec![FleetService {
             name: ServiceName::from(SERVICE),
             id_prefix: "index".to_owned(),
-            instance_zones: vec![ZONE.into(); topology.instances as usize],
+            instance_zones: (0..topology.instances)
+                .map(|instance| place(instance % topology.regions).zone)
+                .collect(),
             servers_per_instance: topology.servers_per_instance,
             shards: topology.shards,
             slots_per_server: topology.slots,
@@ -141,16 +168,14 @@
     const TOPOLOGY: Topology = Topology {
         shards: 4,
         instances: 2,
+        regions: 1,
         servers_per_instance: 2,
         slots: 3,
         queue: 16,
         connections: 65,
         service_time_us: 3_000,
     };
-    let schema = schema().map_err(|problems| {
-        let problems: Vec<_> = problems.iter().map(ToString::to_string).collect();
-        FleetError::step("parse the experiments' schema", problems.join("; "))
-    })?;
+    let schema = schema(TOPOLOGY.regions)?;
     let mut plan = plan(&TOPOLOGY, &schema, 1);
     plan.size.control_replicas = 3;
     plan.hollow_backends = hollow_backends;
--- a/testing/sablehaven-fleet/tests/fleet/figures.rs
+++ b/testing/sablehaven-fleet/tests/fleet/figures.rs
@@ -1,6 +1,8 @@
 //! Figures of a window, and the comparison of repeats.
 
-use sablehaven_fleet::experiment::{Contender, Figures, Repeat, ScenarioReport, Window, figures};
+use sablehaven_fleet::experiment::{
+    Contender, Figures, Repeat, ScenarioReport, Topology, Window, figures,
+};
 use sablehaven_history::{
     CallAnswer, CallKind, CallRecord, CallResult, Event, ExecutionEnd, ExecutionRecord, History,
 };
@@ -62,6 +64,40 @@
     })
 }
 
+fn topology(regions: u32) -> Topology {
+    Topology {
+        shards: 2,
+        instances: 2,
+        regions,
+        servers_per_instance: 1,
+        slots: 1,
+        queue: 1,
+        connections: 1,
+        service_time_us: 1_000_000,
+    }
+}
+
+#[test]
+fn a_region_that_stops_working_for_a_while_has_swung() {
+    let mut events = Vec::new();
+    for second in 0..20 {
+        for region in 0..2 {
+            let is_away = region == 1 && (5..9).contains(&second);
+            let mut event = execution(second * SECOND, ExecutionEnd::Replied);
+            if let Event::Execution(execution) = &mut event {
+                execution.backend = format!("index-{}-1", region + 1).into();
+            }
+            events.extend((!is_away).then_some(event));
+        }
+    }
+    let window = Window {
+        from: 0,
+        until: 20 * SECOND,
+    };
+    let found = figures(&History { events }, window, &topology(2));
+    assert_eq!(found.longest_swing_s, 4.0);
+}
+
 #[test]
 fn only_the_window_counts_and_refusals_are_no_executions() {
     let mut events = vec![call(0, SECOND, 0), execution(0, ExecutionEnd::Replied)];
@@ -79,10 +115,11 @@
         from: SECOND,
         until: 3 * SECOND,
     };
-    let figures = figures(&History { events }, window, 2);
+    let figures = figures(&History { events }, window, &topology(1));
     assert_eq!(figures.queries, 2.0);
     assert_eq!(figures.coverage, 0.75);
     assert_eq!(figures.goodput, 1.5);
+    assert_eq!(figures.share_of_capacity, 0.75);
     assert_eq!(figures.extra_load, 0.25);
     assert_eq!(figures.extra_requests, 0.5);
     assert!((figures.p99_ms - 3_000.0).abs() < 5.0, "{figures:?}");
