--- a/crates/sablehaven-agent/tests/agent/leaving.rs
+++ b/crates/sablehaven-agent/tests/agent/leaving.rs
@@ -1,11 +1,12 @@
 //! Back ends that leave get no new work, whichever signal comes first.
 
-use sablehaven_types::{BackendState, ObservationKind, Outcome, http};
+use sablehaven_types::{BackendState, Observation, ObservationKind, Outcome, http};
 
 use crate::support::{
-    backend::Script,
+    backend::{Script, first_attempt},
     bed::{AgentDouble, Bed},
     eventually,
+    schema::service,
 };
 
 /// Searches until every replica has been asked, so that each has been chosen once.
@@ -24,14 +25,17 @@
     assert_eq!(bed.backends[index].seen().len(), before);
 }
 
+/// The first reply says that its back end drains, whichever that is.
 #[tokio::test]
 async fn a_back_end_that_says_it_drains_gets_nothing_new_at_once() {
     let bed = Bed::start(1, 3).await;
-    bed.backends[1].always(Script::ReplyDraining);
+    first_attempt(&bed.backends, Script::ReplyDraining);
     let agent = bed.agent().await;
-    ask_until_seen(&agent, &bed, 1).await;
-    assert_eq!(bed.backends[1].seen().len(), 1);
-    assert_gets_nothing_new(&agent, &bed, 1).await;
+    let answer = agent.caller.search("q").await;
+    assert_eq!(answer.items().len(), 1, "the reply itself is used");
+    let index = bed.backends.iter().position(|backend| backend.count() == 1);
+    let index = index.expect("one back end was asked");
+    assert_gets_nothing_new(&agent, &bed, index).await;
 }
 
 #[tokio::test]
@@ -73,6 +77,22 @@
     assert_eq!(agent.handle.backend_connections(), 2);
 }
 
+#[tokio::test]
+async fn another_agents_word_counts_before_control_has_committed_it() {
+    let bed = Bed::start(1, 3).await;
+    let agent = bed.agent().await;
+    ask_until_seen(&agent, &bed, 0).await;
+    bed.relay.hint(Observation {
+        backend: bed.id(0),
+        service: service(),
+        incarnation: 1,
+        kind: ObservationKind::Draining,
+    });
+    let dropped = || agent.handle.backend_connections() == 2;
+    eventually("the back end is left out", dropped).await;
+    assert_gets_nothing_new(&agent, &bed, 0).await;
+}
+
 #[tokio::test]
 async fn what_a_leaving_back_end_has_is_finished() {
     let bed = Bed::start(1, 1).await;
