--- a/crates/sablehaven-routing/examples/routing_model/experiments/budget.rs
+++ b/crates/sablehaven-routing/examples/routing_model/experiments/budget.rs
@@ -23,12 +23,12 @@
     Bursts,
 }
 
-/// 20 shards of 12 replicas in three regions, 50% load.
+/// 10 shards of 12 replicas in three regions, 50% load.
 fn scenario(need: Need) -> Scenario {
     let topology = Topology {
         regions: 3,
         zones_per_region: 1,
-        shards: 20,
+        shards: 10,
         replicas_per_zone: 4,
         agents_per_zone: 10,
     };
