Agent: replies go out at once

Cause: the agent's listener left Nagle's algorithm on, so the body of a reply could wait for the acknowledgement of its headers, which callers delay by up to 40 ms. Ruled out: the fault proxy and the callers' client, which set the option themselves. Change: the listening socket sets TCP_NODELAY, which accepted connections inherit. Proof: 95 tests of the agent pass.

--- a/crates/sablehaven-agent/src/role.rs
+++ b/crates/sablehaven-agent/src/role.rs
@@ -6,12 +6,8 @@
 use sablehaven_subscription::{AgentIdentity, Subscription};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{AgentId, BoundAddresses};
-use salvo::{
-    Router, Server,
-    conn::{Listener, TcpListener, tcp::TcpAcceptor},
-    server::ServerHandle,
-};
-use tokio::{task::JoinHandle, time::timeout};
+use salvo::{Router, Server, conn::tcp::TcpAcceptor, server::ServerHandle};
+use tokio::{net::TcpSocket, task::JoinHandle, time::timeout};
 
 use crate::{
     agent::Agent,
@@ -46,6 +42,9 @@
     following: JoinHandle<()>,
 }
 
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
+
 /// Starts an agent. It is ready once its first configuration has come.
 pub async fn start(config: Config, telemetry: Telemetry) -> Result<Handle, StartError> {
     start_with_policies(config, telemetry, service_routers()).await
@@ -155,13 +154,27 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpAcceptor, StartError> {
-    let bound = TcpListener::new(address).try_bind().await;
-    bound.map_err(|error| StartError::Listen {
+    bind_without_delay(address).map_err(|error| StartError::Listen {
         address,
         cause: error.to_string(),
     })
 }
 
+/// Binds a listener whose connections send small replies at once.
+///
+/// Accepted connections inherit the option on Linux. Without it the body of a reply waits for the
+/// acknowledgement of its headers, which callers delay by up to 40 ms (RFC 1122, section 4.2.3.4).
+fn bind_without_delay(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_nodelay(true)?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)?.try_into()
+}
+
 fn local_address(acceptor: &TcpAcceptor, address: SocketAddr) -> Result<SocketAddr, StartError> {
     acceptor
         .inner()
