--- a/testing/sablehaven-standins/src/host/running.rs
+++ b/testing/sablehaven-standins/src/host/running.rs
@@ -4,9 +4,9 @@
 
 use sablehaven_schema::{DeploymentSchema, SchemaProblem};
 use sablehaven_types::{BackendId, BackendRecord};
-use salvo::{Listener, Server, conn::TcpListener, server::ServerHandle};
+use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use serde::{Deserialize, Serialize};
-use tokio::task::JoinHandle;
+use tokio::{net::TcpSocket, task::JoinHandle};
 
 use super::{HostError, HostFile, admin};
 use crate::{
@@ -168,8 +168,7 @@
         address,
         reason,
     };
-    let listener = TcpListener::new(address).try_bind().await;
-    let acceptor = listener.map_err(|cause| error(cause.to_string()))?;
+    let acceptor = bind_without_delay(address).map_err(|cause| error(cause.to_string()))?;
     let bound = acceptor.local_addr();
     let bound = bound.map_err(|cause| error(cause.to_string()))?;
     let server = Server::new(acceptor);
@@ -177,3 +176,14 @@
     let task = tokio::spawn(server.serve(router));
     Ok((bound, (handle, task)))
 }
+
+/// Binds a listener whose connections send small replies at once; accepted connections inherit the
+/// option on Linux. The baseline must not lose to the product by a delayed acknowledgement.
+fn bind_without_delay(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
+    const BACKLOG: u32 = 1_024;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_nodelay(true)?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.try_into()
+}
