--- a/testing/sablehaven-harness/src/caller.rs
+++ b/testing/sablehaven-harness/src/caller.rs
@@ -42,7 +42,7 @@
         self.send(path, request).await
     }
 
-    /// Sends a request that may not be repeated.
+    /// Sends a request that may not be repeated for the first time.
     pub async fn once(
         &self,
         path: &str,
@@ -50,14 +50,35 @@
         issued_at_ms: u64,
         body: &Value,
     ) -> Result<HttpAnswer, HarnessError> {
-        let request = self
-            .client
+        let request = self.once_request(path, request_id, issued_at_ms, body);
+        self.send(path, request).await
+    }
+
+    /// Sends a request that may not be repeated again.
+    pub async fn resend(
+        &self,
+        path: &str,
+        request_id: &str,
+        issued_at_ms: u64,
+        body: &Value,
+    ) -> Result<HttpAnswer, HarnessError> {
+        let request = self.once_request(path, request_id, issued_at_ms, body);
+        self.send(path, request.header(http::RESEND, "1")).await
+    }
+
+    fn once_request(
+        &self,
+        path: &str,
+        request_id: &str,
+        issued_at_ms: u64,
+        body: &Value,
+    ) -> reqwest::RequestBuilder {
+        self.client
             .post(self.url(path))
             .header(http::CALLER, "integration")
             .header(http::REQUEST_ID, request_id)
             .header(http::ISSUED_AT_MS, issued_at_ms.to_string())
-            .json(body);
-        self.send(path, request).await
+            .json(body)
     }
 
     async fn send(
--- a/testing/sablehaven-integration/tests/regions.rs
+++ b/testing/sablehaven-integration/tests/regions.rs
@@ -53,7 +53,7 @@
     let elsewhere = deployment.caller(outside);
     until("the majority goes on", || async {
         let answer = elsewhere
-            .once(RESERVE_PALLET, "inside", issued_at_ms, &body)
+            .resend(RESERVE_PALLET, "inside", issued_at_ms, &body)
             .await;
         let envelope = answer.map_err(|error| error.to_string())?.envelope;
         match envelope.outcome {
@@ -81,7 +81,7 @@
     .await
     .expect("it is current again");
     let resent = caller
-        .once(RESERVE_PALLET, "inside", issued_at_ms, &body)
+        .resend(RESERVE_PALLET, "inside", issued_at_ms, &body)
         .await;
     assert_eq!(resent.expect("an answer").envelope.outcome, Outcome::Done);
     let executions = deployment.admin().executions(0).await.expect("executions");
--- a/testing/sablehaven-integration/tests/requests.rs
+++ b/testing/sablehaven-integration/tests/requests.rs
@@ -61,8 +61,10 @@
     }
 
     async fn resend(&self, deployment: &Deployment, agent: usize) -> HttpAnswer {
-        let sent = self.send(deployment, agent).await.expect("the task ends");
-        sent.expect("the agent answers")
+        let caller = deployment.caller(agent);
+        let body = Self::body();
+        let sent = caller.resend(RESERVE_PALLET, self.request_id, self.issued_at_ms, &body);
+        sent.await.expect("the agent answers")
     }
 
     async fn recorded(&self, deployment: &Deployment) -> Result<ClaimAnswer, String> {
--- a/testing/sablehaven-integration/tests/traffic.rs
+++ b/testing/sablehaven-integration/tests/traffic.rs
@@ -84,9 +84,17 @@
     let mut world = start_world().await;
     let (stop, sending) = send(&world, Duration::from_secs(60), 1);
     let service = ORDERING_PORTAL.into();
-    world.rebuild(&service).await.expect("a rebuild");
-    world.repartition(&service, 8).await.expect("fewer shards");
-    world.repartition(&service, 24).await.expect("more shards");
+    world.back_ends.rebuild(&service).await.expect("a rebuild");
+    world
+        .back_ends
+        .repartition(&service, 8)
+        .await
+        .expect("fewer shards");
+    world
+        .back_ends
+        .repartition(&service, 24)
+        .await
+        .expect("more shards");
     stop.cancel();
     sending.await.expect("the callers end");
     world.read_back_ends().await.expect("executions");
