--- /dev/null
+++ b/crates/sablehaven-control/src/driver/publish.rs
@@ -0,0 +1,36 @@
+//! What the driver publishes for the servers.
+
+use std::time::Instant;
+
+use sablehaven_consensus::Role;
+
+use super::{machine::read, run::Driver};
+
+impl Driver {
+    /// Publishes who leads group 0, and since when if this replica does.
+    pub(super) fn publish_leadership(&self) {
+        let status = self.groups[0].replica.status();
+        let is_leader = status.role == Role::Leader;
+        let is_formed = !status.membership.voters.is_empty();
+        self.published.send_if_modified(|published| {
+            let before = published.clone();
+            published.leader = status.leader;
+            published.is_formed = is_formed;
+            published.leading_since = match published.leading_since {
+                Some(since) if is_leader => Some(since),
+                _ => is_leader.then(Instant::now),
+            };
+            *published != before
+        });
+    }
+
+    /// Publishes the revision of the shared state.
+    pub(super) fn publish_revision(&self) {
+        let revision = read(&self.state, crate::shared::SharedState::revision);
+        self.published.send_if_modified(|published| {
+            let is_new = published.revision != revision;
+            published.revision = revision;
+            is_new
+        });
+    }
+}
--- a/crates/sablehaven-control/src/driver/run.rs
+++ b/crates/sablehaven-control/src/driver/run.rs
@@ -1,13 +1,13 @@
 //! The driver's loop.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use sablehaven_consensus::{Ready, Replica, ReplicaId, Restored, Role};
-use sablehaven_storage::{GroupWrite, Opened, RestoredGroup, SnapshotWriter};
+use sablehaven_consensus::{Ready, Replica, ReplicaId, Restored};
+use sablehaven_storage::{GroupWrite, Opened, SnapshotWriter};
 use tokio::{
     sync::{mpsc, watch},
     time::MissedTickBehavior,
@@ -17,16 +17,17 @@
 use super::{
     group::Group,
     input::{DriverHandle, Input},
-    machine::{Machine, SharedHandle, read},
+    machine::{SharedHandle, read},
     members::HandOver,
     reads::ProofQueue,
+    restore::restore_groups,
     status::{DriverStatus, Published},
     storage_thread::{StorageDone, StorageJob, StorageStep, StorageThread},
     writes::{ReadyWrite, WriteQueue},
 };
 use crate::{
     Config, StartError,
-    ledger::{LedgerState, group_of_key},
+    ledger::group_of_key,
     metrics::Metrics,
     peers::{Directory, Links},
 };
@@ -369,77 +370,9 @@
         Ok(())
     }
 
-    fn publish_leadership(&self) {
-        let status = self.groups[0].replica.status();
-        let is_leader = status.role == Role::Leader;
-        let is_formed = !status.membership.voters.is_empty();
-        self.published.send_if_modified(|published| {
-            let before = published.clone();
-            published.leader = status.leader;
-            published.is_formed = is_formed;
-            published.leading_since = match published.leading_since {
-                Some(since) if is_leader => Some(since),
-                _ => is_leader.then(Instant::now),
-            };
-            *published != before
-        });
-    }
-
-    fn publish_revision(&self) {
-        let revision = read(&self.state, crate::shared::SharedState::revision);
-        self.published.send_if_modified(|published| {
-            let is_new = published.revision != revision;
-            published.revision = revision;
-            is_new
-        });
-    }
-
     fn fail_pending(&mut self) {
         for group in &mut self.groups {
             group.pending.fail_all();
         }
     }
 }
-
-fn restore_groups(
-    config: &Config,
-    id: ReplicaId,
-    state: &SharedHandle,
-    mut stored: BTreeMap<u32, RestoredGroup>,
-) -> Result<Vec<Group>, StartError> {
-    check_group_count(config, &stored)?;
-    let mut groups = Vec::new();
-    for number in 0..=config.ledger_groups {
-        let stored = stored.remove(&number).unwrap_or_default();
-        let machine = match number {
-            0 => Machine::Shared(Arc::clone(state)),
-            _ => Machine::Ledger(Box::<LedgerState>::default()),
-        };
-        let replica = Replica::new(config.consensus(), id, stored.restored.clone());
-        let group = Group::new(number, replica, machine, &stored);
-        let group = group.map_err(|source| StartError::Restore {
-            group: number,
-            source,
-        })?;
-        groups.push(group);
-    }
-    Ok(groups)
-}
-
-/// Keys are spread by the number of groups: with another number a key would be looked for in a
-/// group that does not hold it, and could be claimed a second time.
-fn check_group_count(
-    config: &Config,
-    stored: &BTreeMap<u32, RestoredGroup>,
-) -> Result<(), StartError> {
-    let Some((highest, _)) = stored.last_key_value() else {
-        return Ok(());
-    };
-    if *highest == config.ledger_groups {
-        return Ok(());
-    }
-    Err(StartError::LedgerGroups {
-        stored: *highest,
-        configured: config.ledger_groups,
-    })
-}
