Fleet: capacity at the target's numbers of relays and agents; routers; poll interval

Cause: the leader's metrics 'leading' and 'revision' stay 0 (nothing sets them), so the tool found no leader; the harness had the platform's list read 5 times a second, which hid the cost of other things; the slope over agents of one relay does not show what 13 relays' reports cost the leader together. Ruled out: subtracting polls from the figures; they queue on a busy machine.

--- a/testing/sablehaven-fleet/src/capacity/backends.rs
+++ b/testing/sablehaven-fleet/src/capacity/backends.rs
@@ -9,6 +9,7 @@
     agents::{add_changes, change},
     bed::Bed,
     figure, sizes,
+    target::READINGS_PER_SECOND,
     usage::{at_rest, during},
 };
 use crate::{experiment::capacity_plan, world::FleetError};
@@ -17,14 +18,11 @@
 const SETTLE: Duration = Duration::from_secs(2);
 
 /// Time that is measured at rest.
-const REST: Duration = Duration::from_secs(4);
+const REST: Duration = Duration::from_secs(5);
 
 /// Changes that are measured at each size.
 const CHANGES: u32 = 10;
 
-/// Readings of the platform's list a second, by the harness's settings.
-const READINGS_PER_SECOND: f64 = 5.0;
-
 pub(super) async fn measure(run: &Run<'_>) -> Result<SlopeSet, FleetError> {
     let mut slopes = SlopeSet::new(Part::Backends, "back ends");
     for count in sizes(run.settings.most_backends) {
@@ -44,6 +42,8 @@
     bed.settle(&hollow).await?;
     slopes.add(figure::NEW_AGENT, x, start.elapsed().as_secs_f64() * 1e3);
     slopes.add(figure::SNAPSHOT, x, hollow.bytes() as f64 / 1e3);
+    // The new agent changes the number of agents, which whole agents take in.
+    tokio::time::sleep(SETTLE).await;
     let rest = at_rest(bed, &hollow, REST).await?;
     let leader = rest.core_per_mille(rest.leader_ms);
     slopes.add(figure::POLL, x, leader / READINGS_PER_SECOND);
--- a/testing/sablehaven-fleet/src/capacity/bed.rs
+++ b/testing/sablehaven-fleet/src/capacity/bed.rs
@@ -2,13 +2,20 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use sablehaven_control::{
+    PlatformConfig,
+    operator::{ControlStatus, paths},
+};
 use sablehaven_harness::{Deployment, DeploymentPlan, Node, Program};
 use sablehaven_history::Recorder;
 use sablehaven_types::{ApplyOutcome, ConfigurationChange, RoutingSettings};
 
-use super::{hollow::HollowAgents, metrics};
+use super::hollow::HollowAgents;
 use crate::world::{FleetError, Operations};
 
+/// Time between two readings of the platform's list; control's default.
+const POLL_INTERVAL_MS: u64 = 1_000;
+
 /// A running deployment with an operator.
 pub(super) struct Bed {
     pub deployment: Deployment,
@@ -16,7 +23,15 @@
 }
 
 impl Bed {
-    pub(super) async fn start(plan: DeploymentPlan, program: &Program) -> Result<Self, FleetError> {
+    /// Starts a plan, with control reading the platform's list as often as by its default settings.
+    pub(super) async fn start(
+        mut plan: DeploymentPlan,
+        program: &Program,
+    ) -> Result<Self, FleetError> {
+        plan.settings.control.platform = Some(PlatformConfig {
+            url: String::new(), // the harness fills it in
+            poll_interval_ms: POLL_INTERVAL_MS,
+        });
         let deployment = Deployment::start(plan, program).await?;
         let operations = Operations::new(deployment.operator()?, Recorder::new(), "capacity");
         Ok(Self {
@@ -84,10 +99,23 @@
     /// The control replica that leads group 0.
     pub(super) async fn leader(&self) -> Result<&Node, FleetError> {
         for node in &self.deployment.control {
-            if metrics::value(node, "sablehaven_control_leading").await? == 1.0 {
+            let status = status(node).await?;
+            if status.leader == Some(status.replica) {
                 return Ok(node);
             }
         }
         Err(FleetError::step("find leader", "no replica leads"))
     }
+
+    /// The revision of the shared state that the leader has applied.
+    pub(super) async fn revision(&self) -> Result<u64, FleetError> {
+        Ok(status(self.leader().await?).await?.revision)
+    }
+}
+
+/// One replica's own view.
+async fn status(node: &Node) -> Result<ControlStatus, FleetError> {
+    let failed = |error: reqwest::Error| FleetError::step("read status", error);
+    let response = reqwest::get(format!("http://{}{}", node.http(), paths::STATUS)).await;
+    response.map_err(failed)?.json().await.map_err(failed)
 }
--- a/testing/sablehaven-fleet/src/capacity/events.rs
+++ b/testing/sablehaven-fleet/src/capacity/events.rs
@@ -15,7 +15,6 @@
     bed::Bed,
     figure,
     hollow::HollowAgents,
-    metrics,
     rates::Turn,
     usage::{at_rest, during},
 };
@@ -78,8 +77,7 @@
         .try_collect::<()>()
         .await?;
     wait_for_control(bed, records).await?;
-    let revision = metrics::value(bed.leader().await?, "sablehaven_control_revision").await?;
-    hollow.wait_for_revision(revision as u64).await?;
+    hollow.wait_for_revision(bed.revision().await?).await?;
     Ok(start.elapsed())
 }
 
--- a/testing/sablehaven-fleet/src/capacity/figure.rs
+++ b/testing/sablehaven-fleet/src/capacity/figure.rs
@@ -97,3 +97,5 @@
 pub const EVENT_RELAY_MEMORY: Figure = figure("relay, memory after it", "MB");
 /// Agents that were without a lease for a moment.
 pub const WITHOUT_LEASE: Figure = figure("agents without a lease for a moment", "agents");
+/// Time of one service's router to follow a change.
+pub const ROUTER_UPDATE: Figure = figure("one router, one update", "ms");
--- a/testing/sablehaven-fleet/src/capacity/latency.rs
+++ b/testing/sablehaven-fleet/src/capacity/latency.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::{IpAddr, Ipv4Addr},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use sablehaven_harness::{DeploymentPlan, Node, PlanSize};
@@ -10,6 +10,7 @@
 
 use super::{
     Part, Run, SlopeSet, agents::add_times, bed::Bed, figure, hollow::HollowAgents, sizes,
+    whole::time_of,
 };
 use crate::{deployment_folder, measure::statistics::Spread, world::FleetError};
 
@@ -22,9 +23,6 @@
 /// Changes that are measured at each size.
 const CHANGES: u32 = 12;
 
-/// Time in which a change must be in force before the measurement is given up, in milliseconds.
-const IN_FORCE_LIMIT_MS: u64 = 30_000;
-
 /// Pause between changes.
 const CHANGE_SPACING: Duration = Duration::from_millis(200);
 
@@ -66,24 +64,7 @@
     let (mut times, mut told) = (Vec::new(), Vec::new());
     for number in 0..CHANGES {
         let version = bed.change(number).await?;
-        let accepted = Instant::now();
-        let arrival = async {
-            for group in groups {
-                group.wait_for(version).await?;
-            }
-            Ok::<_, FleetError>(accepted.elapsed())
-        };
-        let report = async {
-            let in_force = bed
-                .operations
-                .wait_in_force(version, IN_FORCE_LIMIT_MS)
-                .await?;
-            match in_force {
-                true => Ok(accepted.elapsed()),
-                false => Err(FleetError::step("wait", "not in force everywhere")),
-            }
-        };
-        let (arrived, reported) = tokio::try_join!(arrival, report)?;
+        let (arrived, reported) = time_of(bed, groups, version).await?;
         times.push(arrived);
         told.push(reported);
         tokio::time::sleep(CHANGE_SPACING).await;
--- a/testing/sablehaven-fleet/src/capacity/mod.rs
+++ b/testing/sablehaven-fleet/src/capacity/mod.rs
@@ -22,10 +22,12 @@
 mod rates;
 mod relays;
 pub mod report;
+mod routers;
 mod storms;
 pub mod subsets;
 pub mod target;
 mod usage;
+mod whole;
 
 pub use part::Part;
 pub use report::{CapacityReport, Slope, SlopeSet};
@@ -76,6 +78,8 @@
             Part::Moves => report.replace(storms::measure_moves(&run).await?),
             Part::Healing => report.replace(healing::measure(&run).await?),
             Part::Latency => report.replace(latency::measure(&run).await?),
+            Part::Whole => report.replace(whole::measure(&run).await?),
+            Part::Routers => report.replace(routers::measure()),
             Part::Subsets => report.subsets = subsets::measure(),
         }
     }
--- a/testing/sablehaven-fleet/src/capacity/part.rs
+++ b/testing/sablehaven-fleet/src/capacity/part.rs
@@ -28,13 +28,17 @@
     Healing,
     /// Over the agents, with the deployment's latencies.
     Latency,
+    /// Over the agents, with the target's numbers of relays and control replicas.
+    Whole,
+    /// Over the servers of one service, in an agent's router.
+    Routers,
     /// Computed: connections under subsetting.
     Subsets,
 }
 
 impl Part {
     /// Every part, in the order in which they run.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 14] = [
         Self::Agents,
         Self::Backends,
         Self::Relays,
@@ -46,6 +50,8 @@
         Self::Moves,
         Self::Healing,
         Self::Latency,
+        Self::Whole,
+        Self::Routers,
         Self::Subsets,
     ];
 
@@ -63,6 +69,8 @@
             Self::Moves => "moves",
             Self::Healing => "healing",
             Self::Latency => "latency",
+            Self::Whole => "whole",
+            Self::Routers => "routers",
             Self::Subsets => "subsets",
         }
     }
--- a/testing/sablehaven-fleet/src/capacity/target.rs
+++ b/testing/sablehaven-fleet/src/capacity/target.rs
@@ -149,7 +149,7 @@
         table.row([
             projection.role.to_owned(),
             projection.line.to_owned(),
-            format!("{:.0} {}", projection.size, slope.size),
+            format!("{} {}", significant(projection.size), slope.size),
             significant(projected.figure),
             significant(projected.error),
             projection.unit.to_owned(),
@@ -170,6 +170,7 @@
         size if size >= 100.0 => format!("{figure:.0}"),
         size if size >= 10.0 => format!("{figure:.1}"),
         size if size >= 1.0 => format!("{figure:.2}"),
+        size if size >= 0.1 => format!("{figure:.3}"),
         _ => format!("{figure:.4}"),
     }
 }
--- a/testing/sablehaven-fleet/src/main.rs
+++ b/testing/sablehaven-fleet/src/main.rs
@@ -164,10 +164,15 @@
             report.write(folder)?;
         }
     }
-    println!("{}", report.slope_table());
-    println!("{}", target::arithmetic_table());
-    println!("{}", target::table(&report));
-    println!("{}", subsets::table(&report.subsets));
+    let tables = [
+        report.slope_table(),
+        target::arithmetic_table(),
+        target::table(&report),
+        subsets::table(&report.subsets),
+    ];
+    for table in tables {
+        println!("{}", table.markdown());
+    }
     Ok(true)
 }
 
--- a/testing/sablehaven-fleet/src/measure/table.rs
+++ b/testing/sablehaven-fleet/src/measure/table.rs
@@ -24,6 +24,14 @@
             .push(cells.into_iter().map(|cell| cell.to_string()).collect());
     }
 
+    /// The table as Markdown, for a page.
+    pub fn markdown(&self) -> String {
+        let line = |cells: &[String]| format!("| {} |\n", cells.join(" | "));
+        let rule = vec!["---".to_owned(); self.header.len()];
+        let rows: String = self.rows.iter().map(|row| line(row)).collect();
+        line(&self.header) + &line(&rule) + &rows
+    }
+
     fn widths(&self) -> Vec<usize> {
         let lines = || std::iter::once(&self.header).chain(&self.rows);
         let columns = lines().map(Vec::len).max().unwrap_or(0);
--- a/testing/sablehaven-fleet/tests/fleet/measure.rs
+++ b/testing/sablehaven-fleet/tests/fleet/measure.rs
@@ -71,6 +71,10 @@
         table.to_string(),
         "name       value\nlong name      1\né             22\n"
     );
+    assert_eq!(
+        table.markdown(),
+        "| name | value |\n| --- | --- |\n| long name | 1 |\n| é | 22 |\n"
+    );
 }
 
 #[test]
--- a/testing/sablehaven-harness/src/deployment.rs
+++ b/testing/sablehaven-harness/src/deployment.rs
@@ -18,6 +18,10 @@
 /// a hang.
 const OPERATOR_LIMIT: Duration = Duration::from_secs(30);
 
+/// Time between two readings of the platform's list, in milliseconds, unless the plan's settings name
+/// another one.
+const POLL_INTERVAL_MS: u64 = 200;
+
 /// The line of an agent's metrics while it holds a lease.
 const LEASE_HELD: &str = "sablehaven_agent_lease_current 1";
 
@@ -302,9 +306,12 @@
             .filter(|other| other.name() != node.name())
             .map(Node::internal)
             .collect();
+        let poll_interval_ms = settings
+            .platform
+            .map_or(POLL_INTERVAL_MS, |platform| platform.poll_interval_ms);
         settings.platform = Some(sablehaven_control::PlatformConfig {
             url: format!("http://{}/{LIST_PATH}", self.platform),
-            poll_interval_ms: 200,
+            poll_interval_ms,
         });
         let settings = Settings {
             control: settings,
