Benchmarks share one crate of lines, medians and tables

Cause: four programs fitted lines, three took medians, each with code of its own. Change: sablehaven-measurements, used by the fleet tool and by the benches of agent, relay and storage. storage_bench prints the explained variance in place of the residuals' error.

--- a/crates/sablehaven-agent/examples/agent_bench/cost.rs
+++ b/crates/sablehaven-agent/examples/agent_bench/cost.rs
@@ -2,9 +2,10 @@
 
 use clap::ArgMatches;
 
+use sablehaven_measurements::fit::{Line, fit_pairs};
+
 use crate::{
     children::{Backends, run_agent},
-    fit::{Line, fit},
     given,
 };
 
@@ -40,14 +41,14 @@
         .map(|run| (run.shards, run.processor_us_per_query()));
     print_line(
         "processor time per sub-request, us",
-        fit(&processor.collect::<Vec<_>>()),
+        fit_pairs(&processor.collect::<Vec<_>>()),
     );
     let memory = runs
         .iter()
         .map(|run| (run.connections, run.resident_bytes / 1024.0));
     print_line(
         "memory per back-end connection, KiB",
-        fit(&memory.collect::<Vec<_>>()),
+        fit_pairs(&memory.collect::<Vec<_>>()),
     );
 }
 
@@ -92,9 +93,13 @@
     );
 }
 
-fn print_line(what: &str, line: Line) {
+fn print_line(what: &str, line: Option<Line>) {
+    let Some(line) = line else {
+        println!("{what}: too few points for a line");
+        return;
+    };
     println!(
         "{what}: slope {:.2} +- {:.2} (standard error), intercept {:.1}, R^2 {:.4}",
-        line.slope, line.slope_error, line.intercept, line.r_squared
+        line.slope, line.slope_error, line.intercept, line.explained
     );
 }
--- a/crates/sablehaven-agent/examples/agent_bench/main.rs
+++ b/crates/sablehaven-agent/examples/agent_bench/main.rs
@@ -11,7 +11,6 @@
 mod baseline;
 mod children;
 mod cost;
-mod fit;
 #[allow(dead_code, reason = "the benchmark uses a part of the tests' doubles")]
 #[path = "../../tests/agent/support/mod.rs"]
 mod support;
--- a/crates/sablehaven-relay/examples/distribution_bench/propagation.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/propagation.rs
@@ -7,6 +7,8 @@
 
 use sablehaven_subscription::Subscription;
 
+use sablehaven_measurements::statistics;
+
 use crate::{
     Options,
     control_side::Commit,
@@ -67,12 +69,12 @@
     fleet.end();
     all.sort_by(f64::total_cmp);
     last_of_change.sort_by(f64::total_cmp);
-    let last = fit::quantile(&last_of_change, 0.5);
+    let last = quantile(&last_of_change, 0.5);
     println!(
         "| {count} | {:.2} | {:.2} | {last:.2} | {:.2} |",
-        fit::quantile(&all, 0.5),
-        fit::quantile(&all, 0.99),
-        fit::quantile(&last_of_change, 1.0),
+        quantile(&all, 0.5),
+        quantile(&all, 0.99),
+        quantile(&last_of_change, 1.0),
     );
     last
 }
@@ -101,3 +103,8 @@
         }
     }
 }
+
+/// The quantile of ascending values; not a number of nothing.
+fn quantile(ascending: &[f64], share: f64) -> f64 {
+    statistics::quantile(ascending, share).unwrap_or(f64::NAN)
+}
--- a/crates/sablehaven-storage/examples/storage_bench/append.rs
+++ b/crates/sablehaven-storage/examples/storage_bench/append.rs
@@ -11,7 +11,9 @@
 use sablehaven_consensus::{Entry, EntryPayload};
 use sablehaven_storage::{GroupWrite, Options, Storage};
 
-use crate::{open_with, options, statistics::median};
+use sablehaven_measurements::statistics::median;
+
+use crate::{open_with, options};
 
 const BATCH_SIZES: [u64; 4] = [1, 8, 64, 512];
 /// The groups that a batch is spread over.
@@ -83,9 +85,9 @@
     let records = size * batches * (rounds as u64 + 1);
     let syncs = counters.log_syncs as f64 / records as f64;
     let bytes = counters.log_bytes / counters.log_syncs;
-    let ratio = median(&mut ratios);
+    let ratio = median(&ratios);
     let (lower, upper) = (ratios[ratios.len() / 4], ratios[ratios.len() * 3 / 4]);
-    let (rate, plain_rate) = (median(&mut rates), median(&mut plain_rates));
+    let (rate, plain_rate) = (median(&rates), median(&plain_rates));
     println!(
         "| {size} | {syncs:.4} | {bytes} | {rate:.0} | {plain_rate:.0} | {ratio:.2} | {lower:.2} to {upper:.2} |"
     );
--- a/crates/sablehaven-storage/examples/storage_bench/main.rs
+++ b/crates/sablehaven-storage/examples/storage_bench/main.rs
@@ -5,7 +5,6 @@
 
 mod append;
 mod recovery;
-mod statistics;
 
 use std::{
     error::Error,
--- a/crates/sablehaven-storage/examples/storage_bench/recovery.rs
+++ b/crates/sablehaven-storage/examples/storage_bench/recovery.rs
@@ -4,13 +4,10 @@
 use std::{error::Error, path::Path, time::Instant};
 
 use sablehaven_consensus::{Snapshot, SnapshotMetadata};
+use sablehaven_measurements::{fit::fit_pairs, statistics::median};
 use sablehaven_storage::GroupWrite;
 
-use crate::{
-    append::entry,
-    open,
-    statistics::{fit, median},
-};
+use crate::{append::entry, open};
 
 const LOG_RECORDS: [u64; 5] = [10_000, 50_000, 100_000, 250_000, 500_000];
 const SNAPSHOT_MEBIBYTES: [usize; 5] = [1, 16, 64, 128, 256];
@@ -96,13 +93,15 @@
         times.push(begin.elapsed().as_secs_f64() * 1000.0);
         drop(opened);
     }
-    Ok(median(&mut times))
+    Ok(median(&times))
 }
 
 fn print_line(points: &[(f64, f64)], unit: &str) {
-    let line = fit(points);
+    let Some(line) = fit_pairs(points) else {
+        return;
+    };
     println!(
-        "Line: {:.2} ms + {:.4} ms (standard error {:.4}) a {unit}; residual standard error {:.2} ms",
-        line.intercept, line.slope, line.slope_error, line.residual_error
+        "Line: {:.2} ms + {:.4} ms (standard error {:.4}) a {unit}; {:.3} of the variance explained",
+        line.intercept, line.slope, line.slope_error, line.explained
     );
 }
--- a/testing/sablehaven-fleet/src/measure/mod.rs
+++ b/testing/sablehaven-fleet/src/measure/mod.rs
@@ -1,7 +1,6 @@
 //! Figures: medians, spreads, fits, tables and plots.
 
-pub mod fit;
 pub mod plot;
 pub mod process;
-pub mod statistics;
-pub mod table;
+
+pub use sablehaven_measurements::{fit, statistics, table};
--- a/testing/sablehaven-fleet/src/measure/fit.rs
+++ b/testing/sablehaven-measurements/src/fit.rs
@@ -11,6 +11,12 @@
     pub y: f64,
 }
 
+impl From<(f64, f64)> for Point {
+    fn from((x, y): (f64, f64)) -> Self {
+        Self { x, y }
+    }
+}
+
 /// A straight line through points.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Line {
@@ -31,6 +37,12 @@
     }
 }
 
+/// Fits a line to pairs of size and figure; see [`fit`].
+pub fn fit_pairs(pairs: &[(f64, f64)]) -> Option<Line> {
+    let points: Vec<Point> = pairs.iter().copied().map(Point::from).collect();
+    fit(&points)
+}
+
 /// Fits a line; `None` with fewer than two different sizes.
 pub fn fit(points: &[Point]) -> Option<Line> {
     let count = points.len() as f64;
--- a/testing/sablehaven-fleet/src/measure/statistics.rs
+++ b/testing/sablehaven-measurements/src/statistics.rs
@@ -43,6 +43,11 @@
     }
 }
 
+/// The median; 0 of nothing.
+pub fn median(values: &[f64]) -> f64 {
+    Spread::of(values.iter().copied()).map_or(0.0, |spread| spread.median)
+}
+
 /// The value below which the given share of values lies, which are ascending; `None` if there are
 /// none.
 pub fn quantile(ascending: &[f64], share: f64) -> Option<f64> {
