--- a/crates/sablehaven-cli/src/arguments.rs
+++ b/crates/sablehaven-cli/src/arguments.rs
@@ -174,15 +174,28 @@
                         .value_parser(value_parser!(u64)),
                 ),
         )
-        .subcommand(Command::new("configuration").about("Shows the configuration in force"))
-        .subcommand(Command::new("history").about("Shows who changed the configuration, when, why"))
-        .subcommand(Command::new("backends").about("Shows the back ends and their state"))
+        .subcommand(read("configuration", "Shows the configuration in force"))
+        .subcommand(read(
+            "history",
+            "Shows who changed the configuration, when, why",
+        ))
+        .subcommand(read("backends", "Shows the back ends and their state"))
         .subcommand(Command::new("status").about("Shows control replicas, groups, relays, agents"))
         .subcommand(ledger())
         .subcommand(transfer_leadership())
         .subcommand(control_machines())
 }
 
+/// A reading that may also come from a replica that cannot prove that it is current.
+fn read(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).arg(
+        Arg::new("unconfirmed")
+            .long("unconfirmed")
+            .help("Asks without proof of being current, for when the quorum is lost")
+            .action(ArgAction::SetTrue),
+    )
+}
+
 fn apply() -> Command {
     Command::new("apply")
         .about("Changes the configuration by compare-and-set on its version")
@@ -297,7 +310,7 @@
             .required(true)
             .value_parser(value_parser!(SocketAddr))
     };
-    Command::new("control-machines")
+    Command::new("control")
         .about("Adds, removes and replaces control replicas, one at a time")
         .subcommand_required(true)
         .arg_required_else_help(true)
--- a/crates/sablehaven-cli/src/operator/mod.rs
+++ b/crates/sablehaven-cli/src/operator/mod.rs
@@ -37,13 +37,13 @@
     match action {
         "apply" => apply::apply(&context, action_matches).await,
         "wait" => apply::wait(&context, action_matches).await,
-        "configuration" => reads::configuration(&context).await,
-        "history" => reads::history(&context).await,
-        "backends" => reads::backends(&context).await,
+        "configuration" => reads::configuration(&context, action_matches).await,
+        "history" => reads::history(&context, action_matches).await,
+        "backends" => reads::backends(&context, action_matches).await,
         "status" => reads::status(&context).await,
         "ledger" => reads::ledger(&context, action_matches).await,
         "transfer-leadership" => control_machines::transfer(&context, action_matches).await,
-        "control-machines" => control_machines::run(&context, action_matches).await,
+        "control" => control_machines::run(&context, action_matches).await,
         _ => unreachable!("clap knows every action"),
     }
 }
--- a/crates/sablehaven-cli/src/operator/reads.rs
+++ b/crates/sablehaven-cli/src/operator/reads.rs
@@ -12,8 +12,14 @@
     output::table,
 };
 
-pub(super) async fn configuration(context: &Context) -> Result<ExitStatus, CommandError> {
-    let configuration: Configuration = context.client.get(paths::CONFIGURATION).await?;
+pub(super) async fn configuration(
+    context: &Context,
+    matches: &ArgMatches,
+) -> Result<ExitStatus, CommandError> {
+    let configuration: Configuration = context
+        .client
+        .get(&path(paths::CONFIGURATION, matches))
+        .await?;
     context.output.print(&configuration, || {
         let rows = configuration.services.iter().map(|(name, service)| {
             [
@@ -35,8 +41,11 @@
     Ok(ExitStatus::Success)
 }
 
-pub(super) async fn history(context: &Context) -> Result<ExitStatus, CommandError> {
-    let history: Vec<CommandRecord> = context.client.get(paths::HISTORY).await?;
+pub(super) async fn history(
+    context: &Context,
+    matches: &ArgMatches,
+) -> Result<ExitStatus, CommandError> {
+    let history: Vec<CommandRecord> = context.client.get(&path(paths::HISTORY, matches)).await?;
     context.output.print(&history, || {
         let rows = history.iter().map(|record| {
             [
@@ -55,8 +64,11 @@
     Ok(ExitStatus::Success)
 }
 
-pub(super) async fn backends(context: &Context) -> Result<ExitStatus, CommandError> {
-    let backends: Vec<BackendRecord> = context.client.get(paths::BACKENDS).await?;
+pub(super) async fn backends(
+    context: &Context,
+    matches: &ArgMatches,
+) -> Result<ExitStatus, CommandError> {
+    let backends: Vec<BackendRecord> = context.client.get(&path(paths::BACKENDS, matches)).await?;
     context.output.print(&backends, || {
         let rows = backends.iter().map(|backend| {
             [
@@ -83,6 +95,15 @@
     Ok(ExitStatus::Success)
 }
 
+/// The path of a reading, with or without proof of being current.
+fn path(path: &str, matches: &ArgMatches) -> String {
+    if matches.get_flag("unconfirmed") {
+        format!("{path}?unconfirmed=true")
+    } else {
+        path.to_owned()
+    }
+}
+
 pub(super) async fn status(context: &Context) -> Result<ExitStatus, CommandError> {
     let status: ControlStatus = context.client.get(paths::STATUS).await?;
     context.output.print(&status, || describe_status(&status))?;
--- a/crates/sablehaven-types/src/ledger.rs
+++ b/crates/sablehaven-types/src/ledger.rs
@@ -90,7 +90,8 @@
     Free,
     /// The same key came with another method or body.
     FingerprintMismatch,
-    /// The key's issue time lies below the horizon: refused, not run.
+    /// The key's issue time lies below the horizon: it will not run now, but may have run before and
+    /// been forgotten.
     BelowHorizon {
         /// The horizon, in milliseconds since the Unix epoch.
         horizon_ms: u64,
