--- a/crates/sablehaven-consensus/tests/election.rs
+++ b/crates/sablehaven-consensus/tests/election.rs
@@ -237,3 +237,42 @@
     assert!(cluster.replica(1).transfer_leadership(id(1)).is_err());
     assert!(cluster.replica(1).transfer_leadership(id(9)).is_err());
 }
+
+#[test]
+fn a_follower_in_contact_with_its_leader_promises_no_vote() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    let next_term = cluster.replica(2).status().term + 1;
+    let last = Position {
+        index: 1000,
+        term: next_term,
+    };
+    let request = Message::PreVote { next_term, last };
+    cluster.replica(2).receive(id(3), request);
+    let refused = Message::PreVoteReply {
+        term: next_term - 1,
+        next_term,
+        granted: false,
+    };
+    assert_eq!(cluster.node(2).work(), vec![(id(3), refused)]);
+}
+
+#[test]
+fn a_candidate_with_a_shorter_log_gets_no_vote() {
+    let bootstrap = Restored::bootstrap(ids(&[1, 2, 3]));
+    let mut voter = Replica::new(Config::default(), id(2), bootstrap);
+    let vote = Message::Vote {
+        term: 5,
+        last: Position::default(),
+        transfer: false,
+    };
+    voter.receive(id(1), vote);
+    let refused = Message::VoteReply {
+        term: 5,
+        granted: false,
+    };
+    assert_eq!(
+        voter.take_ready().messages_after_sync,
+        vec![(id(1), refused)]
+    );
+}
--- a/crates/sablehaven-consensus/tests/read_index.rs
+++ b/crates/sablehaven-consensus/tests/read_index.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use sablehaven_consensus::Message;
-use support::{Cluster, id};
+use sablehaven_consensus::{Config, Message, Replica, Restored};
+use support::{Cluster, id, ids, win};
 
 #[test]
 fn a_read_is_answered_with_what_was_committed_when_it_was_asked() {
@@ -109,3 +109,15 @@
     cluster.settle();
     assert_eq!(cluster.node(1).reads.len(), 1);
 }
+
+#[test]
+fn a_confirmed_round_does_not_answer_a_read_before_the_terms_first_entry_is_committed() {
+    let bootstrap = Restored::bootstrap(ids(&[1, 2, 3]));
+    let mut replica = Replica::new(Config::default(), id(1), bootstrap);
+    win(&mut replica, 2);
+    let term = replica.term();
+    replica.read_index(7).expect("leads");
+    replica.take_ready();
+    replica.receive(id(2), Message::HeartbeatReply { term, round: 1 });
+    assert!(replica.take_ready().reads.is_empty());
+}
