--- a/crates/sablehaven-routing/src/budget.rs
+++ b/crates/sablehaven-routing/src/budget.rs
@@ -9,7 +9,7 @@
 use crate::interface::ExtraKind;
 
 /// Tokens that may be saved up, in seconds of the current needed work.
-const SAVED_SECONDS: f64 = 0.2;
+const SAVED_SECONDS: f64 = 0.15;
 /// Fewest tokens that may be saved up.
 const MIN_SAVED: f64 = 2.0;
 /// Extra attempts of one second's budget that one shed takes away: a service whose sheds reach
--- a/crates/sablehaven-routing/src/pressure.rs
+++ b/crates/sablehaven-routing/src/pressure.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-/// Weight of one new sample.
+/// Least weight of one new sample.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Time constant of the average where samples are rare: a back end that gets little work must not
+/// look pressed for long after it no longer is, or the work never finds its way back.
+const SAMPLE_CONSTANT: Duration = Duration::from_secs(2);
 /// Age at which a load report counts for 1/e of a fresh one. Many samples average out what a report
 /// of this age gets wrong; much older ones make the spill swing.
 const REPORT_AGE_CONSTANT: Duration = Duration::from_millis(200);
@@ -59,7 +62,9 @@
     }
 
     fn sample(&mut self, now: Duration, sample: f64, weight: f64, shed: f64) {
-        self.average += SAMPLE_WEIGHT * weight * (sample - self.average);
+        let gap = now.saturating_sub(self.sampled_at).as_secs_f64();
+        let gap_weight = 1.0 - (-gap / SAMPLE_CONSTANT.as_secs_f64()).exp();
+        self.average += SAMPLE_WEIGHT.max(gap_weight) * weight * (sample - self.average);
         self.shed_rate += SAMPLE_WEIGHT * (shed - self.shed_rate);
         self.sampled_at = now;
     }
--- a/crates/sablehaven-routing/src/spill.rs
+++ b/crates/sablehaven-routing/src/spill.rs
@@ -17,7 +17,7 @@
 /// Largest step outward.
 const MAX_OUTWARD_STEP: f64 = 0.15;
 /// Largest step back, and the step while the near replicas have room.
-const MAX_INWARD_STEP: f64 = 0.05;
+const MAX_INWARD_STEP: f64 = 0.1;
 /// Largest share that may leave a distance: the rest keeps showing whether it has room again.
 const MAX_OUTWARD: f64 = 0.95;
 
