Command line and harness: long functions split

Cause: read as a newcomer, three functions did several jobs. Change: tables of status and inspection, and the start of the stand-in host, in functions of their own.

--- a/crates/sablehaven-cli/src/data_command.rs
+++ b/crates/sablehaven-cli/src/data_command.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::ArgMatches;
-use sablehaven_storage::Inspection;
+use sablehaven_storage::{DamageReport, Inspection};
 
 use crate::{
     error::{CommandError, ExitStatus},
@@ -40,37 +40,9 @@
         None => "no identity: not formatted, or damaged\n".to_owned(),
     };
     text.push('\n');
-    text.push_str(&table(
-        ["segment", "bytes", "records"],
-        report.segments.iter().map(|segment| {
-            [
-                segment.file.clone(),
-                segment.bytes.to_string(),
-                segment.records.to_string(),
-            ]
-        }),
-    ));
+    text.push_str(&segment_table(report));
     text.push('\n');
-    text.push_str(&table(
-        [
-            "group",
-            "term",
-            "snapshot at",
-            "snapshot bytes",
-            "last entry",
-            "entries",
-        ],
-        report.groups.iter().map(|(group, state)| {
-            [
-                group.to_string(),
-                state.hard_state.term.to_string(),
-                state.snapshot.index.to_string(),
-                state.snapshot_bytes.unwrap_or(0).to_string(),
-                state.last_index.to_string(),
-                state.entries.to_string(),
-            ]
-        }),
-    ));
+    text.push_str(&group_table(report));
     if let Some(tail) = &report.torn_tail {
         text.push_str(&format!(
             "\nunfinished write in {} at offset {}, {} bytes; the next start cuts it\n",
@@ -78,13 +50,47 @@
         ));
     }
     for damage in &report.damage {
-        let offset = damage
-            .offset
-            .map_or_else(String::new, |offset| format!(" at offset {offset}"));
-        text.push_str(&format!(
-            "\ndamage in {}{offset}: {}\n",
-            damage.file, damage.reason
-        ));
+        text.push_str(&describe_damage(damage));
     }
     text
 }
+
+fn segment_table(report: &Inspection) -> String {
+    let rows = report.segments.iter().map(|segment| {
+        [
+            segment.file.clone(),
+            segment.bytes.to_string(),
+            segment.records.to_string(),
+        ]
+    });
+    table(["segment", "bytes", "records"], rows)
+}
+
+fn group_table(report: &Inspection) -> String {
+    let head = [
+        "group",
+        "term",
+        "snapshot at",
+        "snapshot bytes",
+        "last entry",
+        "entries",
+    ];
+    let rows = report.groups.iter().map(|(group, state)| {
+        [
+            group.to_string(),
+            state.hard_state.term.to_string(),
+            state.snapshot.index.to_string(),
+            state.snapshot_bytes.unwrap_or(0).to_string(),
+            state.last_index.to_string(),
+            state.entries.to_string(),
+        ]
+    });
+    table(head, rows)
+}
+
+fn describe_damage(damage: &DamageReport) -> String {
+    let offset = damage
+        .offset
+        .map_or_else(String::new, |offset| format!(" at offset {offset}"));
+    format!("\ndamage in {}{offset}: {}\n", damage.file, damage.reason)
+}
--- a/crates/sablehaven-cli/src/operator/reads.rs
+++ b/crates/sablehaven-cli/src/operator/reads.rs
@@ -1,7 +1,8 @@
 //! Actions that only look.
 
 use clap::ArgMatches;
-use sablehaven_control::operator::{ControlStatus, paths};
+use sablehaven_consensus::ReplicaId;
+use sablehaven_control::operator::{ControlStatus, GroupStatus, ReplicaState, paths};
 use sablehaven_types::{
     BackendRecord, ClaimAnswer, CommandRecord, Configuration, LedgerKey, RecordedOutcome,
 };
@@ -153,9 +154,7 @@
     } else {
         "waits to form a deployment or to be added"
     };
-    let leader = status
-        .leader
-        .map_or_else(|| "none known".to_owned(), |leader| leader.to_string());
+    let leader = name_or(status.leader, "none known");
     let mut text = format!(
         "deployment {}, asked replica {}: {formed}; leader {leader}; configuration version {}\n\n",
         status.deployment, status.replica, status.configuration_version
@@ -163,36 +162,9 @@
     if let Some(change) = &status.change {
         text.push_str(&format!("change under way: {change:?}\n\n"));
     }
-    text.push_str(&table(
-        ["replica", "internal", "http", "connected"],
-        status.replicas.iter().map(|replica| {
-            [
-                replica.replica.to_string(),
-                replica.addresses.internal.to_string(),
-                replica.addresses.http.to_string(),
-                replica.connected.to_string(),
-            ]
-        }),
-    ));
+    text.push_str(&replica_table(&status.replicas));
     text.push('\n');
-    text.push_str(&table(
-        [
-            "group", "leader", "term", "commit", "applied", "voters", "learners",
-        ],
-        status.groups.iter().map(|group| {
-            [
-                group.group.to_string(),
-                group
-                    .leader
-                    .map_or_else(|| "-".to_owned(), |leader| leader.to_string()),
-                group.term.to_string(),
-                group.commit.to_string(),
-                group.applied.to_string(),
-                group.voters.len().to_string(),
-                group.learners.len().to_string(),
-            ]
-        }),
-    ));
+    text.push_str(&group_table(&status.groups));
     text.push_str(&format!(
         "\n{} relays, {} agents behind them\n",
         status.relays.len(),
@@ -207,3 +179,37 @@
     }
     text
 }
+
+fn replica_table(replicas: &[ReplicaState]) -> String {
+    let rows = replicas.iter().map(|replica| {
+        [
+            replica.replica.to_string(),
+            replica.addresses.internal.to_string(),
+            replica.addresses.http.to_string(),
+            replica.connected.to_string(),
+        ]
+    });
+    table(["replica", "internal", "http", "connected"], rows)
+}
+
+fn group_table(groups: &[GroupStatus]) -> String {
+    let head = [
+        "group", "leader", "term", "commit", "applied", "voters", "learners",
+    ];
+    let rows = groups.iter().map(|group| {
+        [
+            group.group.to_string(),
+            name_or(group.leader, "-"),
+            group.term.to_string(),
+            group.commit.to_string(),
+            group.applied.to_string(),
+            group.voters.len().to_string(),
+            group.learners.len().to_string(),
+        ]
+    });
+    table(head, rows)
+}
+
+fn name_or(replica: Option<ReplicaId>, otherwise: &str) -> String {
+    replica.map_or_else(|| otherwise.to_owned(), |replica| replica.to_string())
+}
--- a/testing/sablehaven-harness/src/deployment.rs
+++ b/testing/sablehaven-harness/src/deployment.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
     time::Duration,
 };
 
@@ -167,27 +168,7 @@
             path: std::env::temp_dir(),
             reason: error.to_string(),
         })?;
-        let mut stand_ins = Node::prepare(NodeSpec {
-            name: NOWHERE.to_owned(),
-            kind: NodeKind::StandIns,
-            placement: Placement {
-                region: NOWHERE.into(),
-                zone: NOWHERE.into(),
-            },
-            source: IpAddr::V4(Ipv4Addr::LOCALHOST),
-            folder: folder.path(),
-            program,
-            seed: plan.seed,
-        })
-        .await?;
-        let host_file =
-            serde_json::to_string(&plan.host_file()).map_err(|error| HarnessError::File {
-                step: "encode",
-                path: stand_ins.folder().to_owned(),
-                reason: error.to_string(),
-            })?;
-        stand_ins.write_settings(&host_file)?;
-        stand_ins.start().await?;
+        let stand_ins = start_stand_in_host(&plan, program, folder.path()).await?;
         let admin_error = |reason: String| HarnessError::Peer {
             step: "ask for addresses".to_owned(),
             peer: NOWHERE.to_owned(),
@@ -350,6 +331,36 @@
     }
 }
 
+/// Starts the stand-in host of a plan.
+async fn start_stand_in_host(
+    plan: &DeploymentPlan,
+    program: &Program,
+    folder: &Path,
+) -> Result<Node, HarnessError> {
+    let mut stand_ins = Node::prepare(NodeSpec {
+        name: NOWHERE.to_owned(),
+        kind: NodeKind::StandIns,
+        placement: Placement {
+            region: NOWHERE.into(),
+            zone: NOWHERE.into(),
+        },
+        source: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        folder,
+        program,
+        seed: plan.seed,
+    })
+    .await?;
+    let host_file = serde_json::to_string(&plan.host_file());
+    let host_file = host_file.map_err(|error| HarnessError::File {
+        step: "encode",
+        path: stand_ins.folder().to_owned(),
+        reason: error.to_string(),
+    })?;
+    stand_ins.write_settings(&host_file)?;
+    stand_ins.start().await?;
+    Ok(stand_ins)
+}
+
 /// The internal addresses of nodes, those of the same zone first, then of the same region.
 fn near_first(nodes: &[Node], placement: &Placement) -> Vec<SocketAddr> {
     let mut nodes: Vec<&Node> = nodes.iter().collect();
