--- a/crates/sablehaven-routing/examples/routing_model/experiments/budget.rs
+++ b/crates/sablehaven-routing/examples/routing_model/experiments/budget.rs
@@ -84,7 +84,7 @@
     }
     table.print(
         "Budget: hedges and retries limited to 5% of the needed work, by each agent for itself or \
-         by the shared token bucket of the paper",
+         by one shared token bucket",
     );
 }
 
--- a/crates/sablehaven-routing/examples/routing_model/policy.rs
+++ b/crates/sablehaven-routing/examples/routing_model/policy.rs
@@ -22,7 +22,7 @@
     RouterWithoutHedges,
     /// The routing crate without admission: nothing is refused.
     RouterWithoutAdmission,
-    /// The routing crate with the budget of the paper: one bucket shared by all agents.
+    /// The routing crate with one token bucket shared by all agents.
     RouterWithSharedBudget,
     /// The routing crate without a budget: every hedge and retry is allowed.
     RouterWithoutBudget,
--- a/crates/sablehaven-routing/examples/routing_model/shared_bucket.rs
+++ b/crates/sablehaven-routing/examples/routing_model/shared_bucket.rs
@@ -1,19 +1,18 @@
 //! The budget of hedges and retries as one token bucket shared by all agents.
 //!
-//! After "Distributed token bucket for tenant cost control" (Berinde and Kimball, 2021): agents ask a
-//! central bucket for tokens ahead of need, for a target period; it grants them at once while it has
-//! enough, and otherwise spread over the period, in proportion to each agent's share of the demand.
-//! Unlike there, the refill is not a fixed rate but a share of the needed work that agents report.
+//! Agents ask a central bucket for tokens ahead of need, for a target period; it grants them at once
+//! while it has enough, and otherwise spread over the period, in proportion to each agent's share of
+//! the demand. The refill is a share of the needed work that agents report.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time for which an agent asks ahead (the paper's default is 10 s to 30 s).
+/// Time for which an agent asks ahead.
 const TARGET_PERIOD: Duration = Duration::from_secs(10);
-/// An agent asks again when what it has lasts no longer than this at its demand (the paper).
+/// An agent asks again when what it has lasts no longer than this at its demand.
 const LOW_WATER_SECONDS: f64 = 1.0;
-/// Weight of the last second in an agent's average demand (the paper).
+/// Weight of the last second in an agent's average demand.
 const DEMAND_WEIGHT: f64 = 0.5;
 /// Time from the request to the grant: a round trip between regions.
 const ROUND_TRIP: Duration = Duration::from_millis(20);
@@ -81,7 +80,7 @@
         self.tokens = (self.tokens + needed * self.share).min(self.refill * BURST_SECONDS);
     }
 
-    /// Debt beyond what is granted ahead lowers the rate, to be paid within a period (the paper).
+    /// Debt beyond what is granted ahead lowers the rate, to be paid within a period.
     fn effective_refill(&self) -> f64 {
         let period = TARGET_PERIOD.as_secs_f64();
         let systematic = (-self.tokens - self.refill * period).max(0.0);
