--- a/crates/sablehaven-control/examples/control_bench/cluster.rs
+++ b/crates/sablehaven-control/examples/control_bench/cluster.rs
@@ -64,6 +64,7 @@
         let environment = Environment {
             listeners,
             disk: Arc::new(RealDisk),
+            servers: None,
         };
         let handle = start_in(self.config.clone(), telemetry, environment).await;
         self.handle = Some(handle.expect("start replica"));
--- a/crates/sablehaven-control/src/config.rs
+++ b/crates/sablehaven-control/src/config.rs
@@ -34,6 +34,15 @@
     pub placement: Placement,
     /// The folder of the log and the snapshots; one process at a time.
     pub data_folder: PathBuf,
+    /// Silence of a replica after which a new one takes its place, in milliseconds.
+    pub repair_patience_ms: u64,
+    /// Replicas that the leader keeps by itself: one that joins is added, one that lost its disk is
+    /// replaced, and a silent one beyond this number goes. 0 leaves every change to operators.
+    pub repair_minimum_members: usize,
+    /// Time between two readings of the list of servers for gateways.
+    pub listing_interval_ms: u64,
+    /// Entries that stay in memory after a snapshot, for replicas that are a little behind.
+    pub retained_entries: u64,
     /// Internal addresses of the other replicas at the first start, or of any when joining.
     pub peers: Vec<SocketAddr>,
     /// Whether this replica may form a new deployment together with all of `peers`. It does so only
@@ -41,7 +50,7 @@
     /// it at the first start of a deployment; a machine that joins later does without.
     pub bootstrap: bool,
     /// Groups that the ledger's keys are spread over; the same on every replica, fixed at the first
-    /// start.
+    /// start. 0 goes without a ledger: agents then cannot send requests that run at most once.
     pub ledger_groups: u32,
     /// Bounds of each ledger group.
     pub ledger: LedgerLimits,
@@ -108,6 +117,10 @@
             snapshot_bytes: 16 * 1_024 * 1_024,
             segment_bytes: 32 * 1_024 * 1_024,
             election_seed: 0,
+            repair_patience_ms: 2_500,
+            repair_minimum_members: 0,
+            listing_interval_ms: 1_000,
+            retained_entries: 4_096,
         }
     }
 }
@@ -118,7 +131,7 @@
         let mut checks = SettingChecks::new(prefix);
         checks.nested("ledger", |prefix| self.ledger.validate(prefix));
         checks.name("deployment", &self.deployment);
-        let groups = 1..=u64::from(MAXIMUM_LEDGER_GROUPS);
+        let groups = 0..=u64::from(MAXIMUM_LEDGER_GROUPS);
         checks.range("ledger_groups", self.ledger_groups, groups);
         let tick = self.tick_ms;
         checks.range("tick_ms", tick, 1..=1_000);
@@ -132,6 +145,15 @@
         let lease = self.lease_duration_ms;
         let allowed = "at least 2 election timeouts";
         checks.require("lease_duration_ms", lease >= 2 * election, lease, allowed);
+        let patience = self.repair_patience_ms;
+        let allowed = "at least an election timeout";
+        checks.require(
+            "repair_patience_ms",
+            patience >= election,
+            patience,
+            allowed,
+        );
+        checks.at_least("listing_interval_ms", self.listing_interval_ms, 100);
         checks.at_least("snapshot_entries", self.snapshot_entries, 1);
         if let Some(platform) = &self.platform {
             let interval = platform.poll_interval_ms;
@@ -159,6 +181,7 @@
         sablehaven_consensus::Config {
             election_timeout_ticks: ticks(self.election_timeout_ms),
             heartbeat_ticks: ticks(self.heartbeat_ms),
+            retained_entries: self.retained_entries,
             // The same in every group, so that one replica tends to win all of them.
             election_seed: self.election_seed,
             ..sablehaven_consensus::Config::default()
--- a/crates/sablehaven-control/src/driver/publish.rs
+++ b/crates/sablehaven-control/src/driver/publish.rs
@@ -16,6 +16,7 @@
             let before = published.clone();
             published.leader = status.leader;
             published.is_formed = is_formed;
+            published.term = status.term;
             published.leading_since = match published.leading_since {
                 Some(since) if is_leader => Some(since),
                 _ => is_leader.then(Instant::now),
@@ -26,10 +27,14 @@
 
     /// Publishes the revision of the shared state.
     pub(super) fn publish_revision(&self) {
-        let revision = read(&self.state, crate::shared::SharedState::revision);
+        let (revision, routes_version) = read(&self.state, |state| {
+            (state.revision(), state.routes().version())
+        });
         self.published.send_if_modified(|published| {
-            let is_new = published.revision != revision;
+            let is_new =
+                published.revision != revision || published.routes_version != routes_version;
             published.revision = revision;
+            published.routes_version = routes_version;
             is_new
         });
     }
--- a/crates/sablehaven-control/src/driver/run.rs
+++ b/crates/sablehaven-control/src/driver/run.rs
@@ -19,6 +19,7 @@
     input::{DriverHandle, Input},
     machine::{SharedHandle, read},
     members::HandOver,
+    pending::{LedgerCall, refuse_calls},
     reads::ProofQueue,
     restore::restore_groups,
     status::{DriverStatus, Published},
@@ -173,6 +174,13 @@
             Input::Shared { command, respond } => {
                 self.groups[0].propose_shared(&command, respond);
             }
+            Input::Ledger { calls, replies } if self.config.ledger_groups == 0 => {
+                let calls = calls.into_iter().map(|(call, _)| LedgerCall {
+                    call,
+                    replies: replies.clone(),
+                });
+                refuse_calls(calls.collect());
+            }
             Input::Ledger { calls, replies } => {
                 for (call, request) in calls {
                     let group = group_of_key(request.key(), self.config.ledger_groups);
--- a/crates/sablehaven-control/src/driver/status.rs
+++ b/crates/sablehaven-control/src/driver/status.rs
@@ -13,6 +13,10 @@
     pub(crate) leading_since: Option<Instant>,
     /// The latest revision of the shared state.
     pub(crate) revision: u64,
+    /// The version of the routes that are applied.
+    pub(crate) routes_version: u64,
+    /// The term.
+    pub(crate) term: u64,
     /// Whether this replica holds the log of a deployment.
     pub(crate) is_formed: bool,
     /// Why the driver ended, if it did.
--- /dev/null
+++ b/crates/sablehaven-control/src/gateways/mod.rs
@@ -0,0 +1,11 @@
+//! Gateways: their connections, what they are sent, and which of them callers are told of.
+
+pub(crate) mod entry;
+mod registry;
+mod session;
+
+pub(crate) use registry::Gateways;
+pub(crate) use session::serve_gateway;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -0,0 +1,190 @@
+//! The gateways that are connected to this replica.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use sablehaven_types::{ListedServer, RouteDocument, ServerListing, ZoneName};
+use sablehaven_wire::{ControlToGateway, DeploymentMembers, EncodedMessage, GatewayStatus};
+use tokio::sync::watch;
+
+/// Time after the start in which gateways connect; before its end the picture is not whole, and
+/// callers that were told of a few gateways would all go there.
+const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+
+type Encoded = Arc<EncodedMessage<ControlToGateway>>;
+
+/// The connected gateways, and what they are to be told; cheap to share.
+pub(crate) struct Gateways {
+    started_at: Instant,
+    sessions: Mutex<Sessions>,
+    listing: watch::Sender<Arc<ServerListing>>,
+    members: watch::Sender<DeploymentMembers>,
+    /// The latest routes and listing as they go out, so that many connections share the work.
+    encoded_routes: Mutex<Option<(u64, Encoded)>>,
+    encoded_listing: Mutex<Option<(Arc<ServerListing>, Encoded)>>,
+}
+
+#[derive(Default)]
+struct Sessions {
+    opened: u64,
+    statuses: BTreeMap<u64, GatewayStatus>,
+}
+
+impl Gateways {
+    pub(crate) fn new() -> Self {
+        Self {
+            started_at: Instant::now(),
+            sessions: Mutex::default(),
+            listing: watch::channel(Arc::default()).0,
+            members: watch::channel(DeploymentMembers::default()).0,
+            encoded_routes: Mutex::default(),
+            encoded_listing: Mutex::default(),
+        }
+    }
+
+    /// Whether gateways have had the time to connect since this replica started.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.started_at.elapsed() >= SETTLING_TIME
+    }
+
+    pub(super) fn open(&self) -> u64 {
+        let mut sessions = self.lock();
+        sessions.opened += 1;
+        sessions.opened
+    }
+
+    pub(super) fn report(&self, session: u64, status: GatewayStatus) {
+        self.lock().statuses.insert(session, status);
+        self.refresh_gateways();
+    }
+
+    pub(super) fn close(&self, session: u64) {
+        self.lock().statuses.remove(&session);
+        self.refresh_gateways();
+    }
+
+    /// The connected gateways, the latest session of each address.
+    pub(crate) fn statuses(&self) -> Vec<GatewayStatus> {
+        let sessions = self.lock();
+        let mut by_address: BTreeMap<SocketAddr, GatewayStatus> = BTreeMap::new();
+        for status in sessions.statuses.values() {
+            by_address.insert(status.address, status.clone());
+        }
+        by_address.into_values().collect()
+    }
+
+    fn refresh_gateways(&self) {
+        let mut counts: BTreeMap<ZoneName, u32> = BTreeMap::new();
+        for status in self.statuses() {
+            *counts.entry(status.placement.zone).or_default() += 1;
+        }
+        self.members.send_if_modified(|members| {
+            let is_new = members.gateways != counts;
+            members.gateways = counts;
+            is_new
+        });
+    }
+
+    /// Takes the addresses of the control replicas.
+    pub(crate) fn set_controls(&self, controls: BTreeSet<SocketAddr>) {
+        self.members.send_if_modified(|members| {
+            let is_new = members.controls != controls;
+            members.controls = controls;
+            is_new
+        });
+    }
+
+    /// Takes a reading of the platform's list; one that says nothing new keeps its number, so that
+    /// it is not sent again.
+    pub(crate) fn take_reading(&self, term: u64, servers: Vec<ListedServer>) {
+        self.listing.send_if_modified(|held| {
+            let is_same = held.number.term == term && is_same_list(&held.servers, &servers);
+            if is_same {
+                return false;
+            }
+            let mut number = held.number;
+            number.reading = if number.term == term {
+                number.reading + 1
+            } else {
+                1
+            };
+            number.term = term;
+            *held = Arc::new(ServerListing { number, servers });
+            true
+        });
+    }
+
+    /// The term of the latest reading.
+    pub(crate) fn reading_term(&self) -> u64 {
+        self.listing.borrow().number.term
+    }
+
+    pub(super) fn listing(&self) -> watch::Receiver<Arc<ServerListing>> {
+        self.listing.subscribe()
+    }
+
+    pub(super) fn members(&self) -> watch::Receiver<DeploymentMembers> {
+        self.members.subscribe()
+    }
+
+    pub(super) fn encode_routes(&self, routes: &Arc<RouteDocument>) -> Option<Encoded> {
+        let mut cached = self
+            .encoded_routes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some((version, encoded)) = &*cached
+            && *version == routes.version
+        {
+            return Some(Arc::clone(encoded));
+        }
+        let encoded = encode(&ControlToGateway::Routes(Arc::clone(routes)))?;
+        *cached = Some((routes.version, Arc::clone(&encoded)));
+        Some(encoded)
+    }
+
+    pub(super) fn encode_listing(&self, listing: &Arc<ServerListing>) -> Option<Encoded> {
+        let mut cached = self
+            .encoded_listing
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some((held, encoded)) = &*cached
+            && Arc::ptr_eq(held, listing)
+        {
+            return Some(Arc::clone(encoded));
+        }
+        let encoded = encode(&ControlToGateway::Listing(Arc::clone(listing)))?;
+        *cached = Some((Arc::clone(listing), Arc::clone(&encoded)));
+        Some(encoded)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Sessions> {
+        self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn encode(message: &ControlToGateway) -> Option<Encoded> {
+    match EncodedMessage::new(message) {
+        Ok(encoded) => Some(Arc::new(encoded)),
+        Err(error) => {
+            log::error!("encode message to gateways: {error}");
+            None
+        }
+    }
+}
+
+/// Whether two readings say the same; the time until a server is warm counts down by itself.
+fn is_same_list(one: &[ListedServer], other: &[ListedServer]) -> bool {
+    let same = |(one, other): (&ListedServer, &ListedServer)| {
+        one.id == other.id
+            && one.address == other.address
+            && one.service == other.service
+            && one.zone == other.zone
+            && one.slots == other.slots
+            && one.is_draining == other.is_draining
+    };
+    one.len() == other.len() && one.iter().zip(other).all(same)
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -0,0 +1,184 @@
+//! One connection of a gateway.
+
+use std::{sync::Arc, time::Duration};
+
+use sablehaven_types::{ListingNumber, RouteDocument};
+use sablehaven_wire::{
+    Connection, ControlToGateway, FrameReader, FrameWriter, GatewayStatus, GatewayToControl,
+    WireError,
+};
+use tokio::{
+    sync::watch,
+    time::{MissedTickBehavior, interval, timeout},
+};
+
+use crate::{driver::read, server::Context};
+
+/// Time between two signs of life towards a gateway.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// A gateway that is silent for so long is gone.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Time that one write may take.
+const SEND_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Errors of a gateway's connection.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub(crate) enum GatewaySessionError {
+    /// {0}
+    Wire(#[from] WireError),
+    /// connection of gateway {peer}: no message in time
+    Silent {
+        /// The gateway.
+        peer: String,
+    },
+    /// send to gateway {peer}: not taken in time
+    Slow {
+        /// The gateway.
+        peer: String,
+    },
+}
+
+/// Serves a gateway until its connection ends: takes its status, and sends it the routes, the list
+/// of servers and the members as they change.
+pub(crate) async fn serve_gateway(
+    context: Arc<Context>,
+    connection: Connection<GatewayToControl, ControlToGateway>,
+) {
+    let session = context.gateways.open();
+    let peer = connection.peer_address.to_string();
+    let (reported, status) = watch::channel(None);
+    let reader = take_statuses(&context, session, connection.reader, reported, &peer);
+    let writer = Writer {
+        context: Arc::clone(&context),
+        peer: peer.clone(),
+        writer: connection.writer,
+        sent_version: 0,
+        sent_listing: ListingNumber::default(),
+    };
+    let ended = tokio::select! {
+        ended = reader => ended,
+        ended = writer.run(status) => ended,
+    };
+    context.gateways.close(session);
+    if let Err(error) = ended {
+        log::info!("{error}");
+    }
+}
+
+async fn take_statuses(
+    context: &Context,
+    session: u64,
+    mut reader: FrameReader<GatewayToControl>,
+    reported: watch::Sender<Option<GatewayStatus>>,
+    peer: &str,
+) -> Result<(), GatewaySessionError> {
+    loop {
+        let Ok(received) = timeout(SILENCE_LIMIT, reader.receive()).await else {
+            let peer = peer.to_owned();
+            return Err(GatewaySessionError::Silent { peer });
+        };
+        let GatewayToControl::Status(status) = received?;
+        context.gateways.report(session, status.clone());
+        reported.send_replace(Some(status));
+    }
+}
+
+struct Writer {
+    context: Arc<Context>,
+    peer: String,
+    writer: FrameWriter<ControlToGateway>,
+    /// The latest version that was sent, or that the gateway said it has.
+    sent_version: u64,
+    sent_listing: ListingNumber,
+}
+
+impl Writer {
+    async fn run(
+        mut self,
+        mut status: watch::Receiver<Option<GatewayStatus>>,
+    ) -> Result<(), GatewaySessionError> {
+        let mut published = self.context.published.clone();
+        let mut listing = self.context.gateways.listing();
+        let mut members = self.context.gateways.members();
+        members.mark_changed();
+        // What the gateway has comes with its first status; nothing is sent twice.
+        if let Ok(first) = status.wait_for(Option::is_some).await
+            && let Some(first) = &*first
+        {
+            self.sent_version = first.routes_version;
+            self.sent_listing = first.listing;
+        }
+        let mut alive = interval(ALIVE_INTERVAL);
+        alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            self.send_routes().await?;
+            self.send_listing(&mut listing).await?;
+            tokio::select! {
+                Ok(()) = published.changed() => {}
+                Ok(()) = listing.changed() => {}
+                Ok(()) = members.changed() => {
+                    let members = members.borrow_and_update().clone();
+                    self.send(&ControlToGateway::Members(members)).await?;
+                }
+                _ = alive.tick() => self.send(&ControlToGateway::Alive).await?,
+            }
+        }
+    }
+
+    async fn send_routes(&mut self) -> Result<(), GatewaySessionError> {
+        let Some(routes) = self.newer_routes() else {
+            return Ok(());
+        };
+        self.sent_version = routes.version;
+        if let Some(encoded) = self.context.gateways.encode_routes(&routes) {
+            let sending = async {
+                self.writer.feed_encoded(&encoded).await?;
+                self.writer.flush().await
+            };
+            within_limit(&self.peer, sending).await?;
+        }
+        Ok(())
+    }
+
+    fn newer_routes(&self) -> Option<Arc<RouteDocument>> {
+        read(&self.context.state, |state| {
+            let held = state.routes().held()?;
+            (held.document.version > self.sent_version).then(|| Arc::clone(&held.document))
+        })
+    }
+
+    async fn send_listing(
+        &mut self,
+        listing: &mut watch::Receiver<Arc<sablehaven_types::ServerListing>>,
+    ) -> Result<(), GatewaySessionError> {
+        let listing = Arc::clone(&listing.borrow_and_update());
+        if listing.number <= self.sent_listing {
+            return Ok(());
+        }
+        self.sent_listing = listing.number;
+        if let Some(encoded) = self.context.gateways.encode_listing(&listing) {
+            let sending = async {
+                self.writer.feed_encoded(&encoded).await?;
+                self.writer.flush().await
+            };
+            within_limit(&self.peer, sending).await?;
+        }
+        Ok(())
+    }
+
+    async fn send(&mut self, message: &ControlToGateway) -> Result<(), GatewaySessionError> {
+        within_limit(&self.peer, self.writer.send(message)).await
+    }
+}
+
+async fn within_limit(
+    peer: &str,
+    sending: impl Future<Output = Result<(), WireError>>,
+) -> Result<(), GatewaySessionError> {
+    match timeout(SEND_TIMEOUT, sending).await {
+        Ok(result) => Ok(result?),
+        Err(_) => Err(GatewaySessionError::Slow {
+            peer: peer.to_owned(),
+        }),
+    }
+}
--- a/crates/sablehaven-control/src/leader/mod.rs
+++ b/crates/sablehaven-control/src/leader/mod.rs
@@ -1,10 +1,15 @@
 //! The duties of group 0's leader apart from the log: the platform's list, agents' observations and
 //! the number of agents per service. Each runs on every replica and acts only while it leads.
 
+mod listing;
 mod observations;
 mod platform;
+mod repair;
 mod watchers;
 
+pub(crate) use listing::read_listing;
+pub use listing::{ServerReading, ServerSource, ServerSourceError};
 pub(crate) use observations::{OBSERVATION_QUEUE, propose_observations};
 pub(crate) use platform::poll_platform;
+pub(crate) use repair::repair_members;
 pub(crate) use watchers::propose_watchers;
--- a/crates/sablehaven-control/src/peers/formation/tests.rs
+++ b/crates/sablehaven-control/src/peers/formation/tests.rs
@@ -18,6 +18,7 @@
         ledger_groups: 4,
         may_bootstrap: true,
         is_formed: false,
+        members: std::collections::BTreeSet::new(),
         first_voters: None,
     }
 }
--- a/crates/sablehaven-control/src/peers/introduction.rs
+++ b/crates/sablehaven-control/src/peers/introduction.rs
@@ -17,7 +17,7 @@
 use crate::{
     Config,
     codec::{self, CodecError},
-    driver::DriverHandle,
+    driver::{DriverHandle, SharedHandle, read},
     replicas::ReplicaAddresses,
 };
 
@@ -89,6 +89,9 @@
     /// The first voters, where it still holds the log's first entry. A new replica that is named
     /// writes the same entry; its disk is the one that was named, so it has voted for nobody yet.
     pub(crate) first_voters: Option<BTreeSet<ReplicaId>>,
+    /// Internal addresses of the replicas that it knows as members: a newcomer whose settings name
+    /// only a replica that is cut off finds the others by them.
+    pub(crate) members: BTreeSet<SocketAddr>,
 }
 
 /// Where replicas are reached, as they last said; cheap to clone.
@@ -116,9 +119,25 @@
         directory
     }
 
+    /// The latest replica that introduced itself at an address is the one whose disk is there.
     fn record(&self, replica: ReplicaId, addresses: ReplicaAddresses) {
         let at = Instant::now();
-        self.lock().insert(replica, Heard { addresses, at });
+        let mut known = self.lock();
+        known.retain(|other, heard| {
+            *other == replica
+                || *other == self.own
+                || heard.addresses.internal != addresses.internal
+        });
+        known.insert(replica, Heard { addresses, at });
+    }
+
+    /// Every other replica that has introduced itself, the latest at each address.
+    pub(crate) fn others(&self) -> BTreeMap<ReplicaId, ReplicaAddresses> {
+        let known = self.lock();
+        let others = known.iter().filter(|(replica, _)| **replica != self.own);
+        others
+            .map(|(replica, heard)| (*replica, heard.addresses))
+            .collect()
     }
 
     pub(crate) fn addresses(&self, replica: ReplicaId) -> Option<ReplicaAddresses> {
@@ -148,9 +167,70 @@
     pub(crate) addresses: ReplicaAddresses,
     pub(crate) directory: Directory,
     pub(crate) driver: DriverHandle,
+    state: SharedHandle,
+    /// The addresses to dial that the settings name; they may change while the process runs.
+    configured: Mutex<BTreeSet<SocketAddr>>,
+    /// Addresses of members that other replicas told of.
+    learned: Mutex<BTreeSet<SocketAddr>>,
 }
 
 impl PeerContext {
+    pub(crate) fn new(
+        config: Arc<Config>,
+        replica: ReplicaId,
+        addresses: ReplicaAddresses,
+        directory: Directory,
+        driver: DriverHandle,
+        state: SharedHandle,
+    ) -> Self {
+        let configured = config.peers.iter().copied().collect();
+        Self {
+            config,
+            replica,
+            addresses,
+            directory,
+            driver,
+            state,
+            configured: Mutex::new(configured),
+            learned: Mutex::default(),
+        }
+    }
+
+    /// Takes other addresses to dial in place of those of the settings.
+    pub(crate) fn set_configured(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let addresses = addresses
+            .into_iter()
+            .filter(|each| *each != self.addresses.internal);
+        *lock(&self.configured) = addresses.collect();
+    }
+
+    /// The addresses to dial that the settings name, and those that others told of while this
+    /// replica is no member and so cannot know them from the log.
+    pub(crate) fn addresses_to_dial(&self) -> BTreeSet<SocketAddr> {
+        let mut addresses = lock(&self.configured).clone();
+        let is_member = read(&self.state, |state| {
+            state.replicas().replicas().contains_key(&self.replica)
+        });
+        if !is_member {
+            addresses.extend(lock(&self.learned).iter());
+        }
+        addresses.remove(&self.addresses.internal);
+        addresses
+    }
+
+    fn learn(&self, members: &BTreeSet<SocketAddr>) {
+        if !members.is_empty() {
+            lock(&self.learned).extend(members);
+        }
+    }
+
+    fn members(&self) -> BTreeSet<SocketAddr> {
+        read(&self.state, |state| {
+            let members = state.replicas().replicas().values();
+            members.map(|addresses| addresses.internal).collect()
+        })
+    }
+
     pub(crate) fn hello(&self) -> Hello {
         Hello {
             protocol_version: PROTOCOL_VERSION,
@@ -176,6 +256,7 @@
             may_bootstrap: self.config.bootstrap,
             is_formed: !status.groups.iter().all(is_blank),
             first_voters: holds_first_entry.then(|| voters.clone()),
+            members: self.members(),
         })
     }
 
@@ -216,10 +297,15 @@
             ));
         }
         self.directory.record(theirs.replica, theirs.addresses);
+        self.learn(&theirs.members);
         Ok(theirs)
     }
 }
 
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Encodes a payload for a group.
 pub(crate) fn encode(
     group: u32,
--- a/crates/sablehaven-control/src/peers/links.rs
+++ b/crates/sablehaven-control/src/peers/links.rs
@@ -100,7 +100,7 @@
     /// new replica: it cannot answer a leader that its settings do not name, and learns the shared
     /// state only by answering.
     fn wanted(&self, context: &PeerContext, state: &SharedHandle) -> BTreeSet<SocketAddr> {
-        let mut wanted: BTreeSet<SocketAddr> = context.config.peers.iter().copied().collect();
+        let mut wanted = context.addresses_to_dial();
         let mut reached = self.replicas_at(&wanted);
         reached.insert(context.replica);
         let recorded = read(state, |state| state.replicas().replicas().clone());
--- a/crates/sablehaven-control/src/replicas/change.rs
+++ b/crates/sablehaven-control/src/replicas/change.rs
@@ -129,12 +129,13 @@
         self.kind.phases().iter().position(|each| *each == phase)
     }
 
-    /// Removing the new replica while it has no vote anywhere calls a change off. Later that would
-    /// take a vote from some groups only while others still count on it.
+    /// Removing the new replica calls a change off until it votes everywhere: a newcomer that is gone
+    /// for good would otherwise hold up every later change.
     pub(super) fn may_be_called_off_by(&self, kind: ChangeKind) -> bool {
         let ChangeKind::Remove { replica } = kind else {
             return false;
         };
-        self.phase == ChangePhase::Learning && self.kind.added() == Some(replica)
+        let is_joining = matches!(self.phase, ChangePhase::Learning | ChangePhase::Promoting);
+        is_joining && self.kind.added() == Some(replica)
     }
 }
--- /dev/null
+++ b/crates/sablehaven-control/src/routes/mod.rs
@@ -0,0 +1,48 @@
+//! The routes as a deterministic state machine: the highest version wins.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use sablehaven_types::RouteDocument;
+use serde::{Deserialize, Serialize};
+
+mod service;
+
+pub use service::{RoutesCallError, RoutesService};
+
+/// An operator's whole set of routes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PutRoutes {
+    /// The routes; valid by themselves.
+    pub document: Arc<RouteDocument>,
+    /// The operator's own text, given back unchanged when it is read.
+    pub source: Bytes,
+}
+
+/// The routes in force.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct RoutesState {
+    held: Option<PutRoutes>,
+}
+
+impl RoutesState {
+    /// The routes in force; `None` before the first.
+    pub fn held(&self) -> Option<&PutRoutes> {
+        self.held.as_ref()
+    }
+
+    /// The version in force; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.held.as_ref().map_or(0, |held| held.document.version)
+    }
+
+    /// Applies a committed command. A version that is not above the held one changes nothing, other
+    /// content under the held version neither: a resend and an older change are no news.
+    pub fn apply(&mut self, put: PutRoutes) -> bool {
+        let is_newer = self.held.is_none() || put.document.version > self.version();
+        if is_newer {
+            self.held = Some(put);
+        }
+        is_newer
+    }
+}
--- a/crates/sablehaven-control/src/server/accept.rs
+++ b/crates/sablehaven-control/src/server/accept.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{context::Context, tasks::Tasks};
-use crate::{peers::receive_from_peer, relays::serve_relay};
+use crate::{gateways::serve_gateway, peers::receive_from_peer, relays::serve_relay};
 
 /// Pause after a failed accept (out of file descriptors), so that the loop does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -63,6 +63,7 @@
         }),
         Role::Relay if context.stopping.is_cancelled() => {}
         Role::Relay => relays.spawn(serve_relay(context, connection.retype())),
+        Role::Gateway => background.spawn(serve_gateway(context, connection.retype())),
         Role::Agent => log::warn!("refuse connection of {address}: agents connect to relays"),
     }
 }
--- a/crates/sablehaven-control/src/server/context.rs
+++ b/crates/sablehaven-control/src/server/context.rs
@@ -10,6 +10,7 @@
 use crate::{
     Config,
     driver::{DriverHandle, Published, SharedHandle, read},
+    gateways::Gateways,
     membership::AgentObservation,
     metrics::Metrics,
     operator::CallError,
@@ -26,6 +27,7 @@
     pub(crate) state: SharedHandle,
     pub(crate) published: watch::Receiver<Published>,
     pub(crate) registry: Registry,
+    pub(crate) gateways: Gateways,
     pub(crate) observations: mpsc::Sender<AgentObservation>,
     pub(crate) peers: Arc<PeerContext>,
     pub(crate) links: Arc<Links>,
@@ -58,7 +60,8 @@
         self.other_leader().map(|addresses| addresses.http)
     }
 
-    fn other_leader(&self) -> Option<ReplicaAddresses> {
+    /// The leader's addresses, where another replica leads.
+    pub(crate) fn other_leader(&self) -> Option<ReplicaAddresses> {
         let leader = self.published.borrow().leader?;
         if leader == self.replica {
             return None;
--- a/crates/sablehaven-control/src/server/handle.rs
+++ b/crates/sablehaven-control/src/server/handle.rs
@@ -1,6 +1,6 @@
 //! A running control replica and its stop.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use sablehaven_consensus::ReplicaId;
 use sablehaven_telemetry::Telemetry;
@@ -9,6 +9,8 @@
 use tokio::{task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::routes::RoutesService;
+
 use super::{context::Context, tasks::Tasks};
 
 /// Longest time for handing over leadership at a planned stop.
@@ -17,6 +19,19 @@
 /// Longest time for requests in flight at a planned stop.
 const DRAIN_LIMIT: Duration = Duration::from_secs(10);
 
+/// The addresses of replicas to dial; cheap to clone.
+#[derive(Clone)]
+pub struct Peers {
+    context: Arc<Context>,
+}
+
+impl Peers {
+    /// Takes other addresses in place of those of the settings.
+    pub fn set(&self, peers: impl IntoIterator<Item = SocketAddr>) {
+        self.context.peers.set_configured(peers);
+    }
+}
+
 /// A running control replica.
 pub struct Handle {
     pub(super) addresses: BoundAddresses,
@@ -38,6 +53,18 @@
         self.addresses
     }
 
+    /// Puts and reads the routes, and answers callers where to go.
+    pub fn routes(&self) -> RoutesService {
+        RoutesService::new(Arc::clone(&self.context))
+    }
+
+    /// Changes the addresses of replicas to dial while the replica runs.
+    pub fn peers(&self) -> Peers {
+        Peers {
+            context: Arc::clone(&self.context),
+        }
+    }
+
     /// The identity of this replica's disk.
     pub fn replica(&self) -> ReplicaId {
         self.context.replica
--- a/crates/sablehaven-control/src/server/mod.rs
+++ b/crates/sablehaven-control/src/server/mod.rs
@@ -8,5 +8,5 @@
 mod tasks;
 
 pub(crate) use context::Context;
-pub use handle::Handle;
+pub use handle::{Handle, Peers};
 pub use start::{Environment, Listeners, start, start_in};
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -20,7 +20,8 @@
 use crate::{
     Config, StartError,
     driver::{self, Driver, DriverParts, Published, SharedHandle},
-    leader,
+    gateways::Gateways,
+    leader::{self, ServerSource},
     membership::AgentObservation,
     metrics::Metrics,
     operator,
@@ -39,12 +40,13 @@
 }
 
 /// What a replica stands on besides its settings.
-#[derive(Debug)]
 pub struct Environment {
     /// Sockets that listen already.
     pub listeners: Listeners,
     /// Holds the data folder.
     pub disk: Arc<dyn Disk>,
+    /// Lists the servers that gateways send to, where there are gateways.
+    pub servers: Option<Arc<dyn ServerSource>>,
 }
 
 impl Listeners {
@@ -75,6 +77,7 @@
     let environment = Environment {
         listeners: Listeners::bind(&config).await?,
         disk: Arc::new(RealDisk),
+        servers: None,
     };
     start_in(config, telemetry, environment).await
 }
@@ -89,7 +92,11 @@
     environment: Environment,
 ) -> Result<Handle, StartError> {
     check(&config)?;
-    let Environment { listeners, disk } = environment;
+    let Environment {
+        listeners,
+        disk,
+        servers,
+    } = environment;
     let (internal, http) = listeners.addresses(&config)?;
     let own = ReplicaAddresses {
         internal: config.internal_advertise.unwrap_or(internal),
@@ -104,6 +111,9 @@
     let relays = Tasks::default();
     let (http_handle, http_server) = serve_http(&context, &telemetry, listeners.http, http)?;
     spawn_background(&context, &background, observations);
+    if let Some(servers) = servers {
+        background.spawn(leader::read_listing(Arc::clone(&context), servers));
+    }
     background.spawn(accept_connections(
         Arc::clone(&context),
         listeners.internal,
@@ -182,13 +192,14 @@
         published,
         metrics: metrics.clone(),
     })?;
-    let peers = Arc::new(PeerContext {
-        config: Arc::clone(&config),
+    let peers = Arc::new(PeerContext::new(
+        Arc::clone(&config),
         replica,
-        addresses: own,
+        own,
         directory,
-        driver: driver_handle.clone(),
-    });
+        driver_handle.clone(),
+        Arc::clone(&state),
+    ));
     let (observations, observation_queue) = mpsc::channel(leader::OBSERVATION_QUEUE);
     let context = Arc::new(Context {
         replica,
@@ -196,6 +207,7 @@
         state,
         published: published_receiver,
         registry: Registry::new(config.lease_duration()),
+        gateways: Gateways::new(),
         config,
         observations,
         peers,
@@ -237,6 +249,10 @@
     background.spawn(observing);
     background.spawn(leader::propose_watchers(Arc::clone(context)));
     background.spawn(refresh_gauges(Arc::clone(context)));
+    let minimum = context.config.repair_minimum_members;
+    if minimum > 0 {
+        background.spawn(leader::repair_members(Arc::clone(context), minimum));
+    }
     if let Some(platform) = context.config.platform.clone() {
         background.spawn(leader::poll_platform(Arc::clone(context), platform));
     }
--- a/crates/sablehaven-control/src/shared/mod.rs
+++ b/crates/sablehaven-control/src/shared/mod.rs
@@ -15,10 +15,11 @@
     configuration::{ConfigurationDifference, ConfigurationState},
     membership::{MembershipState, ObservationBatch, PlatformUpdate, ServiceWatchers},
     replicas::{ReplicasCommand, ReplicasOutcome, ReplicasState},
+    routes::{PutRoutes, RoutesState},
 };
 
 /// A command of group 0.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SharedCommand {
     /// An operator's change of the configuration.
     Configuration {
@@ -35,6 +36,8 @@
     Watchers(BTreeMap<ServiceName, ServiceWatchers>),
     /// About the control replicas.
     Replicas(ReplicasCommand),
+    /// An operator's routes.
+    Routes(PutRoutes),
 }
 
 /// What became of a command of group 0.
@@ -54,6 +57,7 @@
     configuration: ConfigurationState,
     membership: MembershipState,
     replicas: ReplicasState,
+    routes: RoutesState,
     revision: u64,
     /// Which keys changed lately; not part of the replicated state, empty after a restore.
     #[serde(skip)]
@@ -76,6 +80,11 @@
         &self.replicas
     }
 
+    /// The routes.
+    pub fn routes(&self) -> &RoutesState {
+        &self.routes
+    }
+
     /// The index of the latest entry that changed what relays hear of; 0 before the first.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -121,6 +130,10 @@
             SharedCommand::Replicas(command) => {
                 SharedOutcome::Replicas(self.replicas.apply(command))
             }
+            SharedCommand::Routes(put) => {
+                self.routes.apply(put);
+                SharedOutcome::Recorded
+            }
         }
     }
 
--- a/crates/sablehaven-control/tests/support/mod.rs
+++ b/crates/sablehaven-control/tests/support/mod.rs
@@ -117,6 +117,7 @@
         let environment = Environment {
             listeners,
             disk: Arc::clone(&self.disk),
+            servers: None,
         };
         let handle = start_in(self.config.clone(), telemetry, environment).await?;
         self.handle = Some(handle);
--- /dev/null
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -0,0 +1,141 @@
+//! Connections to the control replicas: one to each that is known.
+//!
+//! Routes count as soon as any replica has applied them, so a gateway that hears every replica has
+//! them while any of them is reached; an old leader's word only comes too late and is ignored.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use sablehaven_wire::{
+    Connection, ControlToGateway, GatewayToControl, Hello, PROTOCOL_VERSION, Role, WireError,
+    connect_from,
+};
+use tokio::{
+    task::{AbortHandle, spawn_local},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
+};
+
+use crate::gateway::Gateway;
+
+/// Pause before a lost connection is opened again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two signs of life towards a replica.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// A replica that is silent for so long is dialled anew.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Time that one write may take.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Errors of a connection to a control replica.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+enum LinkError {
+    /// {0}
+    Wire(#[from] WireError),
+    /// connection to control {peer}: no sign of life
+    Silent {
+        /// The replica.
+        peer: SocketAddr,
+    },
+}
+
+/// Keeps a connection to every known replica.
+pub(crate) async fn keep_links(gateway: Rc<Gateway>) {
+    let mut controls = gateway.controls();
+    let mut running: BTreeMap<SocketAddr, AbortHandle> = BTreeMap::new();
+    loop {
+        let wanted = controls.borrow_and_update().clone();
+        for address in wanted {
+            running.entry(address).or_insert_with(|| {
+                let link = keep_link(Rc::clone(&gateway), address);
+                spawn_local(link).abort_handle()
+            });
+        }
+        if controls.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn keep_link(gateway: Rc<Gateway>, address: SocketAddr) {
+    let mut was_connected = false;
+    loop {
+        match dial(&gateway, address).await {
+            Ok(connection) => {
+                log::info!(event = "control_connected", peer:% = address; "control");
+                let ended = follow(&gateway, address, connection).await;
+                was_connected = true;
+                if let Err(error) = ended {
+                    log::warn!(event = "control_lost", peer:% = address,
+                        reason:% = error; "control");
+                }
+            }
+            Err(error) if was_connected => {
+                was_connected = false;
+                log::warn!(event = "control_unreachable", peer:% = address,
+                    reason:% = error; "control");
+            }
+            // It has not been there yet, or is still away: said once.
+            Err(_) => {}
+        }
+        sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn dial(
+    gateway: &Gateway,
+    address: SocketAddr,
+) -> Result<Connection<ControlToGateway, GatewayToControl>, WireError> {
+    let hello = Hello {
+        protocol_version: PROTOCOL_VERSION,
+        deployment: gateway.config.deployment.clone(),
+        role: Role::Gateway,
+        sender: gateway.status().borrow().address.to_string(),
+    };
+    connect_from(gateway.config.connect_from, address, &hello, Role::Control).await
+}
+
+async fn follow(
+    gateway: &Gateway,
+    peer: SocketAddr,
+    connection: Connection<ControlToGateway, GatewayToControl>,
+) -> Result<(), LinkError> {
+    let Connection {
+        mut reader,
+        mut writer,
+        ..
+    } = connection;
+    let mut status = gateway.status();
+    status.mark_changed();
+    let mut alive = interval(ALIVE_INTERVAL);
+    alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last_sign = Instant::now();
+    loop {
+        let is_due = tokio::select! {
+            received = reader.receive() => {
+                last_sign = Instant::now();
+                take(gateway, received?);
+                false
+            }
+            Ok(()) = status.changed() => true,
+            _ = alive.tick() => true,
+        };
+        if last_sign.elapsed() > SILENCE_LIMIT {
+            return Err(LinkError::Silent { peer });
+        }
+        if is_due {
+            let message = GatewayToControl::Status(status.borrow_and_update().clone());
+            match timeout(SEND_TIMEOUT, writer.send(&message)).await {
+                Ok(sent) => sent?,
+                Err(_) => return Err(LinkError::Silent { peer }),
+            }
+        }
+    }
+}
+
+fn take(gateway: &Gateway, message: ControlToGateway) {
+    match message {
+        ControlToGateway::Routes(document) => gateway.take_routes(document),
+        ControlToGateway::Listing(listing) => gateway.take_listing(&listing),
+        ControlToGateway::Members(members) => gateway.take_members(members),
+        ControlToGateway::Alive => {}
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -0,0 +1,170 @@
+//! The state of a gateway, shared by its tasks on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use sablehaven_http::ServerSignals;
+use sablehaven_types::{CallerLimits, RouteDocument, ServerListing};
+use sablehaven_wire::{DeploymentMembers, GatewayStatus};
+use tokio::sync::watch;
+
+use crate::{
+    Config, admission::Admission, names::HeaderNames, route_table::RouteTable, servers::Registry,
+};
+
+/// Steady time since the start.
+pub(crate) struct Clock {
+    started_at: Instant,
+}
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        Self {
+            started_at: Instant::now(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+}
+
+/// The state of a gateway.
+pub(crate) struct Gateway {
+    pub(crate) config: Config,
+    pub(crate) names: HeaderNames,
+    pub(crate) clock: Clock,
+    pub(crate) registry: Registry,
+    pub(crate) admission: Admission,
+    pub(crate) signals: ServerSignals,
+    routes: RefCell<Option<Rc<RouteTable>>>,
+    advertised: SocketAddr,
+    is_stopping: Cell<bool>,
+    status: watch::Sender<GatewayStatus>,
+    /// Internal addresses of control replicas: those of the settings and every one learned since.
+    controls: watch::Sender<BTreeSet<SocketAddr>>,
+}
+
+impl Gateway {
+    pub(crate) fn new(config: Config, names: HeaderNames, listening: SocketAddr) -> Self {
+        let advertised = config.advertise.unwrap_or(listening);
+        let status = GatewayStatus {
+            address: advertised,
+            placement: config.placement.clone(),
+            is_ready: false,
+            routes_version: 0,
+            listing: Default::default(),
+        };
+        let controls = config.controls.iter().copied().collect();
+        Self {
+            registry: Registry::new(&config),
+            admission: Admission::new(config.max_requests),
+            config,
+            names,
+            clock: Clock::new(),
+            signals: ServerSignals::default(),
+            routes: RefCell::default(),
+            advertised,
+            is_stopping: Cell::new(false),
+            status: watch::channel(status).0,
+            controls: watch::channel(controls).0,
+        }
+    }
+
+    /// The routes in force; `None` before the first.
+    pub(crate) fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+
+    /// The limits in force.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        let routes = self.routes.borrow();
+        routes
+            .as_ref()
+            .map_or_else(CallerLimits::default, |table| table.document().limits)
+    }
+
+    /// Whether callers' requests are taken.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping.get() && self.routes.borrow().is_some()
+    }
+
+    /// Puts routes in force. Only forward: a version that is not newer is ignored.
+    pub(crate) fn take_routes(&self, document: Arc<RouteDocument>) {
+        let former = self.routes();
+        let held = former.as_ref().map_or(0, |table| table.document().version);
+        if former.is_some() && document.version <= held {
+            return;
+        }
+        log::info!(event = "routes_in_force", version = document.version, former = held; "routes");
+        self.registry.take_routes(&document);
+        let table = RouteTable::new(document, former.as_deref());
+        *self.routes.borrow_mut() = Some(Rc::new(table));
+        self.refresh_status();
+    }
+
+    /// Takes a reading of the list of servers.
+    pub(crate) fn take_listing(&self, listing: &ServerListing) {
+        if !self.registry.take_listing(listing, &self.clock) {
+            return;
+        }
+        let number = listing.number;
+        log::info!(
+            event = "listing_in_force", term = number.term, reading = number.reading,
+            servers = listing.servers.len();
+            "list of servers"
+        );
+        self.refresh_status();
+    }
+
+    /// Takes who takes part.
+    pub(crate) fn take_members(&self, members: DeploymentMembers) {
+        self.registry.take_gateways(members.gateways);
+        self.add_controls(members.controls);
+    }
+
+    /// Adds addresses of control replicas to those that are known.
+    pub(crate) fn add_controls(&self, controls: impl IntoIterator<Item = SocketAddr>) {
+        self.controls.send_if_modified(|known| {
+            let before = known.len();
+            known.extend(controls);
+            known.len() != before
+        });
+    }
+
+    pub(crate) fn controls(&self) -> watch::Receiver<BTreeSet<SocketAddr>> {
+        self.controls.subscribe()
+    }
+
+    pub(crate) fn status(&self) -> watch::Receiver<GatewayStatus> {
+        self.status.subscribe()
+    }
+
+    /// Begins a planned stop: not ready, and every answer asks callers to close.
+    pub(crate) fn begin_stop(&self) {
+        self.is_stopping.set(true);
+        self.signals.leaving.cancel();
+        self.refresh_status();
+    }
+
+    fn refresh_status(&self) {
+        let version = self
+            .routes
+            .borrow()
+            .as_ref()
+            .map_or(0, |table| table.document().version);
+        self.status.send_replace(GatewayStatus {
+            address: self.advertised,
+            placement: self.config.placement.clone(),
+            is_ready: self.is_ready(),
+            routes_version: version,
+            listing: self.registry.number(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! The gateway: callers reach it over the network, and it answers from the servers of a service or
+//! from one server of every shard.
+//!
+//! Everything runs on one thread, in a [`tokio::task::LocalSet`]: a gateway's machine gives it a
+//! fraction of a core, and state without locks is smaller and simpler.
+//!
+//! - [`names`]: what headers are called; a deployment may call them otherwise.
+//! - `control_link`: routes and the list of servers from the control replicas.
+//! - `route_table`: which route a request takes.
+//! - `servers`: connections, health and choice of servers; the budget of extra attempts.
+//! - `request`: the way of one request.
+
+mod admission;
+mod config;
+mod control_link;
+mod gateway;
+pub mod names;
+mod request;
+mod role;
+mod route_table;
+mod servers;
+
+pub use config::{Config, RetryBounds};
+pub use role::{Handle, StartError, start};
--- /dev/null
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -0,0 +1,139 @@
+//! A query over many shards: one server of each, and an answer from what is in when it is due.
+
+use std::time::{Duration, Instant};
+
+use futures::{StreamExt, stream::FuturesUnordered};
+use hyper::{
+    Response,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use sablehaven_http::WholeBody;
+use sablehaven_types::Gather;
+use tokio::time::sleep_until;
+
+use super::{
+    Accepted,
+    merge::greatest_records,
+    refusal::Refusal,
+    sub_request::{PartFailure, SubRequest},
+    wait::{Next, Progress, next},
+};
+use crate::servers::ServerReply;
+
+/// What has come of the shards so far.
+#[derive(Default)]
+struct Parts {
+    replies: Vec<ServerReply>,
+    missing: Vec<(String, PartFailure)>,
+    extra: u32,
+}
+
+/// Asks one server of every shard of the pinned version, and answers when the answer is whole, or
+/// when waiting longer would cost more than the shards that are missing.
+pub(super) async fn answer(
+    accepted: &Accepted,
+    gather: &Gather,
+) -> Result<Response<WholeBody>, Refusal> {
+    let mut running: FuturesUnordered<_> = gather
+        .shards
+        .iter()
+        .map(|shard| async move {
+            let service = accepted.gateway.registry.service(shard);
+            (shard, SubRequest::new(accepted, service).run().await)
+        })
+        .collect();
+    let mut parts = Parts::default();
+    let outcome = loop {
+        let progress = progress(accepted, gather, &parts);
+        let wait_until = match next(&progress) {
+            Next::Answer => break Ok(()),
+            Next::Fail => break Err(Refusal::TooFewShards),
+            Next::OutOfTime => break Err(Refusal::OutOfTime),
+            Next::WaitUntil(at) => accepted.arrived + at,
+        };
+        tokio::select! {
+            Some((shard, part)) = running.next() => {
+                parts.extra += part.extra;
+                match part.result {
+                    Ok(reply) => parts.replies.push(reply),
+                    Err(failure) => parts.missing.push((shard.to_string(), failure)),
+                }
+            }
+            () = sleep_until(wait_until.into()) => {}
+        }
+    };
+    accepted.outgoing.answered.set();
+    log_unusual(accepted, gather, &parts, outcome.as_ref().err());
+    outcome.map(|()| respond(accepted, gather, &parts))
+}
+
+fn progress(accepted: &Accepted, gather: &Gather, parts: &Parts) -> Progress {
+    let aim = Duration::from_millis(accepted.planned.route().aim_ms);
+    let held = accepted.outgoing.deadline;
+    Progress {
+        shards: gather.shards.len(),
+        least: gather.min_shards(),
+        arrived: parts.replies.len(),
+        failed: parts.missing.len(),
+        elapsed: accepted.arrived.elapsed(),
+        due: aim.saturating_sub(accepted.gateway.config.answer_margin()),
+        limit: held.saturating_duration_since(accepted.arrived),
+    }
+}
+
+fn respond(accepted: &Accepted, gather: &Gather, parts: &Parts) -> Response<WholeBody> {
+    let names = &accepted.gateway.names;
+    let bodies = parts.replies.iter().map(|reply| &reply.body[..]);
+    let records = greatest_records(bodies, gather.top_k);
+    let mut response = Response::new(WholeBody::new(records));
+    let headers = response.headers_mut();
+    let octets = HeaderValue::from_static("application/octet-stream");
+    headers.insert(CONTENT_TYPE, octets);
+    headers.insert(&names.request_id, accepted.outgoing.request_id.clone());
+    let stamps = parts
+        .replies
+        .iter()
+        .filter_map(|reply| reply.stamp.as_ref());
+    let joined = stamps
+        .map(HeaderValue::as_bytes)
+        .collect::<Vec<_>>()
+        .join(&b", "[..]);
+    if let Ok(joined) = HeaderValue::from_bytes(&joined) {
+        headers.insert(&names.part_stamps, joined);
+    }
+    let missing = gather.shards.len() - parts.replies.len();
+    headers.insert(&names.missing_parts, HeaderValue::from(missing));
+    response
+}
+
+/// A query that is whole and in time is not worth a line.
+fn log_unusual(accepted: &Accepted, gather: &Gather, parts: &Parts, refusal: Option<&Refusal>) {
+    let taken = accepted.arrived.elapsed();
+    let route = accepted.planned.route();
+    let is_whole = parts.replies.len() == gather.shards.len();
+    let is_late = taken > Duration::from_millis(route.aim_ms);
+    if is_whole && !is_late && refusal.is_none() {
+        return;
+    }
+    let event = match refusal {
+        Some(_) => "failed",
+        None if is_whole => "late",
+        None => "partial",
+    };
+    log::warn!(
+        event = event, request:% = accepted.id(), route = route.name.as_str(),
+        version = accepted.planned.version, shards = gather.shards.len(),
+        arrived = parts.replies.len(), extra = parts.extra,
+        after_ms = taken.as_millis() as u64,
+        left_ms = accepted.outgoing.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+        missing = missing_text(&parts.missing).as_str();
+        "request"
+    );
+}
+
+fn missing_text(missing: &[(String, PartFailure)]) -> String {
+    let each = missing
+        .iter()
+        .map(|(shard, failure)| format!("{shard}: {failure}"));
+    each.collect::<Vec<_>>().join("; ")
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -0,0 +1,152 @@
+//! The way of one request: route, admission, servers, answer.
+
+mod gather;
+mod headers;
+mod merge;
+mod refusal;
+mod single;
+mod sub_request;
+mod wait;
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts};
+use sablehaven_http::WholeBody;
+use sablehaven_types::{RouteTarget, ServiceName, WeightedService};
+
+use self::refusal::Refusal;
+use crate::{
+    gateway::Gateway,
+    route_table::PlannedRoute,
+    servers::{Answered, OutgoingRequest},
+};
+
+/// Time before the caller's own deadline at which it is told that there is no answer.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
+
+/// A request of a caller that has a route; the version of the routes stays as it was when it came.
+pub(crate) struct Accepted {
+    pub(crate) gateway: Rc<Gateway>,
+    pub(crate) planned: Rc<PlannedRoute>,
+    pub(crate) outgoing: Rc<OutgoingRequest>,
+    pub(crate) arrived: Instant,
+}
+
+/// Answers a request in four phases: find its route, read its body, admit it, and ask its servers.
+/// The future is dropped when the caller leaves, and every attempt with it.
+pub(crate) async fn answer(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<WholeBody> {
+    match take(&gateway, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(),
+    }
+}
+
+async fn take(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<WholeBody>, Refusal> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let planned = find_route(gateway, &head)?;
+    let request_id = head.headers.get(&gateway.names.request_id).cloned();
+    let request_id = request_id.ok_or(Refusal::NoRequestId)?;
+    let body = read_body(body, gateway.limits().max_body_bytes).await?;
+    let route = planned.route();
+    let Some(_admitted) = gateway.admission.admit(route.priority) else {
+        log::warn!(
+            event = "refused", request:% = id_text(&request_id), reason = "too many requests",
+            open = gateway.admission.open(), route = route.name.as_str();
+            "request"
+        );
+        return Err(Refusal::TooMany);
+    };
+    let deadline = arrived + time_left(gateway, &planned, &head);
+    let outgoing = Rc::new(OutgoingRequest {
+        method: head.method,
+        target: head.uri,
+        headers: headers::passed_on(&head.headers, &gateway.names),
+        request_id,
+        body,
+        deadline,
+        profile: Rc::clone(&planned.profile),
+        answered: Answered::default(),
+    });
+    let accepted = Accepted {
+        gateway: Rc::clone(gateway),
+        planned: Rc::clone(&planned),
+        outgoing,
+        arrived,
+    };
+    match &route.target {
+        RouteTarget::Service(service) => single::answer(&accepted, service).await,
+        RouteTarget::Split(parts) => single::answer(&accepted, draw(parts, rand::random())).await,
+        RouteTarget::Gather(gather) => gather::answer(&accepted, gather).await,
+    }
+}
+
+fn find_route(gateway: &Gateway, head: &Parts) -> Result<Rc<PlannedRoute>, Refusal> {
+    let Some(table) = gateway.routes() else {
+        return Err(Refusal::NoRoutes);
+    };
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).ok_or(Refusal::NoHost)?;
+    let found = table.find(host, head.uri.path());
+    found.cloned().ok_or(Refusal::UnknownRoute)
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Err(_) => Err(Refusal::BodyCutOff),
+    }
+}
+
+/// The time for which a request is held: the route's, or the caller's own where it is shorter.
+fn time_left(gateway: &Gateway, planned: &PlannedRoute, head: &Parts) -> Duration {
+    let held = Duration::from_millis(planned.route().timeout_ms);
+    let caller = head.headers.get(&gateway.names.deadline_ms);
+    let caller = caller
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse().ok())
+        .map(Duration::from_millis);
+    match caller {
+        Some(caller) => held.min(caller.saturating_sub(DEADLINE_MARGIN)),
+        None => held,
+    }
+}
+
+/// The part of a split that a draw (0 to 1) falls on.
+fn draw(parts: &[WeightedService], draw: f64) -> &ServiceName {
+    let sum: f64 = parts.iter().map(|part| part.weight).sum();
+    let mut left = draw * sum;
+    for part in parts {
+        left -= part.weight;
+        if left < 0.0 {
+            return &part.service;
+        }
+    }
+    // Rounding only: valid routes have weights that sum to more than 0.
+    &parts[parts.len() - 1].service
+}
+
+fn id_text(id: &hyper::header::HeaderValue) -> String {
+    String::from_utf8_lossy(id.as_bytes()).into_owned()
+}
+
+impl Accepted {
+    fn id(&self) -> String {
+        id_text(&self.outgoing.request_id)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -0,0 +1,83 @@
+//! Answers of the gateway's own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use sablehaven_http::WholeBody;
+
+/// When to come back while the gateway has no routes yet.
+const NO_ROUTES_PAUSE: Duration = Duration::from_millis(300);
+/// When to come back after a refusal under pressure.
+const PRESSURE_PAUSE: Duration = Duration::from_millis(200);
+/// When to come back when no server ran the request.
+const NOT_RUN_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a request has no answer of a server. 503 is a promise that it has not run and never will;
+/// 502 and 504 promise nothing.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub(super) enum Refusal {
+    /// this gateway has no routes yet
+    NoRoutes,
+    /// the request names no host
+    NoHost,
+    /// no route has this host and path
+    UnknownRoute,
+    /// the request has no id
+    NoRequestId,
+    /// the body is larger than allowed
+    BodyTooLarge,
+    /// the body ended early
+    BodyCutOff,
+    /// too many requests
+    TooMany,
+    /// no server took the request; it has not run
+    NotRun,
+    /// the servers failed; whether the request has run is not known
+    Failed,
+    /// too few shards answered
+    TooFewShards,
+    /// the time is over
+    OutOfTime,
+}
+
+impl Refusal {
+    pub(super) fn status(&self) -> StatusCode {
+        match self {
+            Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
+            Self::UnknownRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoRoutes | Self::TooMany | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Failed | Self::TooFewShards => StatusCode::BAD_GATEWAY,
+            Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NoRoutes => Some(NO_ROUTES_PAUSE),
+            Self::TooMany => Some(PRESSURE_PAUSE),
+            Self::NotRun | Self::Failed | Self::TooFewShards => Some(NOT_RUN_PAUSE),
+            _ => None,
+        }
+    }
+
+    pub(super) fn response(&self) -> Response<WholeBody> {
+        let mut response = Response::new(WholeBody::new(Bytes::from(format!("{self}\n"))));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let Some(pause) = self.retry_after() {
+            // Spread, so that callers that were refused together do not come back together.
+            let spread = 0.75 + 0.5 * rand::random::<f64>();
+            let seconds = format!("{:.2}", pause.as_secs_f64() * spread);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -0,0 +1,52 @@
+//! A request that one server answers.
+
+use hyper::Response;
+use sablehaven_http::WholeBody;
+use sablehaven_types::ServiceName;
+
+use super::{
+    Accepted, headers,
+    refusal::Refusal,
+    sub_request::{PartFailure, PartResult, SubRequest},
+};
+use crate::servers::{AttemptFailure, ServerReply};
+
+/// Answers from one server of the service. A server's own answer, a failure too, is handed back as it
+/// came.
+pub(super) async fn answer(
+    accepted: &Accepted,
+    service: &ServiceName,
+) -> Result<Response<WholeBody>, Refusal> {
+    let service = accepted.gateway.registry.service(service);
+    let part = SubRequest::new(accepted, service).run().await;
+    accepted.outgoing.answered.set();
+    let (refusal, failure) = match &part.result {
+        Ok(reply) => return Ok(hand_back(reply)),
+        Err(PartFailure::Attempt(AttemptFailure::Answered(reply))) => return Ok(hand_back(reply)),
+        Err(failure) => (refusal(&part, failure), failure),
+    };
+    log::warn!(
+        event = "failed", request:% = accepted.id(), route = accepted.planned.route().name.as_str(),
+        version = accepted.planned.version, status = refusal.status().as_u16(),
+        after_ms = accepted.arrived.elapsed().as_millis() as u64,
+        reason:% = failure;
+        "request"
+    );
+    Err(refusal)
+}
+
+/// 503 promises that the request has not run and never will, so it needs that no server has it.
+fn refusal(part: &PartResult, failure: &PartFailure) -> Refusal {
+    match failure {
+        PartFailure::OutOfTime => Refusal::OutOfTime,
+        _ if part.may_have_run => Refusal::Failed,
+        _ => Refusal::NotRun,
+    }
+}
+
+fn hand_back(reply: &ServerReply) -> Response<WholeBody> {
+    let mut response = Response::new(WholeBody::new(reply.body.clone()));
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = headers::handed_back(&reply.headers);
+    response
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -0,0 +1,242 @@
+//! One server's part of a request: first attempt, hedge and retry.
+
+use std::{
+    future::poll_fn,
+    rc::Rc,
+    task::Poll,
+    time::{Duration, Instant},
+};
+
+use sablehaven_types::{BackendId, RequestKind};
+use tokio::time::sleep_until;
+
+use super::Accepted;
+use crate::servers::{Attempt, AttemptFailure, Server, ServerReply, ServicePool};
+
+/// An attempt that takes this many typical times is hedged although its server answers others.
+const TAIL_RATIO: f64 = 3.5;
+/// Room for scheduling before an attempt counts as late.
+const TAIL_ROOM: Duration = Duration::from_millis(8);
+/// What a hedge is taken to need at its server, in typical times.
+const HEDGE_NEEDS: f64 = 1.5;
+/// Pause before the budget is asked again.
+const BUDGET_PAUSE: Duration = Duration::from_millis(25);
+/// Attempts that may come to nothing before a server has run the request.
+const MAXIMUM_FALSE_STARTS: u32 = 4;
+
+/// Why a part is missing.
+#[derive(Clone, Debug, displaydoc::Display)]
+pub(super) enum PartFailure {
+    /// no server of the service takes work
+    NoServer,
+    /// {0}
+    Attempt(AttemptFailure),
+    /// the time is over
+    OutOfTime,
+}
+
+/// What came of the attempts.
+pub(super) struct PartResult {
+    pub(super) result: Result<ServerReply, PartFailure>,
+    /// Whether a server may have run the request.
+    pub(super) may_have_run: bool,
+    /// Extra attempts that were sent.
+    pub(super) extra: u32,
+}
+
+/// Attempts for one service on behalf of one request.
+pub(super) struct SubRequest<'a> {
+    accepted: &'a Accepted,
+    service: Rc<ServicePool>,
+    in_flight: Vec<InFlight>,
+    tried: Vec<BackendId>,
+    /// Servers that may have run it.
+    dispatched: u32,
+    false_starts: u32,
+    extra: u32,
+    may_have_run: bool,
+}
+
+struct InFlight {
+    attempt: Attempt,
+    sent_at: Instant,
+}
+
+impl<'a> SubRequest<'a> {
+    pub(super) fn new(accepted: &'a Accepted, service: Rc<ServicePool>) -> Self {
+        Self {
+            accepted,
+            service,
+            in_flight: Vec::new(),
+            tried: Vec::new(),
+            dispatched: 0,
+            false_starts: 0,
+            extra: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Sends attempts until one has an answer or nothing more may be sent.
+    pub(super) async fn run(mut self) -> PartResult {
+        let result = self.attempt_until_answered().await;
+        PartResult {
+            result,
+            may_have_run: self.may_have_run || !self.in_flight.is_empty(),
+            extra: self.extra,
+        }
+    }
+
+    async fn attempt_until_answered(&mut self) -> Result<ServerReply, PartFailure> {
+        self.service.need(self.accepted.gateway.clock.now());
+        if !self.send_next() {
+            return Err(PartFailure::NoServer);
+        }
+        let deadline = self.accepted.outgoing.deadline;
+        loop {
+            let look = self.next_look();
+            let look_at = look.unwrap_or(deadline).min(deadline);
+            tokio::select! {
+                biased;
+                result = next_result(&mut self.in_flight) => {
+                    match result {
+                        Ok(reply) => return Ok(reply),
+                        Err(failure) => self.take_failure(failure)?,
+                    }
+                }
+                () = sleep_until(look_at.into()) => {
+                    if Instant::now() >= deadline {
+                        return Err(PartFailure::OutOfTime);
+                    }
+                    self.hedge_if_due();
+                }
+            }
+        }
+    }
+
+    /// Sends to the cheapest server that was not tried yet; `false` without one.
+    fn send_next(&mut self) -> bool {
+        let Some(server) = self.next_server() else {
+            return false;
+        };
+        self.send(server);
+        true
+    }
+
+    fn next_server(&self) -> Option<Rc<Server>> {
+        let now = self.accepted.gateway.clock.now();
+        let usual = self.accepted.planned.profile.typical();
+        self.service.choose(now, usual, &self.tried)
+    }
+
+    fn send(&mut self, server: Rc<Server>) {
+        self.tried.push(server.id.clone());
+        self.dispatched += 1;
+        let gateway = &self.accepted.gateway;
+        let outgoing = Rc::clone(&self.accepted.outgoing);
+        let attempt = Attempt::start(gateway, server, outgoing);
+        self.in_flight.push(InFlight {
+            attempt,
+            sent_at: Instant::now(),
+        });
+    }
+
+    /// Takes a failed attempt: waits for another one, sends the next, or gives up.
+    fn take_failure(&mut self, failure: AttemptFailure) -> Result<(), PartFailure> {
+        let is_safe = self.accepted.planned.route().kind == RequestKind::Safe;
+        let reached_server = !matches!(failure, AttemptFailure::NotSent { .. });
+        match &failure {
+            AttemptFailure::NotSent { .. } | AttemptFailure::NotExecuted { .. } => {
+                self.dispatched -= 1;
+                self.false_starts += 1;
+            }
+            AttemptFailure::Answered(_) | AttemptFailure::Unknown { .. } => {
+                self.may_have_run = true;
+            }
+        }
+        let may_repeat = is_safe || !self.may_have_run;
+        let has_room = self.dispatched < self.accepted.planned.route().max_attempts
+            && self.false_starts <= MAXIMUM_FALSE_STARTS;
+        if may_repeat && has_room && self.send_extra(reached_server) {
+            return Ok(());
+        }
+        if self.in_flight.is_empty() {
+            return Err(PartFailure::Attempt(failure));
+        }
+        Ok(())
+    }
+
+    /// Sends one more attempt. What never reached a server is no extra load on any.
+    fn send_extra(&mut self, costs_budget: bool) -> bool {
+        let Some(server) = self.next_server() else {
+            return false;
+        };
+        let gateway = &self.accepted.gateway;
+        if costs_budget {
+            let gateways = gateway.registry.gateway_count();
+            if !self.service.take_extra(gateway.clock.now(), gateways) {
+                return false;
+            }
+            self.extra += 1;
+        }
+        self.send(server);
+        true
+    }
+
+    /// When a hedge may become due; `None` when none may be sent.
+    fn next_look(&self) -> Option<Instant> {
+        let route = self.accepted.planned.route();
+        let may_hedge = route.kind == RequestKind::Safe
+            && self.dispatched < route.max_attempts
+            && self.in_flight.len() == 1;
+        if !may_hedge {
+            return None;
+        }
+        let soonest = Instant::now() + Duration::from_millis(1);
+        Some(self.hedge_due_at().max(soonest))
+    }
+
+    fn hedge_due_at(&self) -> Instant {
+        let first = &self.in_flight[0];
+        let server = &first.attempt.server;
+        let clock = &self.accepted.gateway.clock;
+        let now = clock.now();
+        let still_at = server.health.borrow().stands_still_at(now);
+        let still_at = still_at.map(|at| Instant::now() + at.saturating_sub(now));
+        let tail_at = first.sent_at + self.tail_limit(server);
+        still_at.map_or(tail_at, |at| at.min(tail_at))
+    }
+
+    /// Time after which an attempt is hedged although its server answers others: it takes far longer
+    /// than usual, or soon no hedge could be in time any more.
+    fn tail_limit(&self, server: &Server) -> Duration {
+        let usual = self.accepted.planned.profile.typical();
+        let late = server.round_trip() + usual.mul_f64(TAIL_RATIO) + TAIL_ROOM;
+        let aim = Duration::from_millis(self.accepted.planned.route().aim_ms);
+        let hedge = server.round_trip() + usual.mul_f64(HEDGE_NEEDS);
+        let margin = self.accepted.gateway.config.answer_margin();
+        let last_useful = aim.saturating_sub(hedge + margin);
+        late.min(last_useful.max(usual.mul_f64(2.0)))
+    }
+
+    fn hedge_if_due(&mut self) {
+        let is_due = self.in_flight.len() == 1 && Instant::now() >= self.hedge_due_at();
+        if is_due && !self.send_extra(true) {
+            // The budget or the servers do not allow one now; the next look is a little later.
+            self.in_flight[0].sent_at += BUDGET_PAUSE;
+        }
+    }
+}
+
+/// The result of whichever attempt has one first.
+async fn next_result(in_flight: &mut Vec<InFlight>) -> Result<ServerReply, AttemptFailure> {
+    poll_fn(|context| {
+        for position in 0..in_flight.len() {
+            if let Poll::Ready(result) = in_flight[position].attempt.poll_result(context) {
+                in_flight.remove(position);
+                return Poll::Ready(result);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/request/wait/tests.rs
@@ -0,0 +1,50 @@
+//! A table of cases.
+
+use std::time::Duration;
+
+use super::{Next, Progress, next};
+
+fn progress(arrived: usize, failed: usize, elapsed_ms: u64) -> Progress {
+    Progress {
+        shards: 10,
+        least: 9,
+        arrived,
+        failed,
+        elapsed: Duration::from_millis(elapsed_ms),
+        due: Duration::from_millis(230),
+        limit: Duration::from_millis(4_000),
+    }
+}
+
+#[test]
+fn cases() {
+    let until = |milliseconds| Next::WaitUntil(Duration::from_millis(milliseconds));
+    let table = [
+        ("whole", progress(10, 0, 30), Next::Answer),
+        ("whole but late", progress(10, 0, 900), Next::Answer),
+        ("enough, time left", progress(9, 0, 30), until(230)),
+        ("enough, due", progress(9, 0, 230), Next::Answer),
+        (
+            "enough, the last one failed",
+            progress(9, 1, 30),
+            Next::Answer,
+        ),
+        ("too few, time left", progress(8, 0, 30), until(4_000)),
+        ("too few, late", progress(8, 1, 900), until(4_000)),
+        ("enough at last, late", progress(9, 0, 900), Next::Answer),
+        ("cannot be enough", progress(5, 2, 30), Next::Fail),
+        ("too few at the end", progress(8, 0, 4_000), Next::OutOfTime),
+    ];
+    for (name, progress, expected) in table {
+        assert_eq!(next(&progress), expected, "{name}");
+    }
+}
+
+#[test]
+fn a_limit_before_the_aim_is_kept() {
+    let short = Progress {
+        limit: Duration::from_millis(100),
+        ..progress(9, 0, 100)
+    };
+    assert_eq!(next(&short), Next::Answer);
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -0,0 +1,199 @@
+//! The start and the stop of a gateway.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use sablehaven_http::{ConnectionBounds, ServerSignals, WholeBody, listen, serve_connection};
+use sablehaven_types::{BoundAddresses, SettingError};
+use tokio::{
+    net::TcpListener,
+    task::{JoinHandle, spawn_local},
+    time::{interval, sleep, sleep_until},
+};
+
+use crate::{
+    Config, control_link::keep_links, gateway::Gateway, names::HeaderNames, request::answer,
+};
+
+/// Pause after a failed accept (out of file descriptors), so that the loop does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two looks for connections that have rested too long.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two looks whether all requests of a stopping gateway are answered.
+const STOP_LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Why a gateway did not start.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum StartError {
+    /// check settings: {errors:?}
+    Settings {
+        /// Every setting that cannot be used.
+        errors: Vec<SettingError>,
+    },
+    /// listen on {address}: {source}
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// A running gateway; everything of it runs on the thread that started it.
+pub struct Handle {
+    gateway: Rc<Gateway>,
+    addresses: BoundAddresses,
+    accepting: JoinHandle<()>,
+    ready: Option<SocketAddr>,
+}
+
+/// Starts a gateway. Must be called within a [`tokio::task::LocalSet`].
+///
+/// # Errors
+/// See [`StartError`].
+pub fn start(config: Config, names: HeaderNames) -> Result<Handle, StartError> {
+    let errors = config.validate("gateway");
+    if !errors.is_empty() {
+        return Err(StartError::Settings { errors });
+    }
+    let (callers, address) = bind(config.listen)?;
+    let ready = config.ready_listen.map(bind).transpose()?;
+    let gateway = Rc::new(Gateway::new(config, names, address));
+    let accepting = spawn_local(accept_callers(Rc::clone(&gateway), callers));
+    spawn_local(keep_links(Rc::clone(&gateway)));
+    spawn_local(sweep(Rc::clone(&gateway)));
+    let mut ready_address = None;
+    if let Some((listener, address)) = ready {
+        ready_address = Some(address);
+        spawn_local(accept_readiness(Rc::clone(&gateway), listener));
+    }
+    log::info!(event = "start", role = "gateway", address:% = address; "start");
+    Ok(Handle {
+        gateway,
+        addresses: BoundAddresses {
+            http: Some(address),
+            internal: None,
+        },
+        accepting,
+        ready: ready_address,
+    })
+}
+
+fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let error = |source| StartError::Listen { address, source };
+    let listener = listen(address).map_err(error)?;
+    let bound = listener.local_addr().map_err(error)?;
+    Ok((listener, bound))
+}
+
+impl Handle {
+    /// The addresses that this gateway listens on.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.addresses
+    }
+
+    /// Where `GET /ready` is answered.
+    pub fn ready_address(&self) -> Option<SocketAddr> {
+        self.ready
+    }
+
+    /// Takes addresses of control replicas beside those that are known.
+    pub fn add_controls(&self, controls: impl IntoIterator<Item = SocketAddr>) {
+        self.gateway.add_controls(controls);
+    }
+
+    /// A planned stop: not ready and out of the directory at once; requests are still taken for as
+    /// long as callers may hold the address; what was read is answered; resting connections are
+    /// closed last.
+    pub async fn stop(self) {
+        let gateway = &self.gateway;
+        let started = Instant::now();
+        log::info!(event = "stop", open = gateway.admission.open(); "stop begins");
+        gateway.begin_stop();
+        sleep(Duration::from_millis(gateway.config.stop_linger_ms)).await;
+        self.accepting.abort();
+        gateway.signals.closing.cancel();
+        let limit = started + Duration::from_millis(gateway.config.stop_limit_ms);
+        // Connections whose bytes are still under way get a moment to be read.
+        sleep(STOP_LOOK_INTERVAL).await;
+        while gateway.admission.open() > 0 && Instant::now() < limit {
+            sleep(STOP_LOOK_INTERVAL).await;
+        }
+        // Answers that were made are on their way out.
+        sleep_until((Instant::now() + STOP_LOOK_INTERVAL).into()).await;
+        log::info!(event = "stopped", open = gateway.admission.open(); "stop ends");
+    }
+}
+
+async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(event = "accept_failed", reason:% = error; "accept");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let limits = gateway.limits();
+        let bounds = ConnectionBounds {
+            max_head_bytes: limits.max_header_bytes,
+            head_timeout: Duration::from_millis(limits.header_timeout_ms),
+            idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+        };
+        let signals = gateway.signals.clone();
+        let gateway = Rc::clone(&gateway);
+        spawn_local(async move {
+            serve_connection(stream, bounds, signals, |request| {
+                answer(Rc::clone(&gateway), request)
+            })
+            .await;
+        });
+    }
+}
+
+async fn accept_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
+    let bounds = ConnectionBounds {
+        max_head_bytes: 8 * 1024,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(60),
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let gateway = Rc::clone(&gateway);
+        spawn_local(async move {
+            let signals = ServerSignals::default();
+            serve_connection(stream, bounds, signals, |request| {
+                std::future::ready(readiness(&gateway, &request))
+            })
+            .await;
+        });
+    }
+}
+
+fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<WholeBody> {
+    let status = match (request.uri().path(), gateway.is_ready()) {
+        ("/ready", true) => StatusCode::OK,
+        ("/ready", false) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    let mut response = Response::new(WholeBody::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+async fn sweep(gateway: Rc<Gateway>) {
+    let mut ticker = interval(SWEEP_INTERVAL);
+    loop {
+        ticker.tick().await;
+        gateway.registry.drop_stale_connections();
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/route_table.rs
@@ -0,0 +1,116 @@
+//! Which route a request takes.
+
+use std::{cell::Cell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use sablehaven_types::{Route, RouteDocument};
+
+/// The routes of one version, ready to be looked up.
+pub(crate) struct RouteTable {
+    document: Arc<RouteDocument>,
+    /// Routes by host in lower case, the longest prefix first.
+    by_host: HashMap<String, Vec<Rc<PlannedRoute>>>,
+}
+
+/// A route with what has been learned of its requests.
+pub(crate) struct PlannedRoute {
+    document: Arc<RouteDocument>,
+    position: usize,
+    pub(crate) version: u64,
+    pub(crate) profile: Rc<RouteProfile>,
+}
+
+/// What has been learned of a route's requests; kept over versions.
+pub(crate) struct RouteProfile {
+    /// What a server usually takes, without the way there, in milliseconds.
+    typical_ms: Cell<f64>,
+}
+
+/// Weight of one new time in the running average.
+const TYPICAL_WEIGHT: f64 = 0.03;
+/// A time counts as at most this many times the average: one slow server must not move it.
+const OUTLIER_RATIO: f64 = 3.0;
+/// Part of the aim that a server is taken to need before any time is known.
+const FIRST_GUESS: f64 = 0.125;
+/// The least typical time, in milliseconds.
+const LEAST_TYPICAL_MS: f64 = 0.5;
+
+impl RouteProfile {
+    fn new(route: &Route) -> Self {
+        let guess = route.aim_ms as f64 * FIRST_GUESS;
+        Self {
+            typical_ms: Cell::new(guess.max(LEAST_TYPICAL_MS)),
+        }
+    }
+
+    pub(crate) fn typical(&self) -> Duration {
+        Duration::from_secs_f64(self.typical_ms.get() / 1_000.0)
+    }
+
+    /// Takes in what a server took, without the way there.
+    pub(crate) fn record(&self, taken: Duration) {
+        let typical = self.typical_ms.get();
+        let taken = (taken.as_secs_f64() * 1_000.0).min(typical * OUTLIER_RATIO);
+        let next = typical + TYPICAL_WEIGHT * (taken - typical);
+        self.typical_ms.set(next.max(LEAST_TYPICAL_MS));
+    }
+}
+
+impl PlannedRoute {
+    pub(crate) fn route(&self) -> &Route {
+        &self.document.routes[self.position]
+    }
+}
+
+impl RouteTable {
+    /// The table of a document; what `former` has learned of a route's place is kept.
+    pub(crate) fn new(document: Arc<RouteDocument>, former: Option<&Self>) -> Self {
+        let mut by_host: HashMap<String, Vec<Rc<PlannedRoute>>> = HashMap::new();
+        for (position, route) in document.routes.iter().enumerate() {
+            let known = former.and_then(|former| former.profile_of(route));
+            let profile = known.unwrap_or_else(|| Rc::new(RouteProfile::new(route)));
+            let planned = Rc::new(PlannedRoute {
+                document: Arc::clone(&document),
+                position,
+                version: document.version,
+                profile,
+            });
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(planned);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|planned| std::cmp::Reverse(planned.route().path_prefix.len()));
+        }
+        Self { document, by_host }
+    }
+
+    pub(crate) fn document(&self) -> &Arc<RouteDocument> {
+        &self.document
+    }
+
+    /// The route of a host and path: the longest prefix that begins the path.
+    pub(crate) fn find(&self, host: &str, path: &str) -> Option<&Rc<PlannedRoute>> {
+        let host = without_port(host).to_ascii_lowercase();
+        let routes = self.by_host.get(&host)?;
+        let begins = |planned: &&Rc<PlannedRoute>| path.starts_with(&planned.route().path_prefix);
+        routes.iter().find(begins)
+    }
+
+    fn profile_of(&self, route: &Route) -> Option<Rc<RouteProfile>> {
+        let routes = self.by_host.get(&route.host.to_ascii_lowercase())?;
+        let same = |planned: &&Rc<PlannedRoute>| planned.route().path_prefix == route.path_prefix;
+        routes
+            .iter()
+            .find(same)
+            .map(|planned| Rc::clone(&planned.profile))
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sablehaven-gateway/src/route_table/tests.rs
@@ -0,0 +1,76 @@
+//! Tests of the look-up.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use sablehaven_types::{
+    CallerLimits, RequestKind, Route, RouteDocument, RouteTarget, RoutedService,
+};
+
+use super::RouteTable;
+
+fn route(name: &str, host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind: RequestKind::Safe,
+        timeout_ms: 1_000,
+        aim_ms: 100,
+        priority: 1,
+        max_attempts: 2,
+        target: RouteTarget::Service("search".into()),
+    }
+}
+
+fn table(version: u64, former: Option<&RouteTable>) -> RouteTable {
+    let document = RouteDocument {
+        version,
+        routes: vec![
+            route("all", "stock.example", "/"),
+            route("short", "stock.example", "/a/"),
+            route("long", "Stock.example", "/a/b/"),
+        ],
+        services: BTreeMap::from([("search".into(), RoutedService::default())]),
+        limits: CallerLimits::default(),
+    };
+    RouteTable::new(Arc::new(document), former)
+}
+
+fn found(host: &str, path: &str) -> Option<String> {
+    let table = table(1, None);
+    let planned = table.find(host, path)?;
+    Some(planned.route().name.clone())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    assert_eq!(found("stock.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(
+        found("STOCK.example:8080", "/a/x").as_deref(),
+        Some("short")
+    );
+    assert_eq!(found("stock.example", "/a").as_deref(), Some("all"));
+    assert_eq!(found("other.example", "/a/b/c"), None);
+}
+
+#[test]
+fn what_was_learned_of_a_place_outlives_a_change_of_the_routes() {
+    let first = table(1, None);
+    let profile = &first.find("stock.example", "/a/").expect("a route").profile;
+    for _ in 0..500 {
+        profile.record(Duration::from_millis(40));
+    }
+    let second = table(2, Some(&first));
+    let kept = second.find("stock.example", "/a/").expect("a route");
+    assert!(kept.profile.typical() > Duration::from_millis(35));
+    assert_eq!(kept.version, 2);
+}
+
+#[test]
+fn one_slow_answer_moves_the_typical_time_little() {
+    let table = table(1, None);
+    let profile = &table.find("stock.example", "/a/").expect("a route").profile;
+    let before = profile.typical();
+    profile.record(Duration::from_secs(10));
+    assert!(profile.typical() < before.mul_f64(1.1));
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/servers/budget/tests.rs
@@ -0,0 +1,75 @@
+//! Tests of the budget.
+
+use std::time::Duration;
+
+use super::RetryBudget;
+use crate::RetryBounds;
+
+const BOUNDS: RetryBounds = RetryBounds {
+    ratio: 0.2,
+    slack: 40.0,
+    window_ms: 10_000,
+};
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn taken(budget: &mut RetryBudget, now: Duration, gateways: u32) -> u32 {
+    (0..10_000)
+        .take_while(|_| budget.take(now, gateways))
+        .count() as u32
+}
+
+#[test]
+fn extra_attempts_stay_under_the_share_of_requests_and_of_the_slack() {
+    let mut budget = RetryBudget::new(BOUNDS);
+    for _ in 0..100 {
+        budget.need(seconds(1.0));
+    }
+    // 0.85 of 0.2 * 100 + 40 / 8.
+    assert_eq!(taken(&mut budget, seconds(1.1), 8), 21);
+}
+
+#[test]
+fn what_is_older_than_the_window_neither_earns_nor_costs() {
+    let mut budget = RetryBudget::new(BOUNDS);
+    for _ in 0..100 {
+        budget.need(seconds(1.0));
+    }
+    taken(&mut budget, seconds(1.0), 8);
+    assert_eq!(taken(&mut budget, seconds(9.0), 8), 0);
+    assert_eq!(taken(&mut budget, seconds(12.0), 8), 4);
+}
+
+/// Over any window of the bound's length, whatever its start, the bound holds.
+#[test]
+fn every_sliding_window_keeps_the_bound() {
+    let mut budget = RetryBudget::new(BOUNDS);
+    let mut needed = Vec::new();
+    let mut extra = Vec::new();
+    for step in 0..6_000_u32 {
+        let at = f64::from(step) * 0.01;
+        let busy = (step / 500) % 3;
+        if step % (1 + busy * 4) == 0 {
+            budget.need(seconds(at));
+            needed.push(at);
+        }
+        if step % 2 == 0 && budget.take(seconds(at), 1) {
+            extra.push(at);
+        }
+    }
+    let count = |times: &[f64], from: f64, to: f64| {
+        times.iter().filter(|at| **at >= from && **at < to).count() as f64
+    };
+    for start in 0..500 {
+        let from = f64::from(start) * 0.1;
+        let window = |shift: f64| count(&needed, from - shift, from - shift + 10.0);
+        let most = window(0.0).max(window(5.0)).max(window(10.0));
+        let arrivals = count(&extra, from, from + 10.0);
+        assert!(
+            arrivals <= 0.2 * most + 40.0,
+            "window from {from}: {arrivals} of {most}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/servers/choice.rs
@@ -0,0 +1,85 @@
+//! Which server gets the next attempt, as a pure decision.
+
+use std::time::Duration;
+
+/// How far a server is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Distance {
+    /// In the gateway's zone.
+    SameZone,
+    /// In another zone of its region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+/// Time that leaving the region must save beyond the way itself: bytes between regions are dear.
+const REGION_RELUCTANCE: Duration = Duration::from_millis(15);
+/// Time that leaving the zone must save.
+const ZONE_RELUCTANCE: Duration = Duration::from_millis(2);
+/// What a server that stands still is taken to need until it goes on.
+const STILL_PENALTY: Duration = Duration::from_millis(250);
+/// What a resting server costs: it is only taken when there is no other.
+const REST_PENALTY: Duration = Duration::from_secs(3_600);
+/// Slowness of a server that has just started.
+const COLD_RATIO: f64 = 1.6;
+
+/// What is known of a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Candidate {
+    pub(crate) distance: Distance,
+    /// One way there and back.
+    pub(crate) round_trip: Duration,
+    /// What answers take, relative to the usual.
+    pub(crate) slowness: f64,
+    /// This gateway's attempts under way there.
+    pub(crate) outstanding: usize,
+    /// Requests that it runs at the same time.
+    pub(crate) slots: u32,
+    pub(crate) stands_still: bool,
+    pub(crate) is_resting: bool,
+    /// Whether it has only just started.
+    pub(crate) is_cold: bool,
+}
+
+/// What an attempt at a server is expected to cost, as a time.
+pub(crate) fn cost(candidate: &Candidate, usual: Duration) -> Duration {
+    let cold = if candidate.is_cold { COLD_RATIO } else { 1.0 };
+    let queue = 1.0 + candidate.outstanding as f64 / f64::from(candidate.slots.max(1));
+    let work = usual.mul_f64(candidate.slowness.max(0.1) * cold * queue);
+    let reluctance = match candidate.distance {
+        Distance::SameZone => Duration::ZERO,
+        Distance::SameRegion => ZONE_RELUCTANCE,
+        Distance::OtherRegion => REGION_RELUCTANCE,
+    };
+    let mut cost = candidate.round_trip + work + reluctance;
+    if candidate.stands_still {
+        cost += STILL_PENALTY;
+    }
+    if candidate.is_resting {
+        cost += REST_PENALTY;
+    }
+    cost
+}
+
+/// The cheapest of the candidates; `draw` (0 to 1) decides among equally cheap ones.
+pub(crate) fn choose<Key>(
+    candidates: impl IntoIterator<Item = (Key, Candidate)>,
+    usual: Duration,
+    draw: f64,
+) -> Option<Key> {
+    let mut costed: Vec<(Duration, Key)> = candidates
+        .into_iter()
+        .map(|(key, candidate)| (cost(&candidate, usual), key))
+        .collect();
+    let least = costed.iter().map(|(cost, _)| *cost).min()?;
+    // Costs within a twentieth are the same: estimates are no finer.
+    let limit = least.mul_f64(1.05);
+    costed.retain(|(cost, _)| *cost <= limit);
+    let position = (draw * costed.len() as f64) as usize;
+    let position = position.min(costed.len() - 1);
+    Some(costed.swap_remove(position).1)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -0,0 +1,163 @@
+//! What a gateway has seen of one server, without sockets: how slow it is, whether it stands still,
+//! and whether it is left alone for a while.
+
+use std::{collections::BTreeMap, time::Duration};
+
+/// Weight of one new answer in the running slowness.
+const SLOWNESS_WEIGHT: f64 = 0.25;
+/// Time after which half of a server's slowness is forgotten when nothing is heard of it: it must be
+/// tried again, or a server that was slow once would be avoided for ever.
+const FORGETTING_HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// The greatest slowness that is told apart.
+const MAXIMUM_SLOWNESS: f64 = 20.0;
+/// The first rest of a server that failed; doubled at each further failure.
+const FIRST_REST: Duration = Duration::from_millis(300);
+/// The longest rest.
+const LONGEST_REST: Duration = Duration::from_secs(2);
+/// Failures in a row that send a server to rest.
+const FAILURES_TO_REST: u32 = 2;
+/// A silence of this many typical times means that a server stands still.
+const STILL_RATIO: f64 = 2.0;
+/// A server stands still only after a silence of this at least.
+const LEAST_STILL: Duration = Duration::from_millis(12);
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// The server answered the request.
+    Answered,
+    /// The server is full: it turned the request away.
+    TurnedAway,
+    /// The connection failed, or what came was no answer.
+    Failed,
+    /// Nothing came in all the time that there was.
+    Silent,
+    /// The attempt was not needed any more.
+    Cancelled,
+}
+
+/// An attempt under way.
+#[derive(Clone, Copy, Debug)]
+struct Outstanding {
+    sent_at: Duration,
+    /// What this request usually takes at a server, with the way there.
+    expected: Duration,
+}
+
+/// What a gateway has seen of one server. Times are any steady time.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServerHealth {
+    /// What answers take, relative to what they usually take; 1 is usual.
+    slowness: f64,
+    slowness_at: Duration,
+    outstanding: BTreeMap<u64, Outstanding>,
+    next_attempt: u64,
+    last_answer: Duration,
+    failures: u32,
+    rests_until: Duration,
+}
+
+impl ServerHealth {
+    pub(crate) fn new(now: Duration) -> Self {
+        Self {
+            slowness: 1.0,
+            slowness_at: now,
+            ..Self::default()
+        }
+    }
+
+    /// An attempt is sent; its number is given back to [`Self::ended`].
+    pub(crate) fn sent(&mut self, now: Duration, expected: Duration) -> u64 {
+        self.next_attempt += 1;
+        let outstanding = Outstanding {
+            sent_at: now,
+            expected,
+        };
+        self.outstanding.insert(self.next_attempt, outstanding);
+        self.next_attempt
+    }
+
+    /// An attempt has ended. `usual` is what the request usually takes at any server, and `taken`
+    /// what it took, both without the way there.
+    pub(crate) fn ended(
+        &mut self,
+        now: Duration,
+        attempt: u64,
+        ending: Ending,
+        taken: Duration,
+        usual: Duration,
+    ) {
+        self.outstanding.remove(&attempt);
+        match ending {
+            Ending::Answered => {
+                self.last_answer = now;
+                self.failures = 0;
+                self.rests_until = Duration::ZERO;
+                self.learn(now, taken.as_secs_f64() / usual.as_secs_f64().max(1e-4));
+            }
+            Ending::TurnedAway => {
+                self.last_answer = now;
+                let slowness = self.slowness(now) + 2.0;
+                self.learn(now, slowness);
+            }
+            Ending::Failed => self.fail(now, 1),
+            Ending::Silent => self.fail(now, FAILURES_TO_REST),
+            Ending::Cancelled => {}
+        }
+    }
+
+    fn learn(&mut self, now: Duration, slowness: f64) {
+        let known = self.slowness(now);
+        let slowness = slowness.min(MAXIMUM_SLOWNESS);
+        self.slowness = known + SLOWNESS_WEIGHT * (slowness - known);
+        self.slowness_at = now;
+    }
+
+    fn fail(&mut self, now: Duration, weight: u32) {
+        self.failures = self.failures.saturating_add(weight);
+        if self.failures < FAILURES_TO_REST {
+            return;
+        }
+        let doublings = (self.failures - FAILURES_TO_REST).min(4);
+        let rest = (FIRST_REST * 2_u32.pow(doublings)).min(LONGEST_REST);
+        self.rests_until = now + rest;
+    }
+
+    /// What answers take, relative to the usual; what is long ago is half forgotten.
+    pub(crate) fn slowness(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.slowness_at).as_secs_f64();
+        let kept = 0.5_f64.powf(age / FORGETTING_HALF_LIFE.as_secs_f64());
+        1.0 + (self.slowness - 1.0) * kept
+    }
+
+    /// Whether the server is left alone after failures.
+    pub(crate) fn is_resting(&self, now: Duration) -> bool {
+        now < self.rests_until
+    }
+
+    /// Attempts under way.
+    pub(crate) fn outstanding(&self) -> usize {
+        self.outstanding.len()
+    }
+
+    /// When the server will count as standing still, if nothing comes before: it owes answers and
+    /// has given none since the oldest of them was asked for, for longer than it should need.
+    pub(crate) fn stands_still_at(&self, now: Duration) -> Option<Duration> {
+        let oldest = self.outstanding.values().min_by_key(|each| each.sent_at)?;
+        let heard_at = self.last_answer.max(oldest.sent_at);
+        let slowness = self.slowness(now).clamp(1.0, 3.0);
+        let patience = oldest
+            .expected
+            .mul_f64(STILL_RATIO * slowness)
+            .max(LEAST_STILL);
+        Some(heard_at + patience)
+    }
+
+    /// Whether the server stands still.
+    pub(crate) fn stands_still(&self, now: Duration) -> bool {
+        self.stands_still_at(now).is_some_and(|at| at <= now)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sablehaven-gateway/src/servers/mod.rs
@@ -0,0 +1,13 @@
+//! The servers of every service: connections, health, choice, and the budget of extra attempts.
+
+mod attempt;
+pub(crate) mod budget;
+pub(crate) mod choice;
+mod connection_pool;
+pub(crate) mod health;
+mod registry;
+mod server;
+
+pub(crate) use attempt::{Answered, Attempt, AttemptFailure, OutgoingRequest, ServerReply};
+pub(crate) use registry::{Registry, ServicePool};
+pub(crate) use server::Server;
--- /dev/null
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -0,0 +1,220 @@
+//! All servers by service, as the latest list has them.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use sablehaven_types::{
+    BackendId, ListedServer, ListingNumber, RegionName, RouteDocument, ServerListing, ServiceName,
+    ZoneName,
+};
+
+use super::{
+    Server,
+    budget::RetryBudget,
+    choice::{Distance, choose},
+};
+use crate::{Config, gateway::Clock};
+
+/// Part of a server's connections that the gateways of its own zone share; the others share the rest.
+const NEAR_SHARE: f64 = 0.6;
+/// Gateways that may join each zone beside those that are connected.
+const ROOM_FOR_GATEWAYS: u32 = 1;
+
+/// All servers by service.
+pub(crate) struct Registry {
+    services: RefCell<HashMap<ServiceName, Rc<ServicePool>>>,
+    number: Cell<ListingNumber>,
+    zone: ZoneName,
+    region: RegionName,
+    regions: BTreeMap<ZoneName, RegionName>,
+    retries: crate::RetryBounds,
+    /// Connected gateways by zone.
+    gateways: RefCell<BTreeMap<ZoneName, u32>>,
+}
+
+/// The servers of one service.
+pub(crate) struct ServicePool {
+    servers: RefCell<Vec<Rc<Server>>>,
+    budget: RefCell<RetryBudget>,
+    max_connections: Cell<u32>,
+}
+
+impl Registry {
+    pub(crate) fn new(config: &Config) -> Self {
+        Self {
+            services: RefCell::default(),
+            number: Cell::default(),
+            zone: config.placement.zone.clone(),
+            region: config.placement.region.clone(),
+            regions: config.regions.clone(),
+            retries: config.retries,
+            gateways: RefCell::default(),
+        }
+    }
+
+    /// The reading of the list in force.
+    pub(crate) fn number(&self) -> ListingNumber {
+        self.number.get()
+    }
+
+    /// The servers of a service; an unknown one has none yet.
+    pub(crate) fn service(&self, name: &ServiceName) -> Rc<ServicePool> {
+        if let Some(service) = self.services.borrow().get(name) {
+            return Rc::clone(service);
+        }
+        let service = Rc::new(ServicePool {
+            servers: RefCell::default(),
+            budget: RefCell::new(RetryBudget::new(self.retries)),
+            max_connections: Cell::new(0),
+        });
+        let mut services = self.services.borrow_mut();
+        services.insert(name.clone(), Rc::clone(&service));
+        service
+    }
+
+    /// Takes a reading of the list; `false` for one that is not newer than the one in force.
+    pub(crate) fn take_listing(&self, listing: &ServerListing, clock: &Clock) -> bool {
+        if listing.number <= self.number.get() {
+            return false;
+        }
+        self.number.set(listing.number);
+        let mut by_service: HashMap<&ServiceName, Vec<&ListedServer>> = HashMap::new();
+        for listed in &listing.servers {
+            by_service.entry(&listed.service).or_default().push(listed);
+        }
+        let known: Vec<ServiceName> = self.services.borrow().keys().cloned().collect();
+        for name in known {
+            if !by_service.contains_key(&name) {
+                self.service(&name)
+                    .update(&[], |_| Distance::OtherRegion, clock);
+            }
+        }
+        for (name, listed) in by_service {
+            let distance = |zone: &ZoneName| self.distance(zone);
+            self.service(name).update(&listed, distance, clock);
+        }
+        self.limit_connections();
+        true
+    }
+
+    /// Takes what the routes say of the services.
+    pub(crate) fn take_routes(&self, document: &RouteDocument) {
+        for (name, service) in &document.services {
+            self.service(name)
+                .max_connections
+                .set(service.max_connections);
+        }
+        self.limit_connections();
+    }
+
+    /// Takes the number of gateways of each zone.
+    pub(crate) fn take_gateways(&self, gateways: BTreeMap<ZoneName, u32>) {
+        *self.gateways.borrow_mut() = gateways;
+        self.limit_connections();
+    }
+
+    /// The gateways that there can be, this one included.
+    pub(crate) fn gateway_count(&self) -> u32 {
+        let gateways = self.gateways.borrow();
+        let known: u32 = gateways.values().sum();
+        known.max(1) + ROOM_FOR_GATEWAYS * gateways.len().max(1) as u32
+    }
+
+    /// Closes connections that have rested too long.
+    pub(crate) fn drop_stale_connections(&self) {
+        for service in self.services.borrow().values() {
+            for server in service.servers.borrow().iter() {
+                server.pool.drop_stale();
+            }
+        }
+    }
+
+    /// Shares each server's connections among the gateways: those of its own zone send it most.
+    fn limit_connections(&self) {
+        let gateways = self.gateways.borrow();
+        let own_zone = gateways.get(&self.zone).copied().unwrap_or(1).max(1);
+        let all: u32 = gateways.values().sum::<u32>().max(own_zone);
+        let zones = gateways.len().max(1) as u32;
+        for service in self.services.borrow().values() {
+            let whole = f64::from(service.max_connections.get());
+            for server in service.servers.borrow().iter() {
+                let (share, sharers) = match server.distance {
+                    Distance::SameZone => (NEAR_SHARE, own_zone + ROOM_FOR_GATEWAYS),
+                    _ => (
+                        1.0 - NEAR_SHARE,
+                        (all - own_zone + ROOM_FOR_GATEWAYS * zones).max(1),
+                    ),
+                };
+                let limit = (whole * share / f64::from(sharers)).floor() as usize;
+                server.pool.set_limit(limit.max(2));
+            }
+        }
+    }
+
+    fn distance(&self, zone: &ZoneName) -> Distance {
+        if *zone == self.zone {
+            return Distance::SameZone;
+        }
+        match self.regions.get(zone) {
+            Some(region) if *region == self.region => Distance::SameRegion,
+            _ => Distance::OtherRegion,
+        }
+    }
+}
+
+impl ServicePool {
+    fn update(
+        &self,
+        listed: &[&ListedServer],
+        distance: impl Fn(&ZoneName) -> Distance,
+        clock: &Clock,
+    ) {
+        let mut servers = self.servers.borrow_mut();
+        let wanted: HashSet<&BackendId> = listed.iter().map(|each| &each.id).collect();
+        servers.retain(|server| {
+            let is_listed = wanted.contains(&server.id);
+            if !is_listed {
+                server.leave();
+            }
+            is_listed
+        });
+        for listed in listed {
+            match servers.iter().find(|server| server.id == listed.id) {
+                Some(server) => server.update(listed),
+                None => {
+                    let server = Server::new(listed, distance(&listed.zone), clock);
+                    servers.push(Rc::new(server));
+                }
+            }
+        }
+    }
+
+    /// The server for the next attempt, none of `tried`.
+    pub(crate) fn choose(
+        &self,
+        now: Duration,
+        usual: Duration,
+        tried: &[BackendId],
+    ) -> Option<Rc<Server>> {
+        let servers = self.servers.borrow();
+        let candidates = servers
+            .iter()
+            .filter(|server| server.takes_work() && !tried.contains(&server.id))
+            .map(|server| (Rc::clone(server), server.candidate(now)));
+        choose(candidates, usual, rand::random())
+    }
+
+    /// Counts a request that needs this service.
+    pub(crate) fn need(&self, now: Duration) {
+        self.budget.borrow_mut().need(now);
+    }
+
+    /// Takes one extra attempt from the budget.
+    pub(crate) fn take_extra(&self, now: Duration, gateways: u32) -> bool {
+        self.budget.borrow_mut().take(now, gateways)
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -0,0 +1,98 @@
+//! One server: one start of it, by its id.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use sablehaven_types::{BackendId, ListedServer};
+
+use super::{
+    choice::{Candidate, Distance},
+    connection_pool::ConnectionPool,
+    health::ServerHealth,
+};
+use crate::gateway::Clock;
+
+/// One server, as the list and the gateway's own attempts show it.
+pub(crate) struct Server {
+    pub(crate) id: BackendId,
+    pub(crate) address: SocketAddr,
+    pub(crate) distance: Distance,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) health: RefCell<ServerHealth>,
+    slots: Cell<u32>,
+    /// Whether the list has it as ready and it answers under its own id.
+    takes_work: Cell<bool>,
+    warm_at: Cell<Instant>,
+    /// The shortest way there and back that was seen.
+    round_trip: Cell<Duration>,
+}
+
+impl Server {
+    pub(crate) fn new(listed: &ListedServer, distance: Distance, clock: &Clock) -> Self {
+        Self {
+            id: listed.id.clone(),
+            address: listed.address,
+            distance,
+            pool: ConnectionPool::new(listed.address),
+            health: RefCell::new(ServerHealth::new(clock.now())),
+            slots: Cell::new(listed.slots),
+            takes_work: Cell::new(!listed.is_draining),
+            warm_at: Cell::new(Instant::now() + Duration::from_millis(listed.warmup_left_ms)),
+            round_trip: Cell::new(first_round_trip(distance)),
+        }
+    }
+
+    /// Takes what a newer list says.
+    pub(crate) fn update(&self, listed: &ListedServer) {
+        self.slots.set(listed.slots);
+        if listed.is_draining {
+            self.leave();
+        }
+    }
+
+    /// The server takes no new work from now on; what it has goes on.
+    pub(crate) fn leave(&self) {
+        self.takes_work.set(false);
+        self.pool.close_resting();
+    }
+
+    pub(crate) fn takes_work(&self) -> bool {
+        self.takes_work.get()
+    }
+
+    pub(crate) fn round_trip(&self) -> Duration {
+        self.round_trip.get()
+    }
+
+    /// Takes in the time that a connection took to open.
+    pub(crate) fn record_round_trip(&self, seen: Duration) {
+        // Connecting is never faster than the way, and sometimes much slower.
+        self.round_trip.set(self.round_trip.get().min(seen));
+    }
+
+    pub(crate) fn candidate(&self, now: Duration) -> Candidate {
+        let health = self.health.borrow();
+        Candidate {
+            distance: self.distance,
+            round_trip: self.round_trip(),
+            slowness: health.slowness(now),
+            outstanding: health.outstanding(),
+            slots: self.slots.get(),
+            stands_still: health.stands_still(now),
+            is_resting: health.is_resting(now),
+            is_cold: self.warm_at.get() > Instant::now(),
+        }
+    }
+}
+
+/// What the way there and back is taken to be before a connection was opened.
+fn first_round_trip(distance: Distance) -> Duration {
+    match distance {
+        Distance::SameZone => Duration::from_millis(1),
+        Distance::SameRegion => Duration::from_millis(4),
+        Distance::OtherRegion => Duration::from_millis(40),
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-http/src/client.rs
@@ -0,0 +1,102 @@
+//! Connections to servers.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::{Instant, timeout},
+};
+
+use crate::WholeBody;
+
+/// Largest head of an answer, in bytes; the least that hyper takes.
+const MAXIMUM_HEAD_BYTES: usize = 8 * 1024;
+
+/// Why a connection could not be opened; nothing was sent.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum ConnectError {
+    /// connect to {address}: {source}
+    Failed {
+        /// The server.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// connect to {address}: not done in time
+    TimedOut {
+        /// The server.
+        address: SocketAddr,
+    },
+    /// handshake with {address}: {source}
+    Handshake {
+        /// The server.
+        address: SocketAddr,
+        /// The cause.
+        source: hyper::Error,
+    },
+}
+
+/// An open connection: the sender, and the task that must be run for it.
+pub struct Opened {
+    /// Sends requests, one at a time. Dropping the answer of one closes the connection.
+    pub sender: SendRequest<WholeBody>,
+    /// Drives the connection until it closes.
+    pub connection: Connection<TokioIo<TcpStream>, WholeBody>,
+    /// The time that TCP took to connect: one round trip.
+    pub round_trip: Duration,
+}
+
+/// Opens a connection within `limit`. `user_timeout` bounds how long sent bytes may stay
+/// unacknowledged: a machine without power says nothing, and the kernel would wait for minutes.
+///
+/// # Errors
+/// See [`ConnectError`].
+pub async fn open(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    limit: Duration,
+    user_timeout: Duration,
+) -> Result<Opened, ConnectError> {
+    let started = Instant::now();
+    let stream = match timeout(limit, connect(source, address, user_timeout)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(source)) => return Err(ConnectError::Failed { address, source }),
+        Err(_) => return Err(ConnectError::TimedOut { address }),
+    };
+    let round_trip = started.elapsed();
+    let mut builder = Builder::new();
+    builder.max_buf_size(MAXIMUM_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    let (sender, connection) =
+        handshake.map_err(|source| ConnectError::Handshake { address, source })?;
+    Ok(Opened {
+        sender,
+        connection,
+        round_trip,
+    })
+}
+
+async fn connect(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    user_timeout: Duration,
+) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Some(source) = source {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    // A system without the option falls back to its own patience.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(user_timeout));
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/sablehaven-http/src/lib.rs
@@ -0,0 +1,15 @@
+//! HTTP/1.1 connections on hyper with the bounds that a gateway needs on both sides.
+//!
+//! hyper's own connection types are used, not salvo and reqwest which stand on them: a gateway must
+//! know of each connection what was sent, whether an answer ended as it must, and when it may be
+//! closed. `docs/design/house-style.md` has the reasons.
+
+mod client;
+mod server;
+mod watched_stream;
+
+pub use client::{ConnectError, Opened, open};
+pub use server::{ConnectionBounds, ServerSignals, listen, serve_connection};
+
+/// A body that is whole in memory.
+pub type WholeBody = http_body_util::Full<bytes::Bytes>;
--- a/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
@@ -129,6 +129,7 @@
             let environment = Environment {
                 listeners: replica,
                 disk: Arc::new(RealDisk),
+                servers: None,
             };
             let started = start_in(config, Telemetry::new("control"), environment);
             handles.push(started.await.expect("start control"));
--- a/crates/sablehaven-telemetry/src/telemetry.rs
+++ b/crates/sablehaven-telemetry/src/telemetry.rs
@@ -19,6 +19,11 @@
 pub enum TelemetryError {
     /// install the log ring: another logger is installed in this process
     LoggerInstalled,
+    /// start log writer: {source}
+    WriterThread {
+        /// The cause.
+        source: std::io::Error,
+    },
 }
 
 /// The log ring, the metrics and the readiness of one role; cheap to clone.
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod http;
 mod id;
 mod ledger;
+mod listing;
 mod membership;
 mod outcome;
 mod process;
 pub mod protobuf;
+mod routes;
 mod setting;
 
 pub use configuration::{
@@ -25,7 +27,12 @@
     RequestId, ServiceName, ShardId, ZoneName,
 };
 pub use ledger::{ClaimAnswer, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome};
+pub use listing::{ListedServer, ListingNumber, ServerListing};
 pub use membership::{BackendRecord, BackendState, Observation, ObservationKind, Placement};
 pub use outcome::{ConfigurationAge, Envelope, Outcome, SnapshotId};
 pub use process::BoundAddresses;
+pub use routes::{
+    CallerLimits, Gather, RequestKind, Route, RouteDocument, RouteError, RouteTarget,
+    RoutedService, WeightedService,
+};
 pub use setting::{SettingChecks, SettingError};
--- /dev/null
+++ b/crates/sablehaven-types/src/routes.rs
@@ -0,0 +1,273 @@
+//! Routes: which service, split or set of shards answers requests of a host and path prefix.
+//!
+//! A document is whole: the operator sends all routes, services and limits under one version, and
+//! the highest version wins.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ServiceName;
+
+/// All routes of a deployment under one version.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RouteDocument {
+    /// Grows with each change, in steps of any size.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services that routes may name.
+    pub services: BTreeMap<ServiceName, RoutedService>,
+    /// What a caller may send, and how long it may take.
+    pub limits: CallerLimits,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// The route's name, for logs.
+    pub name: String,
+    /// The host that callers name.
+    pub host: String,
+    /// The start of the path; begins and ends with a slash.
+    pub path_prefix: String,
+    /// Whether a request may run more than once.
+    pub kind: RequestKind,
+    /// The longest time that a request is held, in milliseconds.
+    pub timeout_ms: u64,
+    /// The time within which an answer is worth its whole credit, in milliseconds.
+    pub aim_ms: u64,
+    /// The rank under pressure; 0 is served first.
+    pub priority: u32,
+    /// The number of servers that one request may be sent to; for a gather, of each shard.
+    pub max_attempts: u32,
+    /// Who answers.
+    pub target: RouteTarget,
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestKind {
+    /// May run any number of times.
+    Safe,
+    /// Runs at most once.
+    NonIdempotent,
+}
+
+/// Who answers the requests of a route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteTarget {
+    /// One server of a service.
+    Service(ServiceName),
+    /// One server of one of the services, drawn by weight.
+    Split(Vec<WeightedService>),
+    /// One server of every shard.
+    Gather(Gather),
+}
+
+/// A part of a split.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share of the requests, relative to the sum of all weights.
+    pub weight: f64,
+}
+
+/// A query over many shards.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Gather {
+    /// The shards, each a service.
+    pub shards: Vec<ServiceName>,
+    /// The number of records in an answer.
+    pub top_k: usize,
+    /// The least share (0 to 1) of the shards that makes an answer.
+    pub min_coverage: f64,
+}
+
+/// What a document says of a service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RoutedService {
+    /// Path of its servers' health check.
+    pub health_path: String,
+    /// Connections that one server accepts from all callers together.
+    pub max_connections: u32,
+}
+
+/// What a caller may send, and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time for a request's head, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Longest rest of a connection between two requests, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 * 1024,
+            max_body_bytes: 256 * 1024,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// Why a document of routes is not valid.
+#[derive(Clone, Debug, PartialEq, displaydoc::Display, thiserror::Error)]
+pub enum RouteError {
+    /// route '{route}': service '{service}' is not known
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The service.
+        service: ServiceName,
+    },
+    /// route '{route}': another route has the same host and path prefix
+    SamePlace {
+        /// The route.
+        route: String,
+    },
+    /// route '{route}': the weights sum to 0
+    NoWeight {
+        /// The route.
+        route: String,
+    },
+    /// route '{route}': a weight is negative or not a number
+    BadWeight {
+        /// The route.
+        route: String,
+    },
+    /// route '{route}': the time-out is 0
+    NoTimeout {
+        /// The route.
+        route: String,
+    },
+    /// route '{route}': the path prefix must begin and end with a slash
+    BadPrefix {
+        /// The route.
+        route: String,
+    },
+    /// route '{route}': no shards are named, or one is named twice
+    BadShards {
+        /// The route.
+        route: String,
+    },
+    /// route '{route}': min_coverage is not between 0 and 1
+    BadCoverage {
+        /// The route.
+        route: String,
+    },
+    /// route '{route}': a gather must be of kind safe
+    UnsafeGather {
+        /// The route.
+        route: String,
+    },
+}
+
+impl RouteDocument {
+    /// Checks the document by itself, whatever its version.
+    ///
+    /// # Errors
+    /// The first route that is not valid, and why.
+    pub fn validate(&self) -> Result<(), RouteError> {
+        let mut places = BTreeSet::new();
+        for route in &self.routes {
+            route.validate(&self.services)?;
+            let place = (route.host.to_ascii_lowercase(), route.path_prefix.as_str());
+            if !places.insert(place) {
+                let route = route.name.clone();
+                return Err(RouteError::SamePlace { route });
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Route {
+    /// The services that may answer, in the order of the document.
+    pub fn services(&self) -> Vec<&ServiceName> {
+        match &self.target {
+            RouteTarget::Service(service) => vec![service],
+            RouteTarget::Split(parts) => parts.iter().map(|part| &part.service).collect(),
+            RouteTarget::Gather(gather) => gather.shards.iter().collect(),
+        }
+    }
+
+    fn validate(&self, known: &BTreeMap<ServiceName, RoutedService>) -> Result<(), RouteError> {
+        let route = || self.name.clone();
+        let unknown = self
+            .services()
+            .into_iter()
+            .find(|name| !known.contains_key(*name));
+        if let Some(service) = unknown {
+            let service = service.clone();
+            return Err(RouteError::UnknownService {
+                route: route(),
+                service,
+            });
+        }
+        if self.timeout_ms == 0 {
+            return Err(RouteError::NoTimeout { route: route() });
+        }
+        let prefix = &self.path_prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            return Err(RouteError::BadPrefix { route: route() });
+        }
+        match &self.target {
+            RouteTarget::Service(_) => Ok(()),
+            RouteTarget::Split(parts) => self.validate_weights(parts),
+            RouteTarget::Gather(gather) => self.validate_gather(gather),
+        }
+    }
+
+    fn validate_weights(&self, parts: &[WeightedService]) -> Result<(), RouteError> {
+        let route = self.name.clone();
+        if parts
+            .iter()
+            .any(|part| !part.weight.is_finite() || part.weight < 0.0)
+        {
+            return Err(RouteError::BadWeight { route });
+        }
+        let sum: f64 = parts.iter().map(|part| part.weight).sum();
+        if sum > 0.0 {
+            Ok(())
+        } else {
+            Err(RouteError::NoWeight { route })
+        }
+    }
+
+    fn validate_gather(&self, gather: &Gather) -> Result<(), RouteError> {
+        let route = self.name.clone();
+        let distinct: BTreeSet<_> = gather.shards.iter().collect();
+        if gather.shards.is_empty() || distinct.len() != gather.shards.len() {
+            return Err(RouteError::BadShards { route });
+        }
+        if !(0.0..=1.0).contains(&gather.min_coverage) {
+            return Err(RouteError::BadCoverage { route });
+        }
+        if self.kind != RequestKind::Safe {
+            return Err(RouteError::UnsafeGather { route });
+        }
+        Ok(())
+    }
+}
+
+impl Gather {
+    /// The least number of shards that makes an answer.
+    pub fn min_shards(&self) -> usize {
+        let shards = self.shards.len();
+        // The smallest count whose share is not below the bound, whatever the rounding.
+        (0..=shards)
+            .find(|count| *count as f64 / shards as f64 >= self.min_coverage)
+            .unwrap_or(shards)
+            .max(1)
+    }
+}
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -18,6 +18,7 @@
 pub use encoded::EncodedMessage;
 pub use lease::{CLOCK_DRIFT_PER_MILLE, LeaseProof, LeaseRequests};
 pub use message::{
-    AgentStatus, AgentToRelay, ControlToRelay, Hello, LeaseGrant, PeerMessage, RelayToAgent,
-    RelayToControl, Role, StateUpdate, UpdateFit,
+    AgentStatus, AgentToRelay, ControlToGateway, ControlToRelay, DeploymentMembers, GatewayStatus,
+    GatewayToControl, Hello, LeaseGrant, PeerMessage, RelayToAgent, RelayToControl, Role,
+    StateUpdate, UpdateFit,
 };
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -4,7 +4,7 @@
 
 use sablehaven_types::{
     AgentId, BackendId, BackendRecord, LedgerReply, LedgerRequest, Observation, Placement, RelayId,
-    SchemaSource, ServiceConfiguration, ServiceName,
+    RouteDocument, SchemaSource, ServerListing, ServiceConfiguration, ServiceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +17,8 @@
     Relay,
     /// An agent.
     Agent,
+    /// A gateway.
+    Gateway,
 }
 
 /// The first message in each direction.
@@ -237,3 +239,47 @@
     /// The encoded message, as one byte string on the wire.
     pub payload: bytes::Bytes,
 }
+
+/// From a gateway to a control replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GatewayToControl {
+    /// Where the gateway stands; sent first, at each change and as a sign of life.
+    Status(GatewayStatus),
+}
+
+/// Where a gateway stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayStatus {
+    /// Where callers reach it.
+    pub address: std::net::SocketAddr,
+    /// Where it runs.
+    pub placement: Placement,
+    /// Whether it takes callers' requests: it has routes and is not stopping.
+    pub is_ready: bool,
+    /// The version of the routes that it has put in force; 0 for none.
+    pub routes_version: u64,
+    /// The reading of the platform's list that it has.
+    pub listing: sablehaven_types::ListingNumber,
+}
+
+/// From a control replica to a gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ControlToGateway {
+    /// Committed routes.
+    Routes(std::sync::Arc<RouteDocument>),
+    /// A reading of the platform's list.
+    Listing(std::sync::Arc<ServerListing>),
+    /// Who takes part.
+    Members(DeploymentMembers),
+    /// A sign of life.
+    Alive,
+}
+
+/// Who takes part in the deployment, as one control replica sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeploymentMembers {
+    /// Internal addresses of the control replicas.
+    pub controls: BTreeSet<std::net::SocketAddr>,
+    /// Connected gateways by zone.
+    pub gateways: BTreeMap<ZoneName, u32>,
+}
