Elections after a start are quicker; a gateway without routes says when it will have them

Ruled out: shorter election timeouts in general (slow syncs would depose leaders). Change: consensus has a shorter timeout until a first leader was heard (nobody can be deposed by it: voters that hear a leader do not listen; the simulator draws it); 503 before the first routes names the time that a start usually takes; a gather that reached no server promises so. The gateway is a role of the command line, with its section in the template.

--- a/crates/sablehaven-cli/src/arguments.rs
+++ b/crates/sablehaven-cli/src/arguments.rs
@@ -33,6 +33,10 @@
             "agent",
             "Runs the agent beside a caller: plans, fans out, merges and answers",
         ))
+        .subcommand(role(
+            "gateway",
+            "Runs a gateway: callers reach it over the network, servers answer by route",
+        ))
         .subcommand(settings())
         .subcommand(schema())
         .subcommand(data())
--- a/crates/sablehaven-cli/src/lib.rs
+++ b/crates/sablehaven-cli/src/lib.rs
@@ -53,6 +53,7 @@
         Some(("control", matches)) => role_command::run(RoleName::Control, matches),
         Some(("relay", matches)) => role_command::run(RoleName::Relay, matches),
         Some(("agent", matches)) => role_command::run(RoleName::Agent, matches),
+        Some(("gateway", matches)) => role_command::run(RoleName::Gateway, matches),
         Some(("settings", matches)) => settings_command::run(matches),
         Some(("schema", matches)) => schema_command::run(matches),
         Some(("data", matches)) => data_command::run(matches),
--- a/crates/sablehaven-cli/src/role_command.rs
+++ b/crates/sablehaven-cli/src/role_command.rs
@@ -1,11 +1,15 @@
-//! `sablehaven control`, `relay` and `agent`: runs one role until it is told to stop.
+//! `sablehaven control`, `relay`, `agent` and `gateway`: runs one role until it is told to stop.
 
 use std::{future::Future, path::PathBuf, pin::Pin};
 
 use clap::ArgMatches;
+use sablehaven_gateway::names::HeaderNames;
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::BoundAddresses;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::LocalSet,
+};
 
 use crate::{
     error::{CommandError, ExitStatus},
@@ -43,6 +47,7 @@
     sablehaven_control::Handle,
     sablehaven_relay::Handle,
     sablehaven_agent::Handle,
+    sablehaven_gateway::Handle,
 );
 
 /// Runs the role in four phases: load and check the settings, start, print the bound addresses as
@@ -68,7 +73,9 @@
         .enable_all()
         .build()
         .map_err(CommandError::Runtime)?;
-    runtime.block_on(run_until_stopped(role, loaded.settings, telemetry))
+    // A gateway's tasks share state without locks, so they stay on this thread.
+    let running = run_until_stopped(role, loaded.settings, telemetry);
+    LocalSet::new().block_on(&runtime, running)
 }
 
 async fn run_until_stopped(
@@ -115,6 +122,10 @@
             let started = sablehaven_agent::start(settings.agent, telemetry).await;
             Box::new(started.map_err(|reason| error(reason.to_string()))?)
         }
+        RoleName::Gateway => {
+            let started = sablehaven_gateway::start(settings.gateway, HeaderNames::default());
+            Box::new(started.map_err(|reason| error(reason.to_string()))?)
+        }
     };
     Ok(running)
 }
--- a/crates/sablehaven-cli/src/settings.rs
+++ b/crates/sablehaven-cli/src/settings.rs
@@ -20,6 +20,8 @@
     pub relay: sablehaven_relay::Config,
     /// An agent.
     pub agent: sablehaven_agent::Config,
+    /// A gateway.
+    pub gateway: sablehaven_gateway::Config,
 }
 
 /// A role that a process can take.
@@ -31,11 +33,13 @@
     Relay,
     /// An agent.
     Agent,
+    /// A gateway.
+    Gateway,
 }
 
 impl RoleName {
     /// Every role.
-    pub const ALL: [Self; 3] = [Self::Control, Self::Relay, Self::Agent];
+    pub const ALL: [Self; 4] = [Self::Control, Self::Relay, Self::Agent, Self::Gateway];
 
     /// The role's name, which is also its subcommand and its section in the settings file.
     pub fn as_str(self) -> &'static str {
@@ -43,6 +47,7 @@
             Self::Control => "control",
             Self::Relay => "relay",
             Self::Agent => "agent",
+            Self::Gateway => "gateway",
         }
     }
 }
@@ -228,6 +233,7 @@
             RoleName::Control => settings.control.validate("control"),
             RoleName::Relay => settings.relay.validate("relay"),
             RoleName::Agent => settings.agent.validate("agent"),
+            RoleName::Gateway => settings.gateway.validate("gateway"),
         })
         .collect()
 }
--- a/crates/sablehaven-consensus/src/config.rs
+++ b/crates/sablehaven-consensus/src/config.rs
@@ -12,6 +12,10 @@
     /// Ticks without a leader's message after which a replica may vote for another one; it stands
     /// for election itself after a random time of one to two times this.
     pub election_timeout_ticks: u32,
+    /// The same for a replica that has just started and has heard no leader yet. Shorter, so that a
+    /// group whose replicas were all stopped leads again soon: nobody can be deposed by it, since
+    /// voters that hear a leader do not listen.
+    pub first_election_timeout_ticks: u32,
     /// Ticks between two heartbeats of a leader.
     pub heartbeat_ticks: u32,
     /// Entries' bytes in one append message; a single larger entry is still sent.
@@ -36,6 +40,7 @@
     fn default() -> Self {
         Self {
             election_timeout_ticks: 10,
+            first_election_timeout_ticks: 10,
             heartbeat_ticks: 2,
             max_append_bytes: MEBIBYTE,
             max_inflight_appends: 64,
@@ -60,6 +65,13 @@
             }
         };
         let election = u64::from(self.election_timeout_ticks);
+        let first = u64::from(self.first_election_timeout_ticks);
+        require(
+            (1..=election).contains(&first),
+            "first_election_timeout_ticks",
+            first,
+            "1 to election_timeout_ticks",
+        );
         let heartbeat = u64::from(self.heartbeat_ticks);
         require(heartbeat >= 1, "heartbeat_ticks", heartbeat, "1 or more");
         require(
--- a/crates/sablehaven-consensus/src/election.rs
+++ b/crates/sablehaven-consensus/src/election.rs
@@ -11,15 +11,18 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ElectionClock {
     base_ticks: u32,
+    /// In place of `base_ticks` until a leader or candidate was heard.
+    first_ticks: Option<u32>,
     elapsed_ticks: u32,
     timeout_ticks: u32,
     random_state: u64,
 }
 
 impl ElectionClock {
-    pub(crate) fn new(base_ticks: u32, seed: u64) -> Self {
+    pub(crate) fn new(base_ticks: u32, first_ticks: u32, seed: u64) -> Self {
         let mut clock = Self {
             base_ticks,
+            first_ticks: Some(first_ticks.min(base_ticks)),
             elapsed_ticks: 0,
             timeout_ticks: 0,
             random_state: seed,
@@ -31,12 +34,16 @@
     /// Starts over with a new random time of one to two times the base.
     pub(crate) fn restart(&mut self) {
         self.elapsed_ticks = 0;
-        let spread = u64::from(self.base_ticks.max(1));
-        self.timeout_ticks = self.base_ticks + (self.next_random() % spread) as u32;
+        let base = self.first_ticks.unwrap_or(self.base_ticks);
+        let spread = u64::from(base.max(1));
+        self.timeout_ticks = base + (self.next_random() % spread) as u32;
     }
 
     /// The leader was heard, or a vote was given.
     pub(crate) fn heard(&mut self) {
+        if self.first_ticks.take().is_some() {
+            self.restart();
+        }
         self.elapsed_ticks = 0;
     }
 
--- a/crates/sablehaven-consensus/src/replica.rs
+++ b/crates/sablehaven-consensus/src/replica.rs
@@ -62,7 +62,11 @@
         }
         let seed = config.election_seed ^ id.0;
         Self {
-            clock: ElectionClock::new(config.election_timeout_ticks, seed),
+            clock: ElectionClock::new(
+                config.election_timeout_ticks,
+                config.first_election_timeout_ticks,
+                seed,
+            ),
             config,
             id,
             rules: Rules::default(),
--- a/crates/sablehaven-control/src/config.rs
+++ b/crates/sablehaven-control/src/config.rs
@@ -63,6 +63,8 @@
     /// Time without a leader's message after which replicas elect another one (one to two times
     /// this). A leader that hears no quorum for as long steps down.
     pub election_timeout_ms: u64,
+    /// The same for a replica that has just started and has heard no leader yet; at most as long.
+    pub first_election_timeout_ms: u64,
     /// How long agents may rely on a proof that the leader was current.
     pub lease_duration_ms: u64,
     /// Log entries of a group after which a snapshot is taken.
@@ -112,6 +114,7 @@
             tick_ms: 25,
             heartbeat_ms: 100,
             election_timeout_ms: 500,
+            first_election_timeout_ms: 500,
             lease_duration_ms: 3_000,
             snapshot_entries: 50_000,
             snapshot_bytes: 16 * 1_024 * 1_024,
@@ -142,6 +145,10 @@
         let holds = election >= 2 * heartbeat + 3 * tick;
         let allowed = "more than 2 heartbeats and 3 ticks";
         checks.require("election_timeout_ms", holds, election, allowed);
+        let first = self.first_election_timeout_ms;
+        let holds = first >= tick && first <= election;
+        let allowed = "tick_ms to election_timeout_ms";
+        checks.require("first_election_timeout_ms", holds, first, allowed);
         let lease = self.lease_duration_ms;
         let allowed = "at least 2 election timeouts";
         checks.require("lease_duration_ms", lease >= 2 * election, lease, allowed);
@@ -180,6 +187,7 @@
         };
         sablehaven_consensus::Config {
             election_timeout_ticks: ticks(self.election_timeout_ms),
+            first_election_timeout_ticks: ticks(self.first_election_timeout_ms),
             heartbeat_ticks: ticks(self.heartbeat_ms),
             retained_entries: self.retained_entries,
             // The same in every group, so that one replica tends to win all of them.
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 
 use sablehaven_http::ServerSignals;
-use sablehaven_types::{CallerLimits, RouteDocument, ServerListing};
+use sablehaven_types::{CallerLimits, ListingNumber, RouteDocument, ServerListing};
 use sablehaven_wire::{DeploymentMembers, GatewayStatus};
 use tokio::sync::watch;
 
@@ -59,7 +59,7 @@
             placement: config.placement.clone(),
             is_ready: false,
             routes_version: 0,
-            listing: Default::default(),
+            listing: ListingNumber::default(),
         };
         let controls = config.controls.iter().copied().collect();
         Self {
@@ -92,7 +92,12 @@
 
     /// Whether callers' requests are taken.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.routes.borrow().is_some()
+        !self.is_stopping.get() && self.routes.borrow().is_some() && self.has_servers()
+    }
+
+    /// Whether a list of servers was ever read.
+    pub(crate) fn has_servers(&self) -> bool {
+        self.registry.number() > ListingNumber::default()
     }
 
     /// Puts routes in force. Only forward: a version that is not newer is ignored.
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -26,6 +26,8 @@
     replies: Vec<ServerReply>,
     missing: Vec<(String, PartFailure)>,
     extra: u32,
+    /// Whether a server may have run a part.
+    may_have_run: bool,
 }
 
 /// Asks one server of every shard of the pinned version, and answers when the answer is whole, or
@@ -47,13 +49,17 @@
         let progress = progress(accepted, gather, &parts);
         let wait_until = match next(&progress) {
             Next::Answer => break Ok(()),
-            Next::Fail => break Err(Refusal::TooFewShards),
+            Next::Fail if parts.may_have_run || !running.is_empty() => {
+                break Err(Refusal::TooFewShards);
+            }
+            Next::Fail => break Err(Refusal::NotRun),
             Next::OutOfTime => break Err(Refusal::OutOfTime),
             Next::WaitUntil(at) => accepted.arrived + at,
         };
         tokio::select! {
             Some((shard, part)) = running.next() => {
                 parts.extra += part.extra;
+                parts.may_have_run |= part.may_have_run || part.result.is_ok();
                 match part.result {
                     Ok(reply) => parts.replies.push(reply),
                     Err(failure) => parts.missing.push((shard.to_string(), failure)),
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -93,8 +93,10 @@
 }
 
 fn find_route(gateway: &Gateway, head: &Parts) -> Result<Rc<PlannedRoute>, Refusal> {
-    let Some(table) = gateway.routes() else {
-        return Err(Refusal::NoRoutes);
+    let table = gateway.routes().filter(|_| gateway.has_servers());
+    let Some(table) = table else {
+        let age = gateway.clock.now();
+        return Err(Refusal::NoRoutes { age });
     };
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).ok_or(Refusal::NoHost)?;
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -9,8 +9,11 @@
 };
 use sablehaven_http::WholeBody;
 
-/// When to come back while the gateway has no routes yet.
-const NO_ROUTES_PAUSE: Duration = Duration::from_millis(300);
+/// Time that a gateway usually needs from its start until it has routes and servers: an election of
+/// the control replicas, when all of them were stopped too.
+const USUAL_START: Duration = Duration::from_millis(1_500);
+/// The least time after which to come back while the gateway has no routes yet.
+const LEAST_START_PAUSE: Duration = Duration::from_millis(250);
 /// When to come back after a refusal under pressure.
 const PRESSURE_PAUSE: Duration = Duration::from_millis(200);
 /// When to come back when no server ran the request.
@@ -21,7 +24,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 pub(super) enum Refusal {
     /// this gateway has no routes yet
-    NoRoutes,
+    NoRoutes {
+        /// Time since its start.
+        age: Duration,
+    },
     /// the request names no host
     NoHost,
     /// no route has this host and path
@@ -50,7 +56,7 @@
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoRoutes | Self::TooMany | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoutes { .. } | Self::TooMany | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed | Self::TooFewShards => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -58,7 +64,7 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoRoutes => Some(NO_ROUTES_PAUSE),
+            Self::NoRoutes { age } => Some(USUAL_START.saturating_sub(*age).max(LEAST_START_PAUSE)),
             Self::TooMany => Some(PRESSURE_PAUSE),
             Self::NotRun | Self::Failed | Self::TooFewShards => Some(NOT_RUN_PAUSE),
             _ => None,
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -97,6 +97,11 @@
         self.addresses
     }
 
+    /// A gateway goes on whatever it loses, so this never resolves.
+    pub async fn failed(&mut self) -> String {
+        std::future::pending().await
+    }
+
     /// Where `GET /ready` is answered.
     pub fn ready_address(&self) -> Option<SocketAddr> {
         self.ready
--- a/testing/sablehaven-simulator/src/scenario.rs
+++ b/testing/sablehaven-simulator/src/scenario.rs
@@ -241,7 +241,9 @@
     /// Elections should be frequent, syncs slow, and one entry a message, so that logs diverge.
     fn make_churn(&mut self, random: &mut Random) {
         self.consensus.max_append_bytes = 1;
-        self.consensus.election_timeout_ticks = random.between(4, 10) as u32;
+        let election_ticks = random.between(4, 10);
+        self.consensus.election_timeout_ticks = election_ticks as u32;
+        self.consensus.first_election_timeout_ticks = random.between(1, election_ticks) as u32;
         self.consensus.heartbeat_ticks = 1;
         self.consensus.max_inflight_appends = random.between(4, 8) as usize;
         self.longest_sync = random.between(20, 150) * MILLISECOND;
@@ -263,6 +265,7 @@
         self.agents = 0;
         self.callers = 0;
         self.consensus.election_timeout_ticks = 3;
+        self.consensus.first_election_timeout_ticks = 2;
         self.new_leader_strikes = 1_000;
         self.strikes_in_turn = true;
         self.longest_fault = 800 * MILLISECOND;
