--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -26,6 +26,7 @@
     replies: Vec<ServerReply>,
     missing: Vec<(String, PartFailure)>,
     extra: u32,
+    unaffordable: u32,
     /// Whether a server may have run a part.
     may_have_run: bool,
 }
@@ -59,6 +60,7 @@
         tokio::select! {
             Some((shard, part)) = running.next() => {
                 parts.extra += part.extra;
+                parts.unaffordable += part.unaffordable;
                 parts.may_have_run |= part.may_have_run || part.result.is_ok();
                 match part.result {
                     Ok(reply) => parts.replies.push(reply),
@@ -130,6 +132,7 @@
         event = event, request:% = accepted.id(), route = route.name.as_str(),
         version = accepted.planned.version, shards = gather.shards.len(),
         arrived = parts.replies.len(), extra = parts.extra,
+        unaffordable = parts.unaffordable,
         after_ms = taken.as_millis() as u64,
         left_ms = accepted.outgoing.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
         missing = missing_text(&parts.missing).as_str();
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -42,6 +42,8 @@
     pub(super) may_have_run: bool,
     /// Extra attempts that were sent.
     pub(super) extra: u32,
+    /// Extra attempts that the budget did not bear.
+    pub(super) unaffordable: u32,
 }
 
 /// Attempts for one service on behalf of one request.
@@ -54,6 +56,7 @@
     dispatched: u32,
     false_starts: u32,
     extra: u32,
+    unaffordable: u32,
     may_have_run: bool,
 }
 
@@ -72,6 +75,7 @@
             dispatched: 0,
             false_starts: 0,
             extra: 0,
+            unaffordable: 0,
             may_have_run: false,
         }
     }
@@ -83,6 +87,7 @@
             result,
             may_have_run: self.may_have_run || !self.in_flight.is_empty(),
             extra: self.extra,
+            unaffordable: self.unaffordable,
         }
     }
 
@@ -174,6 +179,7 @@
         if costs_budget {
             let gateways = gateway.registry.gateway_count();
             if !self.service.take_extra(gateway.clock.now(), gateways) {
+                self.unaffordable += 1;
                 return false;
             }
             self.extra += 1;
--- a/crates/sablehaven-http/src/client.rs
+++ b/crates/sablehaven-http/src/client.rs
@@ -15,8 +15,9 @@
 
 use crate::WholeBody;
 
-/// Largest head of an answer, in bytes; the least that hyper takes.
-const MAXIMUM_HEAD_BYTES: usize = 8 * 1024;
+/// Size of the read buffer, in bytes, which is also the largest head of an answer: a gateway has
+/// hundreds of these connections, and hyper's own choice is twice as much for each.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
 
 /// Why a connection could not be opened; nothing was sent.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -71,7 +72,7 @@
     };
     let round_trip = started.elapsed();
     let mut builder = Builder::new();
-    builder.max_buf_size(MAXIMUM_HEAD_BYTES);
+    builder.read_buf_exact_size(Some(READ_BUFFER_BYTES));
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) =
         handshake.map_err(|source| ConnectError::Handshake { address, source })?;
