Gateway: tests against stand-in servers; a server's own 503 is no promise

Cause (found by the new test a_server_s_own_503_promises_nothing_and_is_handed_back): a server's 503 without its word that it did not run the request was handed back, which promises for the gateway that a request which may not be repeated never ran. Change: promise statuses of a server without that word become 502 without a signature.

--- a/crates/sablehaven-gateway/src/request/single.rs
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -1,6 +1,6 @@
 //! A request that one server answers.
 
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use sablehaven_http::WholeBody;
 use sablehaven_types::ServiceName;
 
@@ -22,7 +22,9 @@
     accepted.outgoing.answered.set();
     let (refusal, failure) = match &part.result {
         Ok(reply) => return Ok(hand_back(reply)),
-        Err(PartFailure::Attempt(AttemptFailure::Answered(reply))) => return Ok(hand_back(reply)),
+        Err(PartFailure::Attempt(AttemptFailure::Answered(reply))) if !is_promise(reply.status) => {
+            return Ok(hand_back(reply));
+        }
         Err(failure) => (refusal(&part, failure), failure),
     };
     log::warn!(
@@ -44,6 +46,18 @@
     }
 }
 
+/// Statuses by which a gateway promises that a request has not run. A server that gives one without
+/// its word that it did not run the request promises nothing.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
 fn hand_back(reply: &ServerReply) -> Response<WholeBody> {
     let mut response = Response::new(WholeBody::new(reply.body.clone()));
     *response.status_mut() = reply.status;
--- /dev/null
+++ b/crates/sablehaven-gateway/tests/gateway/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the gateway between a caller, a stand-in control replica and stand-in servers.
+
+mod gathers;
+mod once;
+mod refusals;
+mod replies;
+mod servers;
+mod stops;
+mod support;
--- /dev/null
+++ b/crates/sablehaven-gateway/tests/gateway/refusals.rs
@@ -0,0 +1,92 @@
+//! What the gateway answers by itself.
+
+use hyper::StatusCode;
+use sablehaven_standins::routed::Behaviour;
+use sablehaven_types::RequestKind;
+
+use crate::support::{Bed, call, run, single};
+
+#[test]
+fn without_routes_the_answer_is_503_with_when_to_come_back_and_never_404() {
+    run(async {
+        let bed = Bed::new().await;
+        let answer = bed.get("1", "/anything").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.header("retry-after").is_some());
+        let ready = call(bed.ready, None, "GET", "/ready", &[], "").await;
+        assert_eq!(ready.status, StatusCode::SERVICE_UNAVAILABLE);
+    });
+}
+
+#[test]
+fn requests_that_cannot_be_served_are_told_why() {
+    run(async {
+        let mut bed = Bed::new().await;
+        bed.serve("search", &[Behaviour::answer("ok")]).await;
+        bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        let ready = call(bed.ready, None, "GET", "/ready", &[], "").await;
+        assert_eq!(ready.status, StatusCode::OK);
+        let unknown = bed.get("1", "/other/x").await;
+        assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+        let nameless = call(bed.address, None, "GET", "/q/x", &[], "").await;
+        assert_eq!(nameless.status, StatusCode::BAD_REQUEST);
+        let large = bed.send("2", "POST", "/q/x", &[], &"x".repeat(1_001)).await;
+        assert_eq!(large.status, StatusCode::PAYLOAD_TOO_LARGE);
+        let long = "y".repeat(40_000);
+        let headed = bed.send("3", "GET", "/q/x", &[("x-long", &long)], "").await;
+        assert_eq!(headed.status, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+        assert_eq!(bed.arrivals("search"), 0);
+    });
+}
+
+#[test]
+fn a_service_without_servers_is_refused_at_once() {
+    run(async {
+        let mut bed = Bed::new().await;
+        bed.serve("other", &[Behaviour::answer("ok")]).await;
+        bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        let answer = bed.get("1", "/q/x").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn too_many_requests_are_refused_at_once() {
+    run(async {
+        let mut bed = Bed::with(|config| config.max_requests = 2).await;
+        bed.serve("search", &[Behaviour::Silent]).await;
+        bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        let deadline = [("sablehaven-deadline-ms", "700")];
+        let held = |id: &'static str| bed.send(id, "GET", "/q/x", &deadline, "");
+        let refused = async {
+            tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+            bed.send("3", "GET", "/q/x", &deadline, "").await
+        };
+        let (first, second, third) = tokio::join!(held("1"), held("2"), refused);
+        assert_eq!(first.status, StatusCode::GATEWAY_TIMEOUT);
+        assert_eq!(second.status, StatusCode::GATEWAY_TIMEOUT);
+        assert_eq!(third.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(third.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn the_routes_only_go_forward() {
+    run(async {
+        let mut bed = Bed::new().await;
+        bed.serve("search", &[Behaviour::answer("new")]).await;
+        bed.route(5, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        bed.say_routes(4, vec![single("/old/", RequestKind::Safe, "search")]);
+        // A later list shows that the older routes were read before it.
+        bed.list();
+        bed.settle(5).await;
+        assert_eq!(bed.get("1", "/q/x").await.status, StatusCode::OK);
+        assert_eq!(bed.get("2", "/old/x").await.status, StatusCode::NOT_FOUND);
+        assert_eq!(bed.status().map(|status| status.routes_version), Some(5));
+    });
+}
--- a/testing/sablehaven-standins/src/lib.rs
+++ b/testing/sablehaven-standins/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod methods;
 pub mod platform;
 pub mod replies;
+pub mod routed;
--- /dev/null
+++ b/testing/sablehaven-standins/src/routed/behaviour.rs
@@ -0,0 +1,74 @@
+//! How a stand-in server answers.
+
+use std::time::Duration;
+
+/// How a stand-in server answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Whole and signed, after a time.
+    Answer {
+        /// The work.
+        work: Duration,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// As [`Self::Answer`], in chunks.
+    Chunked {
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// Without a length; the body ends when the connection does.
+    Unframed {
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// Without a length; the connection is reset in the middle.
+    UnframedReset,
+    /// The body is cut off.
+    CutOff,
+    /// The connection is reset after the request was read.
+    Reset,
+    /// The connection is closed after the request was read.
+    Close,
+    /// Bytes that are no answer.
+    Garbage,
+    /// A second answer follows the first one.
+    Surplus {
+        /// The body of the first.
+        body: Vec<u8>,
+    },
+    /// The answer names another request.
+    OtherRequest,
+    /// The body is encoded.
+    Encoded,
+    /// A success without a signature.
+    Unsigned,
+    /// 503, not executed.
+    Shed,
+    /// 503 without the word that it was not executed.
+    Unavailable,
+    /// 421: another server has this address.
+    Misdirected,
+    /// 500 with a signature.
+    Fail,
+    /// Nothing at all.
+    Silent,
+}
+
+impl Behaviour {
+    /// Answers at once with a body.
+    pub fn answer(body: impl Into<Vec<u8>>) -> Self {
+        Self::Answer {
+            work: Duration::ZERO,
+            body: body.into(),
+        }
+    }
+
+    /// Answers with a body after a time.
+    pub fn after(work: Duration, body: impl Into<Vec<u8>>) -> Self {
+        Self::Answer {
+            work,
+            body: body.into(),
+        }
+    }
+}
--- /dev/null
+++ b/testing/sablehaven-standins/src/routed/server.rs
@@ -0,0 +1,281 @@
+//! A stand-in server.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    task::JoinHandle,
+    time::sleep,
+};
+
+use super::{
+    behaviour::Behaviour,
+    message::{SeenRequest, read_request},
+};
+
+/// What the headers are called.
+#[derive(Clone, Copy, Debug)]
+pub struct RoutedNames {
+    /// The request's id, echoed.
+    pub request_id: &'static str,
+    /// The signature.
+    pub stamp: &'static str,
+    /// The word that a request was not executed.
+    pub not_executed: &'static str,
+    /// The start of the server that answers.
+    pub instance: &'static str,
+}
+
+/// A stand-in server that listens on a port of the system's choice.
+pub struct RoutedServer {
+    /// Its id.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: JoinHandle<()>,
+}
+
+struct Shared {
+    id: String,
+    names: RoutedNames,
+    behaviour: Mutex<Behaviour>,
+    seen: Mutex<Vec<SeenRequest>>,
+    /// Connections that the other side closed while a request was being worked on.
+    abandoned: AtomicU64,
+    connections: AtomicU64,
+    stamps: AtomicU64,
+}
+
+impl RoutedServer {
+    /// Starts a server.
+    ///
+    /// # Errors
+    /// The system's, when it cannot listen.
+    pub async fn start(
+        id: &str,
+        names: RoutedNames,
+        behaviour: Behaviour,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            names,
+            behaviour: Mutex::new(behaviour),
+            seen: Mutex::default(),
+            abandoned: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
+            stamps: AtomicU64::new(0),
+        });
+        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Ok(Self {
+            id: id.to_owned(),
+            address,
+            shared,
+            accepting,
+        })
+    }
+
+    /// Changes how it answers from the next request on.
+    pub fn set(&self, behaviour: Behaviour) {
+        *lock(&self.shared.behaviour) = behaviour;
+    }
+
+    /// The requests that reached it, health checks too.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        lock(&self.shared.seen).clone()
+    }
+
+    /// Requests whose connection the other side closed before they were answered.
+    pub fn abandoned(&self) -> u64 {
+        self.shared.abandoned.load(Ordering::SeqCst)
+    }
+
+    /// Connections that were opened to it.
+    pub fn connections(&self) -> u64 {
+        self.shared.connections.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for RoutedServer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let number = shared.connections.fetch_add(1, Ordering::SeqCst) + 1;
+        tokio::spawn(serve(stream, number, Arc::clone(&shared)));
+    }
+}
+
+async fn serve(stream: TcpStream, number: u64, shared: Arc<Shared>) {
+    // Small answers must not wait; without the option they are only late.
+    let _ = stream.set_nodelay(true);
+    let (reader, mut writer) = stream.into_split();
+    let mut reader = BufReader::new(reader);
+    while let Some(request) = read_request(&mut reader, number).await {
+        let behaviour = lock(&shared.behaviour).clone();
+        let id = request
+            .header(shared.names.request_id)
+            .unwrap_or_default()
+            .to_owned();
+        lock(&shared.seen).push(request);
+        if let Behaviour::Answer { work, .. } = &behaviour
+            && !work_unless_left(&mut reader, *work).await
+        {
+            shared.abandoned.fetch_add(1, Ordering::SeqCst);
+            return;
+        }
+        if behaviour == Behaviour::Silent {
+            // Bytes or an end: either way nothing more is said.
+            let _ = reader.read_u8().await;
+            shared.abandoned.fetch_add(1, Ordering::SeqCst);
+            return;
+        }
+        let is_reset = matches!(behaviour, Behaviour::Reset | Behaviour::UnframedReset);
+        let ended = shared.answer(&mut writer, &behaviour, &id).await;
+        if is_reset {
+            reset(reader, writer);
+            return;
+        }
+        if !ended {
+            return;
+        }
+    }
+}
+
+/// Works for a time; false when the other side leaves meanwhile.
+async fn work_unless_left(reader: &mut BufReader<OwnedReadHalf>, work: Duration) -> bool {
+    if work.is_zero() {
+        return true;
+    }
+    tokio::select! {
+        () = sleep(work) => true,
+        read = reader.read_u8() => read.is_ok(),
+    }
+}
+
+/// Closes with a reset.
+fn reset(reader: BufReader<OwnedReadHalf>, writer: OwnedWriteHalf) {
+    if let Ok(stream) = reader.into_inner().reunite(writer) {
+        // A socket without lingering is reset when it is closed.
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+impl Shared {
+    /// Sends the answer; false when the connection is to be closed.
+    async fn answer(
+        &self,
+        writer: &mut OwnedWriteHalf,
+        behaviour: &Behaviour,
+        request: &str,
+    ) -> bool {
+        let other = "another-request";
+        let bytes = match behaviour {
+            Behaviour::Answer { body, .. } => self.framed("200 OK", request, "", body),
+            Behaviour::Chunked { body } => self.chunked(request, body),
+            Behaviour::Unframed { body } => self.unframed(request, body),
+            Behaviour::UnframedReset => self.unframed(request, b"a beginning"),
+            Behaviour::CutOff => {
+                let mut whole = self.framed("200 OK", request, "", &[7; 160]);
+                whole.truncate(whole.len() - 40);
+                whole
+            }
+            Behaviour::Reset | Behaviour::Close | Behaviour::Silent => Vec::new(),
+            Behaviour::Garbage => b"\x00\x01 this is no answer\r\n\r\n".to_vec(),
+            Behaviour::Surplus { body } => {
+                let mut both = self.framed("200 OK", request, "", body);
+                both.extend(self.framed("200 OK", request, "", b"surplus-surplus!"));
+                both
+            }
+            Behaviour::OtherRequest => self.framed("200 OK", other, "", &[9; 16]),
+            Behaviour::Encoded => {
+                self.framed("200 OK", request, "Content-Encoding: gzip\r\n", &[9; 16])
+            }
+            Behaviour::Unsigned => unsigned(self.names.request_id, request),
+            Behaviour::Shed => self.not_executed("503 Service Unavailable"),
+            Behaviour::Misdirected => self.not_executed("421 Misdirected Request"),
+            Behaviour::Unavailable => b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_vec(),
+            Behaviour::Fail => self.framed("500 Internal Server Error", request, "", b"failed"),
+        };
+        // A caller that has gone gets nothing.
+        let sent = writer.write_all(&bytes).await.is_ok() && writer.flush().await.is_ok();
+        let is_last = matches!(
+            behaviour,
+            Behaviour::Unframed { .. }
+                | Behaviour::UnframedReset
+                | Behaviour::CutOff
+                | Behaviour::Reset
+                | Behaviour::Close
+                | Behaviour::Garbage
+        );
+        sent && !is_last
+    }
+
+    fn head(&self, status: &str, request: &str) -> String {
+        let number = self.stamps.fetch_add(1, Ordering::SeqCst);
+        let Shared { id, names, .. } = self;
+        format!(
+            "HTTP/1.1 {status}\r\n{}: {request}\r\n{}: {id}.{number}\r\n",
+            names.request_id, names.stamp
+        )
+    }
+
+    fn framed(&self, status: &str, request: &str, extra: &str, body: &[u8]) -> Vec<u8> {
+        let head = self.head(status, request);
+        let mut bytes = format!("{head}{extra}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    fn chunked(&self, request: &str, body: &[u8]) -> Vec<u8> {
+        let head = self.head("200 OK", request);
+        let mut bytes = format!("{head}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
+        for chunk in body.chunks(7) {
+            bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            bytes.extend_from_slice(chunk);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        bytes
+    }
+
+    fn unframed(&self, request: &str, body: &[u8]) -> Vec<u8> {
+        let mut bytes = format!("{}\r\n", self.head("200 OK", request)).into_bytes();
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    fn not_executed(&self, status: &str) -> Vec<u8> {
+        let Shared { id, names, .. } = self;
+        format!(
+            "HTTP/1.1 {status}\r\n{}: 1\r\n{}: {id}\r\nContent-Length: 0\r\n\r\n",
+            names.not_executed, names.instance
+        )
+        .into_bytes()
+    }
+}
+
+fn unsigned(request_id: &str, request: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\n{request_id}: {request}\r\nContent-Length: 4\r\n\r\nfour")
+        .into_bytes()
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
