Gateway: a part that is late by the pace of its own query is hedged at once

Change: once two fifths of the parts are in, a part is late after 1.6 times their median plus 4 ms; its server counts as standing still for others until it answers.

--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -1,6 +1,9 @@
 //! A query over many shards: one server of each, and an answer from what is in when it is due.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use hyper::{
@@ -14,6 +17,7 @@
 use super::{
     Accepted,
     merge::greatest_records,
+    pace::Pace,
     refusal::Refusal,
     sub_request::{PartFailure, SubRequest},
     wait::{Next, Progress, next},
@@ -37,12 +41,14 @@
     accepted: &Accepted,
     gather: &Gather,
 ) -> Result<Response<WholeBody>, Refusal> {
+    let pace = Rc::new(Pace::new(gather.shards.len()));
     let mut running: FuturesUnordered<_> = gather
         .shards
         .iter()
-        .map(|shard| async move {
+        .map(|shard| {
             let service = accepted.gateway.registry.service(shard);
-            (shard, SubRequest::new(accepted, service).run().await)
+            let part = SubRequest::new(accepted, service).with_pace(Rc::clone(&pace));
+            async move { (shard, part.run().await) }
         })
         .collect();
     let mut parts = Parts::default();
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod gather;
 mod headers;
 mod merge;
+mod pace;
 mod refusal;
 mod single;
 mod sub_request;
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -10,7 +10,7 @@
 use sablehaven_types::{BackendId, RequestKind};
 use tokio::time::sleep_until;
 
-use super::Accepted;
+use super::{Accepted, pace::Pace};
 use crate::servers::{Attempt, AttemptFailure, Server, ServerReply, ServicePool};
 
 /// An attempt that takes this many typical times is hedged although its server answers others.
@@ -50,6 +50,8 @@
 pub(super) struct SubRequest<'a> {
     accepted: &'a Accepted,
     service: Rc<ServicePool>,
+    /// The pace of the query, where this is a part of one.
+    pace: Option<Rc<Pace>>,
     in_flight: Vec<InFlight>,
     tried: Vec<BackendId>,
     /// Servers that may have run it.
@@ -70,6 +72,7 @@
         Self {
             accepted,
             service,
+            pace: None,
             in_flight: Vec::new(),
             tried: Vec::new(),
             dispatched: 0,
@@ -80,6 +83,12 @@
         }
     }
 
+    /// Makes this a part of a query whose other parts show what it should take.
+    pub(super) fn with_pace(mut self, pace: Rc<Pace>) -> Self {
+        self.pace = Some(pace);
+        self
+    }
+
     /// Sends attempts until one has an answer or nothing more may be sent.
     pub(super) async fn run(mut self) -> PartResult {
         let result = self.attempt_until_answered().await;
@@ -102,9 +111,12 @@
             let look_at = look.unwrap_or(deadline).min(deadline);
             tokio::select! {
                 biased;
-                result = next_result(&mut self.in_flight) => {
+                (result, taken) = next_result(&mut self.in_flight) => {
                     match result {
-                        Ok(reply) => return Ok(reply),
+                        Ok(reply) => {
+                            self.report_pace(taken);
+                            return Ok(reply);
+                        }
                         Err(failure) => self.take_failure(failure)?,
                     }
                 }
@@ -114,6 +126,7 @@
                     }
                     self.hedge_if_due();
                 }
+                () = becomes_known(self.pace.as_deref()) => {}
             }
         }
     }
@@ -145,6 +158,12 @@
         });
     }
 
+    fn report_pace(&self, taken: Duration) {
+        if let Some(pace) = &self.pace {
+            pace.arrived(taken);
+        }
+    }
+
     /// Takes a failed attempt: waits for another one, sends the next, or gives up.
     fn take_failure(&mut self, failure: AttemptFailure) -> Result<(), PartFailure> {
         let is_safe = self.accepted.planned.route().kind == RequestKind::Safe;
@@ -209,7 +228,12 @@
         let still_at = server.health.borrow().stands_still_at(now);
         let still_at = still_at.map(|at| Instant::now() + at.saturating_sub(now));
         let tail_at = first.sent_at + self.tail_limit(server);
-        still_at.map_or(tail_at, |at| at.min(tail_at))
+        let due_at = still_at.map_or(tail_at, |at| at.min(tail_at));
+        let late_after = self.pace.as_ref().and_then(|pace| pace.late_after());
+        match late_after {
+            Some(late_after) => due_at.min(first.sent_at + server.round_trip() + late_after),
+            None => due_at,
+        }
     }
 
     /// Time after which an attempt is hedged although its server answers others: it takes far longer
@@ -226,20 +250,41 @@
 
     fn hedge_if_due(&mut self) {
         let is_due = self.in_flight.len() == 1 && Instant::now() >= self.hedge_due_at();
-        if is_due && !self.send_extra(true) {
+        if !is_due {
+            return;
+        }
+        // Whoever comes next is sent elsewhere until the server answers something.
+        self.in_flight[0]
+            .attempt
+            .server
+            .health
+            .borrow_mut()
+            .suspect();
+        if !self.send_extra(true) {
             // The budget or the servers do not allow one now; the next look is a little later.
             self.in_flight[0].sent_at += BUDGET_PAUSE;
         }
     }
 }
 
-/// The result of whichever attempt has one first.
-async fn next_result(in_flight: &mut Vec<InFlight>) -> Result<ServerReply, AttemptFailure> {
+async fn becomes_known(pace: Option<&Pace>) {
+    match pace {
+        Some(pace) => pace.becomes_known().await,
+        None => std::future::pending().await,
+    }
+}
+
+type AttemptResult = Result<ServerReply, AttemptFailure>;
+
+/// The result of whichever attempt has one first, with what its server took without the way.
+async fn next_result(in_flight: &mut Vec<InFlight>) -> (AttemptResult, Duration) {
     poll_fn(|context| {
         for position in 0..in_flight.len() {
             if let Poll::Ready(result) = in_flight[position].attempt.poll_result(context) {
-                in_flight.remove(position);
-                return Poll::Ready(result);
+                let ended = in_flight.remove(position);
+                let whole = ended.sent_at.elapsed();
+                let taken = whole.saturating_sub(ended.attempt.server.round_trip());
+                return Poll::Ready((result, taken));
             }
         }
         Poll::Pending
--- a/crates/sablehaven-gateway/src/servers/health.rs
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -55,6 +55,8 @@
     last_answer: Duration,
     failures: u32,
     rests_until: Duration,
+    /// Whether an attempt takes longer than it should; until the next answer.
+    is_suspected: bool,
 }
 
 impl ServerHealth {
@@ -91,12 +93,14 @@
         match ending {
             Ending::Answered => {
                 self.last_answer = now;
+                self.is_suspected = false;
                 self.failures = 0;
                 self.rests_until = Duration::ZERO;
                 self.learn(now, taken.as_secs_f64() / usual.as_secs_f64().max(1e-4));
             }
             Ending::TurnedAway => {
                 self.last_answer = now;
+                self.is_suspected = false;
                 let slowness = self.slowness(now) + 2.0;
                 self.learn(now, slowness);
             }
@@ -153,9 +157,15 @@
         Some(heard_at + patience)
     }
 
+    /// An attempt takes longer than it should: the server stands still until it answers something.
+    pub(crate) fn suspect(&mut self) {
+        self.is_suspected = true;
+    }
+
     /// Whether the server stands still.
     pub(crate) fn stands_still(&self, now: Duration) -> bool {
-        self.stands_still_at(now).is_some_and(|at| at <= now)
+        let is_suspected = self.is_suspected && !self.outstanding.is_empty();
+        is_suspected || self.stands_still_at(now).is_some_and(|at| at <= now)
     }
 }
 
--- a/crates/sablehaven-gateway/src/servers/health/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/health/tests.rs
@@ -69,3 +69,17 @@
     assert!(!health.is_resting(ms(10)));
     assert_eq!(health.outstanding(), 0);
 }
+
+#[test]
+fn a_suspected_server_stands_still_until_it_answers_or_owes_nothing() {
+    let mut health = ServerHealth::new(ms(0));
+    let first = health.sent(ms(0), ms(20));
+    health.suspect();
+    assert!(health.stands_still(ms(1)));
+    health.ended(ms(5), first, Ending::Cancelled, ms(0), ms(20));
+    assert!(!health.stands_still(ms(6)));
+    health.sent(ms(10), ms(20));
+    assert!(health.stands_still(ms(11)));
+    answer(&mut health, 12, 5);
+    assert!(!health.stands_still(ms(18)));
+}
