Dial patience: a connection attempt that nobody heard is made anew within 250 ms

Change: wire::DialPatience, 250 ms at first and doubled up to 2 s while there is no answer at all; used by links between replicas and from gateways. 503 without routes names 1.1 s since the start.

--- a/crates/sablehaven-control/src/peers/link.rs
+++ b/crates/sablehaven-control/src/peers/link.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use sablehaven_consensus::{Message, ReplicaId};
-use sablehaven_wire::{FrameReader, FrameWriter, PeerMessage};
+use sablehaven_wire::{DialPatience, FrameReader, FrameWriter, PeerMessage};
 use tokio::{
     sync::mpsc,
     time::{Instant, MissedTickBehavior, interval, sleep, timeout},
@@ -39,9 +39,15 @@
     mut queue: mpsc::Receiver<Outgoing>,
     sender: mpsc::Sender<Outgoing>,
 ) {
+    let mut patience = DialPatience::default();
     loop {
+        let Ok(dialled) = timeout(patience.limit(), dial(&context, address)).await else {
+            patience.timed_out();
+            continue;
+        };
+        patience.answered();
         // Failures are routine here (the other side is down) and show in the status page.
-        if let Ok((connection, theirs)) = dial(&context, address).await {
+        if let Ok((connection, theirs)) = dialled {
             // What waited for the last connection is stale; the replicas send it again.
             while queue.try_recv().is_ok() {}
             links.add_route(address, theirs.replica, sender.clone());
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -6,8 +6,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use sablehaven_wire::{
-    Connection, ControlToGateway, GatewayToControl, Hello, PROTOCOL_VERSION, Role, WireError,
-    connect_from,
+    Connection, ControlToGateway, DialPatience, GatewayToControl, Hello, PROTOCOL_VERSION, Role,
+    WireError, connect_from,
 };
 use tokio::{
     task::{AbortHandle, spawn_local},
@@ -17,7 +17,7 @@
 use crate::gateway::Gateway;
 
 /// Pause before a lost connection is opened again.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two signs of life towards a replica.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// A replica that is silent for so long is dialled anew.
@@ -57,8 +57,14 @@
 
 async fn keep_link(gateway: Rc<Gateway>, address: SocketAddr) {
     let mut was_connected = false;
+    let mut patience = DialPatience::default();
     loop {
-        match dial(&gateway, address).await {
+        let Ok(dialled) = timeout(patience.limit(), dial(&gateway, address)).await else {
+            patience.timed_out();
+            continue;
+        };
+        patience.answered();
+        match dialled {
             Ok(connection) => {
                 log::info!(event = "control_connected", peer:% = address; "control");
                 let ended = follow(&gateway, address, connection).await;
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -11,7 +11,7 @@
 
 /// Time that a gateway usually needs from its start until it has routes and servers: an election of
 /// the control replicas, when all of them were stopped too.
-const USUAL_START: Duration = Duration::from_millis(1_500);
+const USUAL_START: Duration = Duration::from_millis(1_100);
 /// The least time after which to come back while the gateway has no routes yet.
 const LEAST_START_PAUSE: Duration = Duration::from_millis(250);
 /// When to come back after a refusal under pressure.
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod frame_queue;
 mod lease;
 mod message;
+mod patience;
 
 pub use clock::MonotonicClock;
 pub use connection::{
@@ -22,3 +23,4 @@
     GatewayToControl, Hello, LeaseGrant, PeerMessage, RelayToAgent, RelayToControl, Role,
     StateUpdate, UpdateFit,
 };
+pub use patience::DialPatience;
--- /dev/null
+++ b/crates/sablehaven-wire/src/patience.rs
@@ -0,0 +1,42 @@
+//! How long an attempt to connect is waited for.
+
+use std::time::Duration;
+
+/// The first patience: many round trips between regions, and far less than the second after which
+/// the system sends a lost first packet again. A machine that has just got its power back did not
+/// hear the first one.
+const FIRST_PATIENCE: Duration = Duration::from_millis(250);
+/// The longest patience, for a peer that is slow and not away.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(2);
+
+/// How long the next attempt to connect to one peer is waited for: longer after each one that had no
+/// answer in time, so that a slow peer is reached in the end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DialPatience {
+    next: Duration,
+}
+
+impl Default for DialPatience {
+    fn default() -> Self {
+        Self {
+            next: FIRST_PATIENCE,
+        }
+    }
+}
+
+impl DialPatience {
+    /// The time for the next attempt.
+    pub fn limit(&self) -> Duration {
+        self.next
+    }
+
+    /// The attempt had no answer in time.
+    pub fn timed_out(&mut self) {
+        self.next = (self.next * 2).min(LONGEST_PATIENCE);
+    }
+
+    /// The peer answered, if only by refusing.
+    pub fn answered(&mut self) {
+        *self = Self::default();
+    }
+}
