--- a/testing/sablehaven-harness/src/deployment.rs
+++ b/testing/sablehaven-harness/src/deployment.rs
@@ -393,6 +393,7 @@
         NodeKind::Role(RoleName::Control) => 2,
         NodeKind::Role(RoleName::Relay) => 3,
         NodeKind::Role(RoleName::Agent) => 4,
+        NodeKind::Role(RoleName::Gateway) => 5,
     };
     let [high, low] = u16::try_from(index + 1).unwrap_or(u16::MAX).to_be_bytes();
     IpAddr::V4(Ipv4Addr::new(127, network, high, low))
