--- a/crates/sablehaven-control/src/replicas/change.rs
+++ b/crates/sablehaven-control/src/replicas/change.rs
@@ -120,6 +120,10 @@
         self.has_reached(ChangePhase::Removing)
     }
 
+    fn is_promoted_last(&self) -> bool {
+        self.next_phase().is_none() && self.phase == ChangePhase::Promoting
+    }
+
     fn has_reached(&self, phase: ChangePhase) -> bool {
         let (wanted, current) = (self.position(phase), self.position(self.phase));
         wanted.is_some() && wanted <= current
@@ -129,13 +133,18 @@
         self.kind.phases().iter().position(|each| *each == phase)
     }
 
-    /// Removing the new replica calls a change off until it votes everywhere: a newcomer that is gone
-    /// for good would otherwise hold up every later change.
+    /// Removing the new replica calls a change off while nobody counts on it yet. When the old replica
+    /// has been taken out, or there is none, also while the new one is being promoted: a newcomer that
+    /// is gone for good would otherwise hold up every later change.
     pub(super) fn may_be_called_off_by(&self, kind: ChangeKind) -> bool {
         let ChangeKind::Remove { replica } = kind else {
             return false;
         };
-        let is_joining = matches!(self.phase, ChangePhase::Learning | ChangePhase::Promoting);
-        is_joining && self.kind.added() == Some(replica)
+        let may_stop = match self.phase {
+            ChangePhase::Learning => true,
+            ChangePhase::Promoting => self.is_promoted_last(),
+            ChangePhase::Removing => false,
+        };
+        may_stop && self.kind.added() == Some(replica)
     }
 }
--- a/crates/sablehaven-control/src/replicas/mod.rs
+++ b/crates/sablehaven-control/src/replicas/mod.rs
@@ -177,6 +177,12 @@
             return refused(reason);
         }
         if let Some(called_off) = self.change.take() {
+            // What is out of every group already must not be taken back in.
+            if called_off.has_removed()
+                && let Some(removed) = called_off.kind.removed()
+            {
+                self.replicas.remove(&removed);
+            }
             self.remember(called_off);
         }
         if let (Some(added), Some(addresses)) = (kind.added(), addresses) {
--- a/crates/sablehaven-control/tests/replicas.rs
+++ b/crates/sablehaven-control/tests/replicas.rs
@@ -116,6 +116,29 @@
     assert!(matches!(late, ReplicasOutcome::Busy { .. }));
 }
 
+#[test]
+fn a_newcomer_that_is_gone_can_be_called_off_while_it_is_promoted_last() {
+    let mut state = formed();
+    begin(&mut state, replace(ReplacementOrder::RemoveFirst));
+    advance(&mut state, 1, ChangePhase::Learning);
+    let early = begin(&mut state, ChangeKind::Remove { replica: D });
+    assert!(matches!(early, ReplicasOutcome::Busy { .. }));
+    advance(&mut state, 1, ChangePhase::Removing);
+    let off = begin(&mut state, ChangeKind::Remove { replica: D });
+    assert_eq!(off, ReplicasOutcome::Started { change: 2 });
+    let left = voters(&state);
+    advance(&mut state, 2, ChangePhase::Removing);
+    // The old replica was out of every group already and does not come back in.
+    assert_eq!(voters(&state), left);
+    assert_eq!(left.len(), 2);
+    assert_eq!(state.replicas().len(), 2);
+    let again = begin(&mut state, ChangeKind::Add { replica: D });
+    assert_eq!(again, ReplicasOutcome::Started { change: 3 });
+    advance(&mut state, 3, ChangePhase::Learning);
+    let off = begin(&mut state, ChangeKind::Remove { replica: D });
+    assert_eq!(off, ReplicasOutcome::Started { change: 4 });
+}
+
 #[test]
 fn an_old_leaders_word_changes_nothing() {
     let mut state = formed();
