Gateway: slowness by kind of request, spill on queues, overdue requests shed

Change: slowness is kept for each route, weighs an outlier within its own query twice, and stays measured against the usual; a server's queue counts by the connections there may be; a route of which 16 requests are past their aim takes no more until they are done.

--- a/crates/sablehaven-gateway/src/admission.rs
+++ b/crates/sablehaven-gateway/src/admission.rs
@@ -1,6 +1,13 @@
 //! How many requests are answered at the same time, and who goes first when there are too many.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use crate::servers::KindOfRequest;
 
 /// Part of the room that requests of the most urgent rank may fill; each further rank gets
 /// [`RANK_STEP`] less.
@@ -9,49 +16,103 @@
 const RANK_STEP: f64 = 0.15;
 /// The least part of the room for any rank.
 const LEAST_PART: f64 = 0.4;
+/// Requests of one kind that may be open beyond their aim; while there are more, new ones would be
+/// late as well, and would make the others later.
+const OVERDUE_LIMIT: usize = 16;
+
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub(crate) enum NotAdmitted {
+    /// too many requests
+    NoRoom,
+    /// requests of this kind are late
+    Overdue,
+}
 
 /// The room for requests; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct Admission {
-    open: Rc<Cell<usize>>,
+    shared: Rc<Shared>,
+}
+
+struct Shared {
     limit: usize,
+    open: Cell<usize>,
+    admitted: Cell<u64>,
+    /// When each open request of a kind is due, with its number.
+    due: RefCell<HashMap<usize, BTreeSet<(Duration, u64)>>>,
 }
 
 /// A request's place; given back when it is dropped.
 pub(crate) struct Admitted {
-    open: Rc<Cell<usize>>,
+    shared: Rc<Shared>,
+    kind: KindOfRequest,
+    due: (Duration, u64),
 }
 
 impl Admission {
     pub(crate) fn new(limit: usize) -> Self {
-        Self {
-            open: Rc::default(),
+        let shared = Shared {
             limit,
+            open: Cell::new(0),
+            admitted: Cell::new(0),
+            due: RefCell::default(),
+        };
+        Self {
+            shared: Rc::new(shared),
         }
     }
 
-    /// A place for a request of a rank (0 is the most urgent), if there is room.
-    pub(crate) fn admit(&self, priority: u32) -> Option<Admitted> {
+    /// A place for a request of a rank (0 is the most urgent) that is worth most until `due`.
+    ///
+    /// # Errors
+    /// [`NotAdmitted`], at once: a refusal must come early.
+    pub(crate) fn admit(
+        &self,
+        now: Duration,
+        priority: u32,
+        kind: KindOfRequest,
+        due: Duration,
+    ) -> Result<Admitted, NotAdmitted> {
+        let shared = &self.shared;
         let part = FIRST_RANK_PART - RANK_STEP * f64::from(priority);
-        let room = self.limit as f64 * part.max(LEAST_PART);
-        if self.open.get() as f64 >= room {
-            return None;
+        let room = shared.limit as f64 * part.max(LEAST_PART);
+        if shared.open.get() as f64 >= room {
+            return Err(NotAdmitted::NoRoom);
         }
-        self.open.set(self.open.get() + 1);
-        Some(Admitted {
-            open: Rc::clone(&self.open),
+        let mut all = shared.due.borrow_mut();
+        let of_kind = all.entry(kind.0).or_default();
+        let overdue = of_kind.iter().take_while(|(due, _)| *due < now);
+        if overdue.take(OVERDUE_LIMIT).count() == OVERDUE_LIMIT {
+            return Err(NotAdmitted::Overdue);
+        }
+        let number = shared.admitted.get() + 1;
+        shared.admitted.set(number);
+        shared.open.set(shared.open.get() + 1);
+        of_kind.insert((due, number));
+        Ok(Admitted {
+            shared: Rc::clone(shared),
+            kind,
+            due: (due, number),
         })
     }
 
     /// Requests that are being answered.
     pub(crate) fn open(&self) -> usize {
-        self.open.get()
+        self.shared.open.get()
     }
 }
 
 impl Drop for Admitted {
     fn drop(&mut self) {
-        self.open.set(self.open.get() - 1);
+        self.shared.open.set(self.shared.open.get() - 1);
+        let mut all = self.shared.due.borrow_mut();
+        if let Some(of_kind) = all.get_mut(&self.kind.0) {
+            of_kind.remove(&self.due);
+            if of_kind.is_empty() {
+                all.remove(&self.kind.0);
+            }
+        }
     }
 }
 
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -116,7 +116,7 @@
 
     /// Takes a reading of the list of servers.
     pub(crate) fn take_listing(&self, listing: &ServerListing) {
-        if !self.registry.take_listing(listing, &self.clock) {
+        if !self.registry.take_listing(listing) {
             return;
         }
         let number = listing.number;
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod control_link;
 mod gateway;
 pub mod names;
+mod pace;
 mod request;
 mod role;
 mod route_table;
--- a/crates/sablehaven-gateway/src/request/pace.rs
+++ b/crates/sablehaven-gateway/src/pace.rs
@@ -19,47 +19,51 @@
 const LATE_ROOM: Duration = Duration::from_millis(4);
 
 /// The pace of one query; shared by its parts.
-pub(super) struct Pace {
+pub(crate) struct Pace {
     parts: usize,
     /// What servers took, without the way, in ascending order.
     taken: RefCell<Vec<Duration>>,
-    late_after: Cell<Option<Duration>>,
+    median: Cell<Option<Duration>>,
     known: Notify,
 }
 
 impl Pace {
-    pub(super) fn new(parts: usize) -> Self {
+    pub(crate) fn new(parts: usize) -> Self {
         Self {
             parts,
             taken: RefCell::default(),
-            late_after: Cell::default(),
+            median: Cell::default(),
             known: Notify::new(),
         }
     }
 
     /// A part is in; its server took so long, without the way.
-    pub(super) fn arrived(&self, taken: Duration) {
+    pub(crate) fn arrived(&self, taken: Duration) {
         let mut all = self.taken.borrow_mut();
         let position = all.partition_point(|each| *each <= taken);
         all.insert(position, taken);
         if (all.len() as f64) < self.parts as f64 * KNOWN_SHARE || all.len() < 2 {
             return;
         }
-        let median = all[all.len() / 2];
-        let late_after = median.mul_f64(LATE_RATIO) + LATE_ROOM;
-        if self.late_after.replace(Some(late_after)).is_none() {
+        if self.median.replace(Some(all[all.len() / 2])).is_none() {
             self.known.notify_waiters();
         }
     }
 
     /// Time after which a part is late, without the way; `None` before enough parts are in.
-    pub(super) fn late_after(&self) -> Option<Duration> {
-        self.late_after.get()
+    pub(crate) fn late_after(&self) -> Option<Duration> {
+        let late_after = |median: Duration| median.mul_f64(LATE_RATIO) + LATE_ROOM;
+        self.median.get().map(late_after)
+    }
+
+    /// What servers took that are in, without the way; `None` before enough parts are in.
+    pub(crate) fn median(&self) -> Option<Duration> {
+        self.median.get()
     }
 
     /// Waits until the pace becomes known; for ever when it is known already.
-    pub(super) async fn becomes_known(&self) {
-        if self.late_after.get().is_some() {
+    pub(crate) async fn becomes_known(&self) {
+        if self.median.get().is_some() {
             std::future::pending::<()>().await;
         }
         self.known.notified().await;
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -1,9 +1,6 @@
 //! A query over many shards: one server of each, and an answer from what is in when it is due.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use hyper::{
@@ -17,7 +14,6 @@
 use super::{
     Accepted,
     merge::greatest_records,
-    pace::Pace,
     refusal::Refusal,
     sub_request::{PartFailure, SubRequest},
     wait::{Next, Progress, next},
@@ -41,13 +37,12 @@
     accepted: &Accepted,
     gather: &Gather,
 ) -> Result<Response<WholeBody>, Refusal> {
-    let pace = Rc::new(Pace::new(gather.shards.len()));
     let mut running: FuturesUnordered<_> = gather
         .shards
         .iter()
         .map(|shard| {
             let service = accepted.gateway.registry.service(shard);
-            let part = SubRequest::new(accepted, service).with_pace(Rc::clone(&pace));
+            let part = SubRequest::new(accepted, service);
             async move { (shard, part.run().await) }
         })
         .collect();
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -3,7 +3,6 @@
 mod gather;
 mod headers;
 mod merge;
-mod pace;
 mod refusal;
 mod single;
 mod sub_request;
@@ -23,6 +22,7 @@
 use self::refusal::Refusal;
 use crate::{
     gateway::Gateway,
+    pace::Pace,
     route_table::PlannedRoute,
     servers::{Answered, OutgoingRequest},
 };
@@ -61,14 +61,18 @@
     let request_id = request_id.ok_or(Refusal::NoRequestId)?;
     let body = read_body(body, gateway.limits().max_body_bytes).await?;
     let route = planned.route();
-    let Some(_admitted) = gateway.admission.admit(route.priority) else {
+    let now = gateway.clock.now();
+    let due = now + Duration::from_millis(route.aim_ms);
+    let kind = planned.profile.kind();
+    let admitted = gateway.admission.admit(now, route.priority, kind, due);
+    if let Err(reason) = &admitted {
         log::warn!(
-            event = "refused", request:% = id_text(&request_id), reason = "too many requests",
+            event = "refused", request:% = id_text(&request_id), reason:% = reason,
             open = gateway.admission.open(), route = route.name.as_str();
             "request"
         );
         return Err(Refusal::TooMany);
-    };
+    }
     let deadline = arrived + time_left(gateway, &planned, &head);
     let outgoing = Rc::new(OutgoingRequest {
         method: head.method,
@@ -79,6 +83,7 @@
         deadline,
         profile: Rc::clone(&planned.profile),
         answered: Answered::default(),
+        pace: Pace::new(parts(&route.target)),
     });
     let accepted = Accepted {
         gateway: Rc::clone(gateway),
@@ -93,6 +98,14 @@
     }
 }
 
+/// The number of parts whose servers do the same work.
+fn parts(target: &RouteTarget) -> usize {
+    match target {
+        RouteTarget::Gather(gather) => gather.shards.len(),
+        RouteTarget::Service(_) | RouteTarget::Split(_) => 1,
+    }
+}
+
 fn find_route(gateway: &Gateway, head: &Parts) -> Result<Rc<PlannedRoute>, Refusal> {
     let table = gateway.routes().filter(|_| gateway.has_servers());
     let Some(table) = table else {
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -10,7 +10,7 @@
 use sablehaven_types::{BackendId, RequestKind};
 use tokio::time::sleep_until;
 
-use super::{Accepted, pace::Pace};
+use super::Accepted;
 use crate::servers::{Attempt, AttemptFailure, Server, ServerReply, ServicePool};
 
 /// An attempt that takes this many typical times is hedged although its server answers others.
@@ -50,8 +50,6 @@
 pub(super) struct SubRequest<'a> {
     accepted: &'a Accepted,
     service: Rc<ServicePool>,
-    /// The pace of the query, where this is a part of one.
-    pace: Option<Rc<Pace>>,
     in_flight: Vec<InFlight>,
     tried: Vec<BackendId>,
     /// Servers that may have run it.
@@ -72,7 +70,6 @@
         Self {
             accepted,
             service,
-            pace: None,
             in_flight: Vec::new(),
             tried: Vec::new(),
             dispatched: 0,
@@ -83,12 +80,6 @@
         }
     }
 
-    /// Makes this a part of a query whose other parts show what it should take.
-    pub(super) fn with_pace(mut self, pace: Rc<Pace>) -> Self {
-        self.pace = Some(pace);
-        self
-    }
-
     /// Sends attempts until one has an answer or nothing more may be sent.
     pub(super) async fn run(mut self) -> PartResult {
         let result = self.attempt_until_answered().await;
@@ -114,7 +105,7 @@
                 (result, taken) = next_result(&mut self.in_flight) => {
                     match result {
                         Ok(reply) => {
-                            self.report_pace(taken);
+                            self.accepted.outgoing.pace.arrived(taken);
                             return Ok(reply);
                         }
                         Err(failure) => self.take_failure(failure)?,
@@ -126,7 +117,7 @@
                     }
                     self.hedge_if_due();
                 }
-                () = becomes_known(self.pace.as_deref()) => {}
+                () = self.accepted.outgoing.pace.becomes_known() => {}
             }
         }
     }
@@ -142,8 +133,8 @@
 
     fn next_server(&self) -> Option<Rc<Server>> {
         let now = self.accepted.gateway.clock.now();
-        let usual = self.accepted.planned.profile.typical();
-        self.service.choose(now, usual, &self.tried)
+        let profile = &self.accepted.planned.profile;
+        self.service.choose(now, profile, &self.tried)
     }
 
     fn send(&mut self, server: Rc<Server>) {
@@ -158,12 +149,6 @@
         });
     }
 
-    fn report_pace(&self, taken: Duration) {
-        if let Some(pace) = &self.pace {
-            pace.arrived(taken);
-        }
-    }
-
     /// Takes a failed attempt: waits for another one, sends the next, or gives up.
     fn take_failure(&mut self, failure: AttemptFailure) -> Result<(), PartFailure> {
         let is_safe = self.accepted.planned.route().kind == RequestKind::Safe;
@@ -229,8 +214,7 @@
         let still_at = still_at.map(|at| Instant::now() + at.saturating_sub(now));
         let tail_at = first.sent_at + self.tail_limit(server);
         let due_at = still_at.map_or(tail_at, |at| at.min(tail_at));
-        let late_after = self.pace.as_ref().and_then(|pace| pace.late_after());
-        match late_after {
+        match self.accepted.outgoing.pace.late_after() {
             Some(late_after) => due_at.min(first.sent_at + server.round_trip() + late_after),
             None => due_at,
         }
@@ -267,13 +251,6 @@
     }
 }
 
-async fn becomes_known(pace: Option<&Pace>) {
-    match pace {
-        Some(pace) => pace.becomes_known().await,
-        None => std::future::pending().await,
-    }
-}
-
 type AttemptResult = Result<ServerReply, AttemptFailure>;
 
 /// The result of whichever attempt has one first, with what its server took without the way.
--- a/crates/sablehaven-gateway/src/route_table.rs
+++ b/crates/sablehaven-gateway/src/route_table.rs
@@ -4,6 +4,8 @@
 
 use sablehaven_types::{Route, RouteDocument};
 
+use crate::servers::KindOfRequest;
+
 /// The routes of one version, ready to be looked up.
 pub(crate) struct RouteTable {
     document: Arc<RouteDocument>,
@@ -42,6 +44,11 @@
         }
     }
 
+    /// Names the kind of request by where this profile is: it stays there over versions.
+    pub(crate) fn kind(&self) -> KindOfRequest {
+        KindOfRequest(std::ptr::from_ref(self) as usize)
+    }
+
     pub(crate) fn typical(&self) -> Duration {
         Duration::from_secs_f64(self.typical_ms.get() / 1_000.0)
     }
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -21,8 +21,11 @@
     time::sleep_until,
 };
 
-use super::{Server, health::Ending};
-use crate::{gateway::Gateway, route_table::RouteProfile};
+use super::{
+    Server,
+    health::{Ending, Taken},
+};
+use crate::{gateway::Gateway, pace::Pace, route_table::RouteProfile};
 
 /// The largest body of an answer, in bytes.
 const MAXIMUM_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -43,6 +46,7 @@
     pub(crate) deadline: Instant,
     pub(crate) profile: Rc<RouteProfile>,
     pub(crate) answered: Answered,
+    pub(crate) pace: Pace,
 }
 
 /// A server's whole answer.
@@ -159,21 +163,24 @@
 struct Noted {
     gateway: Rc<Gateway>,
     server: Rc<Server>,
-    profile: Rc<RouteProfile>,
+    request: Rc<OutgoingRequest>,
     attempt: u64,
     sent_at: Duration,
     ending: Ending,
 }
 
 impl Noted {
-    fn begin(gateway: Rc<Gateway>, server: Rc<Server>, profile: Rc<RouteProfile>) -> Self {
+    fn begin(gateway: Rc<Gateway>, server: Rc<Server>, request: Rc<OutgoingRequest>) -> Self {
         let now = gateway.clock.now();
+        let profile = &request.profile;
         let expected = profile.typical() + server.round_trip();
-        let attempt = server.health.borrow_mut().sent(now, expected);
+        let mut health = server.health.borrow_mut();
+        let attempt = health.sent(now, profile.kind(), expected);
+        drop(health);
         Self {
             gateway,
             server,
-            profile,
+            request,
             attempt,
             sent_at: now,
             ending: Ending::Cancelled,
@@ -190,7 +197,8 @@
         let now = self.gateway.clock.now();
         let whole = now.saturating_sub(self.sent_at);
         let taken = whole.saturating_sub(self.server.round_trip());
-        let usual = self.profile.typical();
+        let profile = &self.request.profile;
+        let usual = profile.typical();
         let mut ending = self.ending;
         // An attempt that was cancelled after a long silence is a sign of its own.
         let patience = 4 * usual + self.server.round_trip() + Duration::from_millis(250);
@@ -198,10 +206,16 @@
             ending = Ending::Silent;
         }
         if ending == Ending::Answered {
-            self.profile.record(taken);
+            profile.record(taken);
         }
+        let taken = Taken {
+            kind: profile.kind(),
+            taken,
+            usual,
+            pace: self.request.pace.median(),
+        };
         let mut health = self.server.health.borrow_mut();
-        health.ended(now, self.attempt, ending, taken, usual);
+        health.ended(now, self.attempt, ending, &taken);
     }
 }
 
@@ -210,11 +224,7 @@
     server: Rc<Server>,
     request: Rc<OutgoingRequest>,
 ) -> Result<ServerReply, AttemptFailure> {
-    let noted = Noted::begin(
-        Rc::clone(&gateway),
-        Rc::clone(&server),
-        Rc::clone(&request.profile),
-    );
+    let noted = Noted::begin(Rc::clone(&gateway), Rc::clone(&server), Rc::clone(&request));
     let result = exchange(&gateway, &server, &request).await;
     let ending = match &result {
         Ok(_) => Ending::Answered,
--- a/crates/sablehaven-gateway/src/servers/choice.rs
+++ b/crates/sablehaven-gateway/src/servers/choice.rs
@@ -34,8 +34,8 @@
     pub(crate) slowness: f64,
     /// This gateway's attempts under way there.
     pub(crate) outstanding: usize,
-    /// Requests that it runs at the same time.
-    pub(crate) slots: u32,
+    /// Requests of this gateway that can be under way there: its slots, or fewer connections.
+    pub(crate) lanes: u32,
     pub(crate) stands_still: bool,
     pub(crate) is_resting: bool,
     /// Whether it has only just started.
@@ -45,7 +45,7 @@
 /// What an attempt at a server is expected to cost, as a time.
 pub(crate) fn cost(candidate: &Candidate, usual: Duration) -> Duration {
     let cold = if candidate.is_cold { COLD_RATIO } else { 1.0 };
-    let queue = 1.0 + candidate.outstanding as f64 / f64::from(candidate.slots.max(1));
+    let queue = 1.0 + candidate.outstanding as f64 / f64::from(candidate.lanes.max(1));
     let work = usual.mul_f64(candidate.slowness.max(0.1) * cold * queue);
     let reluctance = match candidate.distance {
         Distance::SameZone => Duration::ZERO,
--- a/crates/sablehaven-gateway/src/servers/choice/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/choice/tests.rs
@@ -12,7 +12,7 @@
         round_trip: Duration::from_micros(200),
         slowness: 1.0,
         outstanding: 0,
-        slots: 5,
+        lanes: 5,
         stands_still: false,
         is_resting: false,
         is_cold: false,
@@ -61,6 +61,27 @@
     assert!(!is_near_chosen(resting, far()));
 }
 
+#[test]
+fn few_connections_count_as_a_queue() {
+    let queued = Candidate {
+        lanes: 2,
+        outstanding: 6,
+        ..far()
+    };
+    let slow = Candidate {
+        slowness: 3.0,
+        ..near()
+    };
+    assert!(is_near_chosen(slow, queued));
+    assert!(!is_near_chosen(
+        slow,
+        Candidate {
+            outstanding: 0,
+            ..queued
+        }
+    ));
+}
+
 #[test]
 fn a_resting_server_is_better_than_none() {
     let resting = Candidate {
--- a/crates/sablehaven-gateway/src/servers/connection_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/connection_pool.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// How many connections there may be.
+    pub(crate) fn limit(&self) -> u32 {
+        u32::try_from(self.inner.limit.get()).unwrap_or(u32::MAX)
+    }
+
     /// A connection that rests, or a new one, or the next that becomes free.
     ///
     /// # Errors
--- a/crates/sablehaven-gateway/src/servers/health.rs
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -5,9 +5,17 @@
 
 /// Weight of one new answer in the running slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
+/// The same of one that took much longer than the other parts of its query, whose work is the same.
+const OUTLIER_WEIGHT: f64 = 0.5;
+/// So many times longer is much longer.
+const OUTLIER_RATIO: f64 = 1.5;
+/// Kinds of request that slowness is kept of; the one heard of longest ago is forgotten first.
+const KEPT_KINDS: usize = 8;
 /// Time after which half of a server's slowness is forgotten when nothing is heard of it: it must be
 /// tried again, or a server that was slow once would be avoided for ever.
 const FORGETTING_HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// The least time that others are taken to have needed, in seconds.
+const LEAST_REFERENCE_S: f64 = 1e-4;
 /// The greatest slowness that is told apart.
 const MAXIMUM_SLOWNESS: f64 = 20.0;
 /// The first rest of a server that failed; doubled at each further failure.
@@ -39,17 +47,49 @@
 /// An attempt under way.
 #[derive(Clone, Copy, Debug)]
 struct Outstanding {
+    kind: KindOfRequest,
     sent_at: Duration,
     /// What this request usually takes at a server, with the way there.
     expected: Duration,
 }
 
+/// Names a kind of request: those of one route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct KindOfRequest(pub(crate) usize);
+
+/// What an attempt took, and what it is to be measured against; both without the way there.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Taken {
+    pub(crate) kind: KindOfRequest,
+    pub(crate) taken: Duration,
+    /// What the request usually takes at any server.
+    pub(crate) usual: Duration,
+    /// What the other parts of the same query took, where they are known.
+    pub(crate) pace: Option<Duration>,
+}
+
+/// What answers to one kind of request take, relative to the usual; 1 is usual. A queue weighs more
+/// on small requests, so each kind has its own.
+#[derive(Clone, Copy, Debug)]
+struct Slowness {
+    kind: KindOfRequest,
+    ratio: f64,
+    at: Duration,
+}
+
+impl Slowness {
+    /// What is long ago is half forgotten.
+    fn now(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        let kept = 0.5_f64.powf(age / FORGETTING_HALF_LIFE.as_secs_f64());
+        1.0 + (self.ratio - 1.0) * kept
+    }
+}
+
 /// What a gateway has seen of one server. Times are any steady time.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServerHealth {
-    /// What answers take, relative to what they usually take; 1 is usual.
-    slowness: f64,
-    slowness_at: Duration,
+    slowness: Vec<Slowness>,
     outstanding: BTreeMap<u64, Outstanding>,
     next_attempt: u64,
     last_answer: Duration,
@@ -60,18 +100,11 @@
 }
 
 impl ServerHealth {
-    pub(crate) fn new(now: Duration) -> Self {
-        Self {
-            slowness: 1.0,
-            slowness_at: now,
-            ..Self::default()
-        }
-    }
-
     /// An attempt is sent; its number is given back to [`Self::ended`].
-    pub(crate) fn sent(&mut self, now: Duration, expected: Duration) -> u64 {
+    pub(crate) fn sent(&mut self, now: Duration, kind: KindOfRequest, expected: Duration) -> u64 {
         self.next_attempt += 1;
         let outstanding = Outstanding {
+            kind,
             sent_at: now,
             expected,
         };
@@ -79,16 +112,8 @@
         self.next_attempt
     }
 
-    /// An attempt has ended. `usual` is what the request usually takes at any server, and `taken`
-    /// what it took, both without the way there.
-    pub(crate) fn ended(
-        &mut self,
-        now: Duration,
-        attempt: u64,
-        ending: Ending,
-        taken: Duration,
-        usual: Duration,
-    ) {
+    /// An attempt has ended.
+    pub(crate) fn ended(&mut self, now: Duration, attempt: u64, ending: Ending, taken: &Taken) {
         self.outstanding.remove(&attempt);
         match ending {
             Ending::Answered => {
@@ -96,13 +121,13 @@
                 self.is_suspected = false;
                 self.failures = 0;
                 self.rests_until = Duration::ZERO;
-                self.learn(now, taken.as_secs_f64() / usual.as_secs_f64().max(1e-4));
+                self.learn_answer(now, taken);
             }
             Ending::TurnedAway => {
                 self.last_answer = now;
                 self.is_suspected = false;
-                let slowness = self.slowness(now) + 2.0;
-                self.learn(now, slowness);
+                let slowness = self.slowness(now, taken.kind) + 2.0;
+                self.learn(now, taken.kind, slowness, SLOWNESS_WEIGHT);
             }
             Ending::Failed => self.fail(now, 1),
             Ending::Silent => self.fail(now, FAILURES_TO_REST),
@@ -110,11 +135,31 @@
         }
     }
 
-    fn learn(&mut self, now: Duration, slowness: f64) {
-        let known = self.slowness(now);
+    /// Measured against the usual, so that a queue at all servers shows too. That it takes longer than
+    /// the other parts of the same query is the server's own doing and is believed sooner.
+    fn learn_answer(&mut self, now: Duration, taken: &Taken) {
+        let ratio = |reference: Duration| {
+            taken.taken.as_secs_f64() / reference.as_secs_f64().max(LEAST_REFERENCE_S)
+        };
+        let is_outlier = taken.pace.is_some_and(|pace| ratio(pace) > OUTLIER_RATIO);
+        let weight = if is_outlier {
+            OUTLIER_WEIGHT
+        } else {
+            SLOWNESS_WEIGHT
+        };
+        self.learn(now, taken.kind, ratio(taken.usual), weight);
+    }
+
+    fn learn(&mut self, now: Duration, kind: KindOfRequest, slowness: f64, weight: f64) {
+        let known = self.slowness(now, kind);
         let slowness = slowness.min(MAXIMUM_SLOWNESS);
-        self.slowness = known + SLOWNESS_WEIGHT * (slowness - known);
-        self.slowness_at = now;
+        let ratio = known + weight * (slowness - known);
+        self.slowness.retain(|each| each.kind != kind);
+        if self.slowness.len() == KEPT_KINDS {
+            self.slowness.remove(0);
+        }
+        let at = now;
+        self.slowness.push(Slowness { kind, ratio, at });
     }
 
     fn fail(&mut self, now: Duration, weight: u32) {
@@ -127,11 +172,12 @@
         self.rests_until = now + rest;
     }
 
-    /// What answers take, relative to the usual; what is long ago is half forgotten.
-    pub(crate) fn slowness(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.slowness_at).as_secs_f64();
-        let kept = 0.5_f64.powf(age / FORGETTING_HALF_LIFE.as_secs_f64());
-        1.0 + (self.slowness - 1.0) * kept
+    /// What answers to a kind of request take, relative to the usual. Of a kind that was not seen yet
+    /// the latest one tells.
+    pub(crate) fn slowness(&self, now: Duration, kind: KindOfRequest) -> f64 {
+        let own = self.slowness.iter().find(|each| each.kind == kind);
+        let nearest = own.or(self.slowness.last());
+        nearest.map_or(1.0, |known| known.now(now))
     }
 
     /// Whether the server is left alone after failures.
@@ -149,7 +195,7 @@
     pub(crate) fn stands_still_at(&self, now: Duration) -> Option<Duration> {
         let oldest = self.outstanding.values().min_by_key(|each| each.sent_at)?;
         let heard_at = self.last_answer.max(oldest.sent_at);
-        let slowness = self.slowness(now).clamp(1.0, 3.0);
+        let slowness = self.slowness(now, oldest.kind).clamp(1.0, 3.0);
         let patience = oldest
             .expected
             .mul_f64(STILL_RATIO * slowness)
--- a/crates/sablehaven-gateway/src/servers/health/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/health/tests.rs
@@ -2,31 +2,42 @@
 
 use std::time::Duration;
 
-use super::{Ending, ServerHealth};
+use super::{Ending, KindOfRequest, ServerHealth, Taken};
+
+const KIND: KindOfRequest = KindOfRequest(1);
 
 fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
 
+fn took(milliseconds: u64) -> Taken {
+    Taken {
+        kind: KIND,
+        taken: ms(milliseconds),
+        usual: ms(20),
+        pace: None,
+    }
+}
+
 fn answer(health: &mut ServerHealth, at: u64, taken: u64) {
-    let attempt = health.sent(ms(at), ms(20));
-    health.ended(ms(at + taken), attempt, Ending::Answered, ms(taken), ms(20));
+    let attempt = health.sent(ms(at), KIND, ms(20));
+    health.ended(ms(at + taken), attempt, Ending::Answered, &took(taken));
 }
 
 #[test]
 fn a_server_that_owes_answers_and_gives_none_stands_still() {
-    let mut health = ServerHealth::new(ms(0));
-    let first = health.sent(ms(0), ms(20));
+    let mut health = ServerHealth::default();
+    let first = health.sent(ms(0), KIND, ms(20));
     assert!(!health.stands_still(ms(39)));
     assert!(health.stands_still(ms(40)));
-    health.ended(ms(300), first, Ending::Answered, ms(300), ms(20));
+    health.ended(ms(300), first, Ending::Answered, &took(300));
     assert!(!health.stands_still(ms(300)));
 }
 
 #[test]
 fn one_long_request_does_not_make_a_server_that_answers_others_stand_still() {
-    let mut health = ServerHealth::new(ms(0));
-    health.sent(ms(0), ms(20));
+    let mut health = ServerHealth::default();
+    health.sent(ms(0), KIND, ms(20));
     for at in (0..200).step_by(25) {
         answer(&mut health, at, 20);
         assert!(!health.stands_still(ms(at + 45)));
@@ -35,20 +46,20 @@
 
 #[test]
 fn slowness_is_learned_in_a_few_answers_and_forgotten_in_seconds() {
-    let mut health = ServerHealth::new(ms(0));
+    let mut health = ServerHealth::default();
     for step in 0..8 {
         answer(&mut health, step * 200, 160);
     }
-    assert!(health.slowness(ms(1_600)) > 5.0);
-    assert!(health.slowness(ms(9_000)) < 1.5);
+    assert!(health.slowness(ms(1_600), KIND) > 5.0);
+    assert!(health.slowness(ms(9_000), KIND) < 1.5);
 }
 
 #[test]
 fn failures_in_a_row_send_a_server_to_rest_for_longer_each_time() {
-    let mut health = ServerHealth::new(ms(0));
+    let mut health = ServerHealth::default();
     let mut fail = |at: u64| {
-        let attempt = health.sent(ms(at), ms(20));
-        health.ended(ms(at), attempt, Ending::Failed, ms(0), ms(20));
+        let attempt = health.sent(ms(at), KIND, ms(20));
+        health.ended(ms(at), attempt, Ending::Failed, &took(0));
         health.clone()
     };
     assert!(!fail(0).is_resting(ms(1)));
@@ -61,10 +72,10 @@
 
 #[test]
 fn a_cancelled_attempt_says_nothing_against_the_server() {
-    let mut health = ServerHealth::new(ms(0));
+    let mut health = ServerHealth::default();
     for at in 0..10 {
-        let attempt = health.sent(ms(at), ms(20));
-        health.ended(ms(at), attempt, Ending::Cancelled, ms(0), ms(20));
+        let attempt = health.sent(ms(at), KIND, ms(20));
+        health.ended(ms(at), attempt, Ending::Cancelled, &took(0));
     }
     assert!(!health.is_resting(ms(10)));
     assert_eq!(health.outstanding(), 0);
@@ -72,14 +83,59 @@
 
 #[test]
 fn a_suspected_server_stands_still_until_it_answers_or_owes_nothing() {
-    let mut health = ServerHealth::new(ms(0));
-    let first = health.sent(ms(0), ms(20));
+    let mut health = ServerHealth::default();
+    let first = health.sent(ms(0), KIND, ms(20));
     health.suspect();
     assert!(health.stands_still(ms(1)));
-    health.ended(ms(5), first, Ending::Cancelled, ms(0), ms(20));
+    health.ended(ms(5), first, Ending::Cancelled, &took(0));
     assert!(!health.stands_still(ms(6)));
-    health.sent(ms(10), ms(20));
+    health.sent(ms(10), KIND, ms(20));
     assert!(health.stands_still(ms(11)));
     answer(&mut health, 12, 5);
     assert!(!health.stands_still(ms(18)));
 }
+
+#[test]
+fn the_other_parts_of_a_query_tell_sooner_that_a_server_is_slow() {
+    let mut health = ServerHealth::default();
+    let paced = |taken| Taken {
+        pace: Some(ms(20)),
+        ..took(taken)
+    };
+    for at in [0, 200] {
+        let attempt = health.sent(ms(at), KIND, ms(20));
+        health.ended(ms(at + 160), attempt, Ending::Answered, &paced(160));
+    }
+    assert!(health.slowness(ms(360), KIND) > 5.5);
+}
+
+#[test]
+fn a_queue_at_all_servers_shows_although_no_part_is_slower_than_the_others() {
+    let mut health = ServerHealth::default();
+    let queued = Taken {
+        pace: Some(ms(80)),
+        ..took(80)
+    };
+    for at in 0..8 {
+        let attempt = health.sent(ms(at * 50), KIND, ms(20));
+        health.ended(ms(at * 50 + 80), attempt, Ending::Answered, &queued);
+    }
+    assert!(health.slowness(ms(430), KIND) > 3.0);
+}
+
+#[test]
+fn each_kind_of_request_has_its_own_slowness() {
+    let mut health = ServerHealth::default();
+    let other = KindOfRequest(2);
+    for at in 0..8 {
+        answer(&mut health, at * 100, 20);
+        let taken = Taken {
+            kind: other,
+            ..took(200)
+        };
+        let attempt = health.sent(ms(at * 100), other, ms(20));
+        health.ended(ms(at * 100 + 50), attempt, Ending::Answered, &taken);
+    }
+    assert!(health.slowness(ms(800), KIND) < 1.5);
+    assert!(health.slowness(ms(800), other) > 5.0);
+}
--- a/crates/sablehaven-gateway/src/servers/mod.rs
+++ b/crates/sablehaven-gateway/src/servers/mod.rs
@@ -9,5 +9,6 @@
 mod server;
 
 pub(crate) use attempt::{Answered, Attempt, AttemptFailure, OutgoingRequest, ServerReply};
+pub(crate) use health::KindOfRequest;
 pub(crate) use registry::{Registry, ServicePool};
 pub(crate) use server::Server;
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -17,7 +17,7 @@
     budget::RetryBudget,
     choice::{Distance, choose},
 };
-use crate::{Config, gateway::Clock};
+use crate::{Config, route_table::RouteProfile};
 
 /// Part of a server's connections that the gateways of its own zone share; the others share the rest.
 const NEAR_SHARE: f64 = 0.6;
@@ -77,7 +77,7 @@
     }
 
     /// Takes a reading of the list; `false` for one that is not newer than the one in force.
-    pub(crate) fn take_listing(&self, listing: &ServerListing, clock: &Clock) -> bool {
+    pub(crate) fn take_listing(&self, listing: &ServerListing) -> bool {
         if listing.number <= self.number.get() {
             return false;
         }
@@ -89,13 +89,12 @@
         let known: Vec<ServiceName> = self.services.borrow().keys().cloned().collect();
         for name in known {
             if !by_service.contains_key(&name) {
-                self.service(&name)
-                    .update(&[], |_| Distance::OtherRegion, clock);
+                self.service(&name).update(&[], |_| Distance::OtherRegion);
             }
         }
         for (name, listed) in by_service {
             let distance = |zone: &ZoneName| self.distance(zone);
-            self.service(name).update(&listed, distance, clock);
+            self.service(name).update(&listed, distance);
         }
         self.limit_connections();
         true
@@ -167,12 +166,7 @@
 }
 
 impl ServicePool {
-    fn update(
-        &self,
-        listed: &[&ListedServer],
-        distance: impl Fn(&ZoneName) -> Distance,
-        clock: &Clock,
-    ) {
+    fn update(&self, listed: &[&ListedServer], distance: impl Fn(&ZoneName) -> Distance) {
         let mut servers = self.servers.borrow_mut();
         let wanted: HashSet<&BackendId> = listed.iter().map(|each| &each.id).collect();
         servers.retain(|server| {
@@ -186,7 +180,7 @@
             match servers.iter().find(|server| server.id == listed.id) {
                 Some(server) => server.update(listed),
                 None => {
-                    let server = Server::new(listed, distance(&listed.zone), clock);
+                    let server = Server::new(listed, distance(&listed.zone));
                     servers.push(Rc::new(server));
                 }
             }
@@ -197,15 +191,15 @@
     pub(crate) fn choose(
         &self,
         now: Duration,
-        usual: Duration,
+        profile: &RouteProfile,
         tried: &[BackendId],
     ) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
         let candidates = servers
             .iter()
             .filter(|server| server.takes_work() && !tried.contains(&server.id))
-            .map(|server| (Rc::clone(server), server.candidate(now)));
-        choose(candidates, usual, rand::random())
+            .map(|server| (Rc::clone(server), server.candidate(now, profile.kind())));
+        choose(candidates, profile.typical(), rand::random())
     }
 
     /// Counts a request that needs this service.
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -11,9 +11,8 @@
 use super::{
     choice::{Candidate, Distance},
     connection_pool::ConnectionPool,
-    health::ServerHealth,
+    health::{KindOfRequest, ServerHealth},
 };
-use crate::gateway::Clock;
 
 /// One server, as the list and the gateway's own attempts show it.
 pub(crate) struct Server {
@@ -31,13 +30,13 @@
 }
 
 impl Server {
-    pub(crate) fn new(listed: &ListedServer, distance: Distance, clock: &Clock) -> Self {
+    pub(crate) fn new(listed: &ListedServer, distance: Distance) -> Self {
         Self {
             id: listed.id.clone(),
             address: listed.address,
             distance,
             pool: ConnectionPool::new(listed.address),
-            health: RefCell::new(ServerHealth::new(clock.now())),
+            health: RefCell::default(),
             slots: Cell::new(listed.slots),
             takes_work: Cell::new(!listed.is_draining),
             warm_at: Cell::new(Instant::now() + Duration::from_millis(listed.warmup_left_ms)),
@@ -73,14 +72,14 @@
         self.round_trip.set(self.round_trip.get().min(seen));
     }
 
-    pub(crate) fn candidate(&self, now: Duration) -> Candidate {
+    pub(crate) fn candidate(&self, now: Duration, kind: KindOfRequest) -> Candidate {
         let health = self.health.borrow();
         Candidate {
             distance: self.distance,
             round_trip: self.round_trip(),
-            slowness: health.slowness(now),
+            slowness: health.slowness(now, kind),
             outstanding: health.outstanding(),
-            slots: self.slots.get(),
+            lanes: self.slots.get().min(self.pool.limit()),
             stands_still: health.stands_still(now),
             is_resting: health.is_resting(now),
             is_cold: self.warm_at.get() > Instant::now(),
