Consensus: the shorter timeout after a start doubles at each try

Ruled out: a floor for the first timeout (what is long enough depends on disks and links). Change: the first timeout doubles at each try until it is the usual one; new test the_shorter_timeout_after_a_start_doubles_up_to_the_usual_one; the handshake test names the version that it sends, whichever is current.

--- a/crates/sablehaven-consensus/src/election.rs
+++ b/crates/sablehaven-consensus/src/election.rs
@@ -11,7 +11,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ElectionClock {
     base_ticks: u32,
-    /// In place of `base_ticks` until a leader or candidate was heard.
+    /// In place of `base_ticks` until a leader or candidate was heard. Doubled at each try: where votes
+    /// take longer than this, no election would ever be won.
     first_ticks: Option<u32>,
     elapsed_ticks: u32,
     timeout_ticks: u32,
@@ -35,6 +36,8 @@
     pub(crate) fn restart(&mut self) {
         self.elapsed_ticks = 0;
         let base = self.first_ticks.unwrap_or(self.base_ticks);
+        let doubled = self.first_ticks.map(|ticks| ticks.saturating_mul(2));
+        self.first_ticks = doubled.filter(|ticks| *ticks < self.base_ticks);
         let spread = u64::from(base.max(1));
         self.timeout_ticks = base + (self.next_random() % spread) as u32;
     }
--- a/crates/sablehaven-consensus/tests/election.rs
+++ b/crates/sablehaven-consensus/tests/election.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use sablehaven_consensus::{Config, HardState, Message, Position, Replica, Restored, Role};
+use sablehaven_consensus::{
+    Config, HardState, Message, Position, Replica, ReplicaId, Restored, Role,
+};
 use support::{Cluster, id, ids};
 
 #[test]
@@ -276,3 +278,31 @@
         vec![(id(1), refused)]
     );
 }
+
+/// Where votes take longer than the first timeout no election would ever be won with it.
+#[test]
+fn the_shorter_timeout_after_a_start_doubles_up_to_the_usual_one() {
+    let config = Config {
+        election_timeout_ticks: 16,
+        first_election_timeout_ticks: 1,
+        ..Config::default()
+    };
+    let voters = [1, 2, 3].map(ReplicaId).into();
+    let mut replica = Replica::new(config, ReplicaId(1), Restored::bootstrap(voters));
+    let mut rounds = Vec::new();
+    for tick in 0..200 {
+        replica.tick();
+        let ready = replica.take_ready();
+        let asks = |(_, message): &(ReplicaId, Message)| matches!(message, Message::PreVote { .. });
+        if ready.messages_before_sync.iter().any(asks) {
+            rounds.push(tick);
+        }
+    }
+    let gaps: Vec<i32> = rounds.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(rounds[0] <= 2, "{rounds:?}");
+    assert!(gaps[0] >= 2 && gaps[1] >= 4 && gaps[2] >= 8, "{gaps:?}");
+    assert!(
+        gaps[4..].iter().all(|gap| (16..32).contains(gap)),
+        "{gaps:?}"
+    );
+}
--- a/crates/sablehaven-wire/tests/handshake.rs
+++ b/crates/sablehaven-wire/tests/handshake.rs
@@ -60,7 +60,8 @@
     let mut theirs = hello(Role::Relay);
     theirs.protocol_version = PROTOCOL_VERSION + 1;
     let (connected, accepted) = shake(hello(Role::Agent), theirs).await;
-    assert!(refusal(connected).contains("protocol version 2"));
+    let named = format!("protocol version {}", PROTOCOL_VERSION + 1);
+    assert!(refusal(connected).contains(&named));
     assert!(!accepted);
 }
 
