--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -77,7 +77,12 @@
         by_address.into_values().collect()
     }
 
+    /// Gateways share what servers bear by their number, so a picture that is not whole yet would make
+    /// each of them take too much.
     fn refresh_gateways(&self) {
+        if !self.is_settled() {
+            return;
+        }
         let mut counts: BTreeMap<ZoneName, u32> = BTreeMap::new();
         for status in self.statuses() {
             *counts.entry(status.placement.zone).or_default() += 1;
--- a/crates/sablehaven-gateway/src/servers/budget.rs
+++ b/crates/sablehaven-gateway/src/servers/budget.rs
@@ -43,10 +43,11 @@
     }
 
     /// Takes one extra attempt; `false` means that the budget does not bear it. `gateways` is the
-    /// number of gateways that share the slack.
-    pub(crate) fn take(&mut self, now: Duration, gateways: u32) -> bool {
+    /// number of gateways that share the slack; while it is not known none of it is used.
+    pub(crate) fn take(&mut self, now: Duration, gateways: Option<u32>) -> bool {
         self.forget(now);
-        let slack = self.bounds.slack / f64::from(gateways.max(1));
+        let part = |gateways: u32| self.bounds.slack / f64::from(gateways.max(1));
+        let slack = gateways.map_or(0.0, part);
         let allowed = USED_SHARE * (self.bounds.ratio * f64::from(self.needed) + slack);
         if f64::from(self.extra) + 1.0 > allowed {
             return false;
--- a/crates/sablehaven-gateway/src/servers/budget/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/budget/tests.rs
@@ -17,7 +17,7 @@
 
 fn taken(budget: &mut RetryBudget, now: Duration, gateways: u32) -> u32 {
     (0..10_000)
-        .take_while(|_| budget.take(now, gateways))
+        .take_while(|_| budget.take(now, Some(gateways)))
         .count() as u32
 }
 
@@ -55,7 +55,7 @@
             budget.need(seconds(at));
             needed.push(at);
         }
-        if step % 2 == 0 && budget.take(seconds(at), 1) {
+        if step % 2 == 0 && budget.take(seconds(at), Some(1)) {
             extra.push(at);
         }
     }
@@ -73,3 +73,15 @@
         );
     }
 }
+
+/// A gateway that has only just started does not know how many share the slack.
+#[test]
+fn the_slack_is_not_used_while_the_number_of_gateways_is_not_known() {
+    let mut budget = RetryBudget::new(BOUNDS);
+    assert!(!budget.take(seconds(1.0), None));
+    for _ in 0..100 {
+        budget.need(seconds(1.0));
+    }
+    let taken = (0..100).take_while(|_| budget.take(seconds(1.0), None));
+    assert_eq!(taken.count(), 17);
+}
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -23,6 +23,8 @@
 const NEAR_SHARE: f64 = 0.6;
 /// Gateways that may join each zone beside those that are connected.
 const ROOM_FOR_GATEWAYS: u32 = 1;
+/// Gateways that each zone is taken to have until the control replicas have said.
+const ASSUMED_GATEWAYS: u32 = 5;
 
 /// All servers by service.
 pub(crate) struct Registry {
@@ -116,11 +118,12 @@
         self.limit_connections();
     }
 
-    /// The gateways that there can be, this one included.
-    pub(crate) fn gateway_count(&self) -> u32 {
+    /// The gateways that there can be, this one included; `None` before the control replicas have
+    /// said.
+    pub(crate) fn gateway_count(&self) -> Option<u32> {
         let gateways = self.gateways.borrow();
         let known: u32 = gateways.values().sum();
-        known.max(1) + ROOM_FOR_GATEWAYS * gateways.len().max(1) as u32
+        (known > 0).then(|| known + ROOM_FOR_GATEWAYS * gateways.len() as u32)
     }
 
     /// Closes connections that have rested too long.
@@ -134,26 +137,36 @@
 
     /// Shares each server's connections among the gateways: those of its own zone send it most.
     fn limit_connections(&self) {
-        let gateways = self.gateways.borrow();
-        let own_zone = gateways.get(&self.zone).copied().unwrap_or(1).max(1);
-        let all: u32 = gateways.values().sum::<u32>().max(own_zone);
-        let zones = gateways.len().max(1) as u32;
+        let (near, far) = self.sharers();
         for service in self.services.borrow().values() {
             let whole = f64::from(service.max_connections.get());
             for server in service.servers.borrow().iter() {
                 let (share, sharers) = match server.distance {
-                    Distance::SameZone => (NEAR_SHARE, own_zone + ROOM_FOR_GATEWAYS),
-                    _ => (
-                        1.0 - NEAR_SHARE,
-                        (all - own_zone + ROOM_FOR_GATEWAYS * zones).max(1),
-                    ),
+                    Distance::SameZone => (NEAR_SHARE, near),
+                    _ => (1.0 - NEAR_SHARE, far),
                 };
-                let limit = (whole * share / f64::from(sharers)).floor() as usize;
+                let limit = (whole * share / f64::from(sharers.max(1))).floor() as usize;
                 server.pool.set_limit(limit.max(2));
             }
         }
     }
 
+    /// The gateways that may share a server's connections: those of its own zone, and all others.
+    fn sharers(&self) -> (u32, u32) {
+        let gateways = self.gateways.borrow();
+        let zones = self.regions.len().max(gateways.len()).max(1) as u32;
+        if gateways.is_empty() {
+            return (ASSUMED_GATEWAYS, ASSUMED_GATEWAYS * (zones - 1));
+        }
+        let own_zone = gateways.get(&self.zone).copied().unwrap_or(1);
+        let all: u32 = gateways.values().sum();
+        let others = all.saturating_sub(own_zone);
+        (
+            own_zone + ROOM_FOR_GATEWAYS,
+            others + ROOM_FOR_GATEWAYS * (zones - 1),
+        )
+    }
+
     fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.zone {
             return Distance::SameZone;
@@ -208,7 +221,7 @@
     }
 
     /// Takes one extra attempt from the budget.
-    pub(crate) fn take_extra(&self, now: Duration, gateways: u32) -> bool {
+    pub(crate) fn take_extra(&self, now: Duration, gateways: Option<u32>) -> bool {
         self.budget.borrow_mut().take(now, gateways)
     }
 }
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -18,7 +18,8 @@
     RouteDocument, RouteTarget, RoutedService, ServerListing, ServiceName,
 };
 use sablehaven_wire::{
-    ControlToGateway, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION, Role, accept,
+    ControlToGateway, DeploymentMembers, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION,
+    Role, accept,
 };
 use tokio::{net::TcpListener, sync::watch, task::LocalSet, time::sleep};
 
@@ -322,6 +323,12 @@
         saying.mark_changed();
         let hearing = hearing.clone();
         tokio::task::spawn_local(async move {
+            let members = DeploymentMembers {
+                gateways: BTreeMap::from([("a".into(), 1)]),
+                ..DeploymentMembers::default()
+            };
+            let members = ControlToGateway::Members(members);
+            connection.writer.send(&members).await.expect("send");
             loop {
                 tokio::select! {
                     Ok(()) = saying.changed() => {
--- a/crates/sablehaven-telemetry/src/line_log.rs
+++ b/crates/sablehaven-telemetry/src/line_log.rs
@@ -25,6 +25,9 @@
 /// Lines a second beyond that; more are dropped and counted.
 const LINES_PER_SECOND: f64 = 50.0;
 
+/// Longest time for the lines under way when a process ends.
+const FLUSH_LIMIT: Duration = Duration::from_millis(50);
+
 /// Sends this process's log records to standard output, through a bounded queue and a writer of its
 /// own: a reader that stops reading slows nothing. What is dropped is counted, and the count logged.
 ///
@@ -56,12 +59,20 @@
 
 #[derive(Debug)]
 struct LineAppend {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Work>,
     dropped: Arc<AtomicU64>,
     allowance: Mutex<Allowance>,
     layout: JsonLayout,
 }
 
+/// What the writer is given.
+#[derive(Debug)]
+enum Work {
+    Line(Vec<u8>),
+    /// Answered when everything before it is written.
+    Flush(SyncSender<()>),
+}
+
 /// Lines that may still be written.
 #[derive(Debug)]
 struct Allowance {
@@ -110,23 +121,33 @@
         }
         let mut line = self.layout.format(record, diagnostics)?;
         line.push(b'\n');
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(Work::Line(line)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
     fn flush(&self) -> Result<(), logforth::Error> {
-        // Lines under way are written within milliseconds; waiting for them would block.
-        std::thread::sleep(Duration::from_millis(2));
+        let (done, written) = sync_channel(1);
+        if self.lines.try_send(Work::Flush(done)).is_ok() {
+            // A reader that has stopped reading holds nobody up for longer.
+            let _ = written.recv_timeout(FLUSH_LIMIT);
+        }
         Ok(())
     }
 }
 
 /// A failed write to standard output has nowhere to be reported, so its result is dropped.
-fn write_lines(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(queue: &Receiver<Work>, dropped: &AtomicU64) {
     let mut output = std::io::stdout();
-    while let Ok(mut line) = queue.recv() {
+    while let Ok(work) = queue.recv() {
+        let mut line = match work {
+            Work::Line(line) => line,
+            Work::Flush(done) => {
+                let _ = done.send(());
+                continue;
+            }
+        };
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
             line.extend_from_slice(
