--- a/crates/sablehaven-cli/src/arguments.rs
+++ b/crates/sablehaven-cli/src/arguments.rs
@@ -41,6 +41,7 @@
         .subcommand(schema())
         .subcommand(data())
         .subcommand(operator())
+        .subcommand(explain())
 }
 
 fn role(name: &'static str, about: &'static str) -> Command {
@@ -140,6 +141,31 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Says from saved logs what became of a request and why")
+        .long_about(
+            "Collects the lines of one request over the logs of any number of processes, with what \
+             the process believed then, and says in words what decided. Exit code 1 means that no \
+             line names the request: it went as usual, or never reached these processes.",
+        )
+        .arg(
+            Arg::new("id")
+                .long("id")
+                .value_name("ID")
+                .help("The request's id, as its caller sent it")
+                .required(true),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .help("Saved standard output of processes; the file's name names the process")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn operator() -> Command {
     Command::new("operator")
         .about("Drives a running deployment")
--- a/crates/sablehaven-cli/src/lib.rs
+++ b/crates/sablehaven-cli/src/lib.rs
@@ -7,6 +7,8 @@
 mod arguments;
 mod data_command;
 mod error;
+pub mod explain;
+mod explain_command;
 mod operator;
 mod output;
 mod role_command;
@@ -58,6 +60,7 @@
         Some(("schema", matches)) => schema_command::run(matches),
         Some(("data", matches)) => data_command::run(matches),
         Some(("operator", matches)) => operator::run(matches),
+        Some(("explain", matches)) => explain_command::run(matches),
         _ => unreachable!("clap requires a subcommand"),
     }
 }
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -67,7 +67,9 @@
         match dialled {
             Ok(connection) => {
                 log::info!(event = "control_connected", peer:% = address; "control");
+                gateway.metrics.control_connections.inc();
                 let ended = follow(&gateway, address, connection).await;
+                gateway.metrics.control_connections.dec();
                 was_connected = true;
                 if let Err(error) = ended {
                     log::warn!(event = "control_lost", peer:% = address,
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -15,7 +15,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    Config, admission::Admission, names::HeaderNames, route_table::RouteTable, servers::Registry,
+    Config, admission::Admission, metrics::Metrics, names::HeaderNames, route_table::RouteTable,
+    servers::Registry,
 };
 
 /// Steady time since the start.
@@ -43,6 +44,7 @@
     pub(crate) registry: Registry,
     pub(crate) admission: Admission,
     pub(crate) signals: ServerSignals,
+    pub(crate) metrics: Metrics,
     routes: RefCell<Option<Rc<RouteTable>>>,
     advertised: SocketAddr,
     is_stopping: Cell<bool>,
@@ -69,6 +71,7 @@
             names,
             clock: Clock::new(),
             signals: ServerSignals::default(),
+            metrics: Metrics::new(),
             routes: RefCell::default(),
             advertised,
             is_stopping: Cell::new(false),
@@ -108,6 +111,8 @@
             return;
         }
         log::info!(event = "routes_in_force", version = document.version, former = held; "routes");
+        let version = i64::try_from(document.version).unwrap_or(i64::MAX);
+        self.metrics.routes_version.set(version);
         self.registry.take_routes(&document);
         let table = RouteTable::new(document, former.as_deref());
         *self.routes.borrow_mut() = Some(Rc::new(table));
@@ -120,6 +125,9 @@
             return;
         }
         let number = listing.number;
+        self.metrics
+            .listed_servers
+            .set(listing.servers.len() as i64);
         log::info!(
             event = "listing_in_force", term = number.term, reading = number.reading,
             servers = listing.servers.len();
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod config;
 mod control_link;
 mod gateway;
+mod metrics;
 pub mod names;
 mod pace;
 mod request;
@@ -22,4 +23,4 @@
 mod servers;
 
 pub use config::{Config, RetryBounds};
-pub use role::{Handle, StartError, start};
+pub use role::{Figures, Handle, StartError, start};
--- /dev/null
+++ b/crates/sablehaven-gateway/src/metrics.rs
@@ -0,0 +1,158 @@
+//! What a gateway counts, in Prometheus text.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// The shortest time told apart, in seconds.
+const SHORTEST_SECONDS: f64 = 0.004;
+/// Buckets, each twice as long as the one before.
+const BUCKETS: u16 = 12;
+
+/// How a request ended, for its label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// A whole answer.
+    Whole,
+    /// An answer without some of its shards.
+    Partial,
+    /// A server's own failure, handed back.
+    ServerFailed,
+    /// Given up: no server's answer.
+    Failed,
+    /// Not admitted.
+    Refused,
+}
+
+/// Labels of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RequestLabels {
+    target: &'static str,
+    outcome: &'static str,
+}
+
+/// Labels of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AttemptLabels {
+    ending: &'static str,
+}
+
+/// The metrics of one gateway; cheap to clone.
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    durations: Family<RequestLabels, Histogram, fn() -> Histogram>,
+    attempts: Family<AttemptLabels, Counter>,
+    pub(crate) extra_attempts: Counter,
+    pub(crate) unaffordable_attempts: Counter,
+    pub(crate) open_requests: Gauge,
+    pub(crate) routes_version: Gauge,
+    pub(crate) listed_servers: Gauge,
+    pub(crate) control_connections: Gauge,
+}
+
+fn duration_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(SHORTEST_SECONDS, 2.0, BUCKETS))
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("sablehaven_gateway"),
+            requests: Family::default(),
+            durations: Family::new_with_constructor(duration_histogram),
+            attempts: Family::default(),
+            extra_attempts: Counter::default(),
+            unaffordable_attempts: Counter::default(),
+            open_requests: Gauge::default(),
+            routes_version: Gauge::default(),
+            listed_servers: Gauge::default(),
+            control_connections: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests with a route, by target (service, gather) and outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "request_duration_seconds",
+            "Time from a request's head to its answer",
+            self.durations.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Attempts at servers, by how they ended",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "extra_attempts",
+            "Hedges and retries that were sent",
+            self.extra_attempts.clone(),
+        );
+        registry.register(
+            "unaffordable_attempts",
+            "Hedges and retries that the budget did not bear",
+            self.unaffordable_attempts.clone(),
+        );
+        registry.register(
+            "open_requests",
+            "Requests that are being answered",
+            self.open_requests.clone(),
+        );
+        registry.register(
+            "routes_version",
+            "Version of the routes in force; 0 for none",
+            self.routes_version.clone(),
+        );
+        registry.register(
+            "listed_servers",
+            "Servers on the list in force",
+            self.listed_servers.clone(),
+        );
+        registry.register(
+            "control_connections",
+            "Connections to control replicas that are up",
+            self.control_connections.clone(),
+        );
+    }
+
+    pub(crate) fn request_ended(&self, is_gather: bool, outcome: Outcome, seconds: f64) {
+        let labels = RequestLabels {
+            target: if is_gather { "gather" } else { "service" },
+            outcome: match outcome {
+                Outcome::Whole => "whole",
+                Outcome::Partial => "partial",
+                Outcome::ServerFailed => "server_failed",
+                Outcome::Failed => "failed",
+                Outcome::Refused => "refused",
+            },
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.durations.get_or_create(&labels).observe(seconds);
+    }
+
+    pub(crate) fn attempt_ended(&self, ending: &'static str) {
+        self.attempts.get_or_create(&AttemptLabels { ending }).inc();
+    }
+
+    /// The metrics in Prometheus text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        // Encoding into a `String` cannot fail; an empty page would show if it did.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -18,7 +18,7 @@
     sub_request::{PartFailure, SubRequest},
     wait::{Next, Progress, next},
 };
-use crate::servers::ServerReply;
+use crate::{metrics::Outcome, servers::ServerReply};
 
 /// What has come of the shards so far.
 #[derive(Default)]
@@ -36,7 +36,7 @@
 pub(super) async fn answer(
     accepted: &Accepted,
     gather: &Gather,
-) -> Result<Response<WholeBody>, Refusal> {
+) -> Result<(Response<WholeBody>, Outcome), Refusal> {
     let mut running: FuturesUnordered<_> = gather
         .shards
         .iter()
@@ -73,7 +73,13 @@
     };
     accepted.outgoing.answered.set();
     log_unusual(accepted, gather, &parts, outcome.as_ref().err());
-    outcome.map(|()| respond(accepted, gather, &parts))
+    let is_whole = parts.replies.len() == gather.shards.len();
+    let kind = if is_whole {
+        Outcome::Whole
+    } else {
+        Outcome::Partial
+    };
+    outcome.map(|()| (respond(accepted, gather, &parts), kind))
 }
 
 fn progress(accepted: &Accepted, gather: &Gather, parts: &Parts) -> Progress {
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -22,6 +22,7 @@
 use self::refusal::Refusal;
 use crate::{
     gateway::Gateway,
+    metrics::Outcome,
     pace::Pace,
     route_table::PlannedRoute,
     servers::{Answered, OutgoingRequest},
@@ -71,6 +72,7 @@
             open = gateway.admission.open(), route = route.name.as_str();
             "request"
         );
+        accepted_metrics(gateway, &planned, Outcome::Refused, arrived);
         return Err(Refusal::TooMany);
     }
     let deadline = arrived + time_left(gateway, &planned, &head);
@@ -91,11 +93,22 @@
         outgoing,
         arrived,
     };
-    match &route.target {
+    let answer = match &route.target {
         RouteTarget::Service(service) => single::answer(&accepted, service).await,
         RouteTarget::Split(parts) => single::answer(&accepted, draw(parts, rand::random())).await,
         RouteTarget::Gather(gather) => gather::answer(&accepted, gather).await,
-    }
+    };
+    let outcome = answer
+        .as_ref()
+        .map_or(Outcome::Failed, |(_, outcome)| *outcome);
+    accepted_metrics(gateway, &planned, outcome, arrived);
+    answer.map(|(response, _)| response)
+}
+
+fn accepted_metrics(gateway: &Gateway, planned: &PlannedRoute, outcome: Outcome, arrived: Instant) {
+    let is_gather = matches!(planned.route().target, RouteTarget::Gather(_));
+    let seconds = arrived.elapsed().as_secs_f64();
+    gateway.metrics.request_ended(is_gather, outcome, seconds);
 }
 
 /// The number of parts whose servers do the same work.
--- a/crates/sablehaven-gateway/src/request/single.rs
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -9,21 +9,24 @@
     refusal::Refusal,
     sub_request::{PartFailure, PartResult, SubRequest},
 };
-use crate::servers::{AttemptFailure, ServerReply};
+use crate::{
+    metrics::Outcome,
+    servers::{AttemptFailure, ServerReply},
+};
 
 /// Answers from one server of the service. A server's own answer, a failure too, is handed back as it
 /// came.
 pub(super) async fn answer(
     accepted: &Accepted,
     service: &ServiceName,
-) -> Result<Response<WholeBody>, Refusal> {
+) -> Result<(Response<WholeBody>, Outcome), Refusal> {
     let service = accepted.gateway.registry.service(service);
     let part = SubRequest::new(accepted, service).run().await;
     accepted.outgoing.answered.set();
     let (refusal, failure) = match &part.result {
-        Ok(reply) => return Ok(hand_back(reply)),
+        Ok(reply) => return Ok((hand_back(reply), Outcome::Whole)),
         Err(PartFailure::Attempt(AttemptFailure::Answered(reply))) if !is_promise(reply.status) => {
-            return Ok(hand_back(reply));
+            return Ok((hand_back(reply), Outcome::ServerFailed));
         }
         Err(failure) => (refusal(&part, failure), failure),
     };
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -184,9 +184,11 @@
             let gateways = gateway.registry.gateway_count();
             if !self.service.take_extra(gateway.clock.now(), gateways) {
                 self.unaffordable += 1;
+                gateway.metrics.unaffordable_attempts.inc();
                 return false;
             }
             self.extra += 1;
+            gateway.metrics.extra_attempts.inc();
         }
         self.send(server);
         true
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -52,6 +52,21 @@
     ready: Option<SocketAddr>,
 }
 
+/// The figures of a running gateway; cheap to clone.
+#[derive(Clone)]
+pub struct Figures {
+    gateway: Rc<Gateway>,
+}
+
+impl Figures {
+    /// All figures in Prometheus text.
+    pub fn text(&self) -> String {
+        let open = i64::try_from(self.gateway.admission.open()).unwrap_or(i64::MAX);
+        self.gateway.metrics.open_requests.set(open);
+        self.gateway.metrics.text()
+    }
+}
+
 /// Starts a gateway. Must be called within a [`tokio::task::LocalSet`].
 ///
 /// # Errors
@@ -107,6 +122,13 @@
         self.ready
     }
 
+    /// The gateway's figures, for whoever serves them.
+    pub fn figures(&self) -> Figures {
+        Figures {
+            gateway: Rc::clone(&self.gateway),
+        }
+    }
+
     /// Takes addresses of control replicas beside those that are known.
     pub fn add_controls(&self, controls: impl IntoIterator<Item = SocketAddr>) {
         self.gateway.add_controls(controls);
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -208,6 +208,7 @@
         if ending == Ending::Answered {
             profile.record(taken);
         }
+        self.gateway.metrics.attempt_ended(ending.name());
         let taken = Taken {
             kind: profile.kind(),
             taken,
--- a/crates/sablehaven-gateway/src/servers/health.rs
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -44,6 +44,19 @@
     Cancelled,
 }
 
+impl Ending {
+    /// The name that metrics use.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::TurnedAway => "turned_away",
+            Self::Failed => "failed",
+            Self::Silent => "silent",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// An attempt under way.
 #[derive(Clone, Copy, Debug)]
 struct Outstanding {
