--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use sablehaven_http::{ConnectionBounds, ServerSignals, WholeBody, listen, serve_connection};
+use sablehaven_http::{ConnectionBounds, ServerSignals, WholeBody, accept_connections, listen};
 use sablehaven_types::{BoundAddresses, SettingError};
 use tokio::{
     net::TcpListener,
@@ -20,8 +20,6 @@
     Config, control_link::keep_links, gateway::Gateway, names::HeaderNames, request::answer,
 };
 
-/// Pause after a failed accept (out of file descriptors), so that the loop does not spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time between two looks for connections that have rested too long.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between two looks whether all requests of a stopping gateway are answered.
@@ -158,52 +156,30 @@
 }
 
 async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(event = "accept_failed", reason:% = error; "accept");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let limits = gateway.limits();
-        let bounds = ConnectionBounds {
+    let limited = Rc::clone(&gateway);
+    let bounds = move || {
+        let limits = limited.limits();
+        ConnectionBounds {
             max_head_bytes: limits.max_header_bytes,
             head_timeout: Duration::from_millis(limits.header_timeout_ms),
             idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
-        };
-        let signals = gateway.signals.clone();
-        let gateway = Rc::clone(&gateway);
-        spawn_local(async move {
-            serve_connection(stream, bounds, signals, |request| {
-                answer(Rc::clone(&gateway), request)
-            })
-            .await;
-        });
-    }
+        }
+    };
+    let signals = gateway.signals.clone();
+    let handler = move |request| answer(Rc::clone(&gateway), request);
+    accept_connections(listener, bounds, signals, handler).await;
 }
 
+/// Readiness is told until the process ends.
 async fn accept_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
-    let bounds = ConnectionBounds {
+    let bounds = || ConnectionBounds {
         max_head_bytes: 8 * 1024,
         head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(60),
     };
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let gateway = Rc::clone(&gateway);
-        spawn_local(async move {
-            let signals = ServerSignals::default();
-            serve_connection(stream, bounds, signals, |request| {
-                std::future::ready(readiness(&gateway, &request))
-            })
-            .await;
-        });
-    }
+    let handler =
+        move |request: Request<Incoming>| std::future::ready(readiness(&gateway, &request));
+    accept_connections(listener, bounds, ServerSignals::default(), handler).await;
 }
 
 fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<WholeBody> {
--- a/crates/sablehaven-http/examples/connection_memory.rs
+++ b/crates/sablehaven-http/examples/connection_memory.rs
@@ -50,7 +50,7 @@
                 sender.ready().await.expect("ready");
                 let request = Request::get("/x")
                     .header("host", "stock.example")
-                    .header("x-sablehaven-request-id", "9c41d07be2a35f68")
+                    .header("sablehaven-request-id", "9c41d07be2a35f68")
                     .body(WholeBody::new(Bytes::new()))
                     .expect("a request");
                 let answer = sender.send_request(request).await.expect("an answer");
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -9,7 +9,7 @@
 mod watched_stream;
 
 pub use client::{ConnectError, Opened, open};
-pub use server::{ConnectionBounds, ServerSignals, listen, serve_connection};
+pub use server::{ConnectionBounds, ServerSignals, accept_connections, listen, serve_connection};
 
 /// A body that is whole in memory.
 pub type WholeBody = http_body_util::Full<bytes::Bytes>;
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -12,7 +12,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    time::{Instant, sleep_until},
+    task::spawn_local,
+    time::{Instant, sleep, sleep_until},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -23,6 +24,8 @@
 
 /// The least buffer that hyper takes, in bytes.
 const LEAST_BUFFER_BYTES: usize = 8 * 1024;
+/// Pause after a failed accept, so that the loop does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// New connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -60,6 +63,32 @@
     socket.listen(BACKLOG)
 }
 
+/// Accepts connections and serves each in a task of its own on this thread, until they are closing.
+/// `bounds` is asked for each connection, since they may change while the process runs.
+pub async fn accept_connections<Handler, Answering>(
+    listener: TcpListener,
+    bounds: impl Fn() -> ConnectionBounds,
+    signals: ServerSignals,
+    handler: Handler,
+) where
+    Handler: Fn(Request<Incoming>) -> Answering + Clone + 'static,
+    Answering: Future<Output = Response<WholeBody>> + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = signals.closing.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of file descriptors: connections that end free some.
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let serving = serve_connection(stream, bounds(), signals.clone(), handler.clone());
+        spawn_local(serving);
+    }
+}
+
 /// Serves one connection until it ends. The handler's future is dropped when the caller leaves.
 pub async fn serve_connection<Handler, Answering>(
     stream: TcpStream,
