--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod gather;
 mod headers;
+mod hedge_timer;
 mod merge;
 mod refusal;
 mod single;
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -11,7 +11,7 @@
 use sablehaven_types::{BackendId, RequestKind};
 use tokio::time::sleep_until;
 
-use super::Accepted;
+use super::{Accepted, hedge_timer::HedgeTimer};
 use crate::servers::{Attempt, AttemptFailure, Server, ServerReply, ServicePool};
 
 /// An attempt that takes this many typical times is hedged although its server answers others.
@@ -20,8 +20,6 @@
 const TAIL_ROOM: Duration = Duration::from_millis(8);
 /// What a hedge is taken to need at its server, in typical times.
 const HEDGE_NEEDS: f64 = 1.5;
-/// Pause before the budget is asked again.
-const BUDGET_PAUSE: Duration = Duration::from_millis(25);
 /// Attempts that may come to nothing before a server has run the request.
 const MAXIMUM_FALSE_STARTS: u32 = 4;
 
@@ -66,7 +64,7 @@
 
 struct InFlight {
     attempt: Attempt,
-    sent_at: Instant,
+    timer: HedgeTimer,
 }
 
 impl<'a> SubRequest<'a> {
@@ -154,7 +152,7 @@
         let attempt = Attempt::start(gateway, server, outgoing);
         self.in_flight.push(InFlight {
             attempt,
-            sent_at: Instant::now(),
+            timer: HedgeTimer::start(Instant::now()),
         });
     }
 
@@ -223,12 +221,13 @@
         let now = clock.now();
         let still_at = server.health.borrow().stands_still_at(now);
         let still_at = still_at.map(|at| Instant::now() + at.saturating_sub(now));
-        let tail_at = first.sent_at + self.tail_limit(server);
-        let due_at = still_at.map_or(tail_at, |at| at.min(tail_at));
-        match self.accepted.outgoing.pace.late_after() {
-            Some(late_after) => due_at.min(first.sent_at + server.round_trip() + late_after),
-            None => due_at,
+        let sent_at = first.timer.sent_at();
+        let tail_at = sent_at + self.tail_limit(server);
+        let mut due_at = still_at.map_or(tail_at, |at| at.min(tail_at));
+        if let Some(late_after) = self.accepted.outgoing.pace.late_after() {
+            due_at = due_at.min(sent_at + server.round_trip() + late_after);
         }
+        first.timer.not_before(due_at)
     }
 
     /// Time after which an attempt is hedged although its server answers others: it takes far longer
@@ -257,7 +256,7 @@
             .suspect();
         if !self.send_extra(true) {
             // The budget or the servers do not allow one now; the next look is a little later.
-            self.in_flight[0].sent_at += BUDGET_PAUSE;
+            self.in_flight[0].timer.put_off(Instant::now());
         }
     }
 }
@@ -270,8 +269,8 @@
         for position in 0..in_flight.len() {
             if let Poll::Ready(result) = in_flight[position].attempt.poll_result(context) {
                 let ended = in_flight.remove(position);
-                let whole = ended.sent_at.elapsed();
-                let taken = whole.saturating_sub(ended.attempt.server.round_trip());
+                let round_trip = ended.attempt.server.round_trip();
+                let taken = ended.timer.taken(Instant::now(), round_trip);
                 return Poll::Ready((result, taken));
             }
         }
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -127,6 +127,27 @@
         self.list();
     }
 
+    /// As [`Self::serve`], with the servers on another runtime, so that this thread's processor time
+    /// is the gateway's.
+    #[allow(dead_code, reason = "used by the example gather_cost")]
+    pub async fn serve_on(
+        &mut self,
+        elsewhere: &tokio::runtime::Handle,
+        service: &str,
+        behaviours: &[Behaviour],
+    ) {
+        for behaviour in behaviours {
+            let servers = self.servers.entry(service.to_owned()).or_default();
+            let id = format!("{service}-{}", servers.len());
+            let behaviour = behaviour.clone();
+            let starting =
+                elsewhere.spawn(async move { RoutedServer::start(&id, NAMES, behaviour).await });
+            let server = starting.await.expect("the start ends");
+            servers.push(server.expect("start server"));
+        }
+        self.list();
+    }
+
     /// The list says from now on that a server is leaving.
     pub fn drain(&mut self, id: &str) {
         self.draining.push(id.to_owned());
