--- a/crates/sablehaven-gateway/src/servers/health.rs
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -14,6 +14,9 @@
 /// Time after which half of a server's slowness is forgotten when nothing is heard of it: it must be
 /// tried again, or a server that was slow once would be avoided for ever.
 const FORGETTING_HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// How often that time is doubled for a server that was slow again each time it was tried: a query over
+/// many shards would else try some slow server every time.
+const MOST_DOUBLINGS: u32 = 2;
 /// The least time that others are taken to have needed, in seconds.
 const LEAST_REFERENCE_S: f64 = 1e-4;
 /// The greatest slowness that is told apart.
@@ -81,6 +84,19 @@
     pub(crate) pace: Option<Duration>,
 }
 
+impl Taken {
+    /// How many times the reference it took.
+    fn ratio(&self, reference: Duration) -> f64 {
+        self.taken.as_secs_f64() / reference.as_secs_f64().max(LEAST_REFERENCE_S)
+    }
+
+    /// Whether it took much longer than the other parts of its query, whose work is the same.
+    fn is_outlier(&self) -> bool {
+        self.pace
+            .is_some_and(|pace| self.ratio(pace) > OUTLIER_RATIO)
+    }
+}
+
 /// What answers to one kind of request take, relative to the usual; 1 is usual. A queue weighs more
 /// on small requests, so each kind has its own.
 #[derive(Clone, Copy, Debug)]
@@ -88,13 +104,15 @@
     kind: KindOfRequest,
     ratio: f64,
     at: Duration,
+    /// Time after which half of it is forgotten.
+    half_life: Duration,
 }
 
 impl Slowness {
     /// What is long ago is half forgotten.
     fn now(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        let kept = 0.5_f64.powf(age / FORGETTING_HALF_LIFE.as_secs_f64());
+        let kept = 0.5_f64.powf(age / self.half_life.as_secs_f64());
         1.0 + (self.ratio - 1.0) * kept
     }
 }
@@ -110,6 +128,34 @@
     rests_until: Duration,
     /// Whether an attempt takes longer than it should; until the next answer.
     is_suspected: bool,
+    slow_tries: SlowTries,
+}
+
+/// Tries in a row that found the server much slower than the others.
+#[derive(Clone, Copy, Debug, Default)]
+struct SlowTries {
+    count: u32,
+    last_at: Duration,
+}
+
+impl SlowTries {
+    /// Counts a try that was sent at `sent_at` and ends now. Tries that were sent before the one before
+    /// them ended are one: a server that stood still for a moment answers all of them late.
+    fn count(&mut self, now: Duration, sent_at: Duration, was_slow: bool) {
+        if !was_slow {
+            self.count = 0;
+            return;
+        }
+        if self.count == 0 || sent_at >= self.last_at {
+            self.count = self.count.saturating_add(1);
+        }
+        self.last_at = now;
+    }
+
+    fn half_life(&self) -> Duration {
+        let doublings = self.count.saturating_sub(1).min(MOST_DOUBLINGS);
+        FORGETTING_HALF_LIFE * 2_u32.pow(doublings)
+    }
 }
 
 impl ServerHealth {
@@ -127,14 +173,15 @@
 
     /// An attempt has ended.
     pub(crate) fn ended(&mut self, now: Duration, attempt: u64, ending: Ending, taken: &Taken) {
-        self.outstanding.remove(&attempt);
+        let ended = self.outstanding.remove(&attempt);
+        let sent_at = ended.map_or(now, |ended| ended.sent_at);
         match ending {
             Ending::Answered => {
                 self.last_answer = now;
                 self.is_suspected = false;
                 self.failures = 0;
                 self.rests_until = Duration::ZERO;
-                self.learn_answer(now, taken);
+                self.learn_answer(now, sent_at, taken);
             }
             Ending::TurnedAway => {
                 self.last_answer = now;
@@ -144,23 +191,32 @@
             }
             Ending::Failed => self.fail(now, 1),
             Ending::Silent => self.fail(now, FAILURES_TO_REST),
-            Ending::Cancelled => {}
+            Ending::Cancelled => self.learn_at_least(now, sent_at, taken),
         }
     }
 
     /// Measured against the usual, so that a queue at all servers shows too. That it takes longer than
     /// the other parts of the same query is the server's own doing and is believed sooner.
-    fn learn_answer(&mut self, now: Duration, taken: &Taken) {
-        let ratio = |reference: Duration| {
-            taken.taken.as_secs_f64() / reference.as_secs_f64().max(LEAST_REFERENCE_S)
-        };
-        let is_outlier = taken.pace.is_some_and(|pace| ratio(pace) > OUTLIER_RATIO);
+    fn learn_answer(&mut self, now: Duration, sent_at: Duration, taken: &Taken) {
+        let is_outlier = taken.is_outlier();
+        self.slow_tries.count(now, sent_at, is_outlier);
         let weight = if is_outlier {
             OUTLIER_WEIGHT
         } else {
             SLOWNESS_WEIGHT
         };
-        self.learn(now, taken.kind, ratio(taken.usual), weight);
+        self.learn(now, taken.kind, taken.ratio(taken.usual), weight);
+    }
+
+    /// An attempt that was cancelled tells what an answer would have taken at the least; that is news
+    /// only of a server that is slower than was known.
+    fn learn_at_least(&mut self, now: Duration, sent_at: Duration, taken: &Taken) {
+        let ratio = taken.ratio(taken.usual);
+        if !taken.is_outlier() || ratio <= self.slowness(now, taken.kind) {
+            return;
+        }
+        self.slow_tries.count(now, sent_at, true);
+        self.learn(now, taken.kind, ratio, OUTLIER_WEIGHT);
     }
 
     fn learn(&mut self, now: Duration, kind: KindOfRequest, slowness: f64, weight: f64) {
@@ -171,8 +227,12 @@
         if self.slowness.len() == KEPT_KINDS {
             self.slowness.remove(0);
         }
-        let at = now;
-        self.slowness.push(Slowness { kind, ratio, at });
+        self.slowness.push(Slowness {
+            kind,
+            ratio,
+            at: now,
+            half_life: self.slow_tries.half_life(),
+        });
     }
 
     fn fail(&mut self, now: Duration, weight: u32) {
--- a/crates/sablehaven-gateway/src/servers/health/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/health/tests.rs
@@ -139,3 +139,74 @@
     assert!(health.slowness(ms(800), KIND) < 1.5);
     assert!(health.slowness(ms(800), other) > 5.0);
 }
+
+/// An answer that took longer than the other parts of its query.
+fn slow_answer(health: &mut ServerHealth, at: u64, taken: u64) {
+    let attempt = health.sent(ms(at), KIND, ms(20));
+    health.ended(ms(at + taken), attempt, Ending::Answered, &slow_took(taken));
+}
+
+fn slow_took(taken: u64) -> Taken {
+    Taken {
+        pace: Some(ms(20)),
+        ..took(taken)
+    }
+}
+
+#[test]
+fn a_server_that_is_slow_at_each_try_is_tried_less_and_less_often() {
+    let mut health = ServerHealth::default();
+    slow_answer(&mut health, 0, 160);
+    let once = health.slowness(ms(3_160), KIND);
+    slow_answer(&mut health, 3_160, 160);
+    slow_answer(&mut health, 6_320, 160);
+    let again = health.slowness(ms(6_480 + 3_000), KIND);
+    assert!(once < 2.0, "{once}");
+    assert!(again > 3.5, "{again}");
+}
+
+#[test]
+fn a_server_that_stood_still_for_a_moment_was_slow_once() {
+    let mut health = ServerHealth::default();
+    let attempts: Vec<u64> = (0..4)
+        .map(|step| health.sent(ms(step * 70), KIND, ms(20)))
+        .collect();
+    for (step, attempt) in attempts.into_iter().enumerate() {
+        let taken = 300 - 70 * step as u64;
+        health.ended(ms(300), attempt, Ending::Answered, &slow_took(taken));
+    }
+    let soon = health.slowness(ms(300), KIND);
+    let later = health.slowness(ms(1_800), KIND);
+    assert!(
+        (later - 1.0) < 0.51 * (soon - 1.0),
+        "{soon} then {later}: forgotten as fast as after one slow answer"
+    );
+}
+
+#[test]
+fn a_server_that_has_recovered_is_forgiven_at_once() {
+    let mut health = ServerHealth::default();
+    for step in 0..4 {
+        slow_answer(&mut health, step * 1_000, 160);
+    }
+    answer(&mut health, 5_000, 20);
+    let soon = health.slowness(ms(5_020), KIND);
+    let later = health.slowness(ms(6_520), KIND);
+    assert!((later - 1.0) < 0.51 * (soon - 1.0), "{soon} then {later}");
+}
+
+#[test]
+fn an_attempt_that_is_cancelled_late_shows_that_the_server_is_slow() {
+    let mut health = ServerHealth::default();
+    let attempt = health.sent(ms(0), KIND, ms(20));
+    health.ended(ms(200), attempt, Ending::Cancelled, &slow_took(200));
+    assert!(health.slowness(ms(200), KIND) > 4.0);
+}
+
+#[test]
+fn an_attempt_that_is_cancelled_early_shows_nothing() {
+    let mut health = ServerHealth::default();
+    let attempt = health.sent(ms(0), KIND, ms(20));
+    health.ended(ms(25), attempt, Ending::Cancelled, &slow_took(25));
+    assert!(health.slowness(ms(25), KIND) < 1.01);
+}
