--- a/crates/sablehaven-control/src/driver/mod.rs
+++ b/crates/sablehaven-control/src/driver/mod.rs
@@ -13,6 +13,7 @@
 mod snapshots;
 mod status;
 mod storage_thread;
+mod stored_addresses;
 mod writes;
 
 pub(crate) use input::{DriverHandle, Input, LeaderProof, LedgerReplies, channel};
@@ -20,3 +21,4 @@
 pub(crate) use machine::{SharedHandle, read};
 pub(crate) use run::{Driver, DriverParts};
 pub(crate) use status::{DriverStatus, GroupState, Published};
+pub(crate) use stored_addresses::StoredAddresses;
--- a/crates/sablehaven-control/src/driver/publish.rs
+++ b/crates/sablehaven-control/src/driver/publish.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use sablehaven_consensus::Role;
+use sablehaven_consensus::{ReplicaId, Role, Status};
 
 use super::{machine::read, run::Driver};
 
@@ -21,6 +21,10 @@
                 Some(since) if is_leader => Some(since),
                 _ => is_leader.then(Instant::now),
             };
+            let is_news = published.leader != before.leader || published.term != before.term;
+            if is_news {
+                log_leadership(&status);
+            }
             *published != before
         });
     }
@@ -39,3 +43,13 @@
         });
     }
 }
+
+fn log_leadership(status: &Status) {
+    log::info!(
+        event = "leadership", term = status.term,
+        leader = status.leader.as_ref().map(ReplicaId::to_string),
+        leads = status.role == Role::Leader, voters = status.membership.voters.len(),
+        last_index = status.last_index, commit = status.commit;
+        "leadership of group 0"
+    );
+}
--- a/crates/sablehaven-control/src/driver/run.rs
+++ b/crates/sablehaven-control/src/driver/run.rs
@@ -222,6 +222,7 @@
         for group in self.groups.iter_mut().filter(|group| group.is_leader) {
             group.open_ledger();
         }
+        self.directory.applied(self.groups[0].applied);
         self.lead_members(now);
         self.continue_hand_over(now);
         self.start_due_snapshots()
--- a/crates/sablehaven-control/src/peers/introduction.rs
+++ b/crates/sablehaven-control/src/peers/introduction.rs
@@ -17,7 +17,7 @@
 use crate::{
     Config,
     codec::{self, CodecError},
-    driver::{DriverHandle, SharedHandle, read},
+    driver::{DriverHandle, SharedHandle, StoredAddresses, read},
     replicas::ReplicaAddresses,
 };
 
@@ -99,6 +99,8 @@
 pub(crate) struct Directory {
     own: ReplicaId,
     known: Arc<Mutex<BTreeMap<ReplicaId, Heard>>>,
+    /// Until the shared state says as much.
+    stored: Arc<Mutex<StoredAddresses>>,
 }
 
 /// What a replica said, and when.
@@ -109,11 +111,16 @@
 }
 
 impl Directory {
-    /// A directory that holds this replica alone.
-    pub(crate) fn new(own: ReplicaId, addresses: ReplicaAddresses) -> Self {
+    /// A directory that holds this replica, and what its log says of the others.
+    pub(crate) fn new(
+        own: ReplicaId,
+        addresses: ReplicaAddresses,
+        stored: StoredAddresses,
+    ) -> Self {
         let directory = Self {
             own,
             known: Arc::default(),
+            stored: Arc::new(Mutex::new(stored)),
         };
         directory.record(own, addresses);
         directory
@@ -155,6 +162,19 @@
             .collect()
     }
 
+    /// What the log says of the others, as long as the shared state does not say it.
+    pub(crate) fn stored(&self) -> BTreeMap<ReplicaId, SocketAddr> {
+        lock(&self.stored).internal.clone()
+    }
+
+    /// The shared state stands at an entry now.
+    pub(crate) fn applied(&self, index: u64) {
+        let mut stored = lock(&self.stored);
+        if index >= stored.last_index {
+            stored.internal.clear();
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<ReplicaId, Heard>> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sablehaven-control/src/peers/links.rs
+++ b/crates/sablehaven-control/src/peers/links.rs
@@ -96,9 +96,9 @@
     }
 
     /// The addresses to dial: the configured ones, and for replicas that no configured address leads
-    /// to, those of the shared state and of replicas that dialled this one. The last are needed by a
-    /// new replica: it cannot answer a leader that its settings do not name, and learns the shared
-    /// state only by answering.
+    /// to, those of the shared state, of the log, and of replicas that dialled this one. The last are
+    /// needed by a new replica: it cannot answer a leader that its settings do not name, and learns
+    /// the shared state only by answering.
     fn wanted(&self, context: &PeerContext, state: &SharedHandle) -> BTreeSet<SocketAddr> {
         let mut wanted = context.addresses_to_dial();
         let mut reached = self.replicas_at(&wanted);
@@ -109,7 +109,9 @@
                 wanted.insert(addresses.internal);
             }
         }
-        for (replica, address) in context.directory.heard_within(HEARD_LIMIT) {
+        let stored = context.directory.stored();
+        let heard = context.directory.heard_within(HEARD_LIMIT);
+        for (replica, address) in stored.into_iter().chain(heard) {
             if reached.insert(replica) {
                 wanted.insert(address);
             }
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     Config, StartError,
-    driver::{self, Driver, DriverParts, Published, SharedHandle},
+    driver::{self, Driver, DriverParts, Published, SharedHandle, StoredAddresses},
     gateways::Gateways,
     leader::{self, ServerSource},
     membership::AgentObservation,
@@ -180,7 +180,11 @@
     let (driver_handle, inputs) = driver::channel();
     let (published, published_receiver) = watch::channel(Published::default());
     let links = Arc::new(Links::new(metrics.clone()));
-    let directory = Directory::new(replica, own);
+    let shared = opened.groups.get(&0);
+    let stored = shared.map_or_else(StoredAddresses::default, |group| {
+        StoredAddresses::read(&group.restored.entries)
+    });
+    let directory = Directory::new(replica, own, stored);
     let driver = Driver::new(DriverParts {
         config: Arc::clone(&config),
         opened,
--- a/crates/sablehaven-control/tests/replacement.rs
+++ b/crates/sablehaven-control/tests/replacement.rs
@@ -290,3 +290,19 @@
     let configuration = unconfirmed.expect("an answer").expect("a configuration");
     assert_eq!(configuration.version, 2);
 }
+
+/// After a loss of power no entry is known to be committed, and the settings may name nobody who is
+/// there any more: the replicas find each other by what their own logs say.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn replicas_whose_settings_name_nobody_find_each_other_by_their_logs() {
+    let mut cluster = Cluster::start(3).await;
+    apply_some(&cluster, 0, 2).await;
+    for machine in &mut cluster.machines {
+        machine.kill().await;
+        machine.config.peers = Vec::new();
+        machine.config.bootstrap = false;
+    }
+    cluster.start_all().await;
+    cluster.leader().await;
+    apply_some(&cluster, 2, 1).await;
+}
