--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -230,7 +230,7 @@
     let ending = match &result {
         Ok(_) => Ending::Answered,
         Err(AttemptFailure::NotExecuted { .. }) => Ending::TurnedAway,
-        Err(AttemptFailure::Answered(_)) => Ending::Answered,
+        Err(AttemptFailure::Answered(_)) => Ending::ServerFailed,
         Err(AttemptFailure::NotSent { .. } | AttemptFailure::Unknown { .. }) => Ending::Failed,
     };
     noted.end(ending);
--- a/crates/sablehaven-gateway/src/servers/choice.rs
+++ b/crates/sablehaven-gateway/src/servers/choice.rs
@@ -21,6 +21,8 @@
 const STILL_PENALTY: Duration = Duration::from_millis(250);
 /// What a resting server costs: it is only taken when there is no other.
 const REST_PENALTY: Duration = Duration::from_secs(3_600);
+/// What a failure costs: a second attempt elsewhere, which the budget must bear.
+const FAILURE_PENALTY: Duration = Duration::from_millis(250);
 /// Slowness of a server that has just started.
 const COLD_RATIO: f64 = 1.6;
 
@@ -32,6 +34,8 @@
     pub(crate) round_trip: Duration,
     /// What answers take, relative to the usual.
     pub(crate) slowness: f64,
+    /// How likely it is to fail the request, 0 to 1.
+    pub(crate) failure_rate: f64,
     /// This gateway's attempts under way there.
     pub(crate) outstanding: usize,
     /// Requests of this gateway that can be under way there: its slots, or fewer connections.
@@ -52,7 +56,8 @@
         Distance::SameRegion => ZONE_RELUCTANCE,
         Distance::OtherRegion => REGION_RELUCTANCE,
     };
-    let mut cost = candidate.round_trip + work + reluctance;
+    let failing = FAILURE_PENALTY.mul_f64(candidate.failure_rate);
+    let mut cost = candidate.round_trip + work + reluctance + failing;
     if candidate.stands_still {
         cost += STILL_PENALTY;
     }
--- a/crates/sablehaven-gateway/src/servers/choice/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/choice/tests.rs
@@ -11,6 +11,7 @@
         distance: Distance::SameZone,
         round_trip: Duration::from_micros(200),
         slowness: 1.0,
+        failure_rate: 0.0,
         outstanding: 0,
         lanes: 5,
         stands_still: false,
@@ -98,3 +99,13 @@
     assert_eq!(drawn(0.0), Some(1));
     assert_eq!(drawn(0.99), Some(2));
 }
+
+#[test]
+fn a_near_server_that_fails_often_is_left() {
+    let failing = |failure_rate: f64| Candidate {
+        failure_rate,
+        ..near()
+    };
+    assert!(is_near_chosen(failing(0.05), far()));
+    assert!(!is_near_chosen(failing(0.4), far()));
+}
--- a/crates/sablehaven-gateway/src/servers/connection_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/connection_pool.rs
@@ -11,11 +11,18 @@
 use sablehaven_http::{ConnectError, WholeBody, open};
 use tokio::{sync::Notify, task::spawn_local};
 
+use super::connection_share::ConnectionShare;
+
 /// Rest after which a connection is not used again when the server does not say how long it keeps
 /// one.
 const DEFAULT_REST: Duration = Duration::from_secs(8);
 /// Part of the server's own time for which a connection is used: it may close a little early.
 const REST_SHARE: f64 = 0.8;
+/// What a pool may have before the gateways were counted.
+const FIRST_SHARE: ConnectionShare = ConnectionShare {
+    limit: 1,
+    kept: 1.0,
+};
 /// Time that sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -29,7 +36,7 @@
     resting: RefCell<Vec<Resting>>,
     /// Connections that are open or being opened.
     open: Cell<usize>,
-    limit: Cell<usize>,
+    share: Cell<ConnectionShare>,
     freed: Notify,
     is_closed: Cell<bool>,
 }
@@ -67,7 +74,7 @@
         let inner = Inner {
             resting: RefCell::default(),
             open: Cell::new(0),
-            limit: Cell::new(1),
+            share: Cell::new(FIRST_SHARE),
             freed: Notify::new(),
             is_closed: Cell::new(false),
         };
@@ -77,17 +84,17 @@
         }
     }
 
-    /// Changes how many connections there may be.
-    pub(crate) fn set_limit(&self, limit: usize) {
-        let former = self.inner.limit.replace(limit.max(1));
-        if limit > former {
+    /// Changes how many connections there may be, and how long they are kept.
+    pub(super) fn set_share(&self, share: ConnectionShare) {
+        let former = self.inner.share.replace(share);
+        if share.limit > former.limit {
             self.inner.freed.notify_waiters();
         }
     }
 
     /// How many connections there may be.
     pub(crate) fn limit(&self) -> u32 {
-        u32::try_from(self.inner.limit.get()).unwrap_or(u32::MAX)
+        u32::try_from(self.inner.share.get().limit).unwrap_or(u32::MAX)
     }
 
     /// A connection that rests, or a new one, or the next that becomes free.
@@ -103,7 +110,7 @@
             if let Some(resting) = self.take_resting().await {
                 return Ok(resting);
             }
-            if self.inner.open.get() < self.inner.limit.get() {
+            if self.inner.open.get() < self.inner.share.get().limit {
                 return self.open_new(source, connect_limit).await;
             }
             self.inner.freed.notified().await;
@@ -173,6 +180,7 @@
             return;
         }
         let rest = keep_alive(answer).map_or(DEFAULT_REST, |time| time.mul_f64(REST_SHARE));
+        let rest = rest.mul_f64(inner.share.get().kept);
         // The place stays taken while the connection rests.
         inner.resting.borrow_mut().push(Resting {
             sender: self.sender,
--- /dev/null
+++ b/crates/sablehaven-gateway/src/servers/failure_rate.rs
@@ -0,0 +1,34 @@
+//! How likely a server is to fail a request, from how its latest ones ended.
+
+use std::time::Duration;
+
+/// Weight of one new ending in the running rate.
+const ENDING_WEIGHT: f64 = 0.2;
+/// Time after which half of the rate is forgotten when nothing is heard of the server.
+const FORGETTING_HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// The running share of failures. A server whose health check is good may fail part of its requests,
+/// and fails them quickly: by its times alone it would look like the best one.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FailureRate {
+    rate: f64,
+    at: Duration,
+}
+
+impl FailureRate {
+    /// Takes in how far a request failed: 0 not at all, 1 wholly.
+    pub(super) fn record(&mut self, now: Duration, failed: f64) {
+        let known = self.now(now);
+        self.rate = known + ENDING_WEIGHT * (failed - known);
+        self.at = now;
+    }
+
+    /// The rate, 0 to 1; what is long ago is half forgotten.
+    pub(super) fn now(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.rate * 0.5_f64.powf(age / FORGETTING_HALF_LIFE.as_secs_f64())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sablehaven-gateway/src/servers/health.rs
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -3,6 +3,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use super::failure_rate::FailureRate;
+
 /// Weight of one new answer in the running slowness.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// The same of one that took much longer than the other parts of its query, whose work is the same.
@@ -32,11 +34,16 @@
 /// A server stands still only after a silence of this at least.
 const LEAST_STILL: Duration = Duration::from_millis(12);
 
+/// A request that was turned away costs less than one that failed: the server did no work on it.
+const TURNED_AWAY_FAILED: f64 = 0.5;
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Ending {
     /// The server answered the request.
     Answered,
+    /// The server answered that it failed.
+    ServerFailed,
     /// The server is full: it turned the request away.
     TurnedAway,
     /// The connection failed, or what came was no answer.
@@ -52,12 +59,23 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Answered => "answered",
+            Self::ServerFailed => "server_failed",
             Self::TurnedAway => "turned_away",
             Self::Failed => "failed",
             Self::Silent => "silent",
             Self::Cancelled => "cancelled",
         }
     }
+
+    /// How far the server failed the request, 0 to 1; `None` when nothing was learned of that.
+    fn failed(self) -> Option<f64> {
+        match self {
+            Self::Answered => Some(0.0),
+            Self::ServerFailed | Self::Failed | Self::Silent => Some(1.0),
+            Self::TurnedAway => Some(TURNED_AWAY_FAILED),
+            Self::Cancelled => None,
+        }
+    }
 }
 
 /// An attempt under way.
@@ -129,6 +147,7 @@
     /// Whether an attempt takes longer than it should; until the next answer.
     is_suspected: bool,
     slow_tries: SlowTries,
+    failure_rate: FailureRate,
 }
 
 /// Tries in a row that found the server much slower than the others.
@@ -175,6 +194,9 @@
     pub(crate) fn ended(&mut self, now: Duration, attempt: u64, ending: Ending, taken: &Taken) {
         let ended = self.outstanding.remove(&attempt);
         let sent_at = ended.map_or(now, |ended| ended.sent_at);
+        if let Some(failed) = ending.failed() {
+            self.failure_rate.record(now, failed);
+        }
         match ending {
             Ending::Answered => {
                 self.last_answer = now;
@@ -183,6 +205,10 @@
                 self.rests_until = Duration::ZERO;
                 self.learn_answer(now, sent_at, taken);
             }
+            Ending::ServerFailed => {
+                self.last_answer = now;
+                self.is_suspected = false;
+            }
             Ending::TurnedAway => {
                 self.last_answer = now;
                 self.is_suspected = false;
@@ -253,6 +279,11 @@
         nearest.map_or(1.0, |known| known.now(now))
     }
 
+    /// How likely the server is to fail a request, 0 to 1.
+    pub(crate) fn failure_rate(&self, now: Duration) -> f64 {
+        self.failure_rate.now(now)
+    }
+
     /// Whether the server is left alone after failures.
     pub(crate) fn is_resting(&self, now: Duration) -> bool {
         now < self.rests_until
--- a/crates/sablehaven-gateway/src/servers/mod.rs
+++ b/crates/sablehaven-gateway/src/servers/mod.rs
@@ -4,7 +4,9 @@
 pub(crate) mod budget;
 pub(crate) mod choice;
 mod connection_pool;
-pub(crate) mod health;
+mod connection_share;
+pub(crate) mod failure_rate;
+mod health;
 mod registry;
 mod server;
 
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
@@ -16,11 +16,10 @@
     Server,
     budget::RetryBudget,
     choice::{Distance, choose},
+    connection_share::{SharerCount, connection_share},
 };
 use crate::{Config, route_table::RouteProfile};
 
-/// Part of a server's connections that the gateways of its own zone share; the others share the rest.
-const NEAR_SHARE: f64 = 0.6;
 /// Gateways that may join each zone beside those that are connected.
 const ROOM_FOR_GATEWAYS: u32 = 1;
 /// Gateways that each zone is taken to have until the control replicas have said.
@@ -135,36 +134,41 @@
         }
     }
 
-    /// Shares each server's connections among the gateways: those of its own zone send it most.
+    /// Shares each server's connections among the gateways: those of its own region send it most.
     fn limit_connections(&self) {
-        let (near, far) = self.sharers();
+        let sharers = self.sharers();
         for service in self.services.borrow().values() {
-            let whole = f64::from(service.max_connections.get());
+            let whole = service.max_connections.get();
             for server in service.servers.borrow().iter() {
-                let (share, sharers) = match server.distance {
-                    Distance::SameZone => (NEAR_SHARE, near),
-                    _ => (1.0 - NEAR_SHARE, far),
-                };
-                let limit = (whole * share / f64::from(sharers.max(1))).floor() as usize;
-                server.pool.set_limit(limit.max(2));
+                let is_near = server.distance != Distance::OtherRegion;
+                server
+                    .pool
+                    .set_share(connection_share(whole, sharers, is_near));
             }
         }
     }
 
-    /// The gateways that may share a server's connections: those of its own zone, and all others.
-    fn sharers(&self) -> (u32, u32) {
+    /// The gateways that may share the connections of a server of this region: those of the region, and
+    /// all others. Regions are taken to be alike, so the same holds for servers of other regions.
+    fn sharers(&self) -> SharerCount {
         let gateways = self.gateways.borrow();
-        let zones = self.regions.len().max(gateways.len()).max(1) as u32;
-        if gateways.is_empty() {
-            return (ASSUMED_GATEWAYS, ASSUMED_GATEWAYS * (zones - 1));
+        let zones: BTreeSet<&ZoneName> = self.regions.keys().chain(gateways.keys()).collect();
+        let connected = |zone: &ZoneName| match gateways.get(zone) {
+            Some(count) => *count,
+            None if gateways.is_empty() => ASSUMED_GATEWAYS - ROOM_FOR_GATEWAYS,
+            None => 0,
+        };
+        let (near, far): (Vec<&ZoneName>, Vec<&ZoneName>) = zones
+            .into_iter()
+            .partition(|zone| self.distance(zone) != Distance::OtherRegion);
+        let count = |zones: &[&ZoneName]| -> u32 {
+            let each = zones.iter().map(|zone| connected(zone) + ROOM_FOR_GATEWAYS);
+            each.sum()
+        };
+        SharerCount {
+            near: count(&near),
+            far: count(&far),
         }
-        let own_zone = gateways.get(&self.zone).copied().unwrap_or(1);
-        let all: u32 = gateways.values().sum();
-        let others = all.saturating_sub(own_zone);
-        (
-            own_zone + ROOM_FOR_GATEWAYS,
-            others + ROOM_FOR_GATEWAYS * (zones - 1),
-        )
     }
 
     fn distance(&self, zone: &ZoneName) -> Distance {
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -78,6 +78,7 @@
             distance: self.distance,
             round_trip: self.round_trip(),
             slowness: health.slowness(now, kind),
+            failure_rate: health.failure_rate(now),
             outstanding: health.outstanding(),
             lanes: self.slots.get().min(self.pool.limit()),
             stands_still: health.stands_still(now),
--- a/crates/sablehaven-gateway/tests/gateway/servers.rs
+++ b/crates/sablehaven-gateway/tests/gateway/servers.rs
@@ -104,3 +104,20 @@
         assert!(bed.server("search", 0).connections() <= 2);
     });
 }
+
+#[test]
+fn a_near_server_that_fails_quickly_is_not_the_favourite() {
+    run(async {
+        let mut bed = Bed::new().await;
+        bed.serve("search", &[Behaviour::Fail, Behaviour::answer("ok")])
+            .await;
+        bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        for number in 0..30 {
+            let answer = bed.get(&format!("{number}"), "/q/x").await;
+            assert_eq!(&answer.body[..], b"ok");
+        }
+        let failed = bed.server("search", 0).seen().len();
+        assert!(failed < 10, "{failed} of 30 went there");
+    });
+}
