--- a/crates/sablehaven-gateway/src/servers/connection_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/connection_pool.rs
@@ -62,6 +62,13 @@
     inner: Rc<Inner>,
 }
 
+impl Inner {
+    /// Whether there are more connections than the share allows: it shrinks as more gateways come.
+    fn is_over_limit(&self) -> bool {
+        self.open.get() > self.share.get().limit
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.inner.open.set(self.inner.open.get() - 1);
@@ -90,6 +97,13 @@
         if share.limit > former.limit {
             self.inner.freed.notify_waiters();
         }
+        // Those in use are closed when they are given back.
+        while self.inner.is_over_limit() {
+            let resting = self.inner.resting.borrow_mut().pop();
+            if resting.is_none() {
+                return;
+            }
+        }
     }
 
     /// How many connections there may be.
@@ -176,7 +190,7 @@
     /// Gives the connection back after an answer that ended as it must.
     pub(crate) fn give_back(self, answer: &HeaderMap) {
         let inner = Rc::clone(&self.place.inner);
-        if inner.is_closed.get() || self.sender.is_closed() {
+        if inner.is_closed.get() || inner.is_over_limit() || self.sender.is_closed() {
             return;
         }
         let rest = keep_alive(answer).map_or(DEFAULT_REST, |time| time.mul_f64(REST_SHARE));
--- a/crates/sablehaven-gateway/tests/gateway/servers.rs
+++ b/crates/sablehaven-gateway/tests/gateway/servers.rs
@@ -121,3 +121,33 @@
         assert!(failed < 10, "{failed} of 30 went there");
     });
 }
+
+#[test]
+fn connections_that_are_too_many_once_more_gateways_have_come_are_closed() {
+    run(async {
+        let mut bed = Bed::new().await;
+        let slow = Behaviour::after(Duration::from_millis(100), "ok");
+        bed.serve("search", &[slow]).await;
+        bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        let bed = &bed;
+        let ask_six = |round: usize| async move {
+            let names: Vec<String> = (0..6).map(|number| format!("{round}-{number}")).collect();
+            let asking = names.iter().map(|id| bed.get(id, "/q/x"));
+            futures::future::join_all(asking).await
+        };
+        let server = bed.server("search", 0);
+        ask_six(0).await;
+        assert!(server.open_connections() > 2);
+        // 64 connections among 41 gateways are one for each.
+        bed.say_gateways(40);
+        for round in 1..20 {
+            let answers = ask_six(round).await;
+            assert!(answers.iter().all(|answer| &answer.body[..] == b"ok"));
+            if server.open_connections() <= 1 {
+                return;
+            }
+        }
+        panic!("{} connections are still open", server.open_connections());
+    });
+}
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -54,6 +54,8 @@
 /// What the stand-in control replica says.
 #[derive(Clone, Default)]
 struct Said {
+    /// Gateways of zone `a`; one where it is not said.
+    gateways: Option<u32>,
     routes: Option<Arc<RouteDocument>>,
     listing: Option<Arc<ServerListing>>,
 }
@@ -213,6 +215,11 @@
             .send_modify(|said| said.routes = Some(Arc::new(document)));
     }
 
+    /// Says how many gateways there are.
+    pub fn say_gateways(&self, gateways: u32) {
+        self.said.send_modify(|said| said.gateways = Some(gateways));
+    }
+
     /// Waits until the gateway has a version and the latest list.
     pub async fn settle(&mut self, version: u64) {
         let reading = self.reading;
@@ -344,16 +351,18 @@
         saying.mark_changed();
         let hearing = hearing.clone();
         tokio::task::spawn_local(async move {
-            let members = DeploymentMembers {
-                gateways: BTreeMap::from([("a".into(), 1)]),
-                ..DeploymentMembers::default()
+            let members = |said: &Said| {
+                ControlToGateway::Members(DeploymentMembers {
+                    gateways: BTreeMap::from([("a".into(), said.gateways.unwrap_or(1))]),
+                    ..DeploymentMembers::default()
+                })
             };
-            let members = ControlToGateway::Members(members);
-            connection.writer.send(&members).await.expect("send");
             loop {
                 tokio::select! {
                     Ok(()) = saying.changed() => {
                         let said = saying.borrow_and_update().clone();
+                        let message = members(&said);
+                        connection.writer.send(&message).await.expect("send");
                         if let Some(listing) = said.listing {
                             let message = ControlToGateway::Listing(listing);
                             connection.writer.send(&message).await.expect("send");
--- a/testing/sablehaven-standins/src/routed/server.rs
+++ b/testing/sablehaven-standins/src/routed/server.rs
@@ -55,6 +55,7 @@
     /// Connections that the other side closed while a request was being worked on.
     abandoned: AtomicU64,
     connections: AtomicU64,
+    open_connections: AtomicU64,
     stamps: AtomicU64,
 }
 
@@ -77,6 +78,7 @@
             seen: Mutex::default(),
             abandoned: AtomicU64::new(0),
             connections: AtomicU64::new(0),
+            open_connections: AtomicU64::new(0),
             stamps: AtomicU64::new(0),
         });
         let accepting = tokio::spawn(accept(listener, Arc::clone(&shared)));
@@ -107,6 +109,11 @@
     pub fn connections(&self) -> u64 {
         self.shared.connections.load(Ordering::SeqCst)
     }
+
+    /// Connections that are open now.
+    pub fn open_connections(&self) -> u64 {
+        self.shared.open_connections.load(Ordering::SeqCst)
+    }
 }
 
 impl Drop for RoutedServer {
@@ -118,7 +125,12 @@
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((stream, _)) = listener.accept().await {
         let number = shared.connections.fetch_add(1, Ordering::SeqCst) + 1;
-        tokio::spawn(serve(stream, number, Arc::clone(&shared)));
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            shared.open_connections.fetch_add(1, Ordering::SeqCst);
+            serve(stream, number, Arc::clone(&shared)).await;
+            shared.open_connections.fetch_sub(1, Ordering::SeqCst);
+        });
     }
 }
 
