--- a/crates/sablehaven-gateway/src/admission.rs
+++ b/crates/sablehaven-gateway/src/admission.rs
@@ -27,6 +27,8 @@
     NoRoom,
     /// requests of this kind are late
     Overdue,
+    /// most requests of this kind come to nothing
+    Throttled,
 }
 
 /// The room for requests; cheap to clone.
--- a/crates/sablehaven-gateway/src/config.rs
+++ b/crates/sablehaven-gateway/src/config.rs
@@ -41,6 +41,9 @@
     pub stop_limit_ms: u64,
     /// Requests that are answered at the same time; more are refused, the least urgent first.
     pub max_requests: usize,
+    /// The largest share of a kind of request that is refused while most of its answers are late or none,
+    /// 0 to 0.9; 0 refuses none for that.
+    pub max_throttled: f64,
 }
 
 /// Bounds of extra attempts, for all gateways together: in any window, attempts beyond the first of
@@ -85,6 +88,7 @@
             stop_linger_ms: 3_300,
             stop_limit_ms: 5_500,
             max_requests: 512,
+            max_throttled: 0.7,
         }
     }
 }
@@ -106,6 +110,9 @@
         let holds = limit >= self.stop_linger_ms;
         checks.require("stop_limit_ms", holds, limit, "at least stop_linger_ms");
         checks.at_least("max_requests", self.max_requests as u64, 1);
+        let share = self.max_throttled;
+        let holds = (0.0..=0.9).contains(&share);
+        checks.require("max_throttled", holds, share, "0 to 0.9");
         checks.into_errors()
     }
 
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     Config, admission::Admission, metrics::Metrics, names::HeaderNames, route_table::RouteTable,
-    servers::Registry,
+    servers::Registry, throttle::RequestThrottle,
 };
 
 /// Steady time since the start.
@@ -43,6 +43,7 @@
     pub(crate) clock: Clock,
     pub(crate) registry: Registry,
     pub(crate) admission: Admission,
+    pub(crate) throttle: RefCell<RequestThrottle>,
     pub(crate) signals: ServerSignals,
     pub(crate) metrics: Metrics,
     routes: RefCell<Option<Rc<RouteTable>>>,
@@ -67,6 +68,7 @@
         Self {
             registry: Registry::new(&config),
             admission: Admission::new(config.max_requests),
+            throttle: RefCell::new(RequestThrottle::new(config.max_throttled)),
             config,
             names,
             clock: Clock::new(),
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod role;
 mod route_table;
 mod servers;
+mod throttle;
 
 pub use config::{Config, RetryBounds};
 pub use role::{Figures, Handle, StartError, start};
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -18,15 +18,17 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts};
 use sablehaven_http::WholeBody;
-use sablehaven_types::{RouteTarget, ServiceName, WeightedService};
+use sablehaven_types::{Route, RouteTarget, ServiceName, WeightedService};
 
 use self::refusal::Refusal;
 use crate::{
+    admission::{Admitted, NotAdmitted},
     gateway::Gateway,
     metrics::Outcome,
     pace::Pace,
     route_table::PlannedRoute,
-    servers::{Answered, OutgoingRequest},
+    servers::{Answered, KindOfRequest, OutgoingRequest},
+    throttle::ThrottleClass,
 };
 
 /// Time before the caller's own deadline at which it is told that there is no answer.
@@ -64,9 +66,8 @@
     let body = read_body(body, gateway.limits().max_body_bytes).await?;
     let route = planned.route();
     let now = gateway.clock.now();
-    let due = now + Duration::from_millis(route.aim_ms);
     let kind = planned.profile.kind();
-    let admitted = gateway.admission.admit(now, route.priority, kind, due);
+    let admitted = admit(gateway, route, kind, now);
     if let Err(reason) = &admitted {
         log::warn!(
             event = "refused", request:% = id_text(&request_id), reason:% = reason,
@@ -102,10 +103,47 @@
     let outcome = answer
         .as_ref()
         .map_or(Outcome::Failed, |(_, outcome)| *outcome);
+    note_answer(gateway, &planned, outcome, arrived);
     accepted_metrics(gateway, &planned, outcome, arrived);
     answer.map(|(response, _)| response)
 }
 
+/// A place for a request, unless there are too many or most of its kind come to nothing.
+fn admit(
+    gateway: &Gateway,
+    route: &Route,
+    kind: KindOfRequest,
+    now: Duration,
+) -> Result<Admitted, NotAdmitted> {
+    let class = throttle_class(route, kind);
+    let throttle = gateway.throttle.borrow();
+    if !throttle.may_pass(now, class, rand::random()) {
+        return Err(NotAdmitted::Throttled);
+    }
+    let due = now + Duration::from_millis(route.aim_ms);
+    gateway.admission.admit(now, route.priority, kind, due)
+}
+
+fn throttle_class(route: &Route, kind: KindOfRequest) -> ThrottleClass<'_> {
+    ThrottleClass {
+        kind,
+        priority: route.priority,
+        service: route.first_service(),
+    }
+}
+
+/// Tells the throttle of an answer, and whether it came in time.
+fn note_answer(gateway: &Gateway, planned: &PlannedRoute, outcome: Outcome, arrived: Instant) {
+    let route = planned.route();
+    let aim = Duration::from_millis(route.aim_ms);
+    let is_served = matches!(outcome, Outcome::Whole | Outcome::Partial);
+    let is_useful = is_served && arrived.elapsed() <= aim;
+    let class = throttle_class(route, planned.profile.kind());
+    let now = gateway.clock.now();
+    let mut throttle = gateway.throttle.borrow_mut();
+    throttle.answered(now, class, is_useful);
+}
+
 fn accepted_metrics(gateway: &Gateway, planned: &PlannedRoute, outcome: Outcome, arrived: Instant) {
     let is_gather = matches!(planned.route().target, RouteTarget::Gather(_));
     let seconds = arrived.elapsed().as_secs_f64();
--- /dev/null
+++ b/crates/sablehaven-gateway/src/throttle.rs
@@ -0,0 +1,123 @@
+//! Refuses part of the requests while most of their kind come to nothing, as a pure decision.
+//!
+//! Servers that are asked for more than they can do are late with everything. A gateway sees only its own
+//! requests: the further the useful ones lately were below half of those that passed, the more it refuses
+//! at once (after the adaptive throttling of Site Reliability Engineering, 2016, chapter 21, which also
+//! counts what it refused). The caller may come back when there is room. A kind is refused at least as often as any more
+//! urgent kind that needs the same servers.
+
+use std::{collections::HashMap, time::Duration};
+
+use sablehaven_types::ServiceName;
+
+use crate::servers::KindOfRequest;
+
+/// Answers that are taken as right for each useful one.
+const PASSED_PER_USEFUL: f64 = 2.0;
+/// Requests that may come to nothing before any is refused: few say little.
+const ALLOWANCE: f64 = 3.0;
+/// Time after which a request counts half.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// What the throttle needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ThrottleClass<'a> {
+    pub(crate) kind: KindOfRequest,
+    /// 0 is the most urgent.
+    pub(crate) priority: u32,
+    /// A service that it needs; kinds with the same one need the same servers.
+    pub(crate) service: &'a ServiceName,
+}
+
+/// The throttle of one gateway.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestThrottle {
+    /// The largest share that is refused: what passes shows when the servers are well again.
+    max_share: f64,
+    counts: HashMap<usize, KindCount>,
+}
+
+#[derive(Clone, Debug)]
+struct KindCount {
+    priority: u32,
+    service: ServiceName,
+    answered: DecayingCount,
+    useful: DecayingCount,
+}
+
+impl RequestThrottle {
+    pub(crate) fn new(max_share: f64) -> Self {
+        Self {
+            max_share,
+            counts: HashMap::new(),
+        }
+    }
+
+    /// Whether a request may pass. `draw` is uniform, 0 to 1.
+    pub(crate) fn may_pass(&self, now: Duration, class: ThrottleClass<'_>, draw: f64) -> bool {
+        draw >= self.share(now, class)
+    }
+
+    /// A request that passed has its answer, in time or not. One whose caller left says nothing.
+    pub(crate) fn answered(&mut self, now: Duration, class: ThrottleClass<'_>, is_useful: bool) {
+        let count = self.counts.entry(class.kind.0);
+        let count = count.or_insert_with(|| KindCount {
+            priority: class.priority,
+            service: class.service.clone(),
+            answered: DecayingCount::default(),
+            useful: DecayingCount::default(),
+        });
+        // Both may change with the configuration.
+        count.priority = class.priority;
+        if count.service != *class.service {
+            count.service = class.service.clone();
+        }
+        count.answered.add(now);
+        if is_useful {
+            count.useful.add(now);
+        }
+    }
+
+    /// The share of requests to refuse.
+    fn share(&self, now: Duration, class: ThrottleClass<'_>) -> f64 {
+        let counts = self.counts.iter();
+        let as_urgent = counts.filter(|(kind, count)| {
+            let is_own = **kind == class.kind.0;
+            is_own || (count.priority < class.priority && count.service == *class.service)
+        });
+        as_urgent
+            .map(|(_, count)| count.share(now))
+            .fold(0.0, f64::max)
+            .min(self.max_share)
+    }
+}
+
+impl KindCount {
+    fn share(&self, now: Duration) -> f64 {
+        let answered = self.answered.now(now);
+        let passed = PASSED_PER_USEFUL * self.useful.now(now) + ALLOWANCE;
+        ((answered - passed) / (answered + 1.0)).max(0.0)
+    }
+}
+
+/// A count of which half is forgotten in each half-life.
+#[derive(Clone, Copy, Debug, Default)]
+struct DecayingCount {
+    count: f64,
+    at: Duration,
+}
+
+impl DecayingCount {
+    fn add(&mut self, now: Duration) {
+        self.count = self.now(now) + 1.0;
+        self.at = now;
+    }
+
+    fn now(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.count * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sablehaven-gateway/tests/gateway/refusals.rs
+++ b/crates/sablehaven-gateway/tests/gateway/refusals.rs
@@ -4,7 +4,7 @@
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::RequestKind;
 
-use crate::support::{Bed, call, run, single};
+use crate::support::{Bed, NAMES, call, run, single};
 
 #[test]
 fn without_routes_the_answer_is_503_with_when_to_come_back_and_never_404() {
@@ -90,3 +90,30 @@
         assert_eq!(bed.status().map(|status| status.routes_version), Some(5));
     });
 }
+
+#[test]
+fn while_nearly_all_requests_fail_some_are_refused_at_once_and_reach_no_server() {
+    run(async {
+        let mut bed = Bed::new().await;
+        bed.serve("search", &[Behaviour::Reset]).await;
+        bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        let mut refused = Vec::new();
+        for number in 0..100 {
+            let id = number.to_string();
+            let answer = bed.get(&id, "/q/x").await;
+            if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+                assert!(answer.header("retry-after").is_some());
+                refused.push(id);
+            }
+        }
+        assert!(refused.len() > 20, "{} of 100 were refused", refused.len());
+        assert!(refused.len() < 95, "{} of 100 were refused", refused.len());
+        let seen = bed.server("search", 0).seen();
+        let has_reached = |id: &&String| {
+            let ids = seen.iter().filter_map(|seen| seen.header(NAMES.request_id));
+            ids.into_iter().any(|known| known == id.as_str())
+        };
+        assert_eq!(refused.iter().find(has_reached), None);
+    });
+}
--- a/crates/sablehaven-types/src/routes.rs
+++ b/crates/sablehaven-types/src/routes.rs
@@ -201,6 +201,18 @@
         }
     }
 
+    /// The first of the services that it may need; routes with the same one need the same servers.
+    ///
+    /// # Panics
+    /// On a split or gather without any, which [`RouteDocument::validate`] refuses.
+    pub fn first_service(&self) -> &ServiceName {
+        match &self.target {
+            RouteTarget::Service(service) => service,
+            RouteTarget::Split(parts) => &parts[0].service,
+            RouteTarget::Gather(gather) => &gather.shards[0],
+        }
+    }
+
     fn validate(&self, known: &BTreeMap<ServiceName, RoutedService>) -> Result<(), RouteError> {
         let route = || self.name.clone();
         let unknown = self
