--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -21,7 +21,7 @@
 };
 
 /// Time between two looks for connections that have rested too long.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two looks whether all requests of a stopping gateway are answered.
 const STOP_LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/sablehaven-gateway/src/servers/connection_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/connection_pool.rs
@@ -193,8 +193,9 @@
         if inner.is_closed.get() || inner.is_over_limit() || self.sender.is_closed() {
             return;
         }
-        let rest = keep_alive(answer).map_or(DEFAULT_REST, |time| time.mul_f64(REST_SHARE));
-        let rest = rest.mul_f64(inner.share.get().kept);
+        let usual = keep_alive(answer).map_or(DEFAULT_REST, |time| time.mul_f64(REST_SHARE));
+        let resting = inner.resting.borrow().len();
+        let rest = inner.share.get().rest(usual, resting);
         // The place stays taken while the connection rests.
         inner.resting.borrow_mut().push(Resting {
             sender: self.sender,
--- a/crates/sablehaven-gateway/src/servers/connection_share.rs
+++ b/crates/sablehaven-gateway/src/servers/connection_share.rs
@@ -4,6 +4,8 @@
 //! have one, and keeps it only for part of the time: else all of them would hold one after a while, and
 //! the server resets what is beyond its limit.
 
+use std::time::Duration;
+
 /// Part of a server's connections that the gateways near it share; the others share the rest.
 const NEAR_SHARE: f64 = 0.6;
 /// The same where less would leave them a single connection each.
@@ -27,6 +29,17 @@
     pub(super) kept: f64,
 }
 
+impl ConnectionShare {
+    /// How long a connection is kept idle beside `resting` others that are.
+    ///
+    /// Those that only a rare overlap needs go soon: a gateway that loses its power leaves its connections
+    /// open at the servers, and where these are near their limit nobody finds room until they notice.
+    pub(super) fn rest(self, usual: Duration, resting: usize) -> Duration {
+        let others = 1.0 + resting as f64;
+        usual.mul_f64(self.kept / (others * others))
+    }
+}
+
 /// The part of one gateway, near the server or not, of `whole` connections.
 pub(super) fn connection_share(whole: u32, sharers: SharerCount, is_near: bool) -> ConnectionShare {
     let whole = f64::from(whole);
--- a/crates/sablehaven-gateway/src/servers/connection_share/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/connection_share/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of how a server's connections are shared.
 
-use super::{SharerCount, connection_share};
+use std::time::Duration;
+
+use super::{ConnectionShare, SharerCount, connection_share};
 
 #[test]
 fn many_connections_are_shared_by_nearness() {
@@ -41,3 +43,15 @@
         }
     }
 }
+
+#[test]
+fn connections_beyond_the_first_are_kept_for_less() {
+    let usual = Duration::from_secs(8);
+    let share = ConnectionShare {
+        limit: 4,
+        kept: 0.5,
+    };
+    assert_eq!(share.rest(usual, 0), Duration::from_secs(4));
+    assert_eq!(share.rest(usual, 1), Duration::from_secs(1));
+    assert!(share.rest(usual, 3) < Duration::from_millis(300));
+}
