--- a/crates/sablehaven-gateway/src/route_table.rs
+++ b/crates/sablehaven-gateway/src/route_table.rs
@@ -11,6 +11,8 @@
     document: Arc<RouteDocument>,
     /// Routes by host in lower case, the longest prefix first.
     by_host: HashMap<String, Vec<Rc<PlannedRoute>>>,
+    /// Kinds of request that were named so far, by this table and those before it.
+    kinds: usize,
 }
 
 /// A route with what has been learned of its requests.
@@ -23,6 +25,7 @@
 
 /// What has been learned of a route's requests; kept over versions.
 pub(crate) struct RouteProfile {
+    kind: KindOfRequest,
     /// What a server usually takes, without the way there, in milliseconds.
     typical_ms: Cell<f64>,
 }
@@ -37,16 +40,17 @@
 const LEAST_TYPICAL_MS: f64 = 0.5;
 
 impl RouteProfile {
-    fn new(route: &Route) -> Self {
+    fn new(route: &Route, kind: KindOfRequest) -> Self {
         let guess = route.aim_ms as f64 * FIRST_GUESS;
         Self {
+            kind,
             typical_ms: Cell::new(guess.max(LEAST_TYPICAL_MS)),
         }
     }
 
-    /// Names the kind of request by where this profile is: it stays there over versions.
+    /// The kind of request; the same over versions, and never that of another route.
     pub(crate) fn kind(&self) -> KindOfRequest {
-        KindOfRequest(std::ptr::from_ref(self) as usize)
+        self.kind
     }
 
     pub(crate) fn typical(&self) -> Duration {
@@ -72,9 +76,13 @@
     /// The table of a document; what `former` has learned of a route's place is kept.
     pub(crate) fn new(document: Arc<RouteDocument>, former: Option<&Self>) -> Self {
         let mut by_host: HashMap<String, Vec<Rc<PlannedRoute>>> = HashMap::new();
+        let mut kinds = former.map_or(0, |former| former.kinds);
         for (position, route) in document.routes.iter().enumerate() {
             let known = former.and_then(|former| former.profile_of(route));
-            let profile = known.unwrap_or_else(|| Rc::new(RouteProfile::new(route)));
+            let profile = known.unwrap_or_else(|| {
+                kinds += 1;
+                Rc::new(RouteProfile::new(route, KindOfRequest(kinds)))
+            });
             let planned = Rc::new(PlannedRoute {
                 document: Arc::clone(&document),
                 position,
@@ -87,7 +95,11 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|planned| std::cmp::Reverse(planned.route().path_prefix.len()));
         }
-        Self { document, by_host }
+        Self {
+            document,
+            by_host,
+            kinds,
+        }
     }
 
     pub(crate) fn document(&self) -> &Arc<RouteDocument> {
--- a/crates/sablehaven-gateway/src/route_table/tests.rs
+++ b/crates/sablehaven-gateway/src/route_table/tests.rs
@@ -23,13 +23,18 @@
 }
 
 fn table(version: u64, former: Option<&RouteTable>) -> RouteTable {
+    let routes = vec![
+        route("all", "stock.example", "/"),
+        route("short", "stock.example", "/a/"),
+        route("long", "Stock.example", "/a/b/"),
+    ];
+    table_of(version, routes, former)
+}
+
+fn table_of(version: u64, routes: Vec<Route>, former: Option<&RouteTable>) -> RouteTable {
     let document = RouteDocument {
         version,
-        routes: vec![
-            route("all", "stock.example", "/"),
-            route("short", "stock.example", "/a/"),
-            route("long", "Stock.example", "/a/b/"),
-        ],
+        routes,
         services: BTreeMap::from([("search".into(), RoutedService::default())]),
         limits: CallerLimits::default(),
     };
@@ -74,3 +79,21 @@
     profile.record(Duration::from_secs(10));
     assert!(profile.typical() < before.mul_f64(1.1));
 }
+
+#[test]
+fn a_route_that_comes_after_another_has_gone_is_another_kind_of_request() {
+    let kind = |table: &RouteTable, path: &str| {
+        let planned = table.find("stock.example", path).expect("a route");
+        planned.profile.kind()
+    };
+    let mut table = table_of(1, vec![route("r", "stock.example", "/0/")], None);
+    let mut seen = vec![kind(&table, "/0/")];
+    for version in 2..50 {
+        let path = format!("/{version}/");
+        let routes = vec![route("r", "stock.example", &path)];
+        table = table_of(version, routes, Some(&table));
+        let new = kind(&table, &path);
+        assert!(!seen.contains(&new), "version {version}");
+        seen.push(new);
+    }
+}
--- a/crates/sablehaven-gateway/src/throttle.rs
+++ b/crates/sablehaven-gateway/src/throttle.rs
@@ -16,6 +16,10 @@
 const PASSED_PER_USEFUL: f64 = 2.0;
 /// Requests that may come to nothing before any is refused: few say little.
 const ALLOWANCE: f64 = 3.0;
+/// Kinds beyond which those that were not asked for lately are forgotten.
+const KEPT_KINDS: usize = 64;
+/// A count below this is as good as none.
+const FORGOTTEN_COUNT: f64 = 0.01;
 /// Time after which a request counts half.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -60,6 +64,10 @@
 
     /// A request that passed has its answer, in time or not. One whose caller left says nothing.
     pub(crate) fn answered(&mut self, now: Duration, class: ThrottleClass<'_>, is_useful: bool) {
+        if self.counts.len() > KEPT_KINDS {
+            let is_kept = |count: &KindCount| count.answered.now(now) > FORGOTTEN_COUNT;
+            self.counts.retain(|_, count| is_kept(count));
+        }
         let count = self.counts.entry(class.kind.0);
         let count = count.or_insert_with(|| KindCount {
             priority: class.priority,
--- a/crates/sablehaven-gateway/src/throttle/tests.rs
+++ b/crates/sablehaven-gateway/src/throttle/tests.rs
@@ -88,3 +88,18 @@
     refused(&mut throttle, 10_000, URGENT, "s", 1);
     assert_eq!(refused(&mut throttle, 20_000, URGENT, "s", 1), 0.0);
 }
+
+#[test]
+fn kinds_of_former_routes_are_forgotten() {
+    let mut throttle = RequestThrottle::new(0.7);
+    let service = ServiceName::from("s");
+    for kind in 0..10_000 {
+        let class = ThrottleClass {
+            kind: KindOfRequest(kind),
+            priority: 1,
+            service: &service,
+        };
+        throttle.answered(ms(kind as u64 * 1_000), class, true);
+    }
+    assert!(throttle.counts.len() <= 66, "{}", throttle.counts.len());
+}
