--- a/crates/sablehaven-control/src/peers/link.rs
+++ b/crates/sablehaven-control/src/peers/link.rs
@@ -41,11 +41,9 @@
 ) {
     let mut patience = DialPatience::default();
     loop {
-        let Ok(dialled) = timeout(patience.limit(), dial(&context, address)).await else {
-            patience.timed_out();
+        let Some(dialled) = patience.attempt(dial(&context, address)).await else {
             continue;
         };
-        patience.answered();
         // Failures are routine here (the other side is down) and show in the status page.
         if let Ok((connection, theirs)) = dialled {
             // What waited for the last connection is stale; the replicas send it again.
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -59,11 +59,9 @@
     let mut was_connected = false;
     let mut patience = DialPatience::default();
     loop {
-        let Ok(dialled) = timeout(patience.limit(), dial(&gateway, address)).await else {
-            patience.timed_out();
+        let Some(dialled) = patience.attempt(dial(&gateway, address)).await else {
             continue;
         };
-        patience.answered();
         match dialled {
             Ok(connection) => {
                 log::info!(event = "control_connected", peer:% = address; "control");
--- a/crates/sablehaven-wire/src/patience.rs
+++ b/crates/sablehaven-wire/src/patience.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::timeout;
+
 /// The first patience: many round trips between regions, and far less than the second after which
 /// the system sends a lost first packet again. A machine that has just got its power back did not
 /// hear the first one.
@@ -30,13 +32,18 @@
         self.next
     }
 
-    /// The attempt had no answer in time.
-    pub fn timed_out(&mut self) {
-        self.next = (self.next * 2).min(LONGEST_PATIENCE);
-    }
-
-    /// The peer answered, if only by refusing.
-    pub fn answered(&mut self) {
-        *self = Self::default();
+    /// One attempt: what came of `dial`, or `None` when it had no answer in time. An answer that only
+    /// refuses is one too.
+    pub async fn attempt<Dial: Future>(&mut self, dial: Dial) -> Option<Dial::Output> {
+        match timeout(self.next, dial).await {
+            Ok(dialled) => {
+                *self = Self::default();
+                Some(dialled)
+            }
+            Err(_) => {
+                self.next = (self.next * 2).min(LONGEST_PATIENCE);
+                None
+            }
+        }
     }
 }
