--- a/crates/sablehaven-gateway/src/servers/connection_share.rs
+++ b/crates/sablehaven-gateway/src/servers/connection_share.rs
@@ -40,8 +40,14 @@
     }
 }
 
-/// The part of one gateway, near the server or not, of `whole` connections.
-pub(super) fn connection_share(whole: u32, sharers: SharerCount, is_near: bool) -> ConnectionShare {
+/// The part of one gateway, near the server or not, of `whole` connections. More than the requests that the
+/// server works on at once would only fill its queue, and each costs memory here.
+pub(super) fn connection_share(
+    whole: u32,
+    slots: u32,
+    sharers: SharerCount,
+    is_near: bool,
+) -> ConnectionShare {
     let whole = f64::from(whole);
     let near = f64::from(sharers.near.max(1));
     let far = f64::from(sharers.far.max(1));
@@ -53,7 +59,7 @@
     };
     // To the nearest: a single connection holds up requests that overlap. What that is too much is made
     // up for by the time for which idle ones are kept.
-    let limit = (fair.round() as usize).max(1);
+    let limit = (fair.round() as usize).min(slots as usize).max(1);
     ConnectionShare {
         limit,
         kept: (fair / limit as f64).min(1.0),
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -143,7 +143,7 @@
                 let is_near = server.distance != Distance::OtherRegion;
                 server
                     .pool
-                    .set_share(connection_share(whole, sharers, is_near));
+                    .set_share(connection_share(whole, server.slots(), sharers, is_near));
             }
         }
     }
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -62,6 +62,11 @@
         self.takes_work.get()
     }
 
+    /// Requests that it works on at once.
+    pub(crate) fn slots(&self) -> u32 {
+        self.slots.get()
+    }
+
     pub(crate) fn round_trip(&self) -> Duration {
         self.round_trip.get()
     }
