--- a/crates/sablehaven-consensus/src/election.rs
+++ b/crates/sablehaven-consensus/src/election.rs
@@ -7,7 +7,27 @@
     replica::RoleState,
 };
 
-/// The time since the leader was last heard, and the random time after which to stand.
+/// A replica's place among the voters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ElectionPlace {
+    /// 0 is the first; also of a replica that is no voter.
+    pub(crate) rank: u32,
+    pub(crate) voters: u32,
+}
+
+impl ElectionPlace {
+    /// The place of a replica among the members in force.
+    pub(crate) fn of(replica: ReplicaId, membership: &Membership) -> Self {
+        let voters = &membership.voters;
+        let rank = voters.iter().position(|voter| *voter == replica);
+        Self {
+            rank: u32::try_from(rank.unwrap_or(0)).unwrap_or(u32::MAX),
+            voters: u32::try_from(voters.len()).unwrap_or(u32::MAX).max(1),
+        }
+    }
+}
+
+/// The time since the leader was last heard, and the time after which to stand.
 #[derive(Clone, Debug)]
 pub(crate) struct ElectionClock {
     base_ticks: u32,
@@ -16,38 +36,48 @@
     first_ticks: Option<u32>,
     elapsed_ticks: u32,
     timeout_ticks: u32,
+    place: ElectionPlace,
     random_state: u64,
 }
 
 impl ElectionClock {
-    /// `rank` is this replica's place among the voters. The first time after a start is longer with
-    /// each rank, not random: replicas that start together would otherwise often stand together, and
-    /// none would win.
-    pub(crate) fn new(base_ticks: u32, first_ticks: u32, rank: u32, seed: u64) -> Self {
+    /// The first time after a start is longer with each rank, not random: replicas that start together
+    /// would otherwise often stand together, and none would win.
+    pub(crate) fn new(base_ticks: u32, first_ticks: u32, place: ElectionPlace, seed: u64) -> Self {
         let mut clock = Self {
             base_ticks,
             first_ticks: Some(first_ticks.min(base_ticks)),
             elapsed_ticks: 0,
             timeout_ticks: 0,
+            place,
             random_state: seed,
         };
         if first_ticks < base_ticks {
             clock.double_first();
             let step = first_ticks + first_ticks.div_ceil(2);
-            clock.timeout_ticks = first_ticks.saturating_add(rank.saturating_mul(step));
+            clock.timeout_ticks = first_ticks.saturating_add(place.rank.saturating_mul(step));
         } else {
             clock.restart();
         }
         clock
     }
 
-    /// Starts over with a new random time of one to two times the base.
+    /// The replica's place among the voters from the next restart on.
+    pub(crate) fn set_place(&mut self, place: ElectionPlace) {
+        self.place = place;
+    }
+
+    /// Starts over with a new time of one to two times the base. Each voter has a part of that to itself
+    /// and draws from its first half: voters that lose their leader together would otherwise sometimes
+    /// stand together, time after time, and none would win.
     pub(crate) fn restart(&mut self) {
         self.elapsed_ticks = 0;
         let base = self.first_ticks.unwrap_or(self.base_ticks);
         self.double_first();
-        let spread = u64::from(base.max(1));
-        self.timeout_ticks = base + (self.next_random() % spread) as u32;
+        let part = (base / self.place.voters).max(1);
+        let own_part = part.saturating_mul(self.place.rank);
+        let drawn = self.next_random() % u64::from(part.div_ceil(2));
+        self.timeout_ticks = base.saturating_add(own_part) + drawn as u32;
     }
 
     fn double_first(&mut self) {
@@ -141,8 +171,15 @@
         }
     }
 
-    fn start_pre_vote(&mut self) {
+    /// Waits anew before standing, at the place among the voters in force.
+    fn restart_clock(&mut self) {
+        let place = ElectionPlace::of(self.id, self.memberships.current());
+        self.clock.set_place(place);
         self.clock.restart();
+    }
+
+    fn start_pre_vote(&mut self) {
+        self.restart_clock();
         self.leader = None;
         let mut ballot = Ballot::default();
         ballot.record(self.id, true);
@@ -159,7 +196,7 @@
 
     /// Stands for election in the next term.
     pub(crate) fn campaign(&mut self, transfer: bool) {
-        self.clock.restart();
+        self.restart_clock();
         self.leader = None;
         self.hard_state.term += 1;
         self.hard_state.voted_for = Some(self.id);
@@ -231,7 +268,7 @@
         }
         self.role = RoleState::Follower;
         self.leader = leader;
-        self.clock.restart();
+        self.restart_clock();
     }
 
     fn is_up_to_date(&self, last: Position) -> bool {
@@ -312,3 +349,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sablehaven-consensus/src/replica.rs
+++ b/crates/sablehaven-consensus/src/replica.rs
@@ -4,7 +4,7 @@
     Config, Fault, HardState, Message, NotLeader, Position, ReadReady, ReplicaId, Restored, Role,
     Snapshot, Status,
     broken::Rules,
-    election::{Ballot, ElectionClock},
+    election::{Ballot, ElectionClock, ElectionPlace},
     leading::Leading,
     log::Log,
     membership_history::MembershipHistory,
@@ -61,14 +61,12 @@
             memberships.appended(entry);
         }
         let seed = config.election_seed ^ id.0;
-        let voters = &memberships.current().voters;
-        let rank = voters.iter().position(|voter| *voter == id).unwrap_or(0);
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let place = ElectionPlace::of(id, memberships.current());
         Self {
             clock: ElectionClock::new(
                 config.election_timeout_ticks,
                 config.first_election_timeout_ticks,
-                rank,
+                place,
                 seed,
             ),
             config,
