Gateway: attempts that are not needed any more are cancelled at once

Change: dropping an attempt aborts it; the flag that an answer was sent is gone. The new test says that what is not needed is cancelled; it does not tell 400 ms from at once, since no verdict may hang on wall-clock time.

--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -75,7 +75,6 @@
             () = sleep_until(wait_until.into()) => {}
         }
     };
-    accepted.outgoing.answered.set();
     log_unusual(accepted, gather, &parts, outcome.as_ref().err());
     let is_whole = parts.replies.len() == gather.shards.len();
     let kind = if is_whole {
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -27,7 +27,7 @@
     metrics::Outcome,
     pace::Pace,
     route_table::PlannedRoute,
-    servers::{Answered, KindOfRequest, OutgoingRequest},
+    servers::{KindOfRequest, OutgoingRequest},
     throttle::ThrottleClass,
 };
 
@@ -86,7 +86,6 @@
         body,
         deadline,
         profile: Rc::clone(&planned.profile),
-        answered: Answered::default(),
         pace: Pace::new(parts(&route.target)),
     });
     let accepted = Accepted {
--- a/crates/sablehaven-gateway/src/request/single.rs
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -22,7 +22,6 @@
 ) -> Result<(Response<WholeBody>, Outcome), Refusal> {
     let service = accepted.gateway.registry.service(service);
     let part = SubRequest::new(accepted, service).run().await;
-    accepted.outgoing.answered.set();
     let (refusal, failure) = match &part.result {
         Ok(reply) => return Ok((hand_back(reply), Outcome::Whole)),
         Err(PartFailure::Attempt(AttemptFailure::Answered(reply))) if !is_promise(reply.status) => {
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt at one server: sent, answered, checked.
 
 use std::{
-    cell::Cell,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -18,7 +17,6 @@
 use tokio::{
     sync::oneshot,
     task::{AbortHandle, spawn_local},
-    time::sleep_until,
 };
 
 use super::{
@@ -45,7 +43,6 @@
     /// When the caller or the route gives up.
     pub(crate) deadline: Instant,
     pub(crate) profile: Rc<RouteProfile>,
-    pub(crate) answered: Answered,
     pub(crate) pace: Pace,
 }
 
@@ -80,28 +77,12 @@
     },
 }
 
-/// Time for which an attempt may finish by itself after its caller has been answered.
-const LOSER_LIMIT: Duration = Duration::from_millis(400);
-
-/// An attempt under way. Dropping it cancels it and closes its connection, unless the caller has its
-/// answer: then it is left to finish for a while, since closing its connection would cost the server
-/// a new one, and when it answers its health is known.
+/// An attempt under way. Dropping it cancels it and closes its connection: a server that is behind then
+/// leaves the request out, which saves it more work than the next connection costs.
 pub(crate) struct Attempt {
     pub(crate) server: Rc<Server>,
     result: oneshot::Receiver<Result<ServerReply, AttemptFailure>>,
     task: AbortHandle,
-    answered: Answered,
-}
-
-/// Whether the caller has its answer; shared by all attempts for one request of a caller.
-#[derive(Clone, Default)]
-pub(crate) struct Answered(Rc<Cell<bool>>);
-
-impl Answered {
-    /// From now on attempts that are dropped may finish by themselves for a while.
-    pub(crate) fn set(&self) {
-        self.0.set(true);
-    }
 }
 
 impl Attempt {
@@ -112,7 +93,6 @@
         request: Rc<OutgoingRequest>,
     ) -> Self {
         let (respond, result) = oneshot::channel();
-        let answered = request.answered.clone();
         let running = run(Rc::clone(gateway), Rc::clone(&server), request);
         let task = spawn_local(async move {
             // Whoever asked may have gone; the server's health has been noted all the same.
@@ -122,7 +102,6 @@
             server,
             result,
             task: task.abort_handle(),
-            answered,
         }
     }
 
@@ -143,19 +122,7 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        if self.task.is_finished() {
-            return;
-        }
-        if !self.answered.0.get() {
-            self.task.abort();
-            return;
-        }
-        let task = self.task.clone();
-        let until = tokio::time::Instant::now() + LOSER_LIMIT;
-        spawn_local(async move {
-            sleep_until(until).await;
-            task.abort();
-        });
+        self.task.abort();
     }
 }
 
--- a/crates/sablehaven-gateway/src/servers/mod.rs
+++ b/crates/sablehaven-gateway/src/servers/mod.rs
@@ -10,7 +10,7 @@
 mod registry;
 mod server;
 
-pub(crate) use attempt::{Answered, Attempt, AttemptFailure, OutgoingRequest, ServerReply};
+pub(crate) use attempt::{Attempt, AttemptFailure, OutgoingRequest, ServerReply};
 pub(crate) use health::KindOfRequest;
 pub(crate) use registry::{Registry, ServicePool};
 pub(crate) use server::Server;
--- a/crates/sablehaven-gateway/tests/gateway/gathers.rs
+++ b/crates/sablehaven-gateway/tests/gateway/gathers.rs
@@ -5,7 +5,7 @@
 use hyper::StatusCode;
 use sablehaven_standins::routed::Behaviour;
 
-use crate::support::{Answer, Bed, gather, record, run};
+use crate::support::{Answer, Bed, gather, record, run, until};
 
 fn missing(answer: &Answer) -> usize {
     let text = answer
@@ -137,6 +137,26 @@
     });
 }
 
+#[test]
+fn what_an_answered_query_does_not_need_any_more_is_cancelled() {
+    run(async {
+        let bed = bed(0.7).await;
+        let slow = Behaviour::after(Duration::from_secs(5), record(1));
+        for server in &bed.servers["s2"] {
+            server.set(slow.clone());
+        }
+        let answer = bed.get("1", "/g/x").await;
+        assert_eq!(missing(&answer), 1);
+        let all_left = || {
+            let servers = &bed.servers["s2"];
+            let asked: usize = servers.iter().map(|server| server.seen().len()).sum();
+            let left: u64 = servers.iter().map(|server| server.abandoned()).sum();
+            left == asked as u64
+        };
+        until("the attempts are cancelled", all_left).await;
+    });
+}
+
 #[test]
 fn a_server_that_stands_still_is_hedged() {
     run(async {
