--- /dev/null
+++ b/crates/sablehaven-gateway/src/resends/tests.rs
@@ -0,0 +1,63 @@
+//! Tests of telling second tries from first ones.
+
+use std::time::Duration;
+
+use super::{CallerTry, KEPT_PLACES, ResendDetector};
+
+const PLACE: &str = "host/search";
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn less_time_than_others_had_is_a_resend() {
+    let mut detector = ResendDetector::default();
+    assert_eq!(detector.observe(ms(0), PLACE, ms(3_000)), CallerTry::First);
+    assert_eq!(detector.observe(ms(10), PLACE, ms(2_995)), CallerTry::First);
+    let resend = detector.observe(ms(20), PLACE, ms(2_600));
+    assert_eq!(resend, CallerTry::Resend);
+    assert_eq!(detector.observe(ms(30), PLACE, ms(3_000)), CallerTry::First);
+}
+
+#[test]
+fn places_are_told_apart() {
+    let mut detector = ResendDetector::default();
+    detector.observe(ms(0), PLACE, ms(12_000));
+    let other = detector.observe(ms(1), "host/other", ms(2_000));
+    assert_eq!(other, CallerTry::First);
+}
+
+#[test]
+fn callers_that_give_themselves_less_from_now_on_are_first_again() {
+    let mut detector = ResendDetector::default();
+    detector.observe(ms(0), PLACE, ms(3_000));
+    assert_eq!(
+        detector.observe(ms(500), PLACE, ms(1_000)),
+        CallerTry::Resend
+    );
+    let after = 11_000;
+    assert_eq!(
+        detector.observe(ms(after), PLACE, ms(1_000)),
+        CallerTry::First
+    );
+    assert_eq!(
+        detector.observe(ms(after + 1), PLACE, ms(1_000)),
+        CallerTry::First
+    );
+    assert_eq!(
+        detector.observe(ms(after + 2), PLACE, ms(700)),
+        CallerTry::Resend
+    );
+}
+
+#[test]
+fn the_number_of_places_is_bounded_and_old_ones_make_room() {
+    let mut detector = ResendDetector::default();
+    for place in 0..2 * KEPT_PLACES {
+        detector.observe(ms(0), &place.to_string(), ms(3_000));
+    }
+    assert_eq!(detector.places.len(), KEPT_PLACES);
+    detector.observe(ms(20_000), "new", ms(3_000));
+    assert_eq!(detector.places.len(), 1);
+}
