Gateway: a second try waits for a starting gateway's first routes

Cause: after all processes were killed or lost power, gateways are up 0.3 to 0.9 s before control has a leader. Callers whose first try had ended with their gateway came again at once, got 503 without routes, and had no try left. Hypothesis: a first try that is refused early and served after its pause is worth half, so it is to be refused; a second try is better held until the gateway has routes, which it has within a second. Not a held back answer: the gateway still means to serve the request, gives it up after 0.4 of its time, and then says so with when to come back. Change: request/first_routes.rs; a log line `waited_for_routes`.

--- a/crates/sablehaven-gateway/src/admission.rs
+++ b/crates/sablehaven-gateway/src/admission.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use crate::servers::KindOfRequest;
+use crate::{resends::CallerTry, servers::KindOfRequest};
 
 /// Part of the room that requests of the most urgent rank may fill; each further rank gets
 /// [`RANK_STEP`] less.
@@ -16,10 +16,21 @@
 const RANK_STEP: f64 = 0.15;
 /// The least part of the room for any rank.
 const LEAST_PART: f64 = 0.4;
-/// Requests of one kind that may be open beyond their aim; while there are more, new ones would be
+/// First tries of one kind that may be open beyond their aim; while there are more, new ones would be
 /// late as well, and would make the others later.
 const OVERDUE_LIMIT: usize = 24;
 
+/// What the admission needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AdmissionClass {
+    /// 0 is the most urgent.
+    pub(crate) priority: u32,
+    pub(crate) kind: KindOfRequest,
+    /// Until when it is worth most.
+    pub(crate) due: Duration,
+    pub(crate) caller_try: CallerTry,
+}
+
 /// Why a request is not admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub(crate) enum NotAdmitted {
@@ -49,7 +60,8 @@
 pub(crate) struct Admitted {
     shared: Rc<Shared>,
     kind: KindOfRequest,
-    due: (Duration, u64),
+    /// Absent for a second try.
+    due: Option<(Duration, u64)>,
 }
 
 impl Admission {
@@ -65,37 +77,30 @@
         }
     }
 
-    /// A place for a request of a rank (0 is the most urgent) that is worth most until `due`.
+    /// A place for a request. A second try has none after it: it is refused only for want of room.
     ///
     /// # Errors
     /// [`NotAdmitted`], at once: a refusal must come early.
     pub(crate) fn admit(
         &self,
         now: Duration,
-        priority: u32,
-        kind: KindOfRequest,
-        due: Duration,
+        class: AdmissionClass,
     ) -> Result<Admitted, NotAdmitted> {
         let shared = &self.shared;
-        let part = FIRST_RANK_PART - RANK_STEP * f64::from(priority);
+        let part = FIRST_RANK_PART - RANK_STEP * f64::from(class.priority);
         let room = shared.limit as f64 * part.max(LEAST_PART);
         if shared.open.get() as f64 >= room {
             return Err(NotAdmitted::NoRoom);
         }
-        let mut all = shared.due.borrow_mut();
-        let of_kind = all.entry(kind.0).or_default();
-        let overdue = of_kind.iter().take_while(|(due, _)| *due < now);
-        if overdue.take(OVERDUE_LIMIT).count() == OVERDUE_LIMIT {
-            return Err(NotAdmitted::Overdue);
-        }
-        let number = shared.admitted.get() + 1;
-        shared.admitted.set(number);
+        let due = match class.caller_try {
+            CallerTry::First => Some(shared.count_first(now, &class)?),
+            CallerTry::Resend => None,
+        };
         shared.open.set(shared.open.get() + 1);
-        of_kind.insert((due, number));
         Ok(Admitted {
             shared: Rc::clone(shared),
-            kind,
-            due: (due, number),
+            kind: class.kind,
+            due,
         })
     }
 
@@ -105,12 +110,35 @@
     }
 }
 
+impl Shared {
+    /// Counts a first try among those of its kind, unless too many of them are late.
+    fn count_first(
+        &self,
+        now: Duration,
+        class: &AdmissionClass,
+    ) -> Result<(Duration, u64), NotAdmitted> {
+        let mut all = self.due.borrow_mut();
+        let of_kind = all.entry(class.kind.0).or_default();
+        let overdue = of_kind.iter().take_while(|(due, _)| *due < now);
+        if overdue.take(OVERDUE_LIMIT).count() == OVERDUE_LIMIT {
+            return Err(NotAdmitted::Overdue);
+        }
+        let number = self.admitted.get() + 1;
+        self.admitted.set(number);
+        of_kind.insert((class.due, number));
+        Ok((class.due, number))
+    }
+}
+
 impl Drop for Admitted {
     fn drop(&mut self) {
         self.shared.open.set(self.shared.open.get() - 1);
+        let Some(due) = self.due else {
+            return;
+        };
         let mut all = self.shared.due.borrow_mut();
         if let Some(of_kind) = all.get_mut(&self.kind.0) {
-            of_kind.remove(&self.due);
+            of_kind.remove(&due);
             if of_kind.is_empty() {
                 all.remove(&self.kind.0);
             }
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -15,8 +15,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    Config, admission::Admission, metrics::Metrics, names::HeaderNames, route_table::RouteTable,
-    servers::Registry, throttle::RequestThrottle,
+    Config, admission::Admission, metrics::Metrics, names::HeaderNames, resends::ResendDetector,
+    route_table::RouteTable, servers::Registry, throttle::RequestThrottle,
 };
 
 /// Steady time since the start.
@@ -44,6 +44,7 @@
     pub(crate) registry: Registry,
     pub(crate) admission: Admission,
     pub(crate) throttle: RefCell<RequestThrottle>,
+    pub(crate) resends: RefCell<ResendDetector>,
     pub(crate) signals: ServerSignals,
     pub(crate) metrics: Metrics,
     routes: RefCell<Option<Rc<RouteTable>>>,
@@ -72,6 +73,7 @@
             config,
             names,
             clock: Clock::new(),
+            resends: RefCell::default(),
             signals: ServerSignals::default(),
             metrics: Metrics::new(),
             routes: RefCell::default(),
@@ -97,12 +99,12 @@
 
     /// Whether callers' requests are taken.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.routes.borrow().is_some() && self.has_servers()
+        !self.is_stopping.get() && self.has_routes()
     }
 
-    /// Whether a list of servers was ever read.
-    pub(crate) fn has_servers(&self) -> bool {
-        self.registry.number() > ListingNumber::default()
+    /// Whether there are routes, and a list of servers was ever read.
+    pub(crate) fn has_routes(&self) -> bool {
+        self.routes.borrow().is_some() && self.registry.number() > ListingNumber::default()
     }
 
     /// Puts routes in force. Only forward: a version that is not newer is ignored.
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `route_table`: which route a request takes.
 //! - `servers`: connections, health and choice of servers; the budget of extra attempts.
 //! - `request`: the way of one request.
+//! - `admission`, `throttle`, `resends`: who is refused under pressure.
 
 mod admission;
 mod config;
@@ -18,6 +19,7 @@
 pub mod names;
 mod pace;
 mod request;
+mod resends;
 mod role;
 mod route_table;
 mod servers;
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! The way of one request: route, admission, servers, answer.
 
+mod first_routes;
 mod gather;
 mod headers;
 mod hedge_timer;
@@ -20,12 +21,13 @@
 use sablehaven_http::WholeBody;
 use sablehaven_types::{Route, RouteTarget, ServiceName, WeightedService};
 
-use self::refusal::Refusal;
+use self::{first_routes::find_route_or_wait, refusal::Refusal};
 use crate::{
-    admission::{Admitted, NotAdmitted},
+    admission::{AdmissionClass, Admitted, NotAdmitted},
     gateway::Gateway,
     metrics::Outcome,
     pace::Pace,
+    resends::CallerTry,
     route_table::PlannedRoute,
     servers::{KindOfRequest, OutgoingRequest},
     throttle::ThrottleClass,
@@ -60,14 +62,14 @@
 ) -> Result<Response<WholeBody>, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let planned = find_route(gateway, &head)?;
+    let caller_try = caller_try(gateway, &head);
+    let planned = find_route_or_wait(gateway, &head, caller_try).await?;
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
     let request_id = request_id.ok_or(Refusal::NoRequestId)?;
     let body = read_body(body, gateway.limits().max_body_bytes).await?;
     let route = planned.route();
-    let now = gateway.clock.now();
     let kind = planned.profile.kind();
-    let admitted = admit(gateway, route, kind, now);
+    let admitted = admit(gateway, route, kind, caller_try);
     if let Err(reason) = &admitted {
         log::warn!(
             event = "refused", request:% = id_text(&request_id), reason:% = reason,
@@ -112,15 +114,48 @@
     gateway: &Gateway,
     route: &Route,
     kind: KindOfRequest,
-    now: Duration,
+    caller_try: CallerTry,
 ) -> Result<Admitted, NotAdmitted> {
-    let class = throttle_class(route, kind);
-    let throttle = gateway.throttle.borrow();
-    if !throttle.may_pass(now, class, rand::random()) {
-        return Err(NotAdmitted::Throttled);
+    let now = gateway.clock.now();
+    if caller_try == CallerTry::First {
+        let class = throttle_class(route, kind);
+        let throttle = gateway.throttle.borrow();
+        if !throttle.may_pass(now, class, rand::random()) {
+            return Err(NotAdmitted::Throttled);
+        }
     }
-    let due = now + Duration::from_millis(route.aim_ms);
-    gateway.admission.admit(now, route.priority, kind, due)
+    let class = AdmissionClass {
+        priority: route.priority,
+        kind,
+        due: now + Duration::from_millis(route.aim_ms),
+        caller_try,
+    };
+    gateway.admission.admit(now, class)
+}
+
+/// Whether the caller asks for the first time, by the time that it says it has left.
+fn caller_try(gateway: &Gateway, head: &Parts) -> CallerTry {
+    let Some(left) = caller_time(gateway, head) else {
+        return CallerTry::First;
+    };
+    let path = head.uri.path();
+    let folder = path.rsplit_once('/').map_or("", |(folder, _)| folder);
+    let place = format!("{}{folder}", host(head).unwrap_or_default());
+    let now = gateway.clock.now();
+    gateway.resends.borrow_mut().observe(now, &place, left)
+}
+
+/// The time for which the caller waits, where it says so.
+fn caller_time(gateway: &Gateway, head: &Parts) -> Option<Duration> {
+    let value = head.headers.get(&gateway.names.deadline_ms)?;
+    let text = value.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_millis)
+}
+
+fn host(head: &Parts) -> Option<&str> {
+    let header = head.headers.get(HOST);
+    let named = header.and_then(|host| host.to_str().ok());
+    named.or_else(|| head.uri.host())
 }
 
 fn throttle_class(route: &Route, kind: KindOfRequest) -> ThrottleClass<'_> {
@@ -158,13 +193,12 @@
 }
 
 fn find_route(gateway: &Gateway, head: &Parts) -> Result<Rc<PlannedRoute>, Refusal> {
-    let table = gateway.routes().filter(|_| gateway.has_servers());
+    let table = gateway.routes().filter(|_| gateway.has_routes());
     let Some(table) = table else {
         let age = gateway.clock.now();
         return Err(Refusal::NoRoutes { age });
     };
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).ok_or(Refusal::NoHost)?;
+    let host = host(head).ok_or(Refusal::NoHost)?;
     let found = table.find(host, head.uri.path());
     found.cloned().ok_or(Refusal::UnknownRoute)
 }
@@ -180,12 +214,7 @@
 /// The time for which a request is held: the route's, or the caller's own where it is shorter.
 fn time_left(gateway: &Gateway, planned: &PlannedRoute, head: &Parts) -> Duration {
     let held = Duration::from_millis(planned.route().timeout_ms);
-    let caller = head.headers.get(&gateway.names.deadline_ms);
-    let caller = caller
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.trim().parse().ok())
-        .map(Duration::from_millis);
-    match caller {
+    match caller_time(gateway, head) {
         Some(caller) => held.min(caller.saturating_sub(DEADLINE_MARGIN)),
         None => held,
     }
--- a/crates/sablehaven-gateway/tests/gateway/refusals.rs
+++ b/crates/sablehaven-gateway/tests/gateway/refusals.rs
@@ -18,6 +18,44 @@
     });
 }
 
+#[test]
+fn a_second_try_waits_for_the_first_routes_and_a_first_one_is_told_when_to_come_back() {
+    run(async {
+        let mut bed = Bed::new().await;
+        let address = bed.address;
+        let first_try = [("sablehaven-deadline-ms", "20000")];
+        let answer = bed.send("1", "GET", "/q/x", &first_try, "").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.header("retry-after").is_some());
+        let asking = async {
+            let second_try = [("sablehaven-deadline-ms", "19000")];
+            call(address, Some("1-2"), "GET", "/q/x", &second_try, "").await
+        };
+        let serving = async {
+            bed.serve("search", &[Behaviour::answer("ok")]).await;
+            bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+                .await;
+        };
+        let (answer, ()) = tokio::join!(asking, serving);
+        assert_eq!(answer.status, StatusCode::OK);
+    });
+}
+
+#[test]
+fn a_second_try_that_waited_in_vain_is_refused_with_half_of_its_time_left() {
+    run(async {
+        let bed = Bed::new().await;
+        let first_try = [("sablehaven-deadline-ms", "3000")];
+        bed.send("1", "GET", "/q/x", &first_try, "").await;
+        let second_try = [("sablehaven-deadline-ms", "500")];
+        let answer = bed.send("1-2", "GET", "/q/x", &second_try, "").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.header("retry-after").is_some());
+        let waited = std::time::Duration::from_millis(200);
+        assert!(answer.taken >= waited, "{:?}", answer.taken);
+    });
+}
+
 #[test]
 fn requests_that_cannot_be_served_are_told_why() {
     run(async {
@@ -117,3 +155,27 @@
         assert_eq!(refused.iter().find(has_reached), None);
     });
 }
+
+#[test]
+fn a_caller_that_comes_again_is_not_refused_for_the_failures_of_others() {
+    run(async {
+        let mut bed = Bed::new().await;
+        bed.serve("search", &[Behaviour::Reset]).await;
+        bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        let first_try = [("sablehaven-deadline-ms", "3000")];
+        let second_try = [("sablehaven-deadline-ms", "2500")];
+        let mut refused_first = 0;
+        let mut refused_second = 0;
+        for number in 0..100 {
+            let id = format!("{number}-1");
+            let answer = bed.send(&id, "GET", "/q/x", &first_try, "").await;
+            refused_first += usize::from(answer.status == StatusCode::SERVICE_UNAVAILABLE);
+            let id = format!("{number}-2");
+            let answer = bed.send(&id, "GET", "/q/x", &second_try, "").await;
+            refused_second += usize::from(answer.status == StatusCode::SERVICE_UNAVAILABLE);
+        }
+        assert!(refused_first > 20, "{refused_first} of 100 were refused");
+        assert_eq!(refused_second, 0);
+    });
+}
