Control: a gateway that has fallen silent is not told to callers while others are heard

Hypothesis: for the directory a shorter silence is enough: to leave out a gateway that is well costs nothing while others are heard. Ruled out: a shorter limit for the connection itself (shares of connections and budgets would move with it), and more signs of life (bytes between regions). Change: entry::choose leaves out gateways that were not heard for 0.9 s (they speak every 0.5 s), unless none was.

--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -11,6 +11,8 @@
 use sablehaven_wire::{ControlToGateway, DeploymentMembers, EncodedMessage, GatewayStatus};
 use tokio::sync::watch;
 
+use super::entry::HeardGateway;
+
 /// Least time after the start in which gateways connect; before its end the picture is not whole, and
 /// callers that were told of a few gateways would all go there.
 const LEAST_SETTLING: Duration = Duration::from_millis(600);
@@ -36,7 +38,14 @@
 struct Sessions {
     opened: u64,
     latest_opened: Option<Instant>,
-    statuses: BTreeMap<u64, GatewayStatus>,
+    reports: BTreeMap<u64, GatewayReport>,
+}
+
+/// The latest word of a gateway.
+#[derive(Clone)]
+struct GatewayReport {
+    status: GatewayStatus,
+    heard_at: Instant,
 }
 
 impl Gateways {
@@ -66,21 +75,29 @@
     }
 
     pub(super) fn report(&self, session: u64, status: GatewayStatus) {
-        self.lock().statuses.insert(session, status);
+        let report = GatewayReport {
+            status,
+            heard_at: Instant::now(),
+        };
+        self.lock().reports.insert(session, report);
         self.refresh_gateways();
     }
 
     pub(super) fn close(&self, session: u64) {
-        self.lock().statuses.remove(&session);
+        self.lock().reports.remove(&session);
         self.refresh_gateways();
     }
 
     /// The connected gateways, the latest session of each address.
-    pub(crate) fn statuses(&self) -> Vec<GatewayStatus> {
+    pub(crate) fn heard(&self) -> Vec<HeardGateway> {
         let sessions = self.lock();
-        let mut by_address: BTreeMap<SocketAddr, GatewayStatus> = BTreeMap::new();
-        for status in sessions.statuses.values() {
-            by_address.insert(status.address, status.clone());
+        let mut by_address: BTreeMap<SocketAddr, HeardGateway> = BTreeMap::new();
+        for report in sessions.reports.values() {
+            let gateway = HeardGateway {
+                status: report.status.clone(),
+                silent_for: report.heard_at.elapsed(),
+            };
+            by_address.insert(report.status.address, gateway);
         }
         by_address.into_values().collect()
     }
@@ -92,8 +109,9 @@
             return;
         }
         let mut counts: BTreeMap<ZoneName, u32> = BTreeMap::new();
-        for status in self.statuses() {
-            *counts.entry(status.placement.zone).or_default() += 1;
+        for gateway in self.heard() {
+            let zone = gateway.status.placement.zone;
+            *counts.entry(zone).or_default() += 1;
         }
         self.members.send_if_modified(|members| {
             let is_new = members.gateways != counts;
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -5,7 +5,11 @@
 use sablehaven_types::{ListedServer, ListingNumber, Placement};
 use sablehaven_wire::GatewayStatus;
 
-use super::{Gateways, entry::choose, registry::has_settled};
+use super::{
+    Gateways,
+    entry::{HeardGateway, choose},
+    registry::has_settled,
+};
 
 fn place(region: &str, zone: &str) -> Placement {
     Placement {
@@ -14,17 +18,28 @@
     }
 }
 
-fn gateway(port: u16, region: &str, zone: &str, is_ready: bool) -> GatewayStatus {
-    GatewayStatus {
+fn gateway(port: u16, region: &str, zone: &str, is_ready: bool) -> HeardGateway {
+    let status = GatewayStatus {
         address: ([127, 0, 0, 1], port).into(),
         placement: place(region, zone),
         is_ready,
         routes_version: 1,
         listing: ListingNumber::default(),
+    };
+    HeardGateway {
+        status,
+        silent_for: Duration::ZERO,
     }
 }
 
-fn ports(gateways: &[GatewayStatus], caller: &Placement) -> Vec<u16> {
+fn silent(gateway: HeardGateway) -> HeardGateway {
+    HeardGateway {
+        silent_for: Duration::from_secs(1),
+        ..gateway
+    }
+}
+
+fn ports(gateways: &[HeardGateway], caller: &Placement) -> Vec<u16> {
     choose(gateways, caller)
         .iter()
         .map(std::net::SocketAddr::port)
@@ -45,6 +60,19 @@
     assert_eq!(ports(&gateways[1..2], &place("north", "a")), [0_u16; 0]);
 }
 
+#[test]
+fn a_silent_gateway_is_told_only_where_no_other_is_heard() {
+    let gateways = [
+        silent(gateway(1, "north", "a", true)),
+        gateway(2, "north", "a", true),
+        silent(gateway(3, "north", "b", true)),
+    ];
+    assert_eq!(ports(&gateways, &place("north", "a")), [2]);
+    assert_eq!(ports(&gateways, &place("north", "b")), [2]);
+    let all_silent = gateways.map(silent);
+    assert_eq!(ports(&all_silent, &place("north", "a")), [1, 2]);
+}
+
 #[test]
 fn no_more_addresses_are_told_than_callers_take() {
     let gateways: Vec<_> = (1..=90)
--- a/crates/sablehaven-control/src/routes/service.rs
+++ b/crates/sablehaven-control/src/routes/service.rs
@@ -96,7 +96,7 @@
         if !self.context.gateways.is_settled() {
             return Vec::new();
         }
-        entry::choose(&self.context.gateways.statuses(), caller)
+        entry::choose(&self.context.gateways.heard(), caller)
     }
 
     fn not_leader(&self) -> RoutesCallError {
