Control: replicas of other regions send routes only to gateways that still lack them

Hypothesis: one copy is enough; the replicas of the gateway's region are the ones that cost nothing. Ruled out: relays or one chosen sender for each gateway (a role, or an agreement on who sends, and its failure). Change: RoutesTurn: near replicas send at once; the others wait 0.3 s, and send when the gateway has not said by then that it has the version. Gateways say so already, to every replica, when routes come into force. What is left between regions is the leader's list of servers, sent whole to every gateway, and work.

--- a/crates/sablehaven-control/src/gateways/mod.rs
+++ b/crates/sablehaven-control/src/gateways/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod entry;
 mod registry;
+mod routes_turn;
 mod session;
 
 pub(crate) use registry::Gateways;
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -1,6 +1,9 @@
 //! One connection of a gateway.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use sablehaven_types::{ListingNumber, RouteDocument};
 use sablehaven_wire::{
@@ -9,9 +12,10 @@
 };
 use tokio::{
     sync::watch,
-    time::{MissedTickBehavior, interval, timeout},
+    time::{MissedTickBehavior, interval, sleep_until, timeout},
 };
 
+use super::routes_turn::{RoutesStep, RoutesTurn};
 use crate::{driver::read, server::Context};
 
 /// Time between two signs of life towards a gateway.
@@ -108,12 +112,14 @@
             self.sent_version = first.routes_version;
             self.sent_listing = first.listing;
         }
+        let mut turn = RoutesTurn::new(self.is_near(&status));
         let mut alive = interval(ALIVE_INTERVAL);
         alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            self.send_routes().await?;
+            let look_at = self.send_routes(&mut turn, &status).await?;
             self.send_listing(&mut listing).await?;
             tokio::select! {
+                () = sleep_until(look_at.unwrap_or_else(Instant::now).into()), if look_at.is_some() => {}
                 Ok(()) = published.changed() => {}
                 Ok(()) = listing.changed() => {}
                 Ok(()) = members.changed() => {
@@ -125,12 +131,38 @@
         }
     }
 
-    async fn send_routes(&mut self) -> Result<(), GatewaySessionError> {
-        let Some(routes) = self.newer_routes() else {
-            return Ok(());
-        };
+    /// Whether the gateway is in this replica's region.
+    fn is_near(&self, status: &watch::Receiver<Option<GatewayStatus>>) -> bool {
+        let status = status.borrow();
+        let own = &self.context.config.placement.region;
+        status
+            .as_ref()
+            .is_some_and(|status| status.placement.region == *own)
+    }
+
+    /// Sends routes that the gateway lacks if it is this replica's turn; answers when to look again.
+    async fn send_routes(
+        &mut self,
+        turn: &mut RoutesTurn,
+        status: &watch::Receiver<Option<GatewayStatus>>,
+    ) -> Result<Option<Instant>, GatewaySessionError> {
+        let said = status.borrow().as_ref().map(|said| said.routes_version);
+        self.sent_version = self.sent_version.max(said.unwrap_or(0));
+        let newer = self.newer_routes();
+        match (turn.next(Instant::now(), newer.is_some()), newer) {
+            (RoutesStep::WaitUntil(at), _) => return Ok(Some(at)),
+            (RoutesStep::Send, Some(routes)) => self.send_document(&routes).await?,
+            (RoutesStep::Send | RoutesStep::Nothing, _) => {}
+        }
+        Ok(None)
+    }
+
+    async fn send_document(
+        &mut self,
+        routes: &Arc<RouteDocument>,
+    ) -> Result<(), GatewaySessionError> {
         self.sent_version = routes.version;
-        if let Some(encoded) = self.context.gateways.encode_routes(&routes) {
+        if let Some(encoded) = self.context.gateways.encode_routes(routes) {
             let sending = async {
                 self.writer.feed_encoded(&encoded).await?;
                 self.writer.flush().await
