--- a/crates/sablehaven-control/src/gateways/routes_turn.rs
+++ b/crates/sablehaven-control/src/gateways/routes_turn.rs
@@ -1,12 +1,16 @@
 //! Which replica sends new routes to a gateway, as a pure decision.
 //!
 //! Every replica is connected to every gateway, and any of them may send what it has applied. The ones of
-//! the gateway's region send at once. The others wait a moment, in which the gateway mostly says that it
-//! has the routes: then nothing has crossed a region's border. Where the near ones are gone, the far ones
-//! are only that much later.
+//! the gateway's zone send at once. The others wait a moment, in which the gateway mostly says that it has
+//! the routes: then nothing has crossed the border of a zone or region. Where the near ones are gone, the
+//! far ones are only that much later.
 
 use std::time::{Duration, Instant};
 
+use sablehaven_types::Placement;
+
+/// Time that the replicas of the gateway's zone have before those of its region send.
+const REGION_DELAY: Duration = Duration::from_millis(100);
 /// Time that the replicas of the gateway's region have before others send: a few ways there and back, and
 /// a small part of the seconds within which a change must be in force.
 const FAR_DELAY: Duration = Duration::from_millis(300);
@@ -25,15 +29,24 @@
 /// A replica's turn to send routes to one gateway.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RoutesTurn {
-    is_near: bool,
+    /// Time that nearer replicas have.
+    delay: Duration,
     /// Since when the gateway lacks routes that this replica has.
     waiting_since: Option<Instant>,
 }
 
 impl RoutesTurn {
-    pub(super) fn new(is_near: bool) -> Self {
+    /// The turn of a replica at `own`.
+    pub(super) fn new(own: &Placement, gateway: &Placement) -> Self {
+        let delay = if own.zone == gateway.zone {
+            Duration::ZERO
+        } else if own.region == gateway.region {
+            REGION_DELAY
+        } else {
+            FAR_DELAY
+        };
         Self {
-            is_near,
+            delay,
             waiting_since: None,
         }
     }
@@ -45,8 +58,8 @@
             return RoutesStep::Nothing;
         }
         let since = *self.waiting_since.get_or_insert(now);
-        let send_at = since + FAR_DELAY;
-        if !self.is_near && now < send_at {
+        let send_at = since + self.delay;
+        if now < send_at {
             return RoutesStep::WaitUntil(send_at);
         }
         self.waiting_since = None;
--- a/crates/sablehaven-control/src/gateways/routes_turn/tests.rs
+++ b/crates/sablehaven-control/src/gateways/routes_turn/tests.rs
@@ -2,12 +2,26 @@
 
 use std::time::{Duration, Instant};
 
-use super::{FAR_DELAY, RoutesStep, RoutesTurn};
+use sablehaven_types::Placement;
+
+use super::{FAR_DELAY, REGION_DELAY, RoutesStep, RoutesTurn};
+
+fn place(region: &str, zone: &str) -> Placement {
+    Placement {
+        region: region.into(),
+        zone: zone.into(),
+    }
+}
+
+/// The turn of a replica in region `north`, zone `a`.
+fn turn(region: &str, zone: &str) -> RoutesTurn {
+    RoutesTurn::new(&place("north", "a"), &place(region, zone))
+}
 
 #[test]
-fn a_near_replica_sends_at_once() {
+fn a_replica_of_the_gateway_s_zone_sends_at_once() {
     let now = Instant::now();
-    let mut turn = RoutesTurn::new(true);
+    let mut turn = turn("north", "a");
     assert_eq!(turn.next(now, true), RoutesStep::Send);
     assert_eq!(turn.next(now, false), RoutesStep::Nothing);
 }
@@ -15,7 +29,7 @@
 #[test]
 fn a_far_replica_sends_when_the_gateway_still_lacks_the_routes_after_a_while() {
     let now = Instant::now();
-    let mut turn = RoutesTurn::new(false);
+    let mut turn = turn("south", "c");
     let send_at = now + FAR_DELAY;
     assert_eq!(turn.next(now, true), RoutesStep::WaitUntil(send_at));
     let meanwhile = now + FAR_DELAY / 2;
@@ -26,7 +40,7 @@
 #[test]
 fn a_far_replica_sends_nothing_to_a_gateway_that_has_got_the_routes() {
     let now = Instant::now();
-    let mut turn = RoutesTurn::new(false);
+    let mut turn = turn("south", "c");
     turn.next(now, true);
     let soon = now + Duration::from_millis(30);
     assert_eq!(turn.next(soon, false), RoutesStep::Nothing);
@@ -35,3 +49,12 @@
     let step = turn.next(later, true);
     assert_eq!(step, RoutesStep::WaitUntil(later + FAR_DELAY));
 }
+
+#[test]
+fn a_replica_of_the_region_sends_before_others_do() {
+    let now = Instant::now();
+    let mut turn = turn("north", "b");
+    let send_at = now + REGION_DELAY;
+    assert_eq!(turn.next(now, true), RoutesStep::WaitUntil(send_at));
+    assert_eq!(turn.next(send_at, true), RoutesStep::Send);
+}
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -112,7 +112,7 @@
             self.sent_version = first.routes_version;
             self.sent_listing = first.listing;
         }
-        let mut turn = RoutesTurn::new(self.is_near(&status));
+        let mut turn = self.routes_turn(&status);
         let mut alive = interval(ALIVE_INTERVAL);
         alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -131,13 +131,11 @@
         }
     }
 
-    /// Whether the gateway is in this replica's region.
-    fn is_near(&self, status: &watch::Receiver<Option<GatewayStatus>>) -> bool {
+    fn routes_turn(&self, status: &watch::Receiver<Option<GatewayStatus>>) -> RoutesTurn {
         let status = status.borrow();
-        let own = &self.context.config.placement.region;
-        status
-            .as_ref()
-            .is_some_and(|status| status.placement.region == *own)
+        let own = &self.context.config.placement;
+        let gateway = status.as_ref().map_or(own, |status| &status.placement);
+        RoutesTurn::new(own, gateway)
     }
 
     /// Sends routes that the gateway lacks if it is this replica's turn; answers when to look again.
--- /dev/null
+++ b/crates/sablehaven-gateway/tests/gateway/support/control.rs
@@ -0,0 +1,77 @@
+//! A stand-in control replica that says what the test says.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use sablehaven_types::{RouteDocument, ServerListing};
+use sablehaven_wire::{
+    ControlToGateway, DeploymentMembers, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION,
+    Role, accept,
+};
+use tokio::{net::TcpListener, sync::watch};
+
+/// What the stand-in control replica says.
+#[derive(Clone, Default)]
+pub(super) struct Said {
+    /// Gateways of zone `a`; one where it is not said.
+    pub(super) gateways: Option<u32>,
+    pub(super) routes: Option<Arc<RouteDocument>>,
+    pub(super) listing: Option<Arc<ServerListing>>,
+}
+
+/// Serves gateways until the test ends.
+pub(super) async fn stand_in_control(
+    listener: TcpListener,
+    saying: watch::Receiver<Said>,
+    hearing: watch::Sender<Option<GatewayStatus>>,
+) {
+    loop {
+        let (stream, address) = listener.accept().await.expect("accept");
+        let hello = Hello {
+            protocol_version: PROTOCOL_VERSION,
+            deployment: "test".to_owned(),
+            role: Role::Control,
+            sender: "control".to_owned(),
+        };
+        let Ok(connection) = accept(stream, address, &hello).await else {
+            continue;
+        };
+        let mut connection = connection.retype::<GatewayToControl, ControlToGateway>();
+        let mut saying = saying.clone();
+        saying.mark_changed();
+        let hearing = hearing.clone();
+        tokio::task::spawn_local(async move {
+            let members = |said: &Said| {
+                ControlToGateway::Members(DeploymentMembers {
+                    gateways: BTreeMap::from([("a".into(), said.gateways.unwrap_or(1))]),
+                    ..DeploymentMembers::default()
+                })
+            };
+            loop {
+                tokio::select! {
+                    Ok(()) = saying.changed() => {
+                        let said = saying.borrow_and_update().clone();
+                        let message = members(&said);
+                        connection.writer.send(&message).await.expect("send");
+                        if let Some(listing) = said.listing {
+                            let message = ControlToGateway::Listing(listing);
+                            connection.writer.send(&message).await.expect("send");
+                        }
+                        if let Some(routes) = said.routes {
+                            let message = ControlToGateway::Routes(routes);
+                            connection.writer.send(&message).await.expect("send");
+                        }
+                    }
+                    received = connection.reader.receive() => match received {
+                        Ok(GatewayToControl::Status(status)) => {
+                            hearing.send_replace(Some(status));
+                            if connection.writer.send(&ControlToGateway::Alive).await.is_err() {
+                                return;
+                            }
+                        }
+                        Err(_) => return,
+                    },
+                }
+            }
+        });
+    }
+}
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -1,5 +1,9 @@
 //! A gateway in this process, between a caller, a stand-in control replica and stand-in servers.
 
+mod caller;
+mod control;
+mod routes;
+
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -7,22 +11,21 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::{Request, StatusCode, header::HeaderMap};
 use sablehaven_gateway::{Config, Handle, RetryBounds, names::HeaderNames, start};
-use sablehaven_http::{Opened, WholeBody, open};
 use sablehaven_standins::routed::{Behaviour, RoutedNames, RoutedServer};
 use sablehaven_types::{
-    CallerLimits, Gather, ListedServer, ListingNumber, Placement, RequestKind, Route,
-    RouteDocument, RouteTarget, RoutedService, ServerListing, ServiceName,
-};
-use sablehaven_wire::{
-    ControlToGateway, DeploymentMembers, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION,
-    Role, accept,
+    CallerLimits, ListedServer, ListingNumber, Placement, Route, RouteDocument, RoutedService,
+    ServerListing, ServiceName,
 };
+use sablehaven_wire::GatewayStatus;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet, time::sleep};
 
+use self::control::{Said, stand_in_control};
+pub use self::{
+    caller::{Answer, call},
+    routes::{gather, record, single},
+};
+
 pub const NAMES: RoutedNames = RoutedNames {
     request_id: "sablehaven-request-id",
     stamp: "sablehaven-stamp",
@@ -50,16 +53,6 @@
         sleep(Duration::from_millis(5)).await;
     }
 }
-
-/// What the stand-in control replica says.
-#[derive(Clone, Default)]
-struct Said {
-    /// Gateways of zone `a`; one where it is not said.
-    gateways: Option<u32>,
-    routes: Option<Arc<RouteDocument>>,
-    listing: Option<Arc<ServerListing>>,
-}
-
 /// A gateway with what is around it.
 pub struct Bed {
     pub gateway: Option<Handle>,
@@ -267,156 +260,3 @@
         call(self.address, Some(id), method, path, headers, body).await
     }
 }
-
-/// A caller's answer.
-#[derive(Debug)]
-pub struct Answer {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    pub taken: Duration,
-}
-
-impl Answer {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.get(name).and_then(|value| value.to_str().ok())
-    }
-}
-
-/// Sends one request on a connection of its own.
-pub async fn call(
-    address: SocketAddr,
-    id: Option<&str>,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Answer {
-    let mut connection = connect(address).await;
-    let mut request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", "stock.example");
-    if let Some(id) = id {
-        request = request.header("sablehaven-request-id", id);
-    }
-    for (name, value) in headers {
-        request = request.header(*name, *value);
-    }
-    let request = request.body(WholeBody::new(Bytes::copy_from_slice(body.as_bytes())));
-    let started = Instant::now();
-    let response = connection
-        .send_request(request.expect("a request"))
-        .await
-        .expect("an answer");
-    let (head, body) = response.into_parts();
-    let body = body.collect().await.expect("a whole body").to_bytes();
-    Answer {
-        status: head.status,
-        headers: head.headers,
-        body,
-        taken: started.elapsed(),
-    }
-}
-
-pub async fn connect(address: SocketAddr) -> hyper::client::conn::http1::SendRequest<WholeBody> {
-    let opened = open(None, address, LIMIT, LIMIT).await.expect("connect");
-    let Opened {
-        sender, connection, ..
-    } = opened;
-    tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    sender
-}
-
-async fn stand_in_control(
-    listener: TcpListener,
-    saying: watch::Receiver<Said>,
-    hearing: watch::Sender<Option<GatewayStatus>>,
-) {
-    loop {
-        let (stream, address) = listener.accept().await.expect("accept");
-        let hello = Hello {
-            protocol_version: PROTOCOL_VERSION,
-            deployment: "test".to_owned(),
-            role: Role::Control,
-            sender: "control".to_owned(),
-        };
-        let Ok(connection) = accept(stream, address, &hello).await else {
-            continue;
-        };
-        let mut connection = connection.retype::<GatewayToControl, ControlToGateway>();
-        let mut saying = saying.clone();
-        saying.mark_changed();
-        let hearing = hearing.clone();
-        tokio::task::spawn_local(async move {
-            let members = |said: &Said| {
-                ControlToGateway::Members(DeploymentMembers {
-                    gateways: BTreeMap::from([("a".into(), said.gateways.unwrap_or(1))]),
-                    ..DeploymentMembers::default()
-                })
-            };
-            loop {
-                tokio::select! {
-                    Ok(()) = saying.changed() => {
-                        let said = saying.borrow_and_update().clone();
-                        let message = members(&said);
-                        connection.writer.send(&message).await.expect("send");
-                        if let Some(listing) = said.listing {
-                            let message = ControlToGateway::Listing(listing);
-                            connection.writer.send(&message).await.expect("send");
-                        }
-                        if let Some(routes) = said.routes {
-                            let message = ControlToGateway::Routes(routes);
-                            connection.writer.send(&message).await.expect("send");
-                        }
-                    }
-                    received = connection.reader.receive() => match received {
-                        Ok(GatewayToControl::Status(status)) => {
-                            hearing.send_replace(Some(status));
-                            if connection.writer.send(&ControlToGateway::Alive).await.is_err() {
-                                return;
-                            }
-                        }
-                        Err(_) => return,
-                    },
-                }
-            }
-        });
-    }
-}
-
-/// A route to one service.
-pub fn single(path_prefix: &str, kind: RequestKind, service: &str) -> Route {
-    Route {
-        name: format!("r{}", path_prefix.replace('/', "-")),
-        host: "stock.example".to_owned(),
-        path_prefix: path_prefix.to_owned(),
-        kind,
-        timeout_ms: 3_000,
-        aim_ms: 400,
-        priority: 1,
-        max_attempts: 2,
-        target: RouteTarget::Service(service.into()),
-    }
-}
-
-/// A route that gathers over shards.
-pub fn gather(path_prefix: &str, shards: &[&str], min_coverage: f64) -> Route {
-    Route {
-        target: RouteTarget::Gather(Gather {
-            shards: shards.iter().map(|shard| (*shard).into()).collect(),
-            top_k: 3,
-            min_coverage,
-        }),
-        ..single(path_prefix, RequestKind::Safe, "none")
-    }
-}
-
-/// A record of 16 bytes that ends in a value.
-pub fn record(value: u8) -> Vec<u8> {
-    let mut record = vec![0; 16];
-    record[15] = value;
-    record
-}
