--- a/crates/sablehaven-gateway/examples/gather_cost.rs
+++ b/crates/sablehaven-gateway/examples/gather_cost.rs
@@ -11,7 +11,8 @@
 use std::{thread, time::Duration};
 
 use sablehaven_standins::routed::Behaviour;
-use support::{Bed, call, gather, run};
+use support::routes::gather;
+use support::{Bed, call, run};
 use tokio::runtime::{Builder, Handle};
 
 /// Queries before the first that is counted.
--- a/crates/sablehaven-gateway/tests/gateway/gathers.rs
+++ b/crates/sablehaven-gateway/tests/gateway/gathers.rs
@@ -5,7 +5,8 @@
 use hyper::StatusCode;
 use sablehaven_standins::routed::Behaviour;
 
-use crate::support::{Answer, Bed, gather, record, run, until};
+use crate::support::routes::{gather, record};
+use crate::support::{Answer, Bed, run, until};
 
 fn missing(answer: &Answer) -> usize {
     let text = answer
--- a/crates/sablehaven-gateway/tests/gateway/once.rs
+++ b/crates/sablehaven-gateway/tests/gateway/once.rs
@@ -4,7 +4,8 @@
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::RequestKind;
 
-use crate::support::{Bed, run, single};
+use crate::support::routes::single;
+use crate::support::{Bed, run};
 
 async fn bed(first: Behaviour, second: Behaviour) -> Bed {
     let mut bed = Bed::new().await;
--- a/crates/sablehaven-gateway/tests/gateway/refusals.rs
+++ b/crates/sablehaven-gateway/tests/gateway/refusals.rs
@@ -4,7 +4,8 @@
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::RequestKind;
 
-use crate::support::{Bed, NAMES, call, run, single};
+use crate::support::routes::single;
+use crate::support::{Bed, NAMES, call, run};
 
 #[test]
 fn without_routes_the_answer_is_503_with_when_to_come_back_and_never_404() {
--- a/crates/sablehaven-gateway/tests/gateway/replies.rs
+++ b/crates/sablehaven-gateway/tests/gateway/replies.rs
@@ -4,7 +4,8 @@
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::RequestKind;
 
-use crate::support::{Bed, run, single};
+use crate::support::routes::single;
+use crate::support::{Bed, run};
 
 /// The near server answers badly, the far one well: the caller gets the good answer and never a part
 /// of the bad one.
--- a/crates/sablehaven-gateway/tests/gateway/servers.rs
+++ b/crates/sablehaven-gateway/tests/gateway/servers.rs
@@ -7,7 +7,8 @@
 use sablehaven_types::RequestKind;
 use tokio::time::timeout;
 
-use crate::support::{Bed, run, single, until};
+use crate::support::routes::single;
+use crate::support::{Bed, run, until};
 
 #[test]
 fn a_server_that_is_leaving_gets_nothing_new_and_finishes_what_it_has() {
--- a/crates/sablehaven-gateway/tests/gateway/stops.rs
+++ b/crates/sablehaven-gateway/tests/gateway/stops.rs
@@ -7,7 +7,8 @@
 use sablehaven_types::RequestKind;
 use tokio::time::sleep;
 
-use crate::support::{Bed, call, run, single, until};
+use crate::support::routes::single;
+use crate::support::{Bed, call, run, until};
 
 #[test]
 fn a_stopping_gateway_answers_what_it_read_and_what_still_comes() {
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -2,7 +2,7 @@
 
 mod caller;
 mod control;
-mod routes;
+pub mod routes;
 
 use std::{
     collections::BTreeMap,
@@ -20,11 +20,8 @@
 use sablehaven_wire::GatewayStatus;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet, time::sleep};
 
+pub use self::caller::{Answer, call};
 use self::control::{Said, stand_in_control};
-pub use self::{
-    caller::{Answer, call},
-    routes::{gather, record, single},
-};
 
 pub const NAMES: RoutedNames = RoutedNames {
     request_id: "sablehaven-request-id",
