--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -142,7 +142,7 @@
         let profile = &request.profile;
         let expected = profile.typical() + server.round_trip();
         let mut health = server.health.borrow_mut();
-        let attempt = health.sent(now, profile.kind(), expected);
+        let attempt = health.sent(now, expected);
         drop(health);
         Self {
             gateway,
@@ -177,7 +177,6 @@
         }
         self.gateway.metrics.attempt_ended(ending.name());
         let taken = Taken {
-            kind: profile.kind(),
             taken,
             usual,
             pace: self.request.pace.median(),
--- a/crates/sablehaven-gateway/src/servers/health.rs
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -11,8 +11,6 @@
 const OUTLIER_WEIGHT: f64 = 0.5;
 /// So many times longer is much longer.
 const OUTLIER_RATIO: f64 = 1.5;
-/// Kinds of request that slowness is kept of; the one heard of longest ago is forgotten first.
-const KEPT_KINDS: usize = 8;
 /// Time after which half of a server's slowness is forgotten when nothing is heard of it: it must be
 /// tried again, or a server that was slow once would be avoided for ever.
 const FORGETTING_HALF_LIFE: Duration = Duration::from_millis(1_500);
@@ -81,7 +79,6 @@
 /// An attempt under way.
 #[derive(Clone, Copy, Debug)]
 struct Outstanding {
-    kind: KindOfRequest,
     sent_at: Duration,
     /// What this request usually takes at a server, with the way there.
     expected: Duration,
@@ -94,7 +91,6 @@
 /// What an attempt took, and what it is to be measured against; both without the way there.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Taken {
-    pub(crate) kind: KindOfRequest,
     pub(crate) taken: Duration,
     /// What the request usually takes at any server.
     pub(crate) usual: Duration,
@@ -115,11 +111,9 @@
     }
 }
 
-/// What answers to one kind of request take, relative to the usual; 1 is usual. A queue weighs more
-/// on small requests, so each kind has its own.
+/// What answers take, relative to what is usual for their kind of request; 1 is usual.
 #[derive(Clone, Copy, Debug)]
 struct Slowness {
-    kind: KindOfRequest,
     ratio: f64,
     at: Duration,
     /// Time after which half of it is forgotten.
@@ -138,7 +132,7 @@
 /// What a gateway has seen of one server. Times are any steady time.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServerHealth {
-    slowness: Vec<Slowness>,
+    slowness: Option<Slowness>,
     outstanding: BTreeMap<u64, Outstanding>,
     next_attempt: u64,
     last_answer: Duration,
@@ -179,10 +173,9 @@
 
 impl ServerHealth {
     /// An attempt is sent; its number is given back to [`Self::ended`].
-    pub(crate) fn sent(&mut self, now: Duration, kind: KindOfRequest, expected: Duration) -> u64 {
+    pub(crate) fn sent(&mut self, now: Duration, expected: Duration) -> u64 {
         self.next_attempt += 1;
         let outstanding = Outstanding {
-            kind,
             sent_at: now,
             expected,
         };
@@ -212,8 +205,8 @@
             Ending::TurnedAway => {
                 self.last_answer = now;
                 self.is_suspected = false;
-                let slowness = self.slowness(now, taken.kind) + 2.0;
-                self.learn(now, taken.kind, slowness, SLOWNESS_WEIGHT);
+                let slowness = self.slowness(now) + 2.0;
+                self.learn(now, slowness, SLOWNESS_WEIGHT);
             }
             Ending::Failed => self.fail(now, 1),
             Ending::Silent => self.fail(now, FAILURES_TO_REST),
@@ -231,30 +224,25 @@
         } else {
             SLOWNESS_WEIGHT
         };
-        self.learn(now, taken.kind, taken.ratio(taken.usual), weight);
+        self.learn(now, taken.ratio(taken.usual), weight);
     }
 
     /// An attempt that was cancelled tells what an answer would have taken at the least; that is news
     /// only of a server that is slower than was known.
     fn learn_at_least(&mut self, now: Duration, sent_at: Duration, taken: &Taken) {
         let ratio = taken.ratio(taken.usual);
-        if !taken.is_outlier() || ratio <= self.slowness(now, taken.kind) {
+        if !taken.is_outlier() || ratio <= self.slowness(now) {
             return;
         }
         self.slow_tries.count(now, sent_at, true);
-        self.learn(now, taken.kind, ratio, OUTLIER_WEIGHT);
+        self.learn(now, ratio, OUTLIER_WEIGHT);
     }
 
-    fn learn(&mut self, now: Duration, kind: KindOfRequest, slowness: f64, weight: f64) {
-        let known = self.slowness(now, kind);
+    fn learn(&mut self, now: Duration, slowness: f64, weight: f64) {
+        let known = self.slowness(now);
         let slowness = slowness.min(MAXIMUM_SLOWNESS);
         let ratio = known + weight * (slowness - known);
-        self.slowness.retain(|each| each.kind != kind);
-        if self.slowness.len() == KEPT_KINDS {
-            self.slowness.remove(0);
-        }
-        self.slowness.push(Slowness {
-            kind,
+        self.slowness = Some(Slowness {
             ratio,
             at: now,
             half_life: self.slow_tries.half_life(),
@@ -271,12 +259,9 @@
         self.rests_until = now + rest;
     }
 
-    /// What answers to a kind of request take, relative to the usual. Of a kind that was not seen yet
-    /// the latest one tells.
-    pub(crate) fn slowness(&self, now: Duration, kind: KindOfRequest) -> f64 {
-        let own = self.slowness.iter().find(|each| each.kind == kind);
-        let nearest = own.or(self.slowness.last());
-        nearest.map_or(1.0, |known| known.now(now))
+    /// What answers take, relative to the usual.
+    pub(crate) fn slowness(&self, now: Duration) -> f64 {
+        self.slowness.map_or(1.0, |known| known.now(now))
     }
 
     /// How likely the server is to fail a request, 0 to 1.
@@ -299,7 +284,7 @@
     pub(crate) fn stands_still_at(&self, now: Duration) -> Option<Duration> {
         let oldest = self.outstanding.values().min_by_key(|each| each.sent_at)?;
         let heard_at = self.last_answer.max(oldest.sent_at);
-        let slowness = self.slowness(now, oldest.kind).clamp(1.0, 3.0);
+        let slowness = self.slowness(now).clamp(1.0, 3.0);
         let patience = oldest
             .expected
             .mul_f64(STILL_RATIO * slowness)
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -215,7 +215,7 @@
         let candidates = servers
             .iter()
             .filter(|server| server.takes_work() && !tried.contains(&server.id))
-            .map(|server| (Rc::clone(server), server.candidate(now, profile.kind())));
+            .map(|server| (Rc::clone(server), server.candidate(now)));
         choose(candidates, profile.typical(), rand::random())
     }
 
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -11,7 +11,7 @@
 use super::{
     choice::{Candidate, Distance},
     connection_pool::ConnectionPool,
-    health::{KindOfRequest, ServerHealth},
+    health::ServerHealth,
 };
 
 /// One server, as the list and the gateway's own attempts show it.
@@ -77,12 +77,12 @@
         self.round_trip.set(self.round_trip.get().min(seen));
     }
 
-    pub(crate) fn candidate(&self, now: Duration, kind: KindOfRequest) -> Candidate {
+    pub(crate) fn candidate(&self, now: Duration) -> Candidate {
         let health = self.health.borrow();
         Candidate {
             distance: self.distance,
             round_trip: self.round_trip(),
-            slowness: health.slowness(now, kind),
+            slowness: health.slowness(now),
             failure_rate: health.failure_rate(now),
             outstanding: health.outstanding(),
             lanes: self.slots.get().min(self.pool.limit()),
