Gateway tests: the second try is there before the routes are

Cause: run against the code of the test that a second try waits for the first routes passed: the routes came first. Change: the routes come 0.3 s after the second try was sent; nothing else.

--- a/crates/sablehaven-gateway/tests/gateway/refusals.rs
+++ b/crates/sablehaven-gateway/tests/gateway/refusals.rs
@@ -1,5 +1,7 @@
 //! What the gateway answers by itself.
 
+use std::time::Duration;
+
 use hyper::StatusCode;
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::RequestKind;
@@ -33,6 +35,8 @@
             call(address, Some("1-2"), "GET", "/q/x", &second_try, "").await
         };
         let serving = async {
+            // The second try is at the gateway by then; without that the test would show nothing.
+            tokio::time::sleep(Duration::from_millis(300)).await;
             bed.serve("search", &[Behaviour::answer("ok")]).await;
             bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
                 .await;
@@ -52,7 +56,7 @@
         let answer = bed.send("1-2", "GET", "/q/x", &second_try, "").await;
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
         assert!(answer.header("retry-after").is_some());
-        let waited = std::time::Duration::from_millis(200);
+        let waited = Duration::from_millis(200);
         assert!(answer.taken >= waited, "{:?}", answer.taken);
     });
 }
@@ -102,7 +106,7 @@
         let deadline = [("sablehaven-deadline-ms", "700")];
         let held = |id: &'static str| bed.send(id, "GET", "/q/x", &deadline, "");
         let refused = async {
-            tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+            tokio::time::sleep(Duration::from_millis(150)).await;
             bed.send("3", "GET", "/q/x", &deadline, "").await
         };
         let (first, second, third) = tokio::join!(held("1"), held("2"), refused);
