Control: callers are told of as many gateways as their traffic needs

Cause: with 191 gateways for 150 queries a second over 42 to 63 shards a gateway saw less than one query a second. It nearly always opened connections (6 ms each), knew nothing of the servers' pace, and a 191st of the retry budget was nothing. The directory told a caller of every gateway of its zone.

Change: gateways report how much of the last second they were at work (the runtime's own busy time) and how many attempts they began. Control names, for each zone, the first gateways in the order of a hash of their addresses; how many follows from what they report (at 0.35 of their time at work, four at the least), grows at once and shrinks after ten seconds. Members tell how many share what servers bear: those that are named and those that served within ten seconds. Reports are held by address and counted twice a second; before, each report of each gateway walked over and copied all of them, which made control's processor time grow with the square.

Ruled out: counting every gateway that took a request. A gateway serves with a quarter of the busiest ones' attempts.

--- a/crates/sablehaven-control/src/gateways/entry.rs
+++ b/crates/sablehaven-control/src/gateways/entry.rs
@@ -1,10 +1,12 @@
 //! Which gateways a caller is told of, as a pure decision.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use sablehaven_types::Placement;
+use sablehaven_types::{Placement, ZoneName};
 use sablehaven_wire::GatewayStatus;
 
+use super::subset::{NamingRank, SubsetSize};
+
 /// The most addresses that a caller is told.
 const MAXIMUM_ADDRESSES: usize = 64;
 /// A gateway that is silent for so long is told only where no other is heard: it says something every
@@ -12,31 +14,57 @@
 const FRESH_LIMIT: Duration = Duration::from_millis(900);
 
 /// A gateway, and how long ago it was heard.
-#[derive(Clone, Debug)]
-pub(crate) struct HeardGateway {
-    pub(crate) status: GatewayStatus,
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeardGateway<'a> {
+    pub(crate) status: &'a GatewayStatus,
+    pub(crate) rank: NamingRank,
     pub(crate) silent_for: Duration,
 }
 
-/// The ready gateways of the nearest place that has any: the caller's zone, its region, anywhere.
+/// The sizes of the zones' subsets.
+pub(super) type SubsetSizes = BTreeMap<ZoneName, SubsetSize>;
+
+/// The named gateways of the nearest place that has any: the caller's zone, its region, anywhere.
 /// Callers draw among the addresses, so far ones beside near ones would be used as much.
-pub(crate) fn choose(gateways: &[HeardGateway], caller: &Placement) -> Vec<SocketAddr> {
-    let is_fresh = |gateway: &HeardGateway| gateway.silent_for < FRESH_LIMIT;
-    let ready = gateways.iter().filter(|gateway| gateway.status.is_ready);
-    // When all are silent it is this replica that did not listen.
-    let (fresh, silent): (Vec<_>, Vec<_>) = ready.partition(|gateway| is_fresh(gateway));
-    let told = if fresh.is_empty() { silent } else { fresh };
-    let ready: Vec<&GatewayStatus> = told.iter().map(|gateway| &gateway.status).collect();
+pub(super) fn choose(
+    gateways: &[HeardGateway<'_>],
+    sizes: &SubsetSizes,
+    caller: &Placement,
+) -> Vec<SocketAddr> {
+    let named = named(gateways, sizes);
     let in_zone = |gateway: &GatewayStatus| gateway.placement.zone == caller.zone;
     let in_region = |gateway: &GatewayStatus| gateway.placement.region == caller.region;
     let anywhere = |_: &GatewayStatus| true;
     let circles: [&dyn Fn(&GatewayStatus) -> bool; 3] = [&in_zone, &in_region, &anywhere];
     for is_near in circles {
-        let near = ready.iter().filter(|gateway| is_near(gateway));
-        let addresses: Vec<SocketAddr> = near.map(|gateway| gateway.address).collect();
+        let near = named.iter().filter(|gateway| is_near(gateway.status));
+        let addresses: Vec<SocketAddr> = near.map(|gateway| gateway.status.address).collect();
         if !addresses.is_empty() {
             return addresses.into_iter().take(MAXIMUM_ADDRESSES).collect();
         }
     }
     Vec::new()
 }
+
+/// The gateways of every zone that callers may be told of: the first of those that are ready and heard.
+pub(super) fn named<'a>(
+    gateways: &[HeardGateway<'a>],
+    sizes: &SubsetSizes,
+) -> Vec<HeardGateway<'a>> {
+    let is_fresh = |gateway: &HeardGateway<'_>| gateway.silent_for < FRESH_LIMIT;
+    let ready = gateways.iter().filter(|gateway| gateway.status.is_ready);
+    // When all are silent it is this replica that did not listen.
+    let (fresh, silent): (Vec<&HeardGateway<'a>>, Vec<_>) =
+        ready.partition(|gateway| is_fresh(gateway));
+    let mut told = if fresh.is_empty() { silent } else { fresh };
+    told.sort_by_key(|gateway| gateway.rank);
+    let mut taken: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+    let has_room = |gateway: &&HeardGateway<'a>| {
+        let zone = &gateway.status.placement.zone;
+        let size = sizes.get(zone).copied().unwrap_or_default();
+        let taken = taken.entry(zone).or_default();
+        *taken += 1;
+        *taken <= size.size()
+    };
+    told.into_iter().filter(has_room).copied().collect()
+}
--- a/crates/sablehaven-control/src/gateways/mod.rs
+++ b/crates/sablehaven-control/src/gateways/mod.rs
@@ -1,9 +1,10 @@
 //! Gateways: their connections, what they are sent, and which of them callers are told of.
 
-pub(crate) mod entry;
+mod entry;
 mod registry;
 mod routes_turn;
 mod session;
+mod subset;
 
 pub(crate) use registry::Gateways;
 pub(crate) use session::serve_gateway;
--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -7,11 +7,14 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{ListedServer, RouteDocument, ServerListing, ZoneName};
+use sablehaven_types::{ListedServer, Placement, RouteDocument, ServerListing, ZoneName};
 use sablehaven_wire::{ControlToGateway, DeploymentMembers, EncodedMessage, GatewayStatus};
 use tokio::sync::watch;
 
-use super::entry::HeardGateway;
+use super::{
+    entry::{HeardGateway, SubsetSizes, choose, named},
+    subset::{NamingRank, ZoneLoad, naming_rank},
+};
 
 /// Least time after the start in which gateways connect; before its end the picture is not whole, and
 /// callers that were told of a few gateways would all go there.
@@ -20,6 +23,11 @@
 const QUIET_TIME: Duration = Duration::from_millis(350);
 /// Longest time until what is there is taken for whole.
 const LONGEST_SETTLING: Duration = Duration::from_secs(3);
+/// Time between two counts of the gateways: each looks at all of them, and hundreds report twice a second.
+const COUNT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a gateway that has taken requests shares what servers bear, named or not: about as long
+/// as it keeps its connections to them.
+const SHARING_TIME: Duration = Duration::from_secs(10);
 
 type Encoded = Arc<EncodedMessage<ControlToGateway>>;
 
@@ -34,18 +42,122 @@
     encoded_listing: Mutex<Option<(Arc<ServerListing>, Encoded)>>,
 }
 
+/// The sessions of gateways, and what each gateway has said last.
 #[derive(Default)]
-struct Sessions {
+pub(super) struct Sessions {
     opened: u64,
     latest_opened: Option<Instant>,
-    reports: BTreeMap<u64, GatewayReport>,
+    /// The address that each session's gateway has given.
+    addresses: BTreeMap<u64, SocketAddr>,
+    /// The latest report of each gateway.
+    reports: BTreeMap<SocketAddr, GatewayReport>,
+    counted_at: Option<Instant>,
+    sizes: SubsetSizes,
 }
 
 /// The latest word of a gateway.
-#[derive(Clone)]
 struct GatewayReport {
+    session: u64,
     status: GatewayStatus,
+    rank: NamingRank,
     heard_at: Instant,
+    /// When it last served callers, by what it and the others of its zone said.
+    served_at: Option<Instant>,
+}
+
+impl Sessions {
+    /// Takes a report; one of a session that a later one of the same gateway has replaced is ignored.
+    pub(super) fn take(&mut self, session: u64, status: GatewayStatus) {
+        let now = Instant::now();
+        let address = status.address;
+        self.addresses.insert(session, address);
+        let former = self.reports.get(&address);
+        if former.is_some_and(|report| report.session > session) {
+            return;
+        }
+        let served_at = former.and_then(|report| report.served_at);
+        let report = GatewayReport {
+            session,
+            status,
+            rank: naming_rank(address),
+            heard_at: now,
+            served_at,
+        };
+        self.reports.insert(address, report);
+    }
+
+    pub(super) fn remove(&mut self, session: u64) {
+        let Some(address) = self.addresses.remove(&session) else {
+            return;
+        };
+        if self.reports.get(&address).map(|report| report.session) == Some(session) {
+            self.reports.remove(&address);
+        }
+    }
+
+    pub(super) fn heard(&self) -> Vec<HeardGateway<'_>> {
+        let reports = self.reports.values();
+        let heard = reports.map(|report| HeardGateway {
+            status: &report.status,
+            rank: report.rank,
+            silent_for: report.heard_at.elapsed(),
+        });
+        heard.collect()
+    }
+
+    /// Sets the size of each zone's subset by what its gateways have to do, and notes which of them serve.
+    pub(super) fn resize(&mut self, now: Instant) {
+        let mut loads: BTreeMap<&ZoneName, ZoneLoad> = BTreeMap::new();
+        for report in self.reports.values() {
+            let zone = &report.status.placement.zone;
+            loads.entry(zone).or_default().add(report.status.load);
+        }
+        let mut least_attempts: BTreeMap<ZoneName, u32> = BTreeMap::new();
+        for (zone, load) in loads {
+            let size = self.sizes.entry(zone.clone()).or_default();
+            let former = size.size();
+            let least = load.least_attempts(former);
+            least_attempts.insert(zone.clone(), least);
+            size.observe(now, load.traffic(least));
+            if size.size() != former {
+                log::info!(event = "gateway_subset", zone:% = zone, size = size.size(), former = former;
+                    "gateways that callers are told of");
+            }
+        }
+        for report in self.reports.values_mut() {
+            let least = least_attempts.get(&report.status.placement.zone);
+            if least.is_some_and(|least| report.status.load.attempts >= *least) {
+                report.served_at = Some(now);
+            }
+        }
+    }
+
+    /// The gateways by zone that share what servers bear: those that are named, and those that still take
+    /// requests. Some of the named may be about to become ready.
+    pub(super) fn sharers(&self, now: Instant) -> BTreeMap<ZoneName, u32> {
+        let named = named(&self.heard(), &self.sizes);
+        let named: BTreeSet<SocketAddr> = named.iter().map(|each| each.status.address).collect();
+        let serves = |report: &GatewayReport| {
+            let since = report.served_at.map(|at| now.saturating_duration_since(at));
+            since.is_some_and(|since| since < SHARING_TIME)
+        };
+        let mut connected: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        let mut sharing: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        for report in self.reports.values() {
+            let zone = &report.status.placement.zone;
+            *connected.entry(zone).or_default() += 1;
+            let shares = named.contains(&report.status.address) || serves(report);
+            *sharing.entry(zone).or_default() += usize::from(shares);
+        }
+        let count = |(zone, connected): (&ZoneName, usize)| {
+            let size = self.sizes.get(zone).copied().unwrap_or_default();
+            let least = size.size().min(connected);
+            let sharing = sharing.get(zone).copied().unwrap_or(0);
+            let count = u32::try_from(sharing.max(least)).unwrap_or(u32::MAX);
+            (zone.clone(), count)
+        };
+        connected.into_iter().map(count).collect()
+    }
 }
 
 impl Gateways {
@@ -75,44 +187,37 @@
     }
 
     pub(super) fn report(&self, session: u64, status: GatewayStatus) {
-        let report = GatewayReport {
-            status,
-            heard_at: Instant::now(),
-        };
-        self.lock().reports.insert(session, report);
-        self.refresh_gateways();
+        self.lock().take(session, status);
+        self.count_gateways();
     }
 
     pub(super) fn close(&self, session: u64) {
-        self.lock().reports.remove(&session);
-        self.refresh_gateways();
+        self.lock().remove(session);
+        self.count_gateways();
     }
 
-    /// The connected gateways, the latest session of each address.
-    pub(crate) fn heard(&self) -> Vec<HeardGateway> {
+    /// Where a caller of a place is to go: near gateways first.
+    pub(crate) fn entry(&self, caller: &Placement) -> Vec<SocketAddr> {
         let sessions = self.lock();
-        let mut by_address: BTreeMap<SocketAddr, HeardGateway> = BTreeMap::new();
-        for report in sessions.reports.values() {
-            let gateway = HeardGateway {
-                status: report.status.clone(),
-                silent_for: report.heard_at.elapsed(),
-            };
-            by_address.insert(report.status.address, gateway);
-        }
-        by_address.into_values().collect()
+        choose(&sessions.heard(), &sessions.sizes, caller)
     }
 
     /// Gateways share what servers bear by their number, so a picture that is not whole yet would make
     /// each of them take too much.
-    fn refresh_gateways(&self) {
+    fn count_gateways(&self) {
         if !self.is_settled() {
             return;
         }
-        let mut counts: BTreeMap<ZoneName, u32> = BTreeMap::new();
-        for gateway in self.heard() {
-            let zone = gateway.status.placement.zone;
-            *counts.entry(zone).or_default() += 1;
+        let now = Instant::now();
+        let mut sessions = self.lock();
+        let counted_at = sessions.counted_at;
+        if counted_at.is_some_and(|at| now.saturating_duration_since(at) < COUNT_INTERVAL) {
+            return;
         }
+        sessions.counted_at = Some(now);
+        sessions.resize(now);
+        let counts = sessions.sharers(now);
+        drop(sessions);
         self.members.send_if_modified(|members| {
             let is_new = members.gateways != counts;
             members.gateways = counts;
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -1,14 +1,15 @@
 //! Tests of the directory's decision and of readings of the list.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sablehaven_types::{ListedServer, ListingNumber, Placement};
-use sablehaven_wire::GatewayStatus;
+use sablehaven_wire::{GatewayLoad, GatewayStatus};
 
 use super::{
     Gateways,
-    entry::{HeardGateway, choose},
-    registry::has_settled,
+    entry::{HeardGateway, SubsetSizes, choose},
+    registry::{Sessions, has_settled},
+    subset::{SubsetSize, naming_rank},
 };
 
 fn place(region: &str, zone: &str) -> Placement {
@@ -18,32 +19,43 @@
     }
 }
 
-fn gateway(port: u16, region: &str, zone: &str, is_ready: bool) -> HeardGateway {
-    let status = GatewayStatus {
+fn gateway(port: u16, region: &str, zone: &str, is_ready: bool) -> GatewayStatus {
+    GatewayStatus {
         address: ([127, 0, 0, 1], port).into(),
         placement: place(region, zone),
         is_ready,
         routes_version: 1,
         listing: ListingNumber::default(),
-    };
-    HeardGateway {
-        status,
-        silent_for: Duration::ZERO,
+        load: GatewayLoad::default(),
     }
 }
 
-fn silent(gateway: HeardGateway) -> HeardGateway {
-    HeardGateway {
-        silent_for: Duration::from_secs(1),
-        ..gateway
-    }
+/// A gateway's status, and how long it has been silent.
+type Heard = (GatewayStatus, Duration);
+
+fn fresh(status: GatewayStatus) -> Heard {
+    (status, Duration::ZERO)
 }
 
-fn ports(gateways: &[HeardGateway], caller: &Placement) -> Vec<u16> {
-    choose(gateways, caller)
-        .iter()
-        .map(std::net::SocketAddr::port)
-        .collect()
+fn silent(status: GatewayStatus) -> Heard {
+    (status, Duration::from_secs(1))
+}
+
+fn ports(gateways: &[Heard], caller: &Placement) -> Vec<u16> {
+    ports_of_subset(gateways, &SubsetSizes::new(), caller)
+}
+
+fn ports_of_subset(gateways: &[Heard], sizes: &SubsetSizes, caller: &Placement) -> Vec<u16> {
+    let gateways = gateways.iter().map(|(status, silent_for)| HeardGateway {
+        rank: naming_rank(status.address),
+        status,
+        silent_for: *silent_for,
+    });
+    let gateways: Vec<HeardGateway<'_>> = gateways.collect();
+    let chosen = choose(&gateways, sizes, caller);
+    let mut ports: Vec<u16> = chosen.iter().map(std::net::SocketAddr::port).collect();
+    ports.sort_unstable();
+    ports
 }
 
 #[test]
@@ -53,7 +65,8 @@
         gateway(2, "north", "a", false),
         gateway(3, "north", "b", true),
         gateway(4, "south", "c", true),
-    ];
+    ]
+    .map(fresh);
     assert_eq!(ports(&gateways, &place("north", "a")), [1]);
     assert_eq!(ports(&gateways, &place("north", "z")), [1, 3]);
     assert_eq!(ports(&gateways, &place("west", "y")), [1, 3, 4]);
@@ -64,21 +77,122 @@
 fn a_silent_gateway_is_told_only_where_no_other_is_heard() {
     let gateways = [
         silent(gateway(1, "north", "a", true)),
-        gateway(2, "north", "a", true),
+        fresh(gateway(2, "north", "a", true)),
         silent(gateway(3, "north", "b", true)),
     ];
     assert_eq!(ports(&gateways, &place("north", "a")), [2]);
     assert_eq!(ports(&gateways, &place("north", "b")), [2]);
-    let all_silent = gateways.map(silent);
+    let all_silent = gateways.map(|(status, _)| silent(status));
     assert_eq!(ports(&all_silent, &place("north", "a")), [1, 2]);
 }
 
+/// Sizes where zone `a` has the traffic of `busy` gateways that are always at work.
+fn sizes_for(busy: f64) -> SubsetSizes {
+    let mut size = SubsetSize::default();
+    size.observe(Instant::now(), busy);
+    SubsetSizes::from([("a".into(), size)])
+}
+
+fn many(count: u16) -> Vec<Heard> {
+    let all = 1..=count;
+    all.map(|port| fresh(gateway(port, "north", "a", true)))
+        .collect()
+}
+
 #[test]
 fn no_more_addresses_are_told_than_callers_take() {
-    let gateways: Vec<_> = (1..=90)
-        .map(|port| gateway(port, "north", "a", true))
-        .collect();
-    assert_eq!(ports(&gateways, &place("north", "a")).len(), 64);
+    let sizes = sizes_for(90.0);
+    let told = ports_of_subset(&many(90), &sizes, &place("north", "a"));
+    assert_eq!(told.len(), 64);
+}
+
+#[test]
+fn callers_are_told_of_few_gateways_where_the_traffic_needs_no_more() {
+    let caller = place("north", "a");
+    let calm = ports(&many(34), &caller);
+    assert_eq!(calm.len(), 4);
+    let busy = ports_of_subset(&many(34), &sizes_for(5.0), &caller);
+    assert!(busy.len() > 10 && busy.len() < 34, "{busy:?}");
+    assert!(calm.iter().all(|port| busy.contains(port)));
+    assert_eq!(ports(&many(3), &caller), [1, 2, 3]);
+}
+
+#[test]
+fn a_named_gateway_that_is_lost_is_replaced_and_the_others_stay() {
+    let caller = place("north", "a");
+    let mut gateways = many(34);
+    let before = ports(&gateways, &caller);
+    for lost in before.clone() {
+        let index = usize::from(lost) - 1;
+        let kept = gateways[index].clone();
+        gateways[index].0.is_ready = false;
+        let stopping = ports(&gateways, &caller);
+        gateways[index] = silent(kept.0.clone());
+        assert_eq!(ports(&gateways, &caller), stopping);
+        gateways[index] = kept;
+        let stayed = before.iter().filter(|port| stopping.contains(port));
+        assert_eq!(stayed.count(), before.len() - 1);
+        assert_eq!(stopping.len(), before.len());
+        assert!(!stopping.contains(&lost));
+    }
+}
+
+#[test]
+fn one_gateway_more_moves_one_named_gateway_at_most() {
+    let caller = place("north", "a");
+    for count in 4..60 {
+        let before = ports(&many(count), &caller);
+        let after = ports(&many(count + 1), &caller);
+        let stayed = before.iter().filter(|port| after.contains(port));
+        assert!(stayed.count() + 1 >= before.len());
+    }
+}
+
+/// A status that says how many attempts were begun.
+fn serving(port: u16, attempts: u32) -> GatewayStatus {
+    GatewayStatus {
+        load: GatewayLoad {
+            busy_permille: 10,
+            attempts,
+        },
+        ..gateway(port, "north", "a", true)
+    }
+}
+
+#[test]
+fn those_that_are_named_or_have_served_lately_share_what_servers_bear() {
+    let mut sessions = Sessions::default();
+    let named = ports(&many(30), &place("north", "a"));
+    let other = (1..=30).find(|port| !named.contains(port));
+    let other = other.expect("one is not named");
+    for port in 1..=30 {
+        let attempts = if named.contains(&port) { 100 } else { 3 };
+        sessions.take(u64::from(port), serving(port, attempts));
+    }
+    let now = Instant::now();
+    sessions.resize(now);
+    assert_eq!(sessions.sharers(now)[&"a".into()], 4);
+    sessions.take(u64::from(other), serving(other, 50));
+    sessions.resize(now);
+    sessions.take(u64::from(other), serving(other, 0));
+    sessions.resize(now + Duration::from_secs(1));
+    assert_eq!(sessions.sharers(now)[&"a".into()], 5);
+    let later = now + Duration::from_secs(11);
+    assert_eq!(sessions.sharers(later)[&"a".into()], 4);
+}
+
+#[test]
+fn a_replaced_session_says_nothing_any_more_and_takes_nothing_with_it() {
+    let mut sessions = Sessions::default();
+    let ready = |is_ready| gateway(1, "north", "a", is_ready);
+    sessions.take(1, ready(false));
+    sessions.take(2, ready(true));
+    sessions.take(1, ready(false));
+    assert!(sessions.heard()[0].status.is_ready);
+    sessions.remove(1);
+    assert_eq!(sessions.heard().len(), 1);
+    sessions.remove(2);
+    assert!(sessions.heard().is_empty());
 }
 
 fn listed(warmup_left_ms: u64, is_draining: bool) -> ListedServer {
--- a/crates/sablehaven-control/src/routes/service.rs
+++ b/crates/sablehaven-control/src/routes/service.rs
@@ -9,7 +9,6 @@
 use super::PutRoutes;
 use crate::{
     driver::{ProposeError, read},
-    gateways::entry,
     replicas::ReplicaAddresses,
     server::Context,
     shared::SharedCommand,
@@ -96,7 +95,7 @@
         if !self.context.gateways.is_settled() {
             return Vec::new();
         }
-        entry::choose(&self.context.gateways.heard(), caller)
+        self.context.gateways.entry(caller)
     }
 
     fn not_leader(&self) -> RoutesCallError {
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -128,7 +128,9 @@
             return Err(LinkError::Silent { peer });
         }
         if is_due {
-            let message = GatewayToControl::Status(status.borrow_and_update().clone());
+            let mut said = status.borrow_and_update().clone();
+            said.load = gateway.load.load();
+            let message = GatewayToControl::Status(said);
             match timeout(SEND_TIMEOUT, writer.send(&message)).await {
                 Ok(sent) => sent?,
                 Err(_) => return Err(LinkError::Silent { peer }),
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -11,12 +11,12 @@
 
 use sablehaven_http::ServerSignals;
 use sablehaven_types::{CallerLimits, ListingNumber, RouteDocument, ServerListing};
-use sablehaven_wire::{DeploymentMembers, GatewayStatus};
+use sablehaven_wire::{DeploymentMembers, GatewayLoad, GatewayStatus};
 use tokio::sync::watch;
 
 use crate::{
-    Config, admission::Admission, metrics::Metrics, names::HeaderNames, resends::ResendDetector,
-    route_table::RouteTable, servers::Registry, throttle::RequestThrottle,
+    Config, admission::Admission, load::LoadMeter, metrics::Metrics, names::HeaderNames,
+    resends::ResendDetector, route_table::RouteTable, servers::Registry, throttle::RequestThrottle,
 };
 
 /// Steady time since the start.
@@ -45,6 +45,7 @@
     pub(crate) admission: Admission,
     pub(crate) throttle: RefCell<RequestThrottle>,
     pub(crate) resends: RefCell<ResendDetector>,
+    pub(crate) load: LoadMeter,
     pub(crate) signals: ServerSignals,
     pub(crate) metrics: Metrics,
     routes: RefCell<Option<Rc<RouteTable>>>,
@@ -64,6 +65,7 @@
             is_ready: false,
             routes_version: 0,
             listing: ListingNumber::default(),
+            load: GatewayLoad::default(),
         };
         let controls = config.controls.iter().copied().collect();
         Self {
@@ -74,6 +76,7 @@
             names,
             clock: Clock::new(),
             resends: RefCell::default(),
+            load: LoadMeter::default(),
             signals: ServerSignals::default(),
             metrics: Metrics::new(),
             routes: RefCell::default(),
@@ -182,6 +185,7 @@
             is_ready: self.is_ready(),
             routes_version: version,
             listing: self.registry.number(),
+            load: self.load.load(),
         });
     }
 }
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -22,6 +22,8 @@
 
 /// Time between two looks for connections that have rested too long.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two readings of the load: that between two signs of life, with which it is told.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two looks whether all requests of a stopping gateway are answered.
 const STOP_LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -80,6 +82,7 @@
     let accepting = spawn_local(accept_callers(Rc::clone(&gateway), callers));
     spawn_local(keep_links(Rc::clone(&gateway)));
     spawn_local(sweep(Rc::clone(&gateway)));
+    spawn_local(read_load(Rc::clone(&gateway)));
     let mut ready_address = None;
     if let Some((listener, address)) = ready {
         ready_address = Some(address);
@@ -200,3 +203,15 @@
         gateway.registry.drop_stale_connections();
     }
 }
+
+/// The runtime's one thread is busy from when it wakes to when it waits again. On a machine with a part of
+/// a core that includes the time in which the system did not let it run, which is what callers feel.
+async fn read_load(gateway: Rc<Gateway>) {
+    let runtime = tokio::runtime::Handle::current().metrics();
+    let mut ticker = interval(LOAD_INTERVAL);
+    loop {
+        ticker.tick().await;
+        let busy = runtime.worker_total_busy_duration(0);
+        gateway.load.read(gateway.clock.now(), busy);
+    }
+}
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -92,6 +92,7 @@
         server: Rc<Server>,
         request: Rc<OutgoingRequest>,
     ) -> Self {
+        gateway.load.count_attempt();
         let (respond, result) = oneshot::channel();
         let running = run(Rc::clone(gateway), Rc::clone(&server), request);
         let task = spawn_local(async move {
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -19,8 +19,8 @@
 pub use encoded::EncodedMessage;
 pub use lease::{CLOCK_DRIFT_PER_MILLE, LeaseProof, LeaseRequests};
 pub use message::{
-    AgentStatus, AgentToRelay, ControlToGateway, ControlToRelay, DeploymentMembers, GatewayStatus,
-    GatewayToControl, Hello, LeaseGrant, PeerMessage, RelayToAgent, RelayToControl, Role,
-    StateUpdate, UpdateFit,
+    AgentStatus, AgentToRelay, ControlToGateway, ControlToRelay, DeploymentMembers, GatewayLoad,
+    GatewayStatus, GatewayToControl, Hello, LeaseGrant, PeerMessage, RelayToAgent, RelayToControl,
+    Role, StateUpdate, UpdateFit,
 };
 pub use patience::DialPatience;
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -260,6 +260,17 @@
     pub routes_version: u64,
     /// The reading of the platform's list that it has.
     pub listing: sablehaven_types::ListingNumber,
+    /// How much it has had to do lately.
+    pub load: GatewayLoad,
+}
+
+/// How much a gateway has had to do over the last second or so.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayLoad {
+    /// Part of the time in which it was working, in thousandths.
+    pub busy_permille: u16,
+    /// Attempts at servers that it has begun: a query over many shards counts once for each.
+    pub attempts: u32,
 }
 
 /// From a control replica to a gateway.
@@ -280,6 +291,7 @@
 pub struct DeploymentMembers {
     /// Internal addresses of the control replicas.
     pub controls: BTreeSet<std::net::SocketAddr>,
-    /// Connected gateways by zone.
+    /// Gateways by zone that callers are told of or that still take requests: those that share what
+    /// servers bear.
     pub gateways: BTreeMap<ZoneName, u32>,
 }
