Control: gateways are sent what changed in the list of servers, and bytes are counted

Cause: the leader sent each reading of the list whole to every gateway, 28 kB to 191 of them, two thirds in other regions; a server that came and went cost 3.5 MB between regions.

Change: a gateway is sent the servers that are gone, new or described otherwise than in the reading that it has. Where this replica does not know that reading (another leader's, or too old) it gets all, as before. A change of another reading than the gateway's ends the connection, and the next one begins with what the gateway has. Control counts the bytes of messages with gateways by message and distance (gateway_bytes). The type of distances stood in routing and again in the gateway; it is in sablehaven-types now, and routes_turn uses it as well.

--- a/crates/sablehaven-control/src/gateways/mod.rs
+++ b/crates/sablehaven-control/src/gateways/mod.rs
@@ -1,5 +1,6 @@
 //! Gateways: their connections, what they are sent, and which of them callers are told of.
 
+mod encoded;
 mod entry;
 mod registry;
 mod routes_turn;
--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -7,11 +7,14 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{ListedServer, Placement, RouteDocument, ServerListing, ZoneName};
-use sablehaven_wire::{ControlToGateway, DeploymentMembers, EncodedMessage, GatewayStatus};
+use sablehaven_types::{
+    ListedServer, ListingNumber, Placement, RouteDocument, ServerListing, ZoneName,
+};
+use sablehaven_wire::{ControlToGateway, DeploymentMembers, GatewayStatus};
 use tokio::sync::watch;
 
 use super::{
+    encoded::{Encoded, EncodedListings, encode},
     entry::{HeardGateway, SubsetSizes, choose, named},
     subset::{NamingRank, ZoneLoad, naming_rank},
 };
@@ -29,8 +32,6 @@
 /// as it keeps its connections to them.
 const SHARING_TIME: Duration = Duration::from_secs(10);
 
-type Encoded = Arc<EncodedMessage<ControlToGateway>>;
-
 /// The connected gateways, and what they are to be told; cheap to share.
 pub(crate) struct Gateways {
     started_at: Instant,
@@ -39,7 +40,7 @@
     members: watch::Sender<DeploymentMembers>,
     /// The latest routes and listing as they go out, so that many connections share the work.
     encoded_routes: Mutex<Option<(u64, Encoded)>>,
-    encoded_listing: Mutex<Option<(Arc<ServerListing>, Encoded)>>,
+    encoded_listings: Mutex<EncodedListings>,
 }
 
 /// The sessions of gateways, and what each gateway has said last.
@@ -168,7 +169,7 @@
             listing: watch::channel(Arc::default()).0,
             members: watch::channel(DeploymentMembers::default()).0,
             encoded_routes: Mutex::default(),
-            encoded_listing: Mutex::default(),
+            encoded_listings: Mutex::default(),
         }
     }
 
@@ -249,7 +250,11 @@
                 1
             };
             number.term = term;
-            *held = Arc::new(ServerListing { number, servers });
+            let former = std::mem::replace(held, Arc::new(ServerListing { number, servers }));
+            self.encoded_listings
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .remember(former);
             true
         });
     }
@@ -282,19 +287,17 @@
         Some(encoded)
     }
 
-    pub(super) fn encode_listing(&self, listing: &Arc<ServerListing>) -> Option<Encoded> {
-        let mut cached = self
-            .encoded_listing
+    /// The listing as it goes to a gateway that has the reading `held`: what has changed since, or all of it
+    /// where this replica does not know that reading.
+    pub(super) fn encode_listing(
+        &self,
+        listing: &Arc<ServerListing>,
+        held: ListingNumber,
+    ) -> Option<Encoded> {
+        self.encoded_listings
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some((held, encoded)) = &*cached
-            && Arc::ptr_eq(held, listing)
-        {
-            return Some(Arc::clone(encoded));
-        }
-        let encoded = encode(&ControlToGateway::Listing(Arc::clone(listing)))?;
-        *cached = Some((Arc::clone(listing), Arc::clone(&encoded)));
-        Some(encoded)
+            .unwrap_or_else(PoisonError::into_inner)
+            .encode(listing, held)
     }
 
     fn lock(&self) -> MutexGuard<'_, Sessions> {
@@ -308,25 +311,8 @@
     since_start >= LONGEST_SETTLING || (since_start >= LEAST_SETTLING && is_quiet)
 }
 
-fn encode(message: &ControlToGateway) -> Option<Encoded> {
-    match EncodedMessage::new(message) {
-        Ok(encoded) => Some(Arc::new(encoded)),
-        Err(error) => {
-            log::error!("encode message to gateways: {error}");
-            None
-        }
-    }
-}
-
-/// Whether two readings say the same; the time until a server is warm counts down by itself.
+/// Whether two readings say the same.
 fn is_same_list(one: &[ListedServer], other: &[ListedServer]) -> bool {
-    let same = |(one, other): (&ListedServer, &ListedServer)| {
-        one.id == other.id
-            && one.address == other.address
-            && one.service == other.service
-            && one.zone == other.zone
-            && one.slots == other.slots
-            && one.is_draining == other.is_draining
-    };
-    one.len() == other.len() && one.iter().zip(other).all(same)
+    let mut pairs = one.iter().zip(other);
+    one.len() == other.len() && pairs.all(|(one, other)| one.says_the_same(other))
 }
--- a/crates/sablehaven-control/src/gateways/routes_turn.rs
+++ b/crates/sablehaven-control/src/gateways/routes_turn.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use sablehaven_types::Placement;
+use sablehaven_types::Distance;
 
 /// Time that the replicas of the gateway's zone have before those of its region send.
 const REGION_DELAY: Duration = Duration::from_millis(100);
@@ -36,14 +36,12 @@
 }
 
 impl RoutesTurn {
-    /// The turn of a replica at `own`.
-    pub(super) fn new(own: &Placement, gateway: &Placement) -> Self {
-        let delay = if own.zone == gateway.zone {
-            Duration::ZERO
-        } else if own.region == gateway.region {
-            REGION_DELAY
-        } else {
-            FAR_DELAY
+    /// The turn of a replica that is so far from the gateway.
+    pub(super) fn new(distance: Distance) -> Self {
+        let delay = match distance {
+            Distance::Zone => Duration::ZERO,
+            Distance::Region => REGION_DELAY,
+            Distance::Remote => FAR_DELAY,
         };
         Self {
             delay,
--- a/crates/sablehaven-control/src/gateways/routes_turn/tests.rs
+++ b/crates/sablehaven-control/src/gateways/routes_turn/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use sablehaven_types::Placement;
+use sablehaven_types::{Distance, Placement};
 
 use super::{FAR_DELAY, REGION_DELAY, RoutesStep, RoutesTurn};
 
@@ -15,7 +15,10 @@
 
 /// The turn of a replica in region `north`, zone `a`.
 fn turn(region: &str, zone: &str) -> RoutesTurn {
-    RoutesTurn::new(&place("north", "a"), &place(region, zone))
+    RoutesTurn::new(Distance::between(
+        &place("north", "a"),
+        &place(region, zone),
+    ))
 }
 
 #[test]
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -5,10 +5,10 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{ListingNumber, RouteDocument};
+use sablehaven_types::{Distance, ListingNumber, RouteDocument, ServerListing};
 use sablehaven_wire::{
-    Connection, ControlToGateway, FrameReader, FrameWriter, GatewayStatus, GatewayToControl,
-    WireError,
+    Connection, ControlToGateway, EncodedMessage, FrameReader, FrameWriter, GatewayStatus,
+    GatewayToControl, WireError,
 };
 use tokio::{
     sync::watch,
@@ -56,6 +56,8 @@
         context: Arc::clone(&context),
         peer: peer.clone(),
         writer: connection.writer,
+        distance: Distance::Zone,
+        counted_bytes: 0,
         sent_version: 0,
         sent_listing: ListingNumber::default(),
     };
@@ -76,12 +78,18 @@
     reported: watch::Sender<Option<GatewayStatus>>,
     peer: &str,
 ) -> Result<(), GatewaySessionError> {
+    let mut counted_bytes = 0;
     loop {
         let Ok(received) = timeout(SILENCE_LIMIT, reader.receive()).await else {
             let peer = peer.to_owned();
             return Err(GatewaySessionError::Silent { peer });
         };
         let GatewayToControl::Status(status) = received?;
+        let bytes = reader.received_bytes();
+        let distance = Distance::between(&context.config.placement, &status.placement);
+        let metrics = &context.metrics;
+        metrics.gateway_bytes("status", distance, bytes - counted_bytes);
+        counted_bytes = bytes;
         context.gateways.report(session, status.clone());
         reported.send_replace(Some(status));
     }
@@ -91,6 +99,10 @@
     context: Arc<Context>,
     peer: String,
     writer: FrameWriter<ControlToGateway>,
+    /// How far the gateway is; known with its first status.
+    distance: Distance,
+    /// Bytes that the metrics have counted.
+    counted_bytes: u64,
     /// The latest version that was sent, or that the gateway said it has.
     sent_version: u64,
     sent_listing: ListingNumber,
@@ -111,33 +123,27 @@
         {
             self.sent_version = first.routes_version;
             self.sent_listing = first.listing;
+            self.distance = Distance::between(&self.context.config.placement, &first.placement);
         }
-        let mut turn = self.routes_turn(&status);
+        let mut turn = RoutesTurn::new(self.distance);
         let mut alive = interval(ALIVE_INTERVAL);
         alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let look_at = self.send_routes(&mut turn, &status).await?;
-            self.send_listing(&mut listing).await?;
+            self.send_listing(&mut listing, &status).await?;
             tokio::select! {
                 () = sleep_until(look_at.unwrap_or_else(Instant::now).into()), if look_at.is_some() => {}
                 Ok(()) = published.changed() => {}
                 Ok(()) = listing.changed() => {}
                 Ok(()) = members.changed() => {
                     let members = members.borrow_and_update().clone();
-                    self.send(&ControlToGateway::Members(members)).await?;
+                    self.send("members", &ControlToGateway::Members(members)).await?;
                 }
-                _ = alive.tick() => self.send(&ControlToGateway::Alive).await?,
+                _ = alive.tick() => self.send("alive", &ControlToGateway::Alive).await?,
             }
         }
     }
 
-    fn routes_turn(&self, status: &watch::Receiver<Option<GatewayStatus>>) -> RoutesTurn {
-        let status = status.borrow();
-        let own = &self.context.config.placement;
-        let gateway = status.as_ref().map_or(own, |status| &status.placement);
-        RoutesTurn::new(own, gateway)
-    }
-
     /// Sends routes that the gateway lacks if it is this replica's turn; answers when to look again.
     async fn send_routes(
         &mut self,
@@ -160,14 +166,10 @@
         routes: &Arc<RouteDocument>,
     ) -> Result<(), GatewaySessionError> {
         self.sent_version = routes.version;
-        if let Some(encoded) = self.context.gateways.encode_routes(routes) {
-            let sending = async {
-                self.writer.feed_encoded(&encoded).await?;
-                self.writer.flush().await
-            };
-            within_limit(&self.peer, sending).await?;
+        match self.context.gateways.encode_routes(routes) {
+            Some(encoded) => self.send_encoded("routes", &encoded).await,
+            None => Ok(()),
         }
-        Ok(())
     }
 
     fn newer_routes(&self) -> Option<Arc<RouteDocument>> {
@@ -179,25 +181,51 @@
 
     async fn send_listing(
         &mut self,
-        listing: &mut watch::Receiver<Arc<sablehaven_types::ServerListing>>,
+        listing: &mut watch::Receiver<Arc<ServerListing>>,
+        status: &watch::Receiver<Option<GatewayStatus>>,
     ) -> Result<(), GatewaySessionError> {
         let listing = Arc::clone(&listing.borrow_and_update());
-        if listing.number <= self.sent_listing {
+        let said = status.borrow().as_ref().map(|said| said.listing);
+        let held = self.sent_listing.max(said.unwrap_or_default());
+        if listing.number <= held {
             return Ok(());
         }
         self.sent_listing = listing.number;
-        if let Some(encoded) = self.context.gateways.encode_listing(&listing) {
-            let sending = async {
-                self.writer.feed_encoded(&encoded).await?;
-                self.writer.flush().await
-            };
-            within_limit(&self.peer, sending).await?;
+        match self.context.gateways.encode_listing(&listing, held) {
+            Some(encoded) => self.send_encoded("listing", &encoded).await,
+            None => Ok(()),
         }
+    }
+
+    async fn send(
+        &mut self,
+        name: &'static str,
+        message: &ControlToGateway,
+    ) -> Result<(), GatewaySessionError> {
+        within_limit(&self.peer, self.writer.send(message)).await?;
+        self.count_bytes(name);
+        Ok(())
+    }
+
+    async fn send_encoded(
+        &mut self,
+        name: &'static str,
+        message: &EncodedMessage<ControlToGateway>,
+    ) -> Result<(), GatewaySessionError> {
+        let sending = async {
+            self.writer.feed_encoded(message).await?;
+            self.writer.flush().await
+        };
+        within_limit(&self.peer, sending).await?;
+        self.count_bytes(name);
         Ok(())
     }
 
-    async fn send(&mut self, message: &ControlToGateway) -> Result<(), GatewaySessionError> {
-        within_limit(&self.peer, self.writer.send(message)).await
+    fn count_bytes(&mut self, name: &'static str) {
+        let bytes = self.writer.sent_bytes();
+        let metrics = &self.context.metrics;
+        metrics.gateway_bytes(name, self.distance, bytes - self.counted_bytes);
+        self.counted_bytes = bytes;
     }
 }
 
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -1,9 +1,12 @@
 //! Tests of the directory's decision and of readings of the list.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use sablehaven_types::{ListedServer, ListingNumber, Placement};
-use sablehaven_wire::{GatewayLoad, GatewayStatus};
+use sablehaven_wire::{ControlToGateway, GatewayLoad, GatewayStatus};
 
 use super::{
     Gateways,
@@ -222,6 +225,47 @@
     assert!(number() > second);
 }
 
+/// The name of the message that brings a gateway from the reading `held` to the latest.
+fn listing_message(gateways: &Gateways, held: ListingNumber) -> &'static str {
+    let listing = Arc::clone(&gateways.listing().borrow());
+    let encoded = gateways.encode_listing(&listing, held);
+    let bytes = encoded.expect("it can be encoded").bytes();
+    match rmp_serde::from_slice(&bytes).expect("it can be decoded") {
+        ControlToGateway::Listing(whole) => {
+            assert_eq!(whole.number, listing.number);
+            "whole"
+        }
+        ControlToGateway::ListingChange(change) => {
+            assert_eq!((change.base, change.number), (held, listing.number));
+            "change"
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_gateway_is_sent_what_has_changed_or_all_where_its_reading_is_not_known() {
+    let gateways = Gateways::new();
+    let number = || gateways.listing().borrow().number;
+    let none = ListingNumber::default();
+    gateways.take_reading(3, vec![listed(0, false)]);
+    let first = number();
+    assert_eq!(listing_message(&gateways, none), "whole");
+    gateways.take_reading(3, vec![listed(0, true)]);
+    assert_eq!(listing_message(&gateways, first), "change");
+    assert_eq!(listing_message(&gateways, none), "whole");
+    let of_another = ListingNumber {
+        term: 2,
+        reading: 1,
+    };
+    assert_eq!(listing_message(&gateways, of_another), "whole");
+    for _ in 0..4 {
+        gateways.take_reading(3, vec![listed(0, false)]);
+        gateways.take_reading(3, vec![listed(0, true)]);
+    }
+    assert_eq!(listing_message(&gateways, first), "whole");
+}
+
 #[test]
 fn the_picture_of_the_gateways_is_whole_when_no_new_one_has_come_for_a_while() {
     let ms = Duration::from_millis;
--- a/crates/sablehaven-control/src/metrics.rs
+++ b/crates/sablehaven-control/src/metrics.rs
@@ -7,6 +7,7 @@
 };
 use sablehaven_storage::StorageCounters;
 use sablehaven_telemetry::Telemetry;
+use sablehaven_types::Distance;
 
 /// Names a kind of event.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -14,6 +15,13 @@
     kind: &'static str,
 }
 
+/// Names a message between this replica and gateways, and how far it goes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct GatewayMessageLabel {
+    message: &'static str,
+    distance: &'static str,
+}
+
 /// The metrics of one replica; cheap to clone.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Metrics {
@@ -28,6 +36,7 @@
     pub(crate) agents: Gauge,
     pub(crate) leading: Gauge,
     pub(crate) revision: Gauge,
+    gateway_bytes: Family<GatewayMessageLabel, Counter>,
     errors: Family<KindLabel, Counter>,
     log_syncs: Gauge,
     log_bytes: Gauge,
@@ -82,6 +91,8 @@
             "Agents' observations dropped: not the leader, or too many",
             &self.observations_dropped,
         );
+        let help = "Bytes of messages with gateways, both ways, by message and distance";
+        registry.register("gateway_bytes", help, self.gateway_bytes.clone());
         let help = "Errors of the leader's duties, by kind";
         registry.register("errors", help, self.errors.clone());
         let mut gauge = |name: &str, help: &str, gauge: &Gauge| {
@@ -119,6 +130,15 @@
         self.snapshots.set(counters.snapshots as i64);
     }
 
+    /// Counts bytes of a message to or from a gateway.
+    pub(crate) fn gateway_bytes(&self, message: &'static str, distance: Distance, bytes: u64) {
+        let label = GatewayMessageLabel {
+            message,
+            distance: distance.name(),
+        };
+        self.gateway_bytes.get_or_create(&label).inc_by(bytes);
+    }
+
     /// Counts an error of the leader's duties.
     pub(crate) fn error(&self, kind: &'static str) {
         self.errors.get_or_create(&KindLabel { kind }).inc();
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -30,6 +30,11 @@
 enum LinkError {
     /// {0}
     Wire(#[from] WireError),
+    /// connection to control {peer}: it changes a list of servers that this gateway does not have
+    ListingGap {
+        /// The replica.
+        peer: SocketAddr,
+    },
     /// connection to control {peer}: no sign of life
     Silent {
         /// The replica.
@@ -118,7 +123,7 @@
         let is_due = tokio::select! {
             received = reader.receive() => {
                 last_sign = Instant::now();
-                take(gateway, received?);
+                take(gateway, peer, received?)?;
                 false
             }
             Ok(()) = status.changed() => true,
@@ -139,11 +144,18 @@
     }
 }
 
-fn take(gateway: &Gateway, message: ControlToGateway) {
+fn take(gateway: &Gateway, peer: SocketAddr, message: ControlToGateway) -> Result<(), LinkError> {
     match message {
         ControlToGateway::Routes(document) => gateway.take_routes(document),
         ControlToGateway::Listing(listing) => gateway.take_listing(&listing),
+        ControlToGateway::ListingChange(change) => {
+            // The replica hears on the next connection which reading this gateway has.
+            if !gateway.take_listing_change(&change) {
+                return Err(LinkError::ListingGap { peer });
+            }
+        }
         ControlToGateway::Members(members) => gateway.take_members(members),
         ControlToGateway::Alive => {}
     }
+    Ok(())
 }
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 
 use sablehaven_http::ServerSignals;
-use sablehaven_types::{CallerLimits, ListingNumber, RouteDocument, ServerListing};
+use sablehaven_types::{CallerLimits, ListingChange, ListingNumber, RouteDocument, ServerListing};
 use sablehaven_wire::{DeploymentMembers, GatewayLoad, GatewayStatus};
 use tokio::sync::watch;
 
@@ -143,6 +143,27 @@
         self.refresh_status();
     }
 
+    /// Takes what a reading says otherwise than the one before it; `false` when that is not the one in force
+    /// and something newer than that is missing.
+    pub(crate) fn take_listing_change(&self, change: &ListingChange) -> bool {
+        if change.number <= self.registry.number() {
+            return true;
+        }
+        if !self.registry.take_listing_change(change) {
+            return false;
+        }
+        let number = change.number;
+        let servers = self.registry.server_count();
+        self.metrics.listed_servers.set(servers as i64);
+        log::info!(
+            event = "listing_in_force", term = number.term, reading = number.reading,
+            servers = servers, changed = change.changed.len(), gone = change.gone.len();
+            "list of servers"
+        );
+        self.refresh_status();
+        true
+    }
+
     /// Takes who takes part.
     pub(crate) fn take_members(&self, members: DeploymentMembers) {
         self.registry.take_gateways(members.gateways);
--- a/crates/sablehaven-gateway/src/servers/choice.rs
+++ b/crates/sablehaven-gateway/src/servers/choice.rs
@@ -2,16 +2,7 @@
 
 use std::time::Duration;
 
-/// How far a server is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Distance {
-    /// In the gateway's zone.
-    SameZone,
-    /// In another zone of its region.
-    SameRegion,
-    /// In another region.
-    OtherRegion,
-}
+use sablehaven_types::Distance;
 
 /// Time that leaving the region must save beyond the way itself: bytes between regions are dear.
 const REGION_RELUCTANCE: Duration = Duration::from_millis(15);
@@ -52,9 +43,9 @@
     let queue = 1.0 + candidate.outstanding as f64 / f64::from(candidate.lanes.max(1));
     let work = usual.mul_f64(candidate.slowness.max(0.1) * cold * queue);
     let reluctance = match candidate.distance {
-        Distance::SameZone => Duration::ZERO,
-        Distance::SameRegion => ZONE_RELUCTANCE,
-        Distance::OtherRegion => REGION_RELUCTANCE,
+        Distance::Zone => Duration::ZERO,
+        Distance::Region => ZONE_RELUCTANCE,
+        Distance::Remote => REGION_RELUCTANCE,
     };
     let failing = FAILURE_PENALTY.mul_f64(candidate.failure_rate);
     let mut cost = candidate.round_trip + work + reluctance + failing;
--- a/crates/sablehaven-gateway/src/servers/choice/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/choice/tests.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-use super::{Candidate, Distance, choose};
+use sablehaven_types::Distance;
+
+use super::{Candidate, choose};
 
 const USUAL: Duration = Duration::from_millis(28);
 
 fn near() -> Candidate {
     Candidate {
-        distance: Distance::SameZone,
+        distance: Distance::Zone,
         round_trip: Duration::from_micros(200),
         slowness: 1.0,
         failure_rate: 0.0,
@@ -22,7 +24,7 @@
 
 fn far() -> Candidate {
     Candidate {
-        distance: Distance::OtherRegion,
+        distance: Distance::Remote,
         round_trip: Duration::from_millis(24),
         ..near()
     }
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -8,14 +8,14 @@
 };
 
 use sablehaven_types::{
-    BackendId, ListedServer, ListingNumber, RegionName, RouteDocument, ServerListing, ServiceName,
-    ZoneName,
+    BackendId, Distance, ListedServer, ListingChange, ListingNumber, RegionName, RouteDocument,
+    ServerListing, ServiceName, ZoneName,
 };
 
 use super::{
     Server,
     budget::RetryBudget,
-    choice::{Distance, choose},
+    choice::choose,
     connection_share::{SharerCount, connection_share},
 };
 use crate::{Config, route_table::RouteProfile};
@@ -90,7 +90,7 @@
         let known: Vec<ServiceName> = self.services.borrow().keys().cloned().collect();
         for name in known {
             if !by_service.contains_key(&name) {
-                self.service(&name).update(&[], |_| Distance::OtherRegion);
+                self.service(&name).update(&[], |_| Distance::Remote);
             }
         }
         for (name, listed) in by_service {
@@ -101,6 +101,33 @@
         true
     }
 
+    /// Takes what a reading says otherwise than the one in force; `false` when it changes another one.
+    pub(crate) fn take_listing_change(&self, change: &ListingChange) -> bool {
+        if change.base != self.number.get() {
+            return false;
+        }
+        self.number.set(change.number);
+        let gone: HashSet<&BackendId> = change.gone.iter().collect();
+        for service in self.services.borrow().values() {
+            service.keep(|id| !gone.contains(id));
+        }
+        for listed in &change.changed {
+            let distance = self.distance(&listed.zone);
+            self.service(&listed.service).take(listed, distance);
+        }
+        self.limit_connections();
+        true
+    }
+
+    /// The number of listed servers.
+    pub(crate) fn server_count(&self) -> usize {
+        let services = self.services.borrow();
+        services
+            .values()
+            .map(|service| service.servers.borrow().len())
+            .sum()
+    }
+
     /// Takes what the routes say of the services.
     pub(crate) fn take_routes(&self, document: &RouteDocument) {
         for (name, service) in &document.services {
@@ -140,7 +167,7 @@
         for service in self.services.borrow().values() {
             let whole = service.max_connections.get();
             for server in service.servers.borrow().iter() {
-                let is_near = server.distance != Distance::OtherRegion;
+                let is_near = server.distance != Distance::Remote;
                 server
                     .pool
                     .set_share(connection_share(whole, server.slots(), sharers, is_near));
@@ -160,7 +187,7 @@
         };
         let (near, far): (Vec<&ZoneName>, Vec<&ZoneName>) = zones
             .into_iter()
-            .partition(|zone| self.distance(zone) != Distance::OtherRegion);
+            .partition(|zone| self.distance(zone) != Distance::Remote);
         let count = |zones: &[&ZoneName]| -> u32 {
             let each = zones.iter().map(|zone| connected(zone) + ROOM_FOR_GATEWAYS);
             each.sum()
@@ -173,34 +200,41 @@
 
     fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.zone {
-            return Distance::SameZone;
+            return Distance::Zone;
         }
         match self.regions.get(zone) {
-            Some(region) if *region == self.region => Distance::SameRegion,
-            _ => Distance::OtherRegion,
+            Some(region) if *region == self.region => Distance::Region,
+            _ => Distance::Remote,
         }
     }
 }
 
 impl ServicePool {
     fn update(&self, listed: &[&ListedServer], distance: impl Fn(&ZoneName) -> Distance) {
-        let mut servers = self.servers.borrow_mut();
         let wanted: HashSet<&BackendId> = listed.iter().map(|each| &each.id).collect();
-        servers.retain(|server| {
-            let is_listed = wanted.contains(&server.id);
+        self.keep(|id| wanted.contains(id));
+        for listed in listed {
+            self.take(listed, distance(&listed.zone));
+        }
+    }
+
+    /// Leaves out the servers that are not listed any more.
+    fn keep(&self, is_listed: impl Fn(&BackendId) -> bool) {
+        self.servers.borrow_mut().retain(|server| {
+            let is_listed = is_listed(&server.id);
             if !is_listed {
                 server.leave();
             }
             is_listed
         });
-        for listed in listed {
-            match servers.iter().find(|server| server.id == listed.id) {
-                Some(server) => server.update(listed),
-                None => {
-                    let server = Server::new(listed, distance(&listed.zone));
-                    servers.push(Rc::new(server));
-                }
-            }
+    }
+
+    /// Takes what the list says of one server.
+    fn take(&self, listed: &ListedServer, distance: Distance) {
+        let mut servers = self.servers.borrow_mut();
+        match servers.iter().find(|server| server.id == listed.id) {
+            Some(server) => server.update(listed),
+            None => servers.push(Rc::new(Server::new(listed, distance))),
         }
     }
 
@@ -229,3 +263,6 @@
         self.budget.borrow_mut().take(now, gateways)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -6,13 +6,9 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{BackendId, ListedServer};
+use sablehaven_types::{BackendId, Distance, ListedServer};
 
-use super::{
-    choice::{Candidate, Distance},
-    connection_pool::ConnectionPool,
-    health::ServerHealth,
-};
+use super::{choice::Candidate, connection_pool::ConnectionPool, health::ServerHealth};
 
 /// One server, as the list and the gateway's own attempts show it.
 pub(crate) struct Server {
@@ -96,8 +92,8 @@
 /// What the way there and back is taken to be before a connection was opened.
 fn first_round_trip(distance: Distance) -> Duration {
     match distance {
-        Distance::SameZone => Duration::from_millis(1),
-        Distance::SameRegion => Duration::from_millis(4),
-        Distance::OtherRegion => Duration::from_millis(40),
+        Distance::Zone => Duration::from_millis(1),
+        Distance::Region => Duration::from_millis(4),
+        Distance::Remote => Duration::from_millis(40),
     }
 }
--- a/crates/sablehaven-routing/examples/routing_model/experiments/subsets.rs
+++ b/crates/sablehaven-routing/examples/routing_model/experiments/subsets.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use sablehaven_routing::distance::Distance;
 use sablehaven_routing::subset::{Candidate, ConnectionBounds, select};
+use sablehaven_types::Distance;
 use sablehaven_types::{AgentId, BackendId};
 
 use crate::runs::Plan;
--- a/crates/sablehaven-routing/src/backend.rs
+++ b/crates/sablehaven-routing/src/backend.rs
@@ -7,10 +7,10 @@
 use sablehaven_types::{BackendId, BackendRecord, Placement};
 
 use crate::balance::{ReportedLoad, ResponseTime, ServiceAverage};
-use crate::distance::Distance;
 use crate::health::Health;
 use crate::pressure::Pressure;
 use crate::slow_start::SlowStart;
+use sablehaven_types::Distance;
 
 /// All that one agent knows of one back end.
 #[derive(Clone, Debug)]
--- a/crates/sablehaven-routing/src/choice.rs
+++ b/crates/sablehaven-routing/src/choice.rs
@@ -12,10 +12,10 @@
 
 use crate::backend::{Backend, BackendTable};
 use crate::balance::{ServiceAverage, cost};
-use crate::distance::{DISTANCES, Distance};
 use crate::health::Availability;
 use crate::latency::LatencyDistribution;
 use crate::plan::ShardPlan;
+use sablehaven_types::{DISTANCES, Distance};
 
 /// Costs that differ by less than this factor are a tie, decided by the draw: the difference is
 /// within the noise of the estimates.
--- a/crates/sablehaven-routing/src/latency.rs
+++ b/crates/sablehaven-routing/src/latency.rs
@@ -4,7 +4,7 @@
 
 use hdrhistogram::Histogram;
 
-use crate::distance::{DISTANCES, Distance};
+use sablehaven_types::{DISTANCES, Distance};
 
 /// Longest latency told apart, in microseconds; longer ones count as this.
 const MAX_LATENCY_US: u64 = 60_000_000;
--- a/crates/sablehaven-routing/src/lib.rs
+++ b/crates/sablehaven-routing/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod balance;
 pub mod budget;
 mod choice;
-pub mod distance;
 pub mod health;
 pub mod hedging;
 mod interface;
--- a/crates/sablehaven-routing/src/plan.rs
+++ b/crates/sablehaven-routing/src/plan.rs
@@ -6,10 +6,10 @@
 use sablehaven_types::{AgentId, BackendId, IndexSnapshot};
 
 use crate::backend::BackendTable;
-use crate::distance::DISTANCES;
 use crate::health::Availability;
 use crate::spill::{Pressures, Spill};
 use crate::subset::{Candidate, ConnectionBounds, select};
+use sablehaven_types::DISTANCES;
 
 /// One shard: the replicas that the agent uses, and how its work is spread over distances.
 #[derive(Clone, Debug)]
--- a/crates/sablehaven-routing/src/spill.rs
+++ b/crates/sablehaven-routing/src/spill.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::distance::{DISTANCES, Distance};
+use sablehaven_types::{DISTANCES, Distance};
 
 /// Time between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/sablehaven-routing/src/subset.rs
+++ b/crates/sablehaven-routing/src/subset.rs
@@ -9,7 +9,7 @@
 use sablehaven_types::{AgentId, BackendId};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::distance::{DISTANCES, Distance};
+use sablehaven_types::{DISTANCES, Distance};
 
 /// Standard deviations kept between a server's expected connections and its limit. Agents choose
 /// independently, so connections are binomial; 4 leave about 1 server in 30,000 above the limit.
--- a/crates/sablehaven-routing/tests/mechanisms.rs
+++ b/crates/sablehaven-routing/tests/mechanisms.rs
@@ -7,13 +7,13 @@
 use sablehaven_routing::ExtraKind;
 use sablehaven_routing::admission::AdmissionLimit;
 use sablehaven_routing::budget::ExtraBudget;
-use sablehaven_routing::distance::Distance;
 use sablehaven_routing::health::{Availability, Change, Health, Sign};
 use sablehaven_routing::hedging::hedge_after;
 use sablehaven_routing::latency::LatencyDistribution;
 use sablehaven_routing::retry_after::retry_after;
 use sablehaven_routing::slow_start::SlowStart;
 use sablehaven_routing::spill::{Pressures, Spill};
+use sablehaven_types::Distance;
 use sablehaven_types::{BackendState, ObservationKind};
 
 fn config() -> ProptestConfig {
--- a/crates/sablehaven-routing/tests/subset.rs
+++ b/crates/sablehaven-routing/tests/subset.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use sablehaven_routing::distance::Distance;
 use sablehaven_routing::subset::{Candidate, ConnectionBounds, select};
+use sablehaven_types::Distance;
 use sablehaven_types::{AgentId, BackendId};
 
 /// Replicas in each zone; the zones are the agent's own, another of its region, and two remote ones.
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod configuration;
 mod coverage;
+mod distance;
 pub mod http;
 mod id;
 mod ledger;
@@ -22,12 +23,13 @@
     RoutingSettings, SchemaSource, ServiceConfiguration, ShardAssignment,
 };
 pub use coverage::{Coverage, MissingReason, MissingShard};
+pub use distance::{DISTANCES, Distance};
 pub use id::{
     AgentId, AttemptId, BackendId, CallerId, ClaimId, CommandId, OperatorId, RegionName, RelayId,
     RequestId, ServiceName, ShardId, ZoneName,
 };
 pub use ledger::{ClaimAnswer, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome};
-pub use listing::{ListedServer, ListingNumber, ServerListing};
+pub use listing::{ListedServer, ListingChange, ListingNumber, ServerListing};
 pub use membership::{BackendRecord, BackendState, Observation, ObservationKind, Placement};
 pub use outcome::{ConfigurationAge, Envelope, Outcome, SnapshotId};
 pub use process::BoundAddresses;
--- a/crates/sablehaven-types/src/listing.rs
+++ b/crates/sablehaven-types/src/listing.rs
@@ -1,6 +1,6 @@
 //! The platform's list of servers, as gateways use it.
 
-use std::net::SocketAddr;
+use std::{collections::HashMap, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,18 @@
     pub warmup_left_ms: u64,
 }
 
+impl ListedServer {
+    /// Whether another entry says the same; the time until a server is warm counts down by itself.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.address == other.address
+            && self.service == other.service
+            && self.zone == other.zone
+            && self.slots == other.slots
+            && self.is_draining == other.is_draining
+    }
+}
+
 /// A reading of the list, ordered by the leader's term and its own count.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ListingNumber {
@@ -34,6 +46,44 @@
     pub reading: u64,
 }
 
+/// What differs between two readings of the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListingChange {
+    /// The reading that this changes; it says nothing to a receiver that has another one.
+    pub base: ListingNumber,
+    /// The reading that it leads to.
+    pub number: ListingNumber,
+    /// Servers that are not listed any more.
+    pub gone: Vec<BackendId>,
+    /// Servers that are new or that the list describes otherwise than before.
+    pub changed: Vec<ListedServer>,
+}
+
+impl ListingChange {
+    /// What leads from one reading to another.
+    pub fn between(base: &ServerListing, next: &ServerListing) -> Self {
+        let by_id = |listing: &ServerListing| -> HashMap<BackendId, ListedServer> {
+            let servers = listing.servers.iter();
+            servers
+                .map(|server| (server.id.clone(), server.clone()))
+                .collect()
+        };
+        let (before, after) = (by_id(base), by_id(next));
+        let gone = base.servers.iter().map(|server| &server.id);
+        let changed = next.servers.iter().filter(|server| {
+            before
+                .get(&server.id)
+                .is_none_or(|known| !known.says_the_same(server))
+        });
+        Self {
+            base: base.number,
+            number: next.number,
+            gone: gone.filter(|id| !after.contains_key(id)).cloned().collect(),
+            changed: changed.cloned().collect(),
+        }
+    }
+}
+
 /// A whole reading of the platform's list.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerListing {
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sablehaven_types::{
-    AgentId, BackendId, BackendRecord, LedgerReply, LedgerRequest, Observation, Placement, RelayId,
-    RouteDocument, SchemaSource, ServerListing, ServiceConfiguration, ServiceName, ZoneName,
+    AgentId, BackendId, BackendRecord, LedgerReply, LedgerRequest, ListingChange, Observation,
+    Placement, RelayId, RouteDocument, SchemaSource, ServerListing, ServiceConfiguration,
+    ServiceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -280,6 +281,8 @@
     Routes(std::sync::Arc<RouteDocument>),
     /// A reading of the platform's list.
     Listing(std::sync::Arc<ServerListing>),
+    /// What a reading of the platform's list says otherwise than the one that the gateway has.
+    ListingChange(ListingChange),
     /// Who takes part.
     Members(DeploymentMembers),
     /// A sign of life.
--- a/testing/sablehaven-fleet/src/capacity/subsets.rs
+++ b/testing/sablehaven-fleet/src/capacity/subsets.rs
@@ -3,11 +3,8 @@
 
 use std::collections::HashSet;
 
-use sablehaven_routing::{
-    distance::Distance,
-    subset::{Candidate, ConnectionBounds, select},
-};
-use sablehaven_types::{AgentId, BackendId, Placement};
+use sablehaven_routing::subset::{Candidate, ConnectionBounds, select};
+use sablehaven_types::{AgentId, BackendId, Distance, Placement};
 use serde::{Deserialize, Serialize};
 
 use crate::measure::{statistics::quantile, table::Table};
