Gateways: a sign of life carries the load, not the whole status

Change: the status goes out first and when it changes; between, a sign of life carries only the load (about 17 bytes). How often is as it was, so that silence is noticed as soon.

Tests of control, gateway and wire: all ok. The stand-in control replica of the gateway's tests answers signs of life as it answered statuses.

--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -10,7 +10,7 @@
 use sablehaven_types::{
     ListedServer, ListingNumber, Placement, RouteDocument, ServerListing, ZoneName,
 };
-use sablehaven_wire::{ControlToGateway, DeploymentMembers, GatewayStatus};
+use sablehaven_wire::{ControlToGateway, DeploymentMembers, GatewayLoad, GatewayStatus};
 use tokio::sync::watch;
 
 use super::{
@@ -60,6 +60,7 @@
 struct GatewayReport {
     session: u64,
     status: GatewayStatus,
+    load: GatewayLoad,
     rank: NamingRank,
     heard_at: Instant,
     /// When it last served callers, by what it and the others of its zone said.
@@ -77,9 +78,11 @@
             return;
         }
         let served_at = former.and_then(|report| report.served_at);
+        let load = former.map(|report| report.load);
         let report = GatewayReport {
             session,
             status,
+            load: load.unwrap_or_default(),
             rank: naming_rank(address),
             heard_at: now,
             served_at,
@@ -87,6 +90,18 @@
         self.reports.insert(address, report);
     }
 
+    /// Takes a sign of life, with what the gateway has had to do.
+    pub(super) fn take_load(&mut self, session: u64, load: GatewayLoad) {
+        let address = self.addresses.get(&session);
+        let report = address.and_then(|address| self.reports.get_mut(address));
+        // A later session of the same gateway has replaced this one.
+        let Some(report) = report.filter(|report| report.session == session) else {
+            return;
+        };
+        report.load = load;
+        report.heard_at = Instant::now();
+    }
+
     pub(super) fn remove(&mut self, session: u64) {
         let Some(address) = self.addresses.remove(&session) else {
             return;
@@ -111,7 +126,7 @@
         let mut loads: BTreeMap<&ZoneName, ZoneLoad> = BTreeMap::new();
         for report in self.reports.values() {
             let zone = &report.status.placement.zone;
-            loads.entry(zone).or_default().add(report.status.load);
+            loads.entry(zone).or_default().add(report.load);
         }
         let mut least_attempts: BTreeMap<ZoneName, u32> = BTreeMap::new();
         for (zone, load) in loads {
@@ -127,7 +142,7 @@
         }
         for report in self.reports.values_mut() {
             let least = least_attempts.get(&report.status.placement.zone);
-            if least.is_some_and(|least| report.status.load.attempts >= *least) {
+            if least.is_some_and(|least| report.load.attempts >= *least) {
                 report.served_at = Some(now);
             }
         }
@@ -192,6 +207,11 @@
         self.count_gateways();
     }
 
+    pub(super) fn report_load(&self, session: u64, load: GatewayLoad) {
+        self.lock().take_load(session, load);
+        self.count_gateways();
+    }
+
     pub(super) fn close(&self, session: u64) {
         self.lock().remove(session);
         self.count_gateways();
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -78,20 +78,31 @@
     reported: watch::Sender<Option<GatewayStatus>>,
     peer: &str,
 ) -> Result<(), GatewaySessionError> {
+    // Known with the first status, which comes first.
+    let mut distance = Distance::Zone;
     let mut counted_bytes = 0;
     loop {
         let Ok(received) = timeout(SILENCE_LIMIT, reader.receive()).await else {
             let peer = peer.to_owned();
             return Err(GatewaySessionError::Silent { peer });
         };
-        let GatewayToControl::Status(status) = received?;
+        let name = match received? {
+            GatewayToControl::Status(status) => {
+                distance = Distance::between(&context.config.placement, &status.placement);
+                context.gateways.report(session, status.clone());
+                reported.send_replace(Some(status));
+                "status"
+            }
+            GatewayToControl::Alive(load) => {
+                context.gateways.report_load(session, load);
+                "gateway_alive"
+            }
+        };
         let bytes = reader.received_bytes();
-        let distance = Distance::between(&context.config.placement, &status.placement);
-        let metrics = &context.metrics;
-        metrics.gateway_bytes("status", distance, bytes - counted_bytes);
+        context
+            .metrics
+            .gateway_bytes(name, distance, bytes - counted_bytes);
         counted_bytes = bytes;
-        context.gateways.report(session, status.clone());
-        reported.send_replace(Some(status));
     }
 }
 
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -29,7 +29,6 @@
         is_ready,
         routes_version: 1,
         listing: ListingNumber::default(),
-        load: GatewayLoad::default(),
     }
 }
 
@@ -151,14 +150,11 @@
     }
 }
 
-/// A status that says how many attempts were begun.
-fn serving(port: u16, attempts: u32) -> GatewayStatus {
-    GatewayStatus {
-        load: GatewayLoad {
-            busy_permille: 10,
-            attempts,
-        },
-        ..gateway(port, "north", "a", true)
+/// The load of a gateway that has begun so many attempts.
+fn attempts(attempts: u32) -> GatewayLoad {
+    GatewayLoad {
+        busy_permille: 10,
+        attempts,
     }
 }
 
@@ -169,15 +165,17 @@
     let other = (1..=30).find(|port| !named.contains(port));
     let other = other.expect("one is not named");
     for port in 1..=30 {
-        let attempts = if named.contains(&port) { 100 } else { 3 };
-        sessions.take(u64::from(port), serving(port, attempts));
+        let session = u64::from(port);
+        let load = attempts(if named.contains(&port) { 100 } else { 3 });
+        sessions.take(session, gateway(port, "north", "a", true));
+        sessions.take_load(session, load);
     }
     let now = Instant::now();
     sessions.resize(now);
     assert_eq!(sessions.sharers(now)[&"a".into()], 4);
-    sessions.take(u64::from(other), serving(other, 50));
+    sessions.take_load(u64::from(other), attempts(50));
     sessions.resize(now);
-    sessions.take(u64::from(other), serving(other, 0));
+    sessions.take_load(u64::from(other), attempts(0));
     sessions.resize(now + Duration::from_secs(1));
     assert_eq!(sessions.sharers(now)[&"a".into()], 5);
     let later = now + Duration::from_secs(11);
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -120,22 +120,24 @@
     alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_sign = Instant::now();
     loop {
-        let is_due = tokio::select! {
+        // The first status goes out before any sign of life.
+        let message = tokio::select! {
+            biased;
+            Ok(()) = status.changed() => {
+                let status = status.borrow_and_update().clone();
+                Some(GatewayToControl::Status(status))
+            }
             received = reader.receive() => {
                 last_sign = Instant::now();
                 take(gateway, peer, received?)?;
-                false
+                None
             }
-            Ok(()) = status.changed() => true,
-            _ = alive.tick() => true,
+            _ = alive.tick() => Some(GatewayToControl::Alive(gateway.load.load())),
         };
         if last_sign.elapsed() > SILENCE_LIMIT {
             return Err(LinkError::Silent { peer });
         }
-        if is_due {
-            let mut said = status.borrow_and_update().clone();
-            said.load = gateway.load.load();
-            let message = GatewayToControl::Status(said);
+        if let Some(message) = message {
             match timeout(SEND_TIMEOUT, writer.send(&message)).await {
                 Ok(sent) => sent?,
                 Err(_) => return Err(LinkError::Silent { peer }),
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use sablehaven_http::ServerSignals;
 use sablehaven_types::{CallerLimits, ListingChange, ListingNumber, RouteDocument, ServerListing};
-use sablehaven_wire::{DeploymentMembers, GatewayLoad, GatewayStatus};
+use sablehaven_wire::{DeploymentMembers, GatewayStatus};
 use tokio::sync::watch;
 
 use crate::{
@@ -65,7 +65,6 @@
             is_ready: false,
             routes_version: 0,
             listing: ListingNumber::default(),
-            load: GatewayLoad::default(),
         };
         let controls = config.controls.iter().copied().collect();
         Self {
@@ -206,7 +205,6 @@
             is_ready: self.is_ready(),
             routes_version: version,
             listing: self.registry.number(),
-            load: self.load.load(),
         });
     }
 }
--- a/crates/sablehaven-gateway/tests/gateway/support/control.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/control.rs
@@ -62,8 +62,10 @@
                         }
                     }
                     received = connection.reader.receive() => match received {
-                        Ok(GatewayToControl::Status(status)) => {
-                            hearing.send_replace(Some(status));
+                        Ok(message) => {
+                            if let GatewayToControl::Status(status) = message {
+                                hearing.send_replace(Some(status));
+                            }
                             if connection.writer.send(&ControlToGateway::Alive).await.is_err() {
                                 return;
                             }
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -244,8 +244,10 @@
 /// From a gateway to a control replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GatewayToControl {
-    /// Where the gateway stands; sent first, at each change and as a sign of life.
+    /// Where the gateway stands; sent first and at each change.
     Status(GatewayStatus),
+    /// A sign of life between two statuses.
+    Alive(GatewayLoad),
 }
 
 /// Where a gateway stands.
@@ -261,8 +263,6 @@
     pub routes_version: u64,
     /// The reading of the platform's list that it has.
     pub listing: sablehaven_types::ListingNumber,
-    /// How much it has had to do lately.
-    pub load: GatewayLoad,
 }
 
 /// How much a gateway has had to do over the last second or so.
