--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -102,6 +102,7 @@
         report.heard_at = Instant::now();
     }
 
+    /// Forgets a session that has ended, and its gateway unless a later session has replaced it.
     pub(super) fn remove(&mut self, session: u64) {
         let Some(address) = self.addresses.remove(&session) else {
             return;
@@ -111,6 +112,7 @@
         }
     }
 
+    /// Every connected gateway, by address.
     pub(super) fn heard(&self) -> Vec<HeardGateway<'_>> {
         let reports = self.reports.values();
         let heard = reports.map(|report| HeardGateway {
@@ -202,16 +204,19 @@
         sessions.opened
     }
 
+    /// Takes a gateway's status.
     pub(super) fn report(&self, session: u64, status: GatewayStatus) {
         self.lock().take(session, status);
         self.count_gateways();
     }
 
+    /// Takes a gateway's sign of life.
     pub(super) fn report_load(&self, session: u64, load: GatewayLoad) {
         self.lock().take_load(session, load);
         self.count_gateways();
     }
 
+    /// A gateway's connection has ended.
     pub(super) fn close(&self, session: u64) {
         self.lock().remove(session);
         self.count_gateways();
