Gateway, directory: routes that are bound to regions are served there only

Cause: a route with allowed_regions was served anywhere; the field was not read. Change: Route carries AllowedRegions. The choice of a server leaves out those elsewhere, for first attempts, retries and hedges of single, split and gathered requests alike; a zone whose region is not known counts as elsewhere. Where no server may answer, or too few shards have one, the request is refused at once with a true 'not run' and comes back after about the time in which the list is read anew. The directory tells callers without near gateways those of the regions that may serve their host. Ruled out: keeping the zone map in the registry with the regions beside it, which would have grown that file by another job.

--- a/crates/sablehaven-control/src/gateways/entry.rs
+++ b/crates/sablehaven-control/src/gateways/entry.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use sablehaven_types::{Placement, ZoneName};
+use sablehaven_types::{AllowedRegions, Placement, ZoneName};
 use sablehaven_wire::GatewayStatus;
 
 use super::subset::{NamingRank, SubsetSize};
@@ -24,18 +24,21 @@
 /// The sizes of the zones' subsets.
 pub(super) type SubsetSizes = BTreeMap<ZoneName, SubsetSize>;
 
-/// The named gateways of the nearest place that has any: the caller's zone, its region, anywhere.
-/// Callers draw among the addresses, so far ones beside near ones would be used as much.
+/// The named gateways of the nearest place that has any: the caller's zone, its region, the regions that
+/// may serve what it asks for, anywhere. Callers draw among the addresses, so far ones beside near ones would be used as much.
 pub(super) fn choose(
     gateways: &[HeardGateway<'_>],
     sizes: &SubsetSizes,
     caller: &Placement,
+    allowed: &AllowedRegions,
 ) -> Vec<SocketAddr> {
     let named = named(gateways, sizes);
     let in_zone = |gateway: &GatewayStatus| gateway.placement.zone == caller.zone;
     let in_region = |gateway: &GatewayStatus| gateway.placement.region == caller.region;
+    let is_allowed = |gateway: &GatewayStatus| allowed.admit(Some(&gateway.placement.region));
     let anywhere = |_: &GatewayStatus| true;
-    let circles: [&dyn Fn(&GatewayStatus) -> bool; 3] = [&in_zone, &in_region, &anywhere];
+    let circles: [&dyn Fn(&GatewayStatus) -> bool; 4] =
+        [&in_zone, &in_region, &is_allowed, &anywhere];
     for is_near in circles {
         let near = named.iter().filter(|gateway| is_near(gateway.status));
         let addresses: Vec<SocketAddr> = near.map(|gateway| gateway.status.address).collect();
--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -8,7 +8,7 @@
 };
 
 use sablehaven_types::{
-    ListedServer, ListingNumber, Placement, RouteDocument, ServerListing, ZoneName,
+    AllowedRegions, ListedServer, ListingNumber, Placement, RouteDocument, ServerListing, ZoneName,
 };
 use sablehaven_wire::{ControlToGateway, DeploymentMembers, GatewayLoad, GatewayStatus};
 use tokio::sync::watch;
@@ -222,10 +222,11 @@
         self.count_gateways();
     }
 
-    /// Where a caller of a place is to go: near gateways first.
-    pub(crate) fn entry(&self, caller: &Placement) -> Vec<SocketAddr> {
+    /// Where a caller of a place is to go: near gateways first, then those of the regions that may serve
+    /// what it asks for.
+    pub(crate) fn entry(&self, caller: &Placement, allowed: &AllowedRegions) -> Vec<SocketAddr> {
         let sessions = self.lock();
-        choose(&sessions.heard(), &sessions.sizes, caller)
+        choose(&sessions.heard(), &sessions.sizes, caller, allowed)
     }
 
     /// Gateways share what servers bear by their number, so a picture that is not whole yet would make
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{ListedServer, ListingNumber, Placement};
+use sablehaven_types::{AllowedRegions, ListedServer, ListingNumber, Placement};
 use sablehaven_wire::{ControlToGateway, GatewayLoad, GatewayStatus};
 
 use super::{
@@ -48,13 +48,23 @@
 }
 
 fn ports_of_subset(gateways: &[Heard], sizes: &SubsetSizes, caller: &Placement) -> Vec<u16> {
+    ports_for(gateways, sizes, caller, &AllowedRegions::default())
+}
+
+/// As [`ports_of_subset`], for a host whose routes are bound to regions.
+fn ports_for(
+    gateways: &[Heard],
+    sizes: &SubsetSizes,
+    caller: &Placement,
+    allowed: &AllowedRegions,
+) -> Vec<u16> {
     let gateways = gateways.iter().map(|(status, silent_for)| HeardGateway {
         rank: naming_rank(status.address),
         status,
         silent_for: *silent_for,
     });
     let gateways: Vec<HeardGateway<'_>> = gateways.collect();
-    let chosen = choose(&gateways, sizes, caller);
+    let chosen = choose(&gateways, sizes, caller, allowed);
     let mut ports: Vec<u16> = chosen.iter().map(std::net::SocketAddr::port).collect();
     ports.sort_unstable();
     ports
@@ -75,6 +85,26 @@
     assert_eq!(ports(&gateways[1..2], &place("north", "a")), [0_u16; 0]);
 }
 
+#[test]
+fn a_caller_without_near_gateways_is_told_those_of_the_allowed_regions() {
+    let gateways = [
+        gateway(1, "north", "a", true),
+        gateway(2, "south", "b", true),
+        gateway(3, "west", "c", false),
+    ]
+    .map(fresh);
+    let told = |caller: &Placement, regions: &[&str]| {
+        let allowed = regions.iter().map(|region| (*region).into()).collect();
+        ports_for(&gateways, &SubsetSizes::new(), caller, &allowed)
+    };
+    assert_eq!(told(&place("west", "c"), &["south"]), [2]);
+    assert_eq!(told(&place("west", "c"), &[]), [1, 2]);
+    // A gateway of the caller's own region may read the request, wherever it is served.
+    assert_eq!(told(&place("north", "a"), &["south"]), [1]);
+    // Better far away than nowhere: servers elsewhere are not asked all the same.
+    assert_eq!(told(&place("west", "c"), &["west"]), [1, 2]);
+}
+
 #[test]
 fn a_silent_gateway_is_told_only_where_no_other_is_heard() {
     let gateways = [
--- a/crates/sablehaven-control/src/routes/service.rs
+++ b/crates/sablehaven-control/src/routes/service.rs
@@ -90,12 +90,19 @@
         }))
     }
 
-    /// Where a caller of a place is to go: near gateways first. Empty while this replica cannot tell.
-    pub fn entry(&self, caller: &Placement) -> Vec<SocketAddr> {
+    /// Where a caller of a place is to go for a host: near gateways first. Empty while this replica cannot
+    /// tell.
+    pub fn entry(&self, host: &str, caller: &Placement) -> Vec<SocketAddr> {
         if !self.context.gateways.is_settled() {
             return Vec::new();
         }
-        self.context.gateways.entry(caller)
+        let allowed = read(&self.context.state, |state| {
+            let held = state.routes().held();
+            held.map(|held| held.document.regions_of(host))
+        });
+        self.context
+            .gateways
+            .entry(caller, &allowed.unwrap_or_default())
     }
 
     fn not_leader(&self) -> RoutesCallError {
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -39,6 +39,10 @@
     accepted: &Accepted,
     gather: &Gather,
 ) -> Result<(Response<WholeBody>, Outcome), Refusal> {
+    if servable_shards(accepted, gather) < gather.min_shards() {
+        log_unservable(accepted, gather);
+        return Err(Refusal::NoServers);
+    }
     let mut parts = Parts::default();
     let mut running: FuturesUnordered<_> = gather
         .shards
@@ -85,6 +89,24 @@
     outcome.map(|()| (respond(accepted, gather, &parts), kind))
 }
 
+/// The shards of which some server may take the request. With too few of them there can be no answer, and
+/// asking the others would only be work for nothing.
+fn servable_shards(accepted: &Accepted, gather: &Gather) -> usize {
+    let registry = &accepted.gateway.registry;
+    let allowed = &accepted.planned.route().allowed_regions;
+    let can_serve = |shard: &&ServiceName| registry.service(shard).can_serve(allowed);
+    gather.shards.iter().filter(can_serve).count()
+}
+
+fn log_unservable(accepted: &Accepted, gather: &Gather) {
+    log::warn!(
+        event = "refused", request:% = accepted.id(), reason = "too few shards have a server that may answer",
+        route = accepted.planned.route().name.as_str(), version = accepted.planned.version,
+        shards = gather.shards.len(), servable = servable_shards(accepted, gather);
+        "request"
+    );
+}
+
 fn progress(accepted: &Accepted, gather: &Gather, parts: &Parts) -> Progress {
     let aim = Duration::from_millis(accepted.planned.route().aim_ms);
     let held = accepted.outgoing.deadline;
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -16,6 +16,8 @@
 const LEAST_START_PAUSE: Duration = Duration::from_millis(250);
 /// When to come back after a refusal under pressure.
 const PRESSURE_PAUSE: Duration = Duration::from_millis(200);
+/// When to come back when no server may take the request: about when the list of servers is read again.
+const NO_SERVER_PAUSE: Duration = Duration::from_millis(1_000);
 /// When to come back when no server ran the request.
 const NOT_RUN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -40,6 +42,8 @@
     BodyCutOff,
     /// too many requests
     TooMany,
+    /// no server may take the request; it has not run
+    NoServers,
     /// no server took the request; it has not run
     NotRun,
     /// the servers failed; whether the request has run is not known
@@ -56,7 +60,9 @@
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoRoutes { .. } | Self::TooMany | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoutes { .. } | Self::TooMany | Self::NoServers | Self::NotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Failed | Self::TooFewShards => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -66,6 +72,7 @@
         match self {
             Self::NoRoutes { age } => Some(USUAL_START.saturating_sub(*age).max(LEAST_START_PAUSE)),
             Self::TooMany => Some(PRESSURE_PAUSE),
+            Self::NoServers => Some(NO_SERVER_PAUSE),
             Self::NotRun | Self::Failed | Self::TooFewShards => Some(NOT_RUN_PAUSE),
             _ => None,
         }
--- a/crates/sablehaven-gateway/src/request/single.rs
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -43,6 +43,7 @@
 fn refusal(part: &PartResult, failure: &PartFailure) -> Refusal {
     match failure {
         PartFailure::OutOfTime => Refusal::OutOfTime,
+        PartFailure::NoServer => Refusal::NoServers,
         _ if part.may_have_run => Refusal::Failed,
         _ => Refusal::NotRun,
     }
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -26,7 +26,7 @@
 /// Why a part is missing.
 #[derive(Clone, Debug, displaydoc::Display)]
 pub(super) enum PartFailure {
-    /// no server of the service takes work
+    /// no server that may answer takes work
     NoServer,
     /// {0}
     Attempt(AttemptFailure),
@@ -140,8 +140,10 @@
 
     fn next_server(&self) -> Option<Rc<Server>> {
         let now = self.accepted.gateway.clock.now();
-        let profile = &self.accepted.planned.profile;
-        self.service.choose(now, profile, &self.tried.borrow())
+        let planned = &self.accepted.planned;
+        let allowed = &planned.route().allowed_regions;
+        self.service
+            .choose(now, &planned.profile, allowed, &self.tried.borrow())
     }
 
     fn send(&mut self, server: Rc<Server>) {
--- a/crates/sablehaven-gateway/src/route_table/tests.rs
+++ b/crates/sablehaven-gateway/src/route_table/tests.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use sablehaven_types::{
-    CallerLimits, RequestKind, Route, RouteDocument, RouteTarget, RoutedService,
+    AllowedRegions, CallerLimits, RequestKind, Route, RouteDocument, RouteTarget, RoutedService,
 };
 
 use super::RouteTable;
@@ -18,6 +18,7 @@
         aim_ms: 100,
         priority: 1,
         max_attempts: 2,
+        allowed_regions: AllowedRegions::default(),
         target: RouteTarget::Service("search".into()),
     }
 }
--- a/crates/sablehaven-gateway/src/servers/mod.rs
+++ b/crates/sablehaven-gateway/src/servers/mod.rs
@@ -9,6 +9,7 @@
 mod health;
 mod registry;
 mod server;
+mod zone_map;
 
 pub(crate) use attempt::{Attempt, AttemptFailure, OutgoingRequest, ServerReply};
 pub(crate) use health::KindOfRequest;
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -8,7 +8,7 @@
 };
 
 use sablehaven_types::{
-    BackendId, Distance, ListedServer, ListingChange, ListingNumber, RegionName, RouteDocument,
+    AllowedRegions, BackendId, Distance, ListedServer, ListingChange, ListingNumber, RouteDocument,
     ServerListing, ServiceName, ZoneName,
 };
 
@@ -17,6 +17,7 @@
     budget::RetryBudget,
     choice::choose,
     connection_share::{SharerCount, connection_share},
+    zone_map::ZoneMap,
 };
 use crate::{Config, route_table::RouteProfile};
 
@@ -29,9 +30,7 @@
 pub(crate) struct Registry {
     services: RefCell<HashMap<ServiceName, Rc<ServicePool>>>,
     number: Cell<ListingNumber>,
-    zone: ZoneName,
-    region: RegionName,
-    regions: BTreeMap<ZoneName, RegionName>,
+    zones: ZoneMap,
     retries: crate::RetryBounds,
     /// Connected gateways by zone.
     gateways: RefCell<BTreeMap<ZoneName, u32>>,
@@ -49,9 +48,7 @@
         Self {
             services: RefCell::default(),
             number: Cell::default(),
-            zone: config.placement.zone.clone(),
-            region: config.placement.region.clone(),
-            regions: config.regions.clone(),
+            zones: ZoneMap::new(config),
             retries: config.retries,
             gateways: RefCell::default(),
         }
@@ -90,12 +87,11 @@
         let known: Vec<ServiceName> = self.services.borrow().keys().cloned().collect();
         for name in known {
             if !by_service.contains_key(&name) {
-                self.service(&name).update(&[], |_| Distance::Remote);
+                self.service(&name).update(&[], &self.zones);
             }
         }
         for (name, listed) in by_service {
-            let distance = |zone: &ZoneName| self.distance(zone);
-            self.service(name).update(&listed, distance);
+            self.service(name).update(&listed, &self.zones);
         }
         self.limit_connections();
         true
@@ -112,8 +108,7 @@
             service.keep(|id| !gone.contains(id));
         }
         for listed in &change.changed {
-            let distance = self.distance(&listed.zone);
-            self.service(&listed.service).take(listed, distance);
+            self.service(&listed.service).take(listed, &self.zones);
         }
         self.limit_connections();
         true
@@ -179,7 +174,7 @@
     /// all others. Regions are taken to be alike, so the same holds for servers of other regions.
     fn sharers(&self) -> SharerCount {
         let gateways = self.gateways.borrow();
-        let zones: BTreeSet<&ZoneName> = self.regions.keys().chain(gateways.keys()).collect();
+        let zones: BTreeSet<&ZoneName> = self.zones.zones().chain(gateways.keys()).collect();
         let connected = |zone: &ZoneName| match gateways.get(zone) {
             Some(count) => *count,
             None if gateways.is_empty() => ASSUMED_GATEWAYS - ROOM_FOR_GATEWAYS,
@@ -187,7 +182,7 @@
         };
         let (near, far): (Vec<&ZoneName>, Vec<&ZoneName>) = zones
             .into_iter()
-            .partition(|zone| self.distance(zone) != Distance::Remote);
+            .partition(|zone| self.zones.distance(zone) != Distance::Remote);
         let count = |zones: &[&ZoneName]| -> u32 {
             let each = zones.iter().map(|zone| connected(zone) + ROOM_FOR_GATEWAYS);
             each.sum()
@@ -197,24 +192,14 @@
             far: count(&far),
         }
     }
-
-    fn distance(&self, zone: &ZoneName) -> Distance {
-        if *zone == self.zone {
-            return Distance::Zone;
-        }
-        match self.regions.get(zone) {
-            Some(region) if *region == self.region => Distance::Region,
-            _ => Distance::Remote,
-        }
-    }
 }
 
 impl ServicePool {
-    fn update(&self, listed: &[&ListedServer], distance: impl Fn(&ZoneName) -> Distance) {
+    fn update(&self, listed: &[&ListedServer], zones: &ZoneMap) {
         let wanted: HashSet<&BackendId> = listed.iter().map(|each| &each.id).collect();
         self.keep(|id| wanted.contains(id));
         for listed in listed {
-            self.take(listed, distance(&listed.zone));
+            self.take(listed, zones);
         }
     }
 
@@ -230,29 +215,39 @@
     }
 
     /// Takes what the list says of one server.
-    fn take(&self, listed: &ListedServer, distance: Distance) {
+    fn take(&self, listed: &ListedServer, zones: &ZoneMap) {
         let mut servers = self.servers.borrow_mut();
-        match servers.iter().find(|server| server.id == listed.id) {
-            Some(server) => server.update(listed),
-            None => servers.push(Rc::new(Server::new(listed, distance))),
+        if let Some(server) = servers.iter().find(|server| server.id == listed.id) {
+            server.update(listed);
+            return;
         }
+        let region = zones.region(&listed.zone).cloned();
+        let server = Server::new(listed, region, zones.distance(&listed.zone));
+        servers.push(Rc::new(server));
     }
 
-    /// The server for the next attempt, none of `tried`.
+    /// The server for the next attempt: in an allowed region, and none of `tried`.
     pub(crate) fn choose(
         &self,
         now: Duration,
         profile: &RouteProfile,
+        allowed: &AllowedRegions,
         tried: &[BackendId],
     ) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
         let candidates = servers
             .iter()
-            .filter(|server| server.takes_work() && !tried.contains(&server.id))
+            .filter(|server| server.may_serve(allowed) && !tried.contains(&server.id))
             .map(|server| (Rc::clone(server), server.candidate(now)));
         choose(candidates, profile.typical(), rand::random())
     }
 
+    /// Whether any server may take a request, leaving aside how well it does.
+    pub(crate) fn can_serve(&self, allowed: &AllowedRegions) -> bool {
+        let servers = self.servers.borrow();
+        servers.iter().any(|server| server.may_serve(allowed))
+    }
+
     /// Counts a request that needs this service.
     pub(crate) fn need(&self, now: Duration) {
         self.budget.borrow_mut().need(now);
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{BackendId, Distance, ListedServer};
+use sablehaven_types::{AllowedRegions, BackendId, Distance, ListedServer, RegionName};
 
 use super::{choice::Candidate, connection_pool::ConnectionPool, health::ServerHealth};
 
@@ -14,6 +14,8 @@
 pub(crate) struct Server {
     pub(crate) id: BackendId,
     pub(crate) address: SocketAddr,
+    /// The region of its zone, where that is known.
+    pub(crate) region: Option<RegionName>,
     pub(crate) distance: Distance,
     pub(crate) pool: ConnectionPool,
     pub(crate) health: RefCell<ServerHealth>,
@@ -26,10 +28,15 @@
 }
 
 impl Server {
-    pub(crate) fn new(listed: &ListedServer, distance: Distance) -> Self {
+    pub(crate) fn new(
+        listed: &ListedServer,
+        region: Option<RegionName>,
+        distance: Distance,
+    ) -> Self {
         Self {
             id: listed.id.clone(),
             address: listed.address,
+            region,
             distance,
             pool: ConnectionPool::new(listed.address),
             health: RefCell::default(),
@@ -58,6 +65,11 @@
         self.takes_work.get()
     }
 
+    /// Whether it takes work, in a region that is allowed.
+    pub(crate) fn may_serve(&self, allowed: &AllowedRegions) -> bool {
+        self.takes_work() && allowed.admit(self.region.as_ref())
+    }
+
     /// Requests that it works on at once.
     pub(crate) fn slots(&self) -> u32 {
         self.slots.get()
--- a/crates/sablehaven-gateway/tests/gateway/main.rs
+++ b/crates/sablehaven-gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod gathers;
 mod once;
 mod refusals;
+mod regions;
 mod replies;
 mod servers;
 mod stops;
--- a/crates/sablehaven-gateway/tests/gateway/support/routes.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/routes.rs
@@ -1,6 +1,6 @@
 //! Routes and records of tests.
 
-use sablehaven_types::{Gather, RequestKind, Route, RouteTarget};
+use sablehaven_types::{AllowedRegions, Gather, RequestKind, Route, RouteTarget};
 
 /// A route to one service.
 pub fn single(path_prefix: &str, kind: RequestKind, service: &str) -> Route {
@@ -13,6 +13,7 @@
         aim_ms: 400,
         priority: 1,
         max_attempts: 2,
+        allowed_regions: AllowedRegions::default(),
         target: RouteTarget::Service(service.into()),
     }
 }
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -4,6 +4,7 @@
 //! The types here are plain data: no clocks, no sockets, no decisions. Every duration is in
 //! milliseconds and says so in its name; every index and version starts at 1, 0 means "none yet".
 
+mod allowed_regions;
 mod configuration;
 mod coverage;
 mod distance;
@@ -18,6 +19,7 @@
 mod routes;
 mod setting;
 
+pub use allowed_regions::AllowedRegions;
 pub use configuration::{
     ApplyCommand, ApplyOutcome, CommandRecord, Configuration, ConfigurationChange, IndexSnapshot,
     RoutingSettings, SchemaSource, ServiceConfiguration, ShardAssignment,
--- a/crates/sablehaven-types/src/routes.rs
+++ b/crates/sablehaven-types/src/routes.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ServiceName;
+use crate::{AllowedRegions, ServiceName};
 
 /// All routes of a deployment under one version.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -43,6 +43,9 @@
     pub max_attempts: u32,
     /// Who answers.
     pub target: RouteTarget,
+    /// Where its requests may be served.
+    #[serde(default)]
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Whether a request may run more than once.
@@ -191,6 +194,16 @@
     }
 }
 
+impl RouteDocument {
+    /// The regions that some route of a host is bound to; unrestricted where none is.
+    pub fn regions_of(&self, host: &str) -> AllowedRegions {
+        let routes = self.routes.iter();
+        let of_host = routes.filter(|route| route.host.eq_ignore_ascii_case(host));
+        let named = of_host.flat_map(|route| route.allowed_regions.iter());
+        named.cloned().collect()
+    }
+}
+
 impl Route {
     /// The services that may answer, in the order of the document.
     pub fn services(&self) -> Vec<&ServiceName> {
