Control, gateway: zones are evacuated by order, and the order is kept

Ways weighed: the orders within the routes' document (one message, but the operator's text is given back unchanged and has versions of its own); acknowledged by any replica that holds it already (a replica that is behind does not know of a later order); each order through the log, with a revision that is the index of its entry. The last was taken. Every replica sends the evacuated zones to gateways that lack their revision, before any routes, so that a gateway that starts does not serve without them. A gateway leaves their servers out of every choice, and looks once more right before it sends; what is under way ends by itself. An unknown zone is refused with its name, a repeat is acknowledged again. What calls that need a quorum have in common stands once, in quorum_call.

--- a/crates/sablehaven-control/src/config.rs
+++ b/crates/sablehaven-control/src/config.rs
@@ -1,12 +1,13 @@
 //! Settings of a control replica.
 
 use std::{
+    collections::BTreeSet,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     time::Duration,
 };
 
-use sablehaven_types::{Placement, SettingChecks, SettingError};
+use sablehaven_types::{Placement, SettingChecks, SettingError, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::ledger::LedgerLimits;
@@ -32,6 +33,8 @@
     pub connect_from: Option<IpAddr>,
     /// Where the replica runs.
     pub placement: Placement,
+    /// The zones of the deployment, so that an order about another one is refused; empty takes any.
+    pub zones: BTreeSet<ZoneName>,
     /// The folder of the log and the snapshots; one process at a time.
     pub data_folder: PathBuf,
     /// Silence of a replica after which a new one takes its place, in milliseconds.
@@ -105,6 +108,7 @@
                 region: String::new().into(),
                 zone: String::new().into(),
             },
+            zones: BTreeSet::new(),
             data_folder: PathBuf::from("data"),
             peers: Vec::new(),
             bootstrap: false,
--- a/crates/sablehaven-control/src/driver/publish.rs
+++ b/crates/sablehaven-control/src/driver/publish.rs
@@ -31,14 +31,17 @@
 
     /// Publishes the revision of the shared state.
     pub(super) fn publish_revision(&self) {
-        let (revision, routes_version) = read(&self.state, |state| {
-            (state.revision(), state.routes().version())
+        let (revision, routes_version, evacuation) = read(&self.state, |state| {
+            let evacuation = state.evacuation().zones().revision;
+            (state.revision(), state.routes().version(), evacuation)
         });
         self.published.send_if_modified(|published| {
-            let is_new =
-                published.revision != revision || published.routes_version != routes_version;
+            let is_new = published.revision != revision
+                || published.routes_version != routes_version
+                || published.evacuation_revision != evacuation;
             published.revision = revision;
             published.routes_version = routes_version;
+            published.evacuation_revision = evacuation;
             is_new
         });
     }
--- a/crates/sablehaven-control/src/driver/status.rs
+++ b/crates/sablehaven-control/src/driver/status.rs
@@ -15,6 +15,8 @@
     pub(crate) revision: u64,
     /// The version of the routes that are applied.
     pub(crate) routes_version: u64,
+    /// The revision of the evacuated zones.
+    pub(crate) evacuation_revision: u64,
     /// The term.
     pub(crate) term: u64,
     /// Whether this replica holds the log of a deployment.
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -60,6 +60,7 @@
         counted_bytes: 0,
         sent_version: 0,
         sent_listing: ListingNumber::default(),
+        sent_evacuation: 0,
     };
     let ended = tokio::select! {
         ended = reader => ended,
@@ -117,6 +118,7 @@
     /// The latest version that was sent, or that the gateway said it has.
     sent_version: u64,
     sent_listing: ListingNumber,
+    sent_evacuation: u64,
 }
 
 impl Writer {
@@ -134,12 +136,14 @@
         {
             self.sent_version = first.routes_version;
             self.sent_listing = first.listing;
+            self.sent_evacuation = first.evacuation_revision;
             self.distance = Distance::between(&self.context.config.placement, &first.placement);
         }
         let mut turn = RoutesTurn::new(self.distance);
         let mut alive = interval(ALIVE_INTERVAL);
         alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            self.send_evacuation().await?;
             let look_at = self.send_routes(&mut turn, &status).await?;
             self.send_listing(&mut listing, &status).await?;
             tokio::select! {
@@ -155,6 +159,20 @@
         }
     }
 
+    /// Sends the evacuated zones that the gateway lacks. They are few and urgent, so every replica does.
+    async fn send_evacuation(&mut self) -> Result<(), GatewaySessionError> {
+        let zones = read(&self.context.state, |state| {
+            let zones = state.evacuation().zones();
+            (zones.revision > self.sent_evacuation).then(|| zones.clone())
+        });
+        let Some(zones) = zones else {
+            return Ok(());
+        };
+        self.sent_evacuation = zones.revision;
+        let message = ControlToGateway::Evacuation(zones);
+        self.send("evacuation", &message).await
+    }
+
     /// Sends routes that the gateway lacks if it is this replica's turn; answers when to look again.
     async fn send_routes(
         &mut self,
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -29,6 +29,7 @@
         is_ready,
         routes_version: 1,
         listing: ListingNumber::default(),
+        evacuation_revision: 0,
     }
 }
 
--- a/crates/sablehaven-control/src/routes/service.rs
+++ b/crates/sablehaven-control/src/routes/service.rs
@@ -1,37 +1,25 @@
 //! Calls that put and read the routes, and answer callers where to go.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use sablehaven_types::{Placement, RouteDocument, RouteError};
-use tokio::time::timeout;
 
 use super::PutRoutes;
 use crate::{
-    driver::{ProposeError, read},
-    replicas::ReplicaAddresses,
+    driver::read,
+    quorum_call::{QuorumCallError, propose_as_leader, prove_as_leader},
     server::Context,
     shared::SharedCommand,
 };
 
-/// Longest time that a call waits for a quorum: a caller moves on after a second.
-const QUORUM_LIMIT: Duration = Duration::from_millis(850);
-
 /// Why a call about the routes has no answer.
 #[derive(Clone, Debug, PartialEq, displaydoc::Display, thiserror::Error)]
 pub enum RoutesCallError {
     /// put routes: {0}
     Invalid(RouteError),
-    /// routes: this replica does not lead
-    NotLeader {
-        /// The leader's addresses, where known.
-        leader: Option<ReplicaAddresses>,
-    },
-    /// {reason}
-    Unavailable {
-        /// The step and why.
-        reason: &'static str,
-    },
+    /// routes: {0}
+    Quorum(#[from] QuorumCallError),
 }
 
 /// Puts and reads the routes of one control replica; cheap to clone.
@@ -49,7 +37,7 @@
     /// looked at first and from the document alone, whatever its version.
     ///
     /// # Errors
-    /// See [`RoutesCallError`]. After [`RoutesCallError::Unavailable`] the routes may or may not
+    /// See [`RoutesCallError`]. After [`QuorumCallError::Unavailable`] the routes may or may not
     /// come into force; send the same again, to any replica.
     pub async fn put(&self, document: RouteDocument, source: Bytes) -> Result<(), RoutesCallError> {
         document.validate().map_err(RoutesCallError::Invalid)?;
@@ -58,17 +46,10 @@
         if held >= document.version && held > 0 {
             return Ok(());
         }
-        if !self.context.is_leader() {
-            return Err(self.not_leader());
-        }
         let document = Arc::new(document);
         let command = SharedCommand::Routes(PutRoutes { document, source });
-        match timeout(QUORUM_LIMIT, self.context.driver.propose(command)).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(ProposeError::NotLeader)) => Err(self.not_leader()),
-            Ok(Err(_)) => Err(unavailable("put routes: leadership was lost")),
-            Err(_) => Err(unavailable("put routes: no quorum answered in time")),
-        }
+        propose_as_leader(&self.context, command).await?;
+        Ok(())
     }
 
     /// The newest routes as the operator sent them, proved by a quorum; `None` before the first.
@@ -76,15 +57,7 @@
     /// # Errors
     /// See [`RoutesCallError`]; never an older version.
     pub async fn newest(&self) -> Result<Option<Bytes>, RoutesCallError> {
-        if !self.context.is_leader() {
-            return Err(self.not_leader());
-        }
-        let proof = timeout(QUORUM_LIMIT, self.context.driver.prove_leadership()).await;
-        match proof {
-            Ok(Some(_)) => {}
-            Ok(None) => return Err(self.not_leader()),
-            Err(_) => return Err(unavailable("read routes: no quorum answered in time")),
-        }
+        prove_as_leader(&self.context).await?;
         Ok(read(&self.context.state, |state| {
             state.routes().held().map(|held| held.source.clone())
         }))
@@ -104,14 +77,4 @@
             .gateways
             .entry(caller, &allowed.unwrap_or_default())
     }
-
-    fn not_leader(&self) -> RoutesCallError {
-        RoutesCallError::NotLeader {
-            leader: self.context.other_leader(),
-        }
-    }
-}
-
-fn unavailable(reason: &'static str) -> RoutesCallError {
-    RoutesCallError::Unavailable { reason }
 }
--- a/crates/sablehaven-control/src/server/handle.rs
+++ b/crates/sablehaven-control/src/server/handle.rs
@@ -9,7 +9,7 @@
 use tokio::{task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::routes::RoutesService;
+use crate::{evacuation::EvacuationService, routes::RoutesService};
 
 use super::{context::Context, tasks::Tasks};
 
@@ -58,6 +58,11 @@
         RoutesService::new(Arc::clone(&self.context))
     }
 
+    /// Takes operators' orders about zones.
+    pub fn evacuation(&self) -> EvacuationService {
+        EvacuationService::new(Arc::clone(&self.context))
+    }
+
     /// Changes the addresses of replicas to dial while the replica runs.
     pub fn peers(&self) -> Peers {
         Peers {
--- a/crates/sablehaven-control/src/shared/mod.rs
+++ b/crates/sablehaven-control/src/shared/mod.rs
@@ -13,6 +13,7 @@
 use crate::{
     codec::{self, CodecError},
     configuration::{ConfigurationDifference, ConfigurationState},
+    evacuation::{EvacuationOrder, EvacuationState},
     membership::{MembershipState, ObservationBatch, PlatformUpdate, ServiceWatchers},
     replicas::{ReplicasCommand, ReplicasOutcome, ReplicasState},
     routes::{PutRoutes, RoutesState},
@@ -38,6 +39,8 @@
     Replicas(ReplicasCommand),
     /// An operator's routes.
     Routes(PutRoutes),
+    /// An operator's order about a zone.
+    Evacuation(EvacuationOrder),
 }
 
 /// What became of a command of group 0.
@@ -59,6 +62,8 @@
     replicas: ReplicasState,
     routes: RoutesState,
     revision: u64,
+    #[serde(default)]
+    evacuation: EvacuationState,
     /// Which keys changed lately; not part of the replicated state, empty after a restore.
     #[serde(skip)]
     changes: ChangeHistory,
@@ -85,6 +90,11 @@
         &self.routes
     }
 
+    /// The evacuated zones.
+    pub fn evacuation(&self) -> &EvacuationState {
+        &self.evacuation
+    }
+
     /// The index of the latest entry that changed what relays hear of; 0 before the first.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -93,7 +103,7 @@
     /// Applies a committed command; the same on every replica.
     pub fn apply(&mut self, index: u64, command: SharedCommand) -> SharedOutcome {
         let mut keys = ChangeKeys::default();
-        let outcome = self.apply_command(command, &mut keys);
+        let outcome = self.apply_command(index, command, &mut keys);
         keys.backends = self.membership.refresh(self.configuration.current());
         if !keys.is_empty() {
             self.revision = index;
@@ -102,7 +112,12 @@
         outcome
     }
 
-    fn apply_command(&mut self, command: SharedCommand, keys: &mut ChangeKeys) -> SharedOutcome {
+    fn apply_command(
+        &mut self,
+        index: u64,
+        command: SharedCommand,
+        keys: &mut ChangeKeys,
+    ) -> SharedOutcome {
         match command {
             SharedCommand::Configuration {
                 command,
@@ -134,6 +149,10 @@
                 self.routes.apply(put);
                 SharedOutcome::Recorded
             }
+            SharedCommand::Evacuation(order) => {
+                self.evacuation.apply(index, order);
+                SharedOutcome::Recorded
+            }
         }
     }
 
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -157,6 +157,7 @@
             }
         }
         ControlToGateway::Members(members) => gateway.take_members(members),
+        ControlToGateway::Evacuation(zones) => gateway.take_evacuation(zones),
         ControlToGateway::Alive => {}
     }
     Ok(())
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -10,7 +10,10 @@
 };
 
 use sablehaven_http::ServerSignals;
-use sablehaven_types::{CallerLimits, ListingChange, ListingNumber, RouteDocument, ServerListing};
+use sablehaven_types::{
+    CallerLimits, EvacuatedZones, ListingChange, ListingNumber, RouteDocument, ServerListing,
+    ZoneName,
+};
 use sablehaven_wire::{DeploymentMembers, GatewayStatus};
 use tokio::sync::watch;
 
@@ -65,6 +68,7 @@
             is_ready: false,
             routes_version: 0,
             listing: ListingNumber::default(),
+            evacuation_revision: 0,
         };
         let controls = config.controls.iter().copied().collect();
         Self {
@@ -163,6 +167,17 @@
         true
     }
 
+    /// Takes the evacuated zones. Only forward, as routes.
+    pub(crate) fn take_evacuation(&self, evacuated: EvacuatedZones) {
+        let revision = evacuated.revision;
+        let zones: Vec<&str> = evacuated.zones.iter().map(ZoneName::as_str).collect();
+        let zones = zones.join(", ");
+        if self.registry.take_evacuation(evacuated) {
+            log::info!(event = "evacuation_in_force", revision = revision, zones = zones.as_str(); "evacuated zones");
+            self.refresh_status();
+        }
+    }
+
     /// Takes who takes part.
     pub(crate) fn take_members(&self, members: DeploymentMembers) {
         self.registry.take_gateways(members.gateways);
@@ -205,6 +220,7 @@
             is_ready: self.is_ready(),
             routes_version: version,
             listing: self.registry.number(),
+            evacuation_revision: self.registry.evacuation_revision(),
         });
     }
 }
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -224,10 +224,11 @@
     if let Some(round_trip) = connection.round_trip {
         server.record_round_trip(round_trip);
     }
-    // The order must hold: a server that began to leave while this waited gets nothing any more.
+    // The order must hold: a server that began to leave, or whose zone was evacuated, while this waited
+    // gets nothing any more.
     if !server.takes_work() {
         return Err(not_sent(format!(
-            "send to {address}: the server is leaving"
+            "send to {address}: the server is to get nothing new"
         )));
     }
     let Some(outgoing) = build(gateway, server, request) else {
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -8,8 +8,8 @@
 };
 
 use sablehaven_types::{
-    AllowedRegions, BackendId, Distance, ListedServer, ListingChange, ListingNumber, RouteDocument,
-    ServerListing, ServiceName, ZoneName,
+    AllowedRegions, BackendId, Distance, EvacuatedZones, ListedServer, ListingChange,
+    ListingNumber, RouteDocument, ServerListing, ServiceName, ZoneName,
 };
 
 use super::{
@@ -34,6 +34,7 @@
     retries: crate::RetryBounds,
     /// Connected gateways by zone.
     gateways: RefCell<BTreeMap<ZoneName, u32>>,
+    evacuated: RefCell<EvacuatedZones>,
 }
 
 /// The servers of one service.
@@ -51,6 +52,7 @@
             zones: ZoneMap::new(config),
             retries: config.retries,
             gateways: RefCell::default(),
+            evacuated: RefCell::default(),
         }
     }
 
@@ -93,6 +95,7 @@
         for (name, listed) in by_service {
             self.service(name).update(&listed, &self.zones);
         }
+        self.mark_evacuated();
         self.limit_connections();
         true
     }
@@ -110,6 +113,7 @@
         for listed in &change.changed {
             self.service(&listed.service).take(listed, &self.zones);
         }
+        self.mark_evacuated();
         self.limit_connections();
         true
     }
@@ -133,6 +137,30 @@
         self.limit_connections();
     }
 
+    /// The revision of the evacuated zones that are left alone.
+    pub(crate) fn evacuation_revision(&self) -> u64 {
+        self.evacuated.borrow().revision
+    }
+
+    /// Takes the evacuated zones; `false` for a revision that is not newer than the one in force.
+    pub(crate) fn take_evacuation(&self, evacuated: EvacuatedZones) -> bool {
+        if evacuated.revision <= self.evacuation_revision() {
+            return false;
+        }
+        *self.evacuated.borrow_mut() = evacuated;
+        self.mark_evacuated();
+        true
+    }
+
+    fn mark_evacuated(&self) {
+        let evacuated = self.evacuated.borrow();
+        for service in self.services.borrow().values() {
+            for server in service.servers.borrow().iter() {
+                server.set_evacuated(evacuated.zones.contains(&server.zone));
+            }
+        }
+    }
+
     /// Takes the number of gateways of each zone.
     pub(crate) fn take_gateways(&self, gateways: BTreeMap<ZoneName, u32>) {
         *self.gateways.borrow_mut() = gateways;
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{AllowedRegions, BackendId, Distance, ListedServer, RegionName};
+use sablehaven_types::{AllowedRegions, BackendId, Distance, ListedServer, RegionName, ZoneName};
 
 use super::{choice::Candidate, connection_pool::ConnectionPool, health::ServerHealth};
 
@@ -14,6 +14,7 @@
 pub(crate) struct Server {
     pub(crate) id: BackendId,
     pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
     /// The region of its zone, where that is known.
     pub(crate) region: Option<RegionName>,
     pub(crate) distance: Distance,
@@ -22,6 +23,8 @@
     slots: Cell<u32>,
     /// Whether the list has it as ready and it answers under its own id.
     takes_work: Cell<bool>,
+    /// Whether operators have ordered that it gets nothing new.
+    is_evacuated: Cell<bool>,
     warm_at: Cell<Instant>,
     /// The shortest way there and back that was seen.
     round_trip: Cell<Duration>,
@@ -36,12 +39,14 @@
         Self {
             id: listed.id.clone(),
             address: listed.address,
+            zone: listed.zone.clone(),
             region,
             distance,
             pool: ConnectionPool::new(listed.address),
             health: RefCell::default(),
             slots: Cell::new(listed.slots),
             takes_work: Cell::new(!listed.is_draining),
+            is_evacuated: Cell::new(false),
             warm_at: Cell::new(Instant::now() + Duration::from_millis(listed.warmup_left_ms)),
             round_trip: Cell::new(first_round_trip(distance)),
         }
@@ -62,7 +67,12 @@
     }
 
     pub(crate) fn takes_work(&self) -> bool {
-        self.takes_work.get()
+        self.takes_work.get() && !self.is_evacuated.get()
+    }
+
+    /// The server gets nothing new from now on, or again. What it has goes on.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.set(is_evacuated);
     }
 
     /// Whether it takes work, in a region that is allowed.
--- a/crates/sablehaven-gateway/tests/gateway/support/control.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/control.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use sablehaven_types::{RouteDocument, ServerListing};
+use sablehaven_types::{EvacuatedZones, RouteDocument, ServerListing};
 use sablehaven_wire::{
     ControlToGateway, DeploymentMembers, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION,
     Role, accept,
@@ -16,6 +16,7 @@
     pub(super) gateways: Option<u32>,
     pub(super) routes: Option<Arc<RouteDocument>>,
     pub(super) listing: Option<Arc<ServerListing>>,
+    pub(super) evacuated: EvacuatedZones,
 }
 
 /// Serves gateways until the test ends.
@@ -52,6 +53,8 @@
                         let said = saying.borrow_and_update().clone();
                         let message = members(&said);
                         connection.writer.send(&message).await.expect("send");
+                        let message = ControlToGateway::Evacuation(said.evacuated);
+                        connection.writer.send(&message).await.expect("send");
                         if let Some(listing) = said.listing {
                             let message = ControlToGateway::Listing(listing);
                             connection.writer.send(&message).await.expect("send");
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -14,8 +14,8 @@
 use sablehaven_gateway::{Config, Handle, RetryBounds, names::HeaderNames, start};
 use sablehaven_standins::routed::{Behaviour, RoutedNames, RoutedServer};
 use sablehaven_types::{
-    CallerLimits, ListedServer, ListingNumber, Placement, Route, RouteDocument, RoutedService,
-    ServerListing, ServiceName,
+    CallerLimits, EvacuatedZones, ListedServer, ListingNumber, Placement, Route, RouteDocument,
+    RoutedService, ServerListing, ServiceName,
 };
 use sablehaven_wire::GatewayStatus;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet, time::sleep};
@@ -205,6 +205,21 @@
             .send_modify(|said| said.routes = Some(Arc::new(document)));
     }
 
+    /// Says which zones are evacuated, and waits until the gateway has heard it.
+    pub async fn evacuate(&self, revision: u64, zones: &[&str]) {
+        let zones = zones.iter().map(|zone| (*zone).into()).collect();
+        let evacuated = EvacuatedZones { revision, zones };
+        self.said.send_modify(|said| said.evacuated = evacuated);
+        let mut heard = self.heard.clone();
+        let obeyed = heard.wait_for(|status| {
+            status
+                .as_ref()
+                .is_some_and(|status| status.evacuation_revision >= revision)
+        });
+        let obeyed = tokio::time::timeout(LIMIT, obeyed).await;
+        obeyed.expect("the gateway hears in time").expect("control");
+    }
+
     /// Says how many gateways there are.
     pub fn say_gateways(&self, gateways: u32) {
         self.said.send_modify(|said| said.gateways = Some(gateways));
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod coverage;
 mod distance;
+mod evacuation;
 pub mod http;
 mod id;
 mod ledger;
@@ -26,6 +27,7 @@
 };
 pub use coverage::{Coverage, MissingReason, MissingShard};
 pub use distance::{DISTANCES, Distance};
+pub use evacuation::EvacuatedZones;
 pub use id::{
     AgentId, AttemptId, BackendId, CallerId, ClaimId, CommandId, OperatorId, RegionName, RelayId,
     RequestId, ServiceName, ShardId, ZoneName,
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sablehaven_types::{
-    AgentId, BackendId, BackendRecord, LedgerReply, LedgerRequest, ListingChange, Observation,
-    Placement, RelayId, RouteDocument, SchemaSource, ServerListing, ServiceConfiguration,
-    ServiceName, ZoneName,
+    AgentId, BackendId, BackendRecord, EvacuatedZones, LedgerReply, LedgerRequest, ListingChange,
+    Observation, Placement, RelayId, RouteDocument, SchemaSource, ServerListing,
+    ServiceConfiguration, ServiceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -263,6 +263,8 @@
     pub routes_version: u64,
     /// The reading of the platform's list that it has.
     pub listing: sablehaven_types::ListingNumber,
+    /// The revision of the evacuated zones that it obeys; 0 for none.
+    pub evacuation_revision: u64,
 }
 
 /// How much a gateway has had to do over the last second or so.
@@ -285,6 +287,9 @@
     ListingChange(ListingChange),
     /// Who takes part.
     Members(DeploymentMembers),
+    /// Zones whose servers are to get nothing new. Sent before any routes, so that a gateway that starts
+    /// does not serve without knowing them.
+    Evacuation(EvacuatedZones),
     /// A sign of life.
     Alive,
 }
