Gateway: a cold server gets no more requests than it bears, from all gateways together

Cause: what a cold server bears (warmup_per_s of a configuration) was not read, and a server that turns cold again under the same id was no news in the list. Ways weighed: a token bucket with an equal part for each gateway (saved tokens of 24 gateways all go at once after a lull, beyond the bound); leaving cold servers out altogether (a shard whose servers all are cold is then dark); one turn in each period at a place that each gateway has drawn, which ends unused after a quarter of a second. The last was taken; a turn that is not used is lost. Change: cold_turns decides; the choice leaves a cold server out unless the turn is open. A server whose zone was evacuated counts as cold for its warm-up when the order is taken back, since the list says so only later. A server that turns cold is news in the list, one that has become warm is none. What routes, list and orders make of each server is applied in one pass. Tests: 1 to 200 gateways and bounds of 0.5 to 50 a second stay within 1.5 times the bound and 5, also after a lull; gateway 'cold' (two, both fail with the turn always open); control: news of the list. Not done: health answers tell the same sooner, but the product asks none.

--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -265,11 +265,12 @@
     /// it is not sent again.
     pub(crate) fn take_reading(&self, term: u64, servers: Vec<ListedServer>) {
         self.listing.send_if_modified(|held| {
-            let is_same = held.number.term == term && is_same_list(&held.servers, &servers);
-            if is_same {
+            let mut number = held.number;
+            if number.term == term && !is_news(&held.servers, &servers) {
+                // Whether a server turns cold anew is told from the latest reading.
+                *held = Arc::new(ServerListing { number, servers });
                 return false;
             }
-            let mut number = held.number;
             number.reading = if number.term == term {
                 number.reading + 1
             } else {
@@ -337,8 +338,8 @@
     since_start >= LONGEST_SETTLING || (since_start >= LEAST_SETTLING && is_quiet)
 }
 
-/// Whether two readings say the same.
-fn is_same_list(one: &[ListedServer], other: &[ListedServer]) -> bool {
-    let mut pairs = one.iter().zip(other);
-    one.len() == other.len() && pairs.all(|(one, other)| one.says_the_same(other))
+/// Whether a reading says something that the former one did not.
+fn is_news(former: &[ListedServer], next: &[ListedServer]) -> bool {
+    let mut pairs = former.iter().zip(next);
+    former.len() != next.len() || pairs.any(|(former, next)| next.is_news_after(former))
 }
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -254,6 +254,25 @@
     assert!(number() > second);
 }
 
+#[test]
+fn a_server_that_turns_cold_again_is_news_and_one_that_has_become_warm_is_none() {
+    let gateways = Gateways::new();
+    let number = || gateways.listing().borrow().number;
+    gateways.take_reading(3, vec![listed(900, false)]);
+    let first = number();
+    gateways.take_reading(3, vec![listed(0, false)]);
+    assert_eq!(number(), first);
+    gateways.take_reading(3, vec![listed(2_500, false)]);
+    assert!(number() > first);
+    let listing = Arc::clone(&gateways.listing().borrow());
+    let encoded = gateways.encode_listing(&listing, first).expect("a message");
+    let message = rmp_serde::from_slice(&encoded.bytes()).expect("it can be decoded");
+    let ControlToGateway::ListingChange(change) = message else {
+        panic!("{message:?}");
+    };
+    assert_eq!(change.changed, [listed(2_500, false)]);
+}
+
 /// The name of the message that brings a gateway from the reading `held` to the latest.
 fn listing_message(gateways: &Gateways, held: ListingNumber) -> &'static str {
     let listing = Arc::clone(&gateways.listing().borrow());
--- a/crates/sablehaven-gateway/src/servers/mod.rs
+++ b/crates/sablehaven-gateway/src/servers/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 pub(crate) mod budget;
 pub(crate) mod choice;
+mod cold_turns;
 mod connection_pool;
 mod connection_share;
 pub(crate) mod failure_rate;
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -9,13 +9,14 @@
 
 use sablehaven_types::{
     AllowedRegions, BackendId, Distance, EvacuatedZones, ListedServer, ListingChange,
-    ListingNumber, RouteDocument, ServerListing, ServiceName, ZoneName,
+    ListingNumber, RouteDocument, RoutedService, ServerListing, ServiceName, ZoneName,
 };
 
 use super::{
     Server,
     budget::RetryBudget,
     choice::choose,
+    cold_turns::ColdLimit,
     connection_share::{SharerCount, connection_share},
     zone_map::ZoneMap,
 };
@@ -26,6 +27,10 @@
 /// Gateways that each zone is taken to have until the control replicas have said.
 const ASSUMED_GATEWAYS: u32 = 5;
 
+/// Gateways that share a cold server until the control replicas have said: more than there are in most
+/// deployments, since a cold server falls over when it gets too much.
+const ASSUMED_COLD_SHARERS: u32 = 64;
+
 /// All servers by service.
 pub(crate) struct Registry {
     services: RefCell<HashMap<ServiceName, Rc<ServicePool>>>,
@@ -42,6 +47,10 @@
     servers: RefCell<Vec<Rc<Server>>>,
     budget: RefCell<RetryBudget>,
     max_connections: Cell<u32>,
+    /// Time for which its servers are cold after a start.
+    warmup: Cell<Duration>,
+    /// Requests a second that a cold one bears from all gateways; 0 where there is no bound.
+    warmup_per_second: Cell<f64>,
 }
 
 impl Registry {
@@ -70,6 +79,8 @@
             servers: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(self.retries)),
             max_connections: Cell::new(0),
+            warmup: Cell::default(),
+            warmup_per_second: Cell::default(),
         });
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), Rc::clone(&service));
@@ -95,8 +106,7 @@
         for (name, listed) in by_service {
             self.service(name).update(&listed, &self.zones);
         }
-        self.mark_evacuated();
-        self.limit_connections();
+        self.refresh_servers();
         true
     }
 
@@ -113,8 +123,7 @@
         for listed in &change.changed {
             self.service(&listed.service).take(listed, &self.zones);
         }
-        self.mark_evacuated();
-        self.limit_connections();
+        self.refresh_servers();
         true
     }
 
@@ -130,11 +139,9 @@
     /// Takes what the routes say of the services.
     pub(crate) fn take_routes(&self, document: &RouteDocument) {
         for (name, service) in &document.services {
-            self.service(name)
-                .max_connections
-                .set(service.max_connections);
+            self.service(name).describe(service);
         }
-        self.limit_connections();
+        self.refresh_servers();
     }
 
     /// The revision of the evacuated zones that are left alone.
@@ -148,23 +155,14 @@
             return false;
         }
         *self.evacuated.borrow_mut() = evacuated;
-        self.mark_evacuated();
+        self.refresh_servers();
         true
     }
 
-    fn mark_evacuated(&self) {
-        let evacuated = self.evacuated.borrow();
-        for service in self.services.borrow().values() {
-            for server in service.servers.borrow().iter() {
-                server.set_evacuated(evacuated.zones.contains(&server.zone));
-            }
-        }
-    }
-
     /// Takes the number of gateways of each zone.
     pub(crate) fn take_gateways(&self, gateways: BTreeMap<ZoneName, u32>) {
         *self.gateways.borrow_mut() = gateways;
-        self.limit_connections();
+        self.refresh_servers();
     }
 
     /// The gateways that there can be, this one included; `None` before the control replicas have
@@ -184,16 +182,23 @@
         }
     }
 
-    /// Shares each server's connections among the gateways: those of its own region send it most.
-    fn limit_connections(&self) {
+    /// Tells every server what routes, list, orders and the number of gateways make of it: whether its zone
+    /// is evacuated, what it bears while it is cold, and this gateway's part of its connections, of which the
+    /// gateways of its own region have most.
+    fn refresh_servers(&self) {
         let sharers = self.sharers();
+        let gateways = self.gateway_count();
+        let evacuated = self.evacuated.borrow();
         for service in self.services.borrow().values() {
             let whole = service.max_connections.get();
+            let cold_limit = service.cold_limit(gateways);
             for server in service.servers.borrow().iter() {
+                let is_evacuated = evacuated.zones.contains(&server.zone);
+                server.set_evacuated(is_evacuated, service.warmup.get());
+                server.set_cold_limit(cold_limit);
                 let is_near = server.distance != Distance::Remote;
-                server
-                    .pool
-                    .set_share(connection_share(whole, server.slots(), sharers, is_near));
+                let share = connection_share(whole, server.slots(), sharers, is_near);
+                server.pool.set_share(share);
             }
         }
     }
@@ -223,6 +228,23 @@
 }
 
 impl ServicePool {
+    /// Takes what the routes say of the service.
+    fn describe(&self, described: &RoutedService) {
+        self.max_connections.set(described.max_connections);
+        self.warmup.set(Duration::from_millis(described.warmup_ms));
+        self.warmup_per_second.set(described.warmup_per_second);
+    }
+
+    /// What a cold server bears, where that is bounded. While the number of gateways is not known, many are
+    /// assumed.
+    fn cold_limit(&self, gateways: Option<u32>) -> Option<ColdLimit> {
+        let per_second = self.warmup_per_second.get();
+        (per_second > 0.0).then(|| ColdLimit {
+            per_second,
+            gateways: gateways.unwrap_or(ASSUMED_COLD_SHARERS),
+        })
+    }
+
     fn update(&self, listed: &[&ListedServer], zones: &ZoneMap) {
         let wanted: HashSet<&BackendId> = listed.iter().map(|each| &each.id).collect();
         self.keep(|id| wanted.contains(id));
@@ -266,8 +288,13 @@
         let candidates = servers
             .iter()
             .filter(|server| server.may_serve(allowed) && !tried.contains(&server.id))
+            .filter(|server| server.bears_one_more(now))
             .map(|server| (Rc::clone(server), server.candidate(now)));
-        choose(candidates, profile.typical(), rand::random())
+        let chosen: Option<Rc<Server>> = choose(candidates, profile.typical(), rand::random());
+        if let Some(server) = &chosen {
+            server.take_cold_turn(now);
+        }
+        chosen
     }
 
     /// Whether any server may take a request, leaving aside how well it does.
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -8,7 +8,12 @@
 
 use sablehaven_types::{AllowedRegions, BackendId, Distance, ListedServer, RegionName, ZoneName};
 
-use super::{choice::Candidate, connection_pool::ConnectionPool, health::ServerHealth};
+use super::{
+    choice::Candidate,
+    cold_turns::{ColdLimit, ColdTurns},
+    connection_pool::ConnectionPool,
+    health::ServerHealth,
+};
 
 /// One server, as the list and the gateway's own attempts show it.
 pub(crate) struct Server {
@@ -26,6 +31,9 @@
     /// Whether operators have ordered that it gets nothing new.
     is_evacuated: Cell<bool>,
     warm_at: Cell<Instant>,
+    /// What it bears while it is cold, where that is bounded.
+    cold_limit: Cell<Option<ColdLimit>>,
+    cold_turns: Cell<ColdTurns>,
     /// The shortest way there and back that was seen.
     round_trip: Cell<Duration>,
 }
@@ -48,6 +56,8 @@
             takes_work: Cell::new(!listed.is_draining),
             is_evacuated: Cell::new(false),
             warm_at: Cell::new(Instant::now() + Duration::from_millis(listed.warmup_left_ms)),
+            cold_limit: Cell::new(None),
+            cold_turns: Cell::new(ColdTurns::new(rand::random())),
             round_trip: Cell::new(first_round_trip(distance)),
         }
     }
@@ -55,6 +65,9 @@
     /// Takes what a newer list says.
     pub(crate) fn update(&self, listed: &ListedServer) {
         self.slots.set(listed.slots);
+        if listed.is_cold() {
+            self.cool(Duration::from_millis(listed.warmup_left_ms));
+        }
         if listed.is_draining {
             self.leave();
         }
@@ -70,9 +83,46 @@
         self.takes_work.get() && !self.is_evacuated.get()
     }
 
-    /// The server gets nothing new from now on, or again. What it has goes on.
-    pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
-        self.is_evacuated.set(is_evacuated);
+    /// The server gets nothing new from now on, or again. What it has goes on. One that works again may have
+    /// turned cold meanwhile, for the time `warmup`; the list says so only later.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool, warmup: Duration) {
+        let was_evacuated = self.is_evacuated.replace(is_evacuated);
+        if was_evacuated && !is_evacuated {
+            self.cool(warmup);
+        }
+    }
+
+    /// The server is cold for some time from now on.
+    fn cool(&self, warmup: Duration) {
+        let warm_at = Instant::now() + warmup;
+        self.warm_at.set(self.warm_at.get().max(warm_at));
+    }
+
+    fn is_cold(&self) -> bool {
+        self.warm_at.get() > Instant::now()
+    }
+
+    /// Changes what the server bears while it is cold.
+    pub(super) fn set_cold_limit(&self, limit: Option<ColdLimit>) {
+        self.cold_limit.set(limit);
+    }
+
+    /// Whether it is warm, or cold and this gateway has a turn now.
+    pub(super) fn bears_one_more(&self, now: Duration) -> bool {
+        match self.cold_limit.get() {
+            Some(limit) if self.is_cold() => self.cold_turns.get().is_open(now, limit),
+            _ => true,
+        }
+    }
+
+    /// Uses the turn at a cold server.
+    pub(super) fn take_cold_turn(&self, now: Duration) {
+        let (true, Some(limit)) = (self.is_cold(), self.cold_limit.get()) else {
+            return;
+        };
+        let mut turns = self.cold_turns.get();
+        turns.take(now, limit);
+        self.cold_turns.set(turns);
     }
 
     /// Whether it takes work, in a region that is allowed.
@@ -106,7 +156,7 @@
             lanes: self.slots.get().min(self.pool.limit()),
             stands_still: health.stands_still(now),
             is_resting: health.is_resting(now),
-            is_cold: self.warm_at.get() > Instant::now(),
+            is_cold: self.is_cold(),
         }
     }
 }
--- a/crates/sablehaven-gateway/tests/gateway/main.rs
+++ b/crates/sablehaven-gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway between a caller, a stand-in control replica and stand-in servers.
 
+mod cold;
 mod evacuations;
 mod gathers;
 mod once;
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -61,6 +61,9 @@
     /// Servers by service, as they are listed.
     pub servers: BTreeMap<String, Vec<RoutedServer>>,
     draining: Vec<String>,
+    cold: Vec<String>,
+    /// What cold servers bear; 0 for no bound.
+    pub warmup_per_second: f64,
 }
 
 impl Bed {
@@ -105,6 +108,8 @@
             reading: 0,
             servers: BTreeMap::new(),
             draining: Vec::new(),
+            cold: Vec::new(),
+            warmup_per_second: 0.0,
         }
     }
 
@@ -146,6 +151,12 @@
         self.list();
     }
 
+    /// The list says from now on that a server is cold.
+    pub fn cool(&mut self, id: &str) {
+        self.cold.push(id.to_owned());
+        self.list();
+    }
+
     /// Says the list as it is now; the first server of each service is near, the others are far.
     pub fn list(&mut self) {
         self.reading += 1;
@@ -159,7 +170,11 @@
                     zone: if position == 0 { "a" } else { "b" }.into(),
                     slots: 8,
                     is_draining: self.draining.contains(&server.id),
-                    warmup_left_ms: 0,
+                    warmup_left_ms: if self.cold.contains(&server.id) {
+                        20_000
+                    } else {
+                        0
+                    },
                 });
             }
         }
@@ -191,6 +206,8 @@
                     let known = RoutedService {
                         health_path: "/health".to_owned(),
                         max_connections: 64,
+                        warmup_ms: 20_000,
+                        warmup_per_second: self.warmup_per_second,
                     };
                     (service, known)
                 })
--- a/crates/sablehaven-types/src/listing.rs
+++ b/crates/sablehaven-types/src/listing.rs
@@ -26,14 +26,22 @@
 }
 
 impl ListedServer {
-    /// Whether another entry says the same; the time until a server is warm counts down by itself.
-    pub fn says_the_same(&self, other: &Self) -> bool {
-        self.id == other.id
-            && self.address == other.address
-            && self.service == other.service
-            && self.zone == other.zone
-            && self.slots == other.slots
-            && self.is_draining == other.is_draining
+    /// Whether the server was cold when the list was read.
+    pub fn is_cold(&self) -> bool {
+        self.warmup_left_ms > 0
+    }
+
+    /// Whether this entry says something that the `former` one of the same server did not. That a server has
+    /// become warm is no news: whoever knew that it was cold counts down by itself.
+    pub fn is_news_after(&self, former: &Self) -> bool {
+        let has_turned_cold = self.is_cold() && !former.is_cold();
+        has_turned_cold
+            || self.id != former.id
+            || self.address != former.address
+            || self.service != former.service
+            || self.zone != former.zone
+            || self.slots != former.slots
+            || self.is_draining != former.is_draining
     }
 }
 
@@ -73,7 +81,7 @@
         let changed = next.servers.iter().filter(|server| {
             before
                 .get(&server.id)
-                .is_none_or(|known| !known.says_the_same(server))
+                .is_none_or(|known| server.is_news_after(known))
         });
         Self {
             base: base.number,
--- a/crates/sablehaven-types/src/routes.rs
+++ b/crates/sablehaven-types/src/routes.rs
@@ -97,6 +97,12 @@
     pub health_path: String,
     /// Connections that one server accepts from all callers together.
     pub max_connections: u32,
+    /// Time for which a server is cold after a start, in milliseconds.
+    #[serde(default)]
+    pub warmup_ms: u64,
+    /// Requests a second that a cold server bears from all callers together; 0 where there is no bound.
+    #[serde(default)]
+    pub warmup_per_second: f64,
 }
 
 /// What a caller may send, and how long it may take.
