Gateways: those that callers are not told of use nothing of the shared slack, nor do those that have just started

Cause: the slack was divided by the gateways that callers are told of or that serve (about 30), but every gateway used such a part, and callers look at each of 61 or 191 gateways after a change of routes; and a gateway that was killed used its part anew at once. Ruled out: the margin of the bound (0.85 and 0.95 break it alike). Change: control tells each gateway whether it is one of those that share; the others have what their requests earn. In the first window after its start a gateway uses nothing of the slack (setting slack_pause_ms). Cold servers' turns follow the same. A replica that has counted nobody yet takes no count away, and members are sent only where they say something new to the gateway. Tests: budget (first window), gateway 'servers' (no part), control (who shares), cold turns. The budget's own tests count from the third window on, since the first one has a rule of its own now; their figures are the same.

--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -37,12 +37,42 @@
     started_at: Instant,
     sessions: Mutex<Sessions>,
     listing: watch::Sender<Arc<ServerListing>>,
-    members: watch::Sender<DeploymentMembers>,
+    members: watch::Sender<MembersView>,
     /// The latest routes and listing as they go out, so that many connections share the work.
     encoded_routes: Mutex<Option<(u64, Encoded)>>,
     encoded_listings: Mutex<EncodedListings>,
 }
 
+/// Who takes part, as this replica sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct MembersView {
+    controls: BTreeSet<SocketAddr>,
+    /// Gateways by zone that share what servers bear.
+    counts: BTreeMap<ZoneName, u32>,
+    /// The same gateways by their addresses, as far as they are connected.
+    sharers: BTreeSet<SocketAddr>,
+}
+
+impl MembersView {
+    /// What the gateway at an address is told.
+    pub(super) fn told_to(&self, gateway: SocketAddr) -> DeploymentMembers {
+        DeploymentMembers {
+            controls: self.controls.clone(),
+            gateways: self.counts.clone(),
+            is_sharer: self.sharers.contains(&gateway),
+        }
+    }
+}
+
+/// The gateways that share what servers bear.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct GatewaySharers {
+    /// By zone; some of the counted ones may be about to become ready.
+    pub(super) counts: BTreeMap<ZoneName, u32>,
+    /// By address.
+    pub(super) addresses: BTreeSet<SocketAddr>,
+}
+
 /// The sessions of gateways, and what each gateway has said last.
 #[derive(Default)]
 pub(super) struct Sessions {
@@ -150,9 +180,8 @@
         }
     }
 
-    /// The gateways by zone that share what servers bear: those that are named, and those that still take
-    /// requests. Some of the named may be about to become ready.
-    pub(super) fn sharers(&self, now: Instant) -> BTreeMap<ZoneName, u32> {
+    /// The gateways that share what servers bear: those that are named, and those that still take requests.
+    pub(super) fn sharers(&self, now: Instant) -> GatewaySharers {
         let named = named(&self.heard(), &self.sizes);
         let named: BTreeSet<SocketAddr> = named.iter().map(|each| each.status.address).collect();
         let serves = |report: &GatewayReport| {
@@ -161,11 +190,15 @@
         };
         let mut connected: BTreeMap<&ZoneName, usize> = BTreeMap::new();
         let mut sharing: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        let mut addresses = BTreeSet::new();
         for report in self.reports.values() {
             let zone = &report.status.placement.zone;
             *connected.entry(zone).or_default() += 1;
             let shares = named.contains(&report.status.address) || serves(report);
-            *sharing.entry(zone).or_default() += usize::from(shares);
+            if shares {
+                *sharing.entry(zone).or_default() += 1;
+                addresses.insert(report.status.address);
+            }
         }
         let count = |(zone, connected): (&ZoneName, usize)| {
             let size = self.sizes.get(zone).copied().unwrap_or_default();
@@ -174,7 +207,10 @@
             let count = u32::try_from(sharing.max(least)).unwrap_or(u32::MAX);
             (zone.clone(), count)
         };
-        connected.into_iter().map(count).collect()
+        GatewaySharers {
+            counts: connected.into_iter().map(count).collect(),
+            addresses,
+        }
     }
 }
 
@@ -184,7 +220,7 @@
             started_at: Instant::now(),
             sessions: Mutex::default(),
             listing: watch::channel(Arc::default()).0,
-            members: watch::channel(DeploymentMembers::default()).0,
+            members: watch::channel(MembersView::default()).0,
             encoded_routes: Mutex::default(),
             encoded_listings: Mutex::default(),
         }
@@ -243,11 +279,12 @@
         }
         sessions.counted_at = Some(now);
         sessions.resize(now);
-        let counts = sessions.sharers(now);
+        let sharers = sessions.sharers(now);
         drop(sessions);
         self.members.send_if_modified(|members| {
-            let is_new = members.gateways != counts;
-            members.gateways = counts;
+            let is_new = members.counts != sharers.counts || members.sharers != sharers.addresses;
+            members.counts = sharers.counts;
+            members.sharers = sharers.addresses;
             is_new
         });
     }
@@ -295,7 +332,7 @@
         self.listing.subscribe()
     }
 
-    pub(super) fn members(&self) -> watch::Receiver<DeploymentMembers> {
+    pub(super) fn members(&self) -> watch::Receiver<MembersView> {
         self.members.subscribe()
     }
 
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -1,14 +1,15 @@
 //! One connection of a gateway.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use sablehaven_types::{Distance, ListingNumber, RouteDocument, ServerListing};
 use sablehaven_wire::{
-    Connection, ControlToGateway, EncodedMessage, FrameReader, FrameWriter, GatewayStatus,
-    GatewayToControl, WireError,
+    Connection, ControlToGateway, DeploymentMembers, EncodedMessage, FrameReader, FrameWriter,
+    GatewayStatus, GatewayToControl, WireError,
 };
 use tokio::{
     sync::watch,
@@ -61,6 +62,8 @@
         sent_version: 0,
         sent_listing: ListingNumber::default(),
         sent_evacuation: 0,
+        sent_members: None,
+        address: connection.peer_address,
     };
     let ended = tokio::select! {
         ended = reader => ended,
@@ -119,6 +122,9 @@
     sent_version: u64,
     sent_listing: ListingNumber,
     sent_evacuation: u64,
+    sent_members: Option<DeploymentMembers>,
+    /// Where callers reach the gateway; known with its first status.
+    address: SocketAddr,
 }
 
 impl Writer {
@@ -137,6 +143,7 @@
             self.sent_version = first.routes_version;
             self.sent_listing = first.listing;
             self.sent_evacuation = first.evacuation_revision;
+            self.address = first.address;
             self.distance = Distance::between(&self.context.config.placement, &first.placement);
         }
         let mut turn = RoutesTurn::new(self.distance);
@@ -151,8 +158,8 @@
                 Ok(()) = published.changed() => {}
                 Ok(()) = listing.changed() => {}
                 Ok(()) = members.changed() => {
-                    let members = members.borrow_and_update().clone();
-                    self.send("members", &ControlToGateway::Members(members)).await?;
+                    let members = members.borrow_and_update().told_to(self.address);
+                    self.send_members(members).await?;
                 }
                 _ = alive.tick() => self.send("alive", &ControlToGateway::Alive).await?,
             }
@@ -226,6 +233,19 @@
         }
     }
 
+    /// Sends who takes part, unless that says what the gateway was told already.
+    async fn send_members(
+        &mut self,
+        members: DeploymentMembers,
+    ) -> Result<(), GatewaySessionError> {
+        if self.sent_members.as_ref() == Some(&members) {
+            return Ok(());
+        }
+        self.sent_members = Some(members.clone());
+        self.send("members", &ControlToGateway::Members(members))
+            .await
+    }
+
     async fn send(
         &mut self,
         name: &'static str,
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the directory's decision and of readings of the list.
 
 use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -203,14 +205,17 @@
     }
     let now = Instant::now();
     sessions.resize(now);
-    assert_eq!(sessions.sharers(now)[&"a".into()], 4);
+    let sharers = sessions.sharers(now);
+    assert_eq!(sharers.counts[&"a".into()], 4);
+    let sharing: BTreeSet<u16> = sharers.addresses.iter().map(SocketAddr::port).collect();
+    assert_eq!(sharing, named.iter().copied().collect());
     sessions.take_load(u64::from(other), attempts(50));
     sessions.resize(now);
     sessions.take_load(u64::from(other), attempts(0));
     sessions.resize(now + Duration::from_secs(1));
-    assert_eq!(sessions.sharers(now)[&"a".into()], 5);
+    assert_eq!(sessions.sharers(now).counts[&"a".into()], 5);
     let later = now + Duration::from_secs(11);
-    assert_eq!(sessions.sharers(later)[&"a".into()], 4);
+    assert_eq!(sessions.sharers(later).counts[&"a".into()], 4);
 }
 
 #[test]
--- a/crates/sablehaven-gateway/src/config.rs
+++ b/crates/sablehaven-gateway/src/config.rs
@@ -57,6 +57,9 @@
     pub slack: f64,
     /// The window's length.
     pub window_ms: u64,
+    /// Time after its start in which a gateway uses nothing of the slack: an earlier start of it may have, and
+    /// that counts for a window.
+    pub slack_pause_ms: u64,
 }
 
 impl Default for RetryBounds {
@@ -65,6 +68,7 @@
             ratio: 0.1,
             slack: 20.0,
             window_ms: 10_000,
+            slack_pause_ms: 10_000,
         }
     }
 }
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -180,7 +180,11 @@
 
     /// Takes who takes part.
     pub(crate) fn take_members(&self, members: DeploymentMembers) {
-        self.registry.take_gateways(members.gateways);
+        // A replica that has just started has counted nobody yet.
+        if !members.gateways.is_empty() {
+            self.registry
+                .take_gateways(members.gateways, members.is_sharer);
+        }
         self.add_controls(members.controls);
     }
 
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -190,7 +190,7 @@
         };
         let gateway = &self.accepted.gateway;
         if costs_budget {
-            let gateways = gateway.registry.gateway_count();
+            let gateways = gateway.registry.sharer_count();
             if !self.service.take_extra(gateway.clock.now(), gateways) {
                 self.unaffordable += 1;
                 gateway.metrics.unaffordable_attempts.inc();
--- a/crates/sablehaven-gateway/src/servers/budget.rs
+++ b/crates/sablehaven-gateway/src/servers/budget.rs
@@ -36,16 +36,18 @@
         }
     }
 
-    /// Counts a request that needs the service. `now` is any steady time.
+    /// Counts a request that needs the service. `now` is the time since the gateway started.
     pub(crate) fn need(&mut self, now: Duration) {
         self.part(now).needed += 1;
         self.needed += 1;
     }
 
     /// Takes one extra attempt; `false` means that the budget does not bear it. `gateways` is the
-    /// number of gateways that share the slack; while it is not known none of it is used.
+    /// number of gateways that share the slack; a gateway that has no part of it has `None`.
     pub(crate) fn take(&mut self, now: Duration, gateways: Option<u32>) -> bool {
         self.forget(now);
+        let has_paused = now >= Duration::from_millis(self.bounds.slack_pause_ms);
+        let gateways = gateways.filter(|_| has_paused);
         let part = |gateways: u32| self.bounds.slack / f64::from(gateways.max(1));
         let slack = gateways.map_or(0.0, part);
         let allowed = USED_SHARE * (self.bounds.ratio * f64::from(self.needed) + slack);
--- a/crates/sablehaven-gateway/src/servers/budget/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/budget/tests.rs
@@ -5,14 +5,18 @@
 use super::RetryBudget;
 use crate::RetryBounds;
 
+const WINDOW: Duration = Duration::from_secs(10);
+
 const BOUNDS: RetryBounds = RetryBounds {
     ratio: 0.2,
     slack: 40.0,
     window_ms: 10_000,
+    slack_pause_ms: 10_000,
 };
 
+/// A moment, counted from well after the start: a gateway has its part of the slack from the second window on.
 fn seconds(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds)
+    2 * WINDOW + Duration::from_secs_f64(seconds)
 }
 
 fn taken(budget: &mut RetryBudget, now: Duration, gateways: u32) -> u32 {
@@ -85,3 +89,15 @@
     let taken = (0..100).take_while(|_| budget.take(seconds(1.0), None));
     assert_eq!(taken.count(), 17);
 }
+
+/// Before it was killed and started again it may have used its part, which counts for one window.
+#[test]
+fn a_gateway_that_has_just_started_has_only_what_its_requests_earn() {
+    let mut budget = RetryBudget::new(BOUNDS);
+    let just_before = WINDOW - Duration::from_millis(1);
+    for _ in 0..100 {
+        budget.need(just_before);
+    }
+    assert_eq!(taken(&mut budget, just_before, 8), 17);
+    assert_eq!(taken(&mut budget, WINDOW, 8), 4);
+}
--- a/crates/sablehaven-gateway/src/servers/cold_turns.rs
+++ b/crates/sablehaven-gateway/src/servers/cold_turns.rs
@@ -17,8 +17,8 @@
 pub(super) struct ColdLimit {
     /// Requests a second from all gateways together.
     pub(super) per_second: f64,
-    /// The gateways that may send to it.
-    pub(super) gateways: u32,
+    /// The gateways that may send to it; `None` for one that has no part.
+    pub(super) gateways: Option<u32>,
 }
 
 /// One gateway's turns at one server.
@@ -37,7 +37,8 @@
 
     /// The turn that runs at `now`, any steady time, unless it has been used.
     fn open_turn(&self, now: Duration, limit: ColdLimit) -> Option<u64> {
-        let rate = USED_SHARE * limit.per_second / f64::from(limit.gateways.max(1));
+        let gateways = limit.gateways?.max(1);
+        let rate = USED_SHARE * limit.per_second / f64::from(gateways);
         let period = 1.0 / rate;
         let passed = now.as_secs_f64() / period + self.phase;
         let is_running = passed.fract() * period < LONGEST_TURN_S;
--- a/crates/sablehaven-gateway/src/servers/cold_turns/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/cold_turns/tests.rs
@@ -15,7 +15,7 @@
     let mut rng = StdRng::seed_from_u64(u64::from(gateways) * 1_000 + per_second as u64);
     let limit = ColdLimit {
         per_second,
-        gateways,
+        gateways: Some(gateways),
     };
     let mut all: Vec<ColdTurns> = (0..gateways)
         .map(|_| ColdTurns::new(rng.random()))
@@ -57,6 +57,17 @@
     }
 }
 
+#[test]
+fn a_gateway_without_a_part_has_no_turn() {
+    let limit = ColdLimit {
+        per_second: 50.0,
+        gateways: None,
+    };
+    let turns = ColdTurns::new(0.0);
+    let is_open = |step| turns.is_open(Duration::from_millis(step), limit);
+    assert!((0..10_000).all(|step| !is_open(step)));
+}
+
 #[test]
 fn steady_requests_use_most_of_what_the_server_bears() {
     for gateways in [1, 4, 24, 61] {
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -27,10 +27,6 @@
 /// Gateways that each zone is taken to have until the control replicas have said.
 const ASSUMED_GATEWAYS: u32 = 5;
 
-/// Gateways that share a cold server until the control replicas have said: more than there are in most
-/// deployments, since a cold server falls over when it gets too much.
-const ASSUMED_COLD_SHARERS: u32 = 64;
-
 /// All servers by service.
 pub(crate) struct Registry {
     services: RefCell<HashMap<ServiceName, Rc<ServicePool>>>,
@@ -40,6 +36,8 @@
     /// Connected gateways by zone.
     gateways: RefCell<BTreeMap<ZoneName, u32>>,
     evacuated: RefCell<EvacuatedZones>,
+    /// Whether this gateway is one of those that share what servers bear.
+    is_sharer: Cell<bool>,
 }
 
 /// The servers of one service.
@@ -62,6 +60,7 @@
             retries: config.retries,
             gateways: RefCell::default(),
             evacuated: RefCell::default(),
+            is_sharer: Cell::default(),
         }
     }
 
@@ -159,15 +158,20 @@
         true
     }
 
-    /// Takes the number of gateways of each zone.
-    pub(crate) fn take_gateways(&self, gateways: BTreeMap<ZoneName, u32>) {
+    /// Takes the number of gateways of each zone that share what servers bear, and whether this is one.
+    pub(crate) fn take_gateways(&self, gateways: BTreeMap<ZoneName, u32>, is_sharer: bool) {
         *self.gateways.borrow_mut() = gateways;
+        self.is_sharer.set(is_sharer);
         self.refresh_servers();
     }
 
-    /// The gateways that there can be, this one included; `None` before the control replicas have
-    /// said.
-    pub(crate) fn gateway_count(&self) -> Option<u32> {
+    /// The gateways with which this one shares what servers bear, itself included. `None` while it has no part:
+    /// before the control replicas have said, and while callers are told of others. Such a gateway may still
+    /// get single requests, and on a large fleet all of them together would be many times the whole.
+    pub(crate) fn sharer_count(&self) -> Option<u32> {
+        if !self.is_sharer.get() {
+            return None;
+        }
         let gateways = self.gateways.borrow();
         let known: u32 = gateways.values().sum();
         (known > 0).then(|| known + ROOM_FOR_GATEWAYS * gateways.len() as u32)
@@ -187,7 +191,7 @@
     /// gateways of its own region have most.
     fn refresh_servers(&self) {
         let sharers = self.sharers();
-        let gateways = self.gateway_count();
+        let gateways = self.sharer_count();
         let evacuated = self.evacuated.borrow();
         for service in self.services.borrow().values() {
             let whole = service.max_connections.get();
@@ -235,13 +239,12 @@
         self.warmup_per_second.set(described.warmup_per_second);
     }
 
-    /// What a cold server bears, where that is bounded. While the number of gateways is not known, many are
-    /// assumed.
+    /// What a cold server bears, where that is bounded: nothing from a gateway that has no part of it.
     fn cold_limit(&self, gateways: Option<u32>) -> Option<ColdLimit> {
         let per_second = self.warmup_per_second.get();
-        (per_second > 0.0).then(|| ColdLimit {
+        (per_second > 0.0).then_some(ColdLimit {
             per_second,
-            gateways: gateways.unwrap_or(ASSUMED_COLD_SHARERS),
+            gateways,
         })
     }
 
--- a/crates/sablehaven-gateway/tests/gateway/servers.rs
+++ b/crates/sablehaven-gateway/tests/gateway/servers.rs
@@ -97,6 +97,23 @@
     });
 }
 
+#[test]
+fn a_gateway_that_callers_are_not_told_of_uses_nothing_of_the_shared_slack() {
+    run(async {
+        let mut bed = Bed::with(|config| config.max_throttled = 0.0).await;
+        bed.serve("search", &[Behaviour::Reset, Behaviour::Reset])
+            .await;
+        bed.take_part_away();
+        bed.route(1, vec![single("/q/", RequestKind::Safe, "search")])
+            .await;
+        for number in 0..60 {
+            bed.get(&format!("{number}"), "/q/x").await;
+        }
+        let extra = bed.arrivals("search") - 60;
+        assert!(extra <= 12, "{extra} extra attempts, of a fifth of 60");
+    });
+}
+
 #[test]
 fn connections_are_kept_for_many_requests() {
     run(async {
--- a/crates/sablehaven-gateway/tests/gateway/support/control.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/control.rs
@@ -17,6 +17,7 @@
     pub(super) routes: Option<Arc<RouteDocument>>,
     pub(super) listing: Option<Arc<ServerListing>>,
     pub(super) evacuated: EvacuatedZones,
+    pub(super) has_no_part: bool,
 }
 
 /// Serves gateways until the test ends.
@@ -44,6 +45,7 @@
             let members = |said: &Said| {
                 ControlToGateway::Members(DeploymentMembers {
                     gateways: BTreeMap::from([("a".into(), said.gateways.unwrap_or(1))]),
+                    is_sharer: !said.has_no_part,
                     ..DeploymentMembers::default()
                 })
             };
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -92,6 +92,7 @@
                 ratio: 0.2,
                 slack: 1_000.0,
                 window_ms: 10_000,
+                slack_pause_ms: 0,
             },
             stop_linger_ms: 300,
             stop_limit_ms: 5_000,
@@ -237,6 +238,11 @@
         obeyed.expect("the gateway hears in time").expect("control");
     }
 
+    /// Says that callers are told of other gateways, so that this one has no part of what they share.
+    pub fn take_part_away(&self) {
+        self.said.send_modify(|said| said.has_no_part = true);
+    }
+
     /// Says how many gateways there are.
     pub fn say_gateways(&self, gateways: u32) {
         self.said.send_modify(|said| said.gateways = Some(gateways));
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -302,4 +302,6 @@
     /// Gateways by zone that callers are told of or that still take requests: those that share what
     /// servers bear.
     pub gateways: BTreeMap<ZoneName, u32>,
+    /// Whether the gateway that is told this is one of them. Others have no part of what is shared.
+    pub is_sharer: bool,
 }
