--- a/crates/sablehaven-control/src/gateways/mod.rs
+++ b/crates/sablehaven-control/src/gateways/mod.rs
@@ -2,9 +2,11 @@
 
 mod encoded;
 mod entry;
+mod members_view;
 mod registry;
 mod routes_turn;
 mod session;
+mod sessions;
 mod subset;
 
 pub(crate) use registry::Gateways;
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -13,7 +13,8 @@
 use super::{
     Gateways,
     entry::{HeardGateway, SubsetSizes, choose},
-    registry::{Sessions, has_settled},
+    registry::has_settled,
+    sessions::Sessions,
     subset::{SubsetSize, naming_rank},
 };
 
--- a/crates/sablehaven-gateway/src/servers/mod.rs
+++ b/crates/sablehaven-gateway/src/servers/mod.rs
@@ -10,9 +10,11 @@
 mod health;
 mod registry;
 mod server;
+mod service_pool;
 mod zone_map;
 
 pub(crate) use attempt::{Attempt, AttemptFailure, OutgoingRequest, ServerReply};
 pub(crate) use health::KindOfRequest;
-pub(crate) use registry::{Registry, ServicePool};
+pub(crate) use registry::Registry;
 pub(crate) use server::Server;
+pub(crate) use service_pool::ServicePool;
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -4,23 +4,15 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     rc::Rc,
-    time::Duration,
 };
 
 use sablehaven_types::{
-    AllowedRegions, BackendId, Distance, EvacuatedZones, ListedServer, ListingChange,
-    ListingNumber, RouteDocument, RoutedService, ServerListing, ServiceName, ZoneName,
+    BackendId, Distance, EvacuatedZones, ListedServer, ListingChange, ListingNumber, RouteDocument,
+    ServerListing, ServiceName, ZoneName,
 };
 
-use super::{
-    Server,
-    budget::RetryBudget,
-    choice::choose,
-    cold_turns::ColdLimit,
-    connection_share::{SharerCount, connection_share},
-    zone_map::ZoneMap,
-};
-use crate::{Config, route_table::RouteProfile};
+use super::{connection_share::SharerCount, service_pool::ServicePool, zone_map::ZoneMap};
+use crate::Config;
 
 /// Gateways that may join each zone beside those that are connected.
 const ROOM_FOR_GATEWAYS: u32 = 1;
@@ -40,17 +32,6 @@
     is_sharer: Cell<bool>,
 }
 
-/// The servers of one service.
-pub(crate) struct ServicePool {
-    servers: RefCell<Vec<Rc<Server>>>,
-    budget: RefCell<RetryBudget>,
-    max_connections: Cell<u32>,
-    /// Time for which its servers are cold after a start.
-    warmup: Cell<Duration>,
-    /// Requests a second that a cold one bears from all gateways; 0 where there is no bound.
-    warmup_per_second: Cell<f64>,
-}
-
 impl Registry {
     pub(crate) fn new(config: &Config) -> Self {
         Self {
@@ -74,13 +55,7 @@
         if let Some(service) = self.services.borrow().get(name) {
             return Rc::clone(service);
         }
-        let service = Rc::new(ServicePool {
-            servers: RefCell::default(),
-            budget: RefCell::new(RetryBudget::new(self.retries)),
-            max_connections: Cell::new(0),
-            warmup: Cell::default(),
-            warmup_per_second: Cell::default(),
-        });
+        let service = Rc::new(ServicePool::new(self.retries));
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), Rc::clone(&service));
         service
@@ -194,16 +169,7 @@
         let gateways = self.sharer_count();
         let evacuated = self.evacuated.borrow();
         for service in self.services.borrow().values() {
-            let whole = service.max_connections.get();
-            let cold_limit = service.cold_limit(gateways);
-            for server in service.servers.borrow().iter() {
-                let is_evacuated = evacuated.zones.contains(&server.zone);
-                server.set_evacuated(is_evacuated, service.warmup.get());
-                server.set_cold_limit(cold_limit);
-                let is_near = server.distance != Distance::Remote;
-                let share = connection_share(whole, server.slots(), sharers, is_near);
-                server.pool.set_share(share);
-            }
+            service.refresh_servers(&evacuated, sharers, gateways);
         }
     }
 
@@ -231,91 +197,5 @@
     }
 }
 
-impl ServicePool {
-    /// Takes what the routes say of the service.
-    fn describe(&self, described: &RoutedService) {
-        self.max_connections.set(described.max_connections);
-        self.warmup.set(Duration::from_millis(described.warmup_ms));
-        self.warmup_per_second.set(described.warmup_per_second);
-    }
-
-    /// What a cold server bears, where that is bounded: nothing from a gateway that has no part of it.
-    fn cold_limit(&self, gateways: Option<u32>) -> Option<ColdLimit> {
-        let per_second = self.warmup_per_second.get();
-        (per_second > 0.0).then_some(ColdLimit {
-            per_second,
-            gateways,
-        })
-    }
-
-    fn update(&self, listed: &[&ListedServer], zones: &ZoneMap) {
-        let wanted: HashSet<&BackendId> = listed.iter().map(|each| &each.id).collect();
-        self.keep(|id| wanted.contains(id));
-        for listed in listed {
-            self.take(listed, zones);
-        }
-    }
-
-    /// Leaves out the servers that are not listed any more.
-    fn keep(&self, is_listed: impl Fn(&BackendId) -> bool) {
-        self.servers.borrow_mut().retain(|server| {
-            let is_listed = is_listed(&server.id);
-            if !is_listed {
-                server.leave();
-            }
-            is_listed
-        });
-    }
-
-    /// Takes what the list says of one server.
-    fn take(&self, listed: &ListedServer, zones: &ZoneMap) {
-        let mut servers = self.servers.borrow_mut();
-        if let Some(server) = servers.iter().find(|server| server.id == listed.id) {
-            server.update(listed);
-            return;
-        }
-        let region = zones.region(&listed.zone).cloned();
-        let server = Server::new(listed, region, zones.distance(&listed.zone));
-        servers.push(Rc::new(server));
-    }
-
-    /// The server for the next attempt: in an allowed region, and none of `tried`.
-    pub(crate) fn choose(
-        &self,
-        now: Duration,
-        profile: &RouteProfile,
-        allowed: &AllowedRegions,
-        tried: &[BackendId],
-    ) -> Option<Rc<Server>> {
-        let servers = self.servers.borrow();
-        let candidates = servers
-            .iter()
-            .filter(|server| server.may_serve(allowed) && !tried.contains(&server.id))
-            .filter(|server| server.bears_one_more(now))
-            .map(|server| (Rc::clone(server), server.candidate(now)));
-        let chosen: Option<Rc<Server>> = choose(candidates, profile.typical(), rand::random());
-        if let Some(server) = &chosen {
-            server.take_cold_turn(now);
-        }
-        chosen
-    }
-
-    /// Whether any server may take a request, leaving aside how well it does.
-    pub(crate) fn can_serve(&self, allowed: &AllowedRegions) -> bool {
-        let servers = self.servers.borrow();
-        servers.iter().any(|server| server.may_serve(allowed))
-    }
-
-    /// Counts a request that needs this service.
-    pub(crate) fn need(&self, now: Duration) {
-        self.budget.borrow_mut().need(now);
-    }
-
-    /// Takes one extra attempt from the budget.
-    pub(crate) fn take_extra(&self, now: Duration, gateways: Option<u32>) -> bool {
-        self.budget.borrow_mut().take(now, gateways)
-    }
-}
-
 #[cfg(test)]
 mod tests;
