--- a/crates/sablehaven-gateway/tests/gateway/evacuations.rs
+++ b/crates/sablehaven-gateway/tests/gateway/evacuations.rs
@@ -7,8 +7,8 @@
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::{RequestKind, Route};
 
-use crate::support::routes::{gather, record, single};
-use crate::support::{Bed, run, until};
+use crate::support::routes::single;
+use crate::support::{Bed, assert_unservable, run, until};
 
 fn safe() -> Route {
     single("/q/", RequestKind::Safe, "search")
@@ -86,25 +86,15 @@
 fn a_zone_with_the_only_servers_of_a_shard_is_obeyed_and_the_answer_says_so() {
     run(async {
         let mut bed = Bed::new().await;
-        let body = || Behaviour::answer(record(1));
-        bed.serve("both", &[body(), body()]).await;
-        bed.serve("near-only", &[body()]).await;
-        let shards = ["both", "near-only"];
-        let routes = vec![
-            gather("/half/", &shards, 0.5),
-            gather("/all/", &shards, 0.9),
-            single("/one/", RequestKind::Safe, "near-only"),
-        ];
-        bed.route(1, routes).await;
+        bed.serve_two_shards(|route| route).await;
         bed.evacuate(5, &["a"]).await;
         let half = bed.get("1", "/half/x").await;
         assert_eq!(half.status, StatusCode::OK);
         assert_eq!(half.header("sablehaven-missing-parts"), Some("1"));
-        for (id, path) in [("2", "/all/x"), ("3", "/one/x")] {
-            let answer = bed.get(id, path).await;
-            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
-            assert!(answer.taken < Duration::from_secs(1), "{:?}", answer.taken);
-        }
+        assert_unservable(&bed.get("2", "/all/x").await);
+        let only = single("/one/", RequestKind::Safe, "near-only");
+        bed.route(2, vec![only]).await;
+        assert_unservable(&bed.get("3", "/one/x").await);
         assert_eq!(bed.arrivals("near-only"), 0);
     });
 }
--- a/crates/sablehaven-gateway/tests/gateway/regions.rs
+++ b/crates/sablehaven-gateway/tests/gateway/regions.rs
@@ -1,14 +1,12 @@
 //! Routes that are bound to regions. The first server of each service is in the gateway's region `north`,
 //! the others are in `south`.
 
-use std::time::Duration;
-
 use hyper::StatusCode;
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::{RequestKind, Route, RouteTarget, WeightedService};
 
-use crate::support::routes::{gather, record, single};
-use crate::support::{Answer, Bed, run};
+use crate::support::routes::{gather, single};
+use crate::support::{Bed, assert_unservable, run};
 
 fn bound_to(regions: &[&str], route: Route) -> Route {
     Route {
@@ -17,13 +15,6 @@
     }
 }
 
-fn assert_not_run(answer: &Answer) {
-    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
-    let pause = answer.header("retry-after").expect("when to come back");
-    assert!(pause.parse::<f64>().expect("seconds") > 0.5, "{pause}");
-    assert!(answer.taken < Duration::from_secs(1), "{:?}", answer.taken);
-}
-
 #[test]
 fn only_servers_of_allowed_regions_are_asked() {
     run(async {
@@ -91,7 +82,7 @@
         ];
         bed.route(1, routes).await;
         for (id, path) in [("1", "/q/x"), ("2", "/split/x"), ("3", "/g/x")] {
-            assert_not_run(&bed.get(id, path).await);
+            assert_unservable(&bed.get(id, path).await);
         }
         assert_eq!(bed.arrivals("search"), 0);
     });
@@ -101,22 +92,15 @@
 fn shards_without_a_server_in_an_allowed_region_are_missing() {
     run(async {
         let mut bed = Bed::new().await;
-        let body = || Behaviour::answer(record(1));
-        bed.serve("both", &[body(), body()]).await;
-        bed.serve("near-only", &[body()]).await;
-        let shards = ["both", "near-only"];
-        let routes = vec![
-            bound_to(&["south"], gather("/half/", &shards, 0.5)),
-            bound_to(&["south"], gather("/all/", &shards, 0.9)),
-        ];
-        bed.route(1, routes).await;
+        bed.serve_two_shards(|route| bound_to(&["south"], route))
+            .await;
         let half = bed.get("1", "/half/x").await;
         assert_eq!(half.status, StatusCode::OK);
         assert_eq!(half.header("sablehaven-missing-parts"), Some("1"));
         assert_eq!(bed.arrivals("near-only"), 0);
         // What cannot be answered is not begun: the shard that has a server is not asked either.
         let asked = bed.arrivals("both");
-        assert_not_run(&bed.get("2", "/all/x").await);
+        assert_unservable(&bed.get("2", "/all/x").await);
         assert_eq!(bed.arrivals("both"), asked);
     });
 }
--- a/crates/sablehaven-gateway/tests/gateway/support/caller.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/caller.rs
@@ -27,6 +27,14 @@
     }
 }
 
+/// The answer is a true "not run" at once, with about a second to come back.
+pub fn assert_unservable(answer: &Answer) {
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let pause = answer.header("retry-after").expect("when to come back");
+    assert!(pause.parse::<f64>().expect("seconds") > 0.5, "{pause}");
+    assert!(answer.taken < Duration::from_secs(1), "{:?}", answer.taken);
+}
+
 /// Sends one request on a connection of its own.
 pub async fn call(
     address: SocketAddr,
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -20,7 +20,11 @@
 use sablehaven_wire::GatewayStatus;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet, time::sleep};
 
-pub use self::caller::{Answer, call};
+#[allow(
+    unused_imports,
+    reason = "the example gather_cost needs no answers of the gateway's own"
+)]
+pub use self::caller::{Answer, assert_unservable, call};
 use self::control::{Said, stand_in_control};
 
 pub const NAMES: RoutedNames = RoutedNames {
@@ -125,6 +129,19 @@
         self.list();
     }
 
+    /// Serves the shards `both`, with a server in each zone, and `near-only`, with one in zone `a`, through the
+    /// routes `/half/`, which either of them is enough for, and `/all/`, which needs both.
+    #[allow(dead_code, reason = "not used by the example gather_cost")]
+    pub async fn serve_two_shards(&mut self, change: impl Fn(Route) -> Route) {
+        let body = || Behaviour::answer(routes::record(1));
+        self.serve("both", &[body(), body()]).await;
+        self.serve("near-only", &[body()]).await;
+        let shards = ["both", "near-only"];
+        let half = routes::gather("/half/", &shards, 0.5);
+        let all = routes::gather("/all/", &shards, 0.9);
+        self.route(1, vec![change(half), change(all)]).await;
+    }
+
     /// As [`Self::serve`], with the servers on another runtime, so that this thread's processor time
     /// is the gateway's.
     #[allow(dead_code, reason = "used by the example gather_cost")]
