Control: a change of replicas that is sent again is the one under way

Cause: the first answer had been lost, the test's operator sent the same again as operators do, and begin() knew no resends. The order of the steps is judged anew at each try, so equal commands may differ in it. Change: a change that lets the same replica join and the same one go as the one under way is answered with its number and goes on as it was begun. The new test of the state machine fails without it (Busy). Not covered: a resend that comes after the change is done is still refused, since the newcomer holds a log by then.

--- a/crates/sablehaven-control/src/replicas/change.rs
+++ b/crates/sablehaven-control/src/replicas/change.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Whether another change lets the same replica join and the same one go, in whatever order.
+    pub(super) fn has_same_members(self, other: Self) -> bool {
+        self.added() == other.added() && self.removed() == other.removed()
+    }
+
     fn phases(self) -> &'static [ChangePhase] {
         use ChangePhase::{Learning, Promoting, Removing};
         match self {
--- a/crates/sablehaven-control/src/replicas/mod.rs
+++ b/crates/sablehaven-control/src/replicas/mod.rs
@@ -166,6 +166,14 @@
     }
 
     fn begin(&mut self, kind: ChangeKind, addresses: Option<ReplicaAddresses>) -> ReplicasOutcome {
+        if let Some(current) = &self.change
+            && current.kind.has_same_members(kind)
+        {
+            // The operator's answer was lost, and it has sent the same again.
+            return ReplicasOutcome::Started {
+                change: current.number,
+            };
+        }
         if let Some(current) = &self.change
             && !current.may_be_called_off_by(kind)
         {
--- a/crates/sablehaven-control/tests/replicas.rs
+++ b/crates/sablehaven-control/tests/replicas.rs
@@ -100,6 +100,21 @@
     assert_eq!(second, ReplicasOutcome::Started { change: 2 });
 }
 
+/// An operator whose answer was lost sends the same again, and what the leader thinks of the old replica may have
+/// changed meanwhile.
+#[test]
+fn a_change_that_is_sent_again_is_the_one_under_way() {
+    let mut state = formed();
+    let first = begin(&mut state, replace(ReplacementOrder::PromoteFirst));
+    assert_eq!(first, ReplicasOutcome::Started { change: 1 });
+    advance(&mut state, 1, ChangePhase::Learning);
+    let again = begin(&mut state, replace(ReplacementOrder::RemoveFirst));
+    assert_eq!(again, ReplicasOutcome::Started { change: 1 });
+    assert_eq!(voters(&state), [A, B, C, D], "it goes on as it was begun");
+    let other = begin(&mut state, ChangeKind::Remove { replica: A });
+    assert!(matches!(other, ReplicasOutcome::Busy { .. }), "{other:?}");
+}
+
 #[test]
 fn a_change_can_be_called_off_only_while_the_new_replica_has_no_vote() {
     let mut state = formed();
