Gateway: lines about failed requests name what was asked for and the servers that were lost under it

Cause: when servers end in waves, the logs could not tell whether one request is at work at all of them, whether extra attempts overload them, or whether a late list sends requests to servers that ended: a line named neither. Change: a fingerprint of method, host, path, query and body (not of the try's id) and the servers whose connection ended while they had the request. A lost connection is told from an answer that could not be accepted (AttemptFailure::Lost); no decision depends on it yet.

--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -9,12 +9,14 @@
 //! - `route_table`: which route a request takes.
 //! - `servers`: connections, health and choice of servers; the budget of extra attempts.
 //! - `request`: the way of one request.
+//! - `crashes`: requests that take their servers down.
 //! - `load`: how much there is to do, for the control replicas.
 //! - `admission`, `throttle`, `resends`: who is refused under pressure.
 
 mod admission;
 mod config;
 mod control_link;
+mod crashes;
 mod gateway;
 mod load;
 mod metrics;
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -167,6 +167,8 @@
         unaffordable = parts.unaffordable,
         after_ms = taken.as_millis() as u64,
         left_ms = accepted.outgoing.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+        target = accepted.outgoing.crash_watch.fingerprint_text().as_str(),
+        lost = accepted.outgoing.crash_watch.lost_text().as_str(),
         missing = missing_text(&parts.missing).as_str(),
         awaited = awaited_text(&parts.awaited).as_str();
         "request"
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -24,6 +24,7 @@
 use self::{first_routes::find_route_or_wait, refusal::Refusal};
 use crate::{
     admission::{AdmissionClass, Admitted, NotAdmitted},
+    crashes::{CrashWatch, fingerprint},
     gateway::Gateway,
     metrics::Outcome,
     pace::Pace,
@@ -80,6 +81,7 @@
         return Err(Refusal::TooMany);
     }
     let deadline = arrived + time_left(gateway, &planned, &head);
+    let crash_watch = CrashWatch::new(fingerprint(&head, host(&head).unwrap_or_default(), &body));
     let outgoing = Rc::new(OutgoingRequest {
         method: head.method,
         target: head.uri,
@@ -89,6 +91,7 @@
         deadline,
         profile: Rc::clone(&planned.profile),
         pace: Pace::new(parts(&route.target)),
+        crash_watch,
     });
     let accepted = Accepted {
         gateway: Rc::clone(gateway),
--- a/crates/sablehaven-gateway/src/request/single.rs
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -33,6 +33,8 @@
         event = "failed", request:% = accepted.id(), route = accepted.planned.route().name.as_str(),
         version = accepted.planned.version, status = refusal.status().as_u16(),
         after_ms = accepted.arrived.elapsed().as_millis() as u64,
+        target = accepted.outgoing.crash_watch.fingerprint_text().as_str(),
+        lost = accepted.outgoing.crash_watch.lost_text().as_str(),
         reason:% = failure;
         "request"
     );
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -167,7 +167,9 @@
                 self.dispatched -= 1;
                 self.false_starts += 1;
             }
-            AttemptFailure::Answered(_) | AttemptFailure::Unknown { .. } => {
+            AttemptFailure::Answered(_)
+            | AttemptFailure::Lost { .. }
+            | AttemptFailure::Unknown { .. } => {
                 self.may_have_run = true;
             }
         }
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Method, Request, StatusCode, Uri,
     header::{CONTENT_ENCODING, HeaderMap, HeaderValue},
@@ -23,7 +23,7 @@
     Server,
     health::{Ending, Taken},
 };
-use crate::{gateway::Gateway, pace::Pace, route_table::RouteProfile};
+use crate::{crashes::CrashWatch, gateway::Gateway, pace::Pace, route_table::RouteProfile};
 
 /// The largest body of an answer, in bytes.
 const MAXIMUM_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -44,6 +44,7 @@
     pub(crate) deadline: Instant,
     pub(crate) profile: Rc<RouteProfile>,
     pub(crate) pace: Pace,
+    pub(crate) crash_watch: CrashWatch,
 }
 
 /// A server's whole answer.
@@ -70,6 +71,11 @@
     },
     /// the server failed
     Answered(Box<ServerReply>),
+    /// connection lost: {reason}
+    Lost {
+        /// The step, the server and the cause.
+        reason: String,
+    },
     /// not known: {reason}
     Unknown {
         /// The step, the server and the cause.
@@ -194,11 +200,18 @@
 ) -> Result<ServerReply, AttemptFailure> {
     let noted = Noted::begin(Rc::clone(&gateway), Rc::clone(&server), Rc::clone(&request));
     let result = exchange(&gateway, &server, &request).await;
+    if let Err(AttemptFailure::Lost { .. }) = &result {
+        request.crash_watch.lost(&server.id);
+    }
     let ending = match &result {
         Ok(_) => Ending::Answered,
         Err(AttemptFailure::NotExecuted { .. }) => Ending::TurnedAway,
         Err(AttemptFailure::Answered(_)) => Ending::ServerFailed,
-        Err(AttemptFailure::NotSent { .. } | AttemptFailure::Unknown { .. }) => Ending::Failed,
+        Err(
+            AttemptFailure::NotSent { .. }
+            | AttemptFailure::Lost { .. }
+            | AttemptFailure::Unknown { .. },
+        ) => Ending::Failed,
     };
     noted.end(ending);
     result
@@ -212,6 +225,7 @@
     request: &OutgoingRequest,
 ) -> Result<ServerReply, AttemptFailure> {
     let not_sent = |reason: String| AttemptFailure::NotSent { reason };
+    let lost = |reason: String| AttemptFailure::Lost { reason };
     let unknown = |reason: String| AttemptFailure::Unknown { reason };
     let address = server.address;
     let connect_limit = LEAST_CONNECT_LIMIT.max(server.round_trip() * CONNECT_ROUND_TRIPS);
@@ -242,7 +256,7 @@
             let reason = format!("send to {address} (reused {is_reused}): {}", error.error());
             let was_sent = error.take_message().is_none();
             return Err(if was_sent {
-                unknown(reason)
+                lost(reason)
             } else {
                 not_sent(reason)
             });
@@ -252,7 +266,10 @@
     let body = Limited::new(body, MAXIMUM_ANSWER_BYTES).collect().await;
     let body = match body {
         Ok(body) => body.to_bytes(),
-        Err(error) => return Err(unknown(format!("body of {address}: {error}"))),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return Err(unknown(format!("body of {address}: {error}")));
+        }
+        Err(error) => return Err(lost(format!("body of {address}: {error}"))),
     };
     let checked = check(gateway, server, request, &head.headers, head.status);
     if let Err(reason) = checked {
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -7,6 +7,7 @@
 mod allowed_regions;
 mod configuration;
 mod coverage;
+mod crash_report;
 mod distance;
 mod evacuation;
 pub mod http;
@@ -26,6 +27,7 @@
     RoutingSettings, SchemaSource, ServiceConfiguration, ShardAssignment,
 };
 pub use coverage::{Coverage, MissingReason, MissingShard};
+pub use crash_report::RequestFingerprint;
 pub use distance::{DISTANCES, Distance};
 pub use evacuation::EvacuatedZones;
 pub use id::{
