Tests, red: a request that ends every server that runs it

Reproduces the waves in which all servers of a service end. The stand-in server can end on a target: it closes every connection and refuses new ones.

--- a/crates/sablehaven-gateway/tests/gateway/main.rs
+++ b/crates/sablehaven-gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway between a caller, a stand-in control replica and stand-in servers.
 
 mod cold;
+mod crashes;
 mod evacuations;
 mod gathers;
 mod once;
--- a/testing/sablehaven-standins/src/routed/server.rs
+++ b/testing/sablehaven-standins/src/routed/server.rs
@@ -18,6 +18,7 @@
     task::JoinHandle,
     time::sleep,
 };
+use tokio_util::sync::CancellationToken;
 
 use super::{
     behaviour::Behaviour,
@@ -51,6 +52,9 @@
     id: String,
     names: RoutedNames,
     behaviour: Mutex<Behaviour>,
+    /// The request that it does not survive.
+    deadly: Mutex<Option<DeadlyRequest>>,
+    crashed: CancellationToken,
     seen: Mutex<Vec<SeenRequest>>,
     /// Connections that the other side closed while a request was being worked on.
     abandoned: AtomicU64,
@@ -59,6 +63,14 @@
     stamps: AtomicU64,
 }
 
+/// A request that ends the server that runs it.
+#[derive(Clone, Debug)]
+struct DeadlyRequest {
+    target: String,
+    /// Time from its arrival until the server ends.
+    work: Duration,
+}
+
 impl RoutedServer {
     /// Starts a server.
     ///
@@ -75,6 +87,8 @@
             id: id.to_owned(),
             names,
             behaviour: Mutex::new(behaviour),
+            deadly: Mutex::default(),
+            crashed: CancellationToken::new(),
             seen: Mutex::default(),
             abandoned: AtomicU64::new(0),
             connections: AtomicU64::new(0),
@@ -95,6 +109,20 @@
         *lock(&self.shared.behaviour) = behaviour;
     }
 
+    /// From now on a request for `target` ends the server after `work`: every connection closes, and new ones are
+    /// refused.
+    pub fn crash_on(&self, target: &str, work: Duration) {
+        *lock(&self.shared.deadly) = Some(DeadlyRequest {
+            target: target.to_owned(),
+            work,
+        });
+    }
+
+    /// Whether a request has ended it.
+    pub fn has_crashed(&self) -> bool {
+        self.shared.crashed.is_cancelled()
+    }
+
     /// The requests that reached it, health checks too.
     pub fn seen(&self) -> Vec<SeenRequest> {
         lock(&self.shared.seen).clone()
@@ -123,12 +151,22 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let accepted = tokio::select! {
+            () = shared.crashed.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            return;
+        };
         let number = shared.connections.fetch_add(1, Ordering::SeqCst) + 1;
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
             shared.open_connections.fetch_add(1, Ordering::SeqCst);
-            serve(stream, number, Arc::clone(&shared)).await;
+            tokio::select! {
+                () = shared.crashed.cancelled() => {}
+                () = serve(stream, number, Arc::clone(&shared)) => {}
+            }
             shared.open_connections.fetch_sub(1, Ordering::SeqCst);
         });
     }
@@ -145,7 +183,14 @@
             .header(shared.names.request_id)
             .unwrap_or_default()
             .to_owned();
+        let deadly = lock(&shared.deadly).clone();
+        let deadly = deadly.filter(|deadly| deadly.target == request.target);
         lock(&shared.seen).push(request);
+        if let Some(deadly) = deadly {
+            sleep(deadly.work).await;
+            shared.crashed.cancel();
+            return;
+        }
         if let Behaviour::Answer { work, .. } = &behaviour
             && !work_unless_left(&mut reader, *work).await
         {
