Gateways: a request that takes its servers down is tried with one server at a time, then quarantined everywhere

Cause: a lost connection counted as a failure of the server only. The request went on to the next server of every shard, and nothing of it was remembered, so that it took down all servers of its service each time it came, at any gateway. Ruled out: overload by extra attempts (none short of budget before the first wave, one quiet second before it); a late list (the servers of the later waves had just started and ran the request before they ended). Ways weighed: no retry after any lost connection (a single server that fails would cost its queries); quarantine by the number of lost connections alone (a reset network or the requests that ran beside the deadly one would be quarantined with it); a canary for every request (a round trip for all). Taken: three lost connections without any server's answer make a request suspect; it has one attempt at a time, where most servers are left; any answer clears it. Two servers that are found gone after such single attempts quarantine it for 5 minutes, doubled each time it crashes one more. A part that lost its server waits for the request's other parts, at most twice the usual time. Gateways report to every control replica, which merges and passes on; reports merge in any order, an answer outdates what was seen before it. All tables and reports are bounded.

--- a/crates/sablehaven-control/src/gateways/mod.rs
+++ b/crates/sablehaven-control/src/gateways/mod.rs
@@ -1,5 +1,6 @@
 //! Gateways: their connections, what they are sent, and which of them callers are told of.
 
+mod crash_board;
 mod encoded;
 mod entry;
 mod members_view;
--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use super::{
+    crash_board::CrashBoard,
     encoded::{Encoded, EncodedListings, encode},
     entry::choose,
     members_view::MembersView,
@@ -36,6 +37,8 @@
     sessions: Mutex<Sessions>,
     listing: watch::Sender<Arc<ServerListing>>,
     members: watch::Sender<MembersView>,
+    /// Requests under which servers ended.
+    pub(super) crashes: CrashBoard,
     /// The latest routes and listing as they go out, so that many connections share the work.
     encoded_routes: Mutex<Option<(u64, Encoded)>>,
     encoded_listings: Mutex<EncodedListings>,
@@ -48,6 +51,7 @@
             sessions: Mutex::default(),
             listing: watch::channel(Arc::default()).0,
             members: watch::channel(MembersView::default()).0,
+            crashes: CrashBoard::new(),
             encoded_routes: Mutex::default(),
             encoded_listings: Mutex::default(),
         }
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -6,13 +6,13 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{Distance, ListingNumber, RouteDocument, ServerListing};
+use sablehaven_types::{CrashReport, Distance, ListingNumber, RouteDocument, ServerListing};
 use sablehaven_wire::{
     Connection, ControlToGateway, DeploymentMembers, EncodedMessage, FrameReader, FrameWriter,
     GatewayStatus, GatewayToControl, WireError,
 };
 use tokio::{
-    sync::watch,
+    sync::{broadcast::error::RecvError, watch},
     time::{MissedTickBehavior, interval, sleep_until, timeout},
 };
 
@@ -101,6 +101,10 @@
                 context.gateways.report_load(session, load);
                 "gateway_alive"
             }
+            GatewayToControl::Crashes(reports) => {
+                context.gateways.crashes.take(&reports);
+                "crashes"
+            }
         };
         let bytes = reader.received_bytes();
         context
@@ -136,6 +140,7 @@
         let mut listing = self.context.gateways.listing();
         let mut members = self.context.gateways.members();
         members.mark_changed();
+        let (known_crashes, mut crashes) = self.context.gateways.crashes.subscribe();
         // What the gateway has comes with its first status; nothing is sent twice.
         if let Ok(first) = status.wait_for(Option::is_some).await
             && let Some(first) = &*first
@@ -149,6 +154,7 @@
         let mut turn = RoutesTurn::new(self.distance);
         let mut alive = interval(ALIVE_INTERVAL);
         alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.send_crashes(known_crashes).await?;
         loop {
             self.send_evacuation().await?;
             let look_at = self.send_routes(&mut turn, &status).await?;
@@ -161,6 +167,17 @@
                     let members = members.borrow_and_update().told_to(self.address);
                     self.send_members(members).await?;
                 }
+                report = crashes.recv() => {
+                    let reports = match report {
+                        Ok(report) => vec![report],
+                        Err(RecvError::Lagged(_) | RecvError::Closed) => {
+                            let (known, news) = self.context.gateways.crashes.subscribe();
+                            crashes = news;
+                            known
+                        }
+                    };
+                    self.send_crashes(reports).await?;
+                }
                 _ = alive.tick() => self.send("alive", &ControlToGateway::Alive).await?,
             }
         }
@@ -233,6 +250,16 @@
         }
     }
 
+    /// Sends what is known of requests under which servers ended. Every replica does: each gateway must hear it before the
+    /// same request comes to it, also while it has lost some of the replicas.
+    async fn send_crashes(&mut self, reports: Vec<CrashReport>) -> Result<(), GatewaySessionError> {
+        if reports.is_empty() {
+            return Ok(());
+        }
+        self.send("crashes", &ControlToGateway::Crashes(reports))
+            .await
+    }
+
     /// Sends who takes part, unless that says what the gateway was told already.
     async fn send_members(
         &mut self,
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -10,6 +10,7 @@
     WireError, connect_from,
 };
 use tokio::{
+    sync::broadcast::error::RecvError,
     task::{AbortHandle, spawn_local},
     time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
@@ -116,6 +117,9 @@
     } = connection;
     let mut status = gateway.status();
     status.mark_changed();
+    let mut reports = gateway.crash_reports();
+    // The replica may have started since it was told.
+    let mut known = Some(gateway.crashes.borrow().reports(gateway.clock.now()));
     let mut alive = interval(ALIVE_INTERVAL);
     alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_sign = Instant::now();
@@ -132,6 +136,17 @@
                 take(gateway, peer, received?)?;
                 None
             }
+            () = std::future::ready(()), if known.is_some() => {
+                let known = known.take().filter(|known| !known.is_empty());
+                known.map(GatewayToControl::Crashes)
+            }
+            report = reports.recv() => match report {
+                Ok(report) => Some(GatewayToControl::Crashes(vec![report])),
+                Err(RecvError::Lagged(_) | RecvError::Closed) => {
+                    known = Some(gateway.crashes.borrow().reports(gateway.clock.now()));
+                    None
+                }
+            },
             _ = alive.tick() => Some(GatewayToControl::Alive(gateway.load.load())),
         };
         if last_sign.elapsed() > SILENCE_LIMIT {
@@ -158,6 +173,7 @@
         }
         ControlToGateway::Members(members) => gateway.take_members(members),
         ControlToGateway::Evacuation(zones) => gateway.take_evacuation(zones),
+        ControlToGateway::Crashes(reports) => gateway.take_crashes(&reports),
         ControlToGateway::Alive => {}
     }
     Ok(())
--- /dev/null
+++ b/crates/sablehaven-gateway/src/crashes/table.rs
@@ -0,0 +1,230 @@
+//! What is known of requests under which servers ended, without sockets. Times are any steady time.
+
+use std::{collections::HashMap, time::Duration};
+
+use sablehaven_types::{CrashReport, RequestFingerprint};
+
+/// Lost attempts without any answer that make a request suspect. A query over shards loses two to servers that fail by
+/// themselves often enough.
+const SUSPICIOUS_LOSSES: u32 = 3;
+/// Servers that must have ended under single attempts before a request is quarantined. One is not enough: the
+/// server may have ended under another request that it ran at the same time.
+const CONDEMNING_CRASHES: u32 = 2;
+/// The first quarantine; doubled with each server that ends after one. A request that keeps crashing costs a server
+/// in so long, and one that does so no more waits no longer.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(5 * 60);
+/// The longest quarantine.
+const LONGEST_QUARANTINE: Duration = Duration::from_secs(60 * 60);
+/// Time after which lost connections are forgotten: most have other causes.
+const LOSSES_KEPT: Duration = Duration::from_secs(10 * 60);
+/// Time after which crashes are forgotten; longer than any quarantine.
+const CRASHES_KEPT: Duration = Duration::from_secs(2 * 60 * 60);
+/// Requests that are kept; beyond them the one that changed longest ago is forgotten.
+const KEPT_RECORDS: usize = 256;
+/// Reports in a second. A service whose servers all end would else have every request of every gateway reported.
+const REPORTS_PER_SECOND: u32 = 20;
+
+/// Whether a request may be sent to servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// As any other.
+    Clear,
+    /// To one server at a time.
+    Suspect,
+    /// To none, for the time that is left.
+    Quarantined {
+        /// Until it may be tried again.
+        left: Duration,
+    },
+}
+
+/// All requests under which servers ended.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CrashTable {
+    records: HashMap<RequestFingerprint, CrashRecord>,
+    /// Reports that went out in the second that began last.
+    reported: (u64, u32),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CrashRecord {
+    report: CrashReport,
+    changed_at: Duration,
+    quarantined_until: Duration,
+    /// Whether the report has something that others were not told.
+    is_news: bool,
+    /// Whether others were ever told of it.
+    is_reported: bool,
+}
+
+impl CrashRecord {
+    fn new(now: Duration, fingerprint: RequestFingerprint) -> Self {
+        Self {
+            report: CrashReport::new(fingerprint),
+            changed_at: now,
+            quarantined_until: Duration::ZERO,
+            is_news: false,
+            is_reported: false,
+        }
+    }
+
+    fn is_kept(&self, now: Duration) -> bool {
+        let kept = if self.report.crashes > 0 {
+            CRASHES_KEPT
+        } else {
+            LOSSES_KEPT
+        };
+        now.saturating_sub(self.changed_at) < kept
+    }
+
+    fn standing(&self, now: Duration) -> Standing {
+        if now < self.quarantined_until {
+            let left = self.quarantined_until - now;
+            return Standing::Quarantined { left };
+        }
+        if self.report.crashes > 0 || self.report.lost >= SUSPICIOUS_LOSSES {
+            return Standing::Suspect;
+        }
+        Standing::Clear
+    }
+
+    /// Begins a quarantine, or a longer one, if the crashes are enough for it.
+    fn quarantine(&mut self, now: Duration) {
+        let Some(beyond) = self.report.crashes.checked_sub(CONDEMNING_CRASHES) else {
+            return;
+        };
+        let time = FIRST_QUARANTINE.saturating_mul(2_u32.saturating_pow(beyond));
+        let time = time.min(LONGEST_QUARANTINE);
+        self.quarantined_until = now + time;
+        log::warn!(
+            event = "request_quarantined", target:% = format!("{:016x}", self.report.fingerprint),
+            lost = self.report.lost, crashes = self.report.crashes, for_s = time.as_secs();
+            "servers end when they run this request"
+        );
+    }
+}
+
+impl CrashTable {
+    /// Whether a request may be sent to servers.
+    pub(crate) fn standing(&self, now: Duration, fingerprint: RequestFingerprint) -> Standing {
+        let record = self.records.get(&fingerprint);
+        let record = record.filter(|record| record.is_kept(now));
+        record.map_or(Standing::Clear, |record| record.standing(now))
+    }
+
+    /// The connection of an attempt ended while the server had the request, and no server has answered it.
+    pub(crate) fn lost(&mut self, now: Duration, fingerprint: RequestFingerprint) {
+        let record = self.record(now, fingerprint);
+        record.report.lost = record.report.lost.saturating_add(1);
+        record.changed_at = now;
+        record.is_news = true;
+    }
+
+    /// The server is gone after an attempt that was the request's only one.
+    pub(crate) fn crashed(&mut self, now: Duration, fingerprint: RequestFingerprint) {
+        let record = self.record(now, fingerprint);
+        record.report.crashes = record.report.crashes.saturating_add(1);
+        record.changed_at = now;
+        record.is_news = true;
+        record.quarantine(now);
+    }
+
+    /// A server has answered the request, so it is not the request that ends servers.
+    pub(crate) fn answered(&mut self, now: Duration, fingerprint: RequestFingerprint) {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return;
+        };
+        if !record.is_reported {
+            self.records.remove(&fingerprint);
+            return;
+        }
+        if record.report.lost == 0 && record.report.crashes == 0 {
+            return;
+        }
+        record.report.clear();
+        record.quarantined_until = Duration::ZERO;
+        record.changed_at = now;
+        record.is_news = true;
+    }
+
+    /// Takes what another gateway has seen.
+    pub(crate) fn take(&mut self, now: Duration, report: &CrashReport) {
+        let record = self.record(now, report.fingerprint);
+        let former = record.report;
+        // Whoever has told this need not be told.
+        record.is_reported = true;
+        if !record.report.merge(report) {
+            return;
+        }
+        record.changed_at = now;
+        record.is_news &= record.report != *report;
+        if record.report.revision > former.revision {
+            record.quarantined_until = Duration::ZERO;
+        }
+        let is_worse =
+            record.report.revision > former.revision || record.report.crashes > former.crashes;
+        if is_worse {
+            record.quarantine(now);
+        }
+    }
+
+    /// What others are to be told of a request, once; `None` when that is nothing, or too much at the moment.
+    pub(crate) fn news(
+        &mut self,
+        now: Duration,
+        fingerprint: RequestFingerprint,
+    ) -> Option<CrashReport> {
+        let record = self.records.get_mut(&fingerprint)?;
+        if !record.is_news {
+            return None;
+        }
+        let second = now.as_secs();
+        if self.reported.0 != second {
+            self.reported = (second, 0);
+        }
+        if self.reported.1 >= REPORTS_PER_SECOND {
+            return None;
+        }
+        self.reported.1 += 1;
+        record.is_news = false;
+        record.is_reported = true;
+        Some(record.report)
+    }
+
+    /// Everything that is known, for a control replica that may know nothing.
+    pub(crate) fn reports(&self, now: Duration) -> Vec<CrashReport> {
+        let kept = self.records.values().filter(|record| record.is_kept(now));
+        kept.map(|record| record.report).collect()
+    }
+
+    fn record(&mut self, now: Duration, fingerprint: RequestFingerprint) -> &mut CrashRecord {
+        let is_known = self.records.contains_key(&fingerprint);
+        if !is_known && self.records.len() >= KEPT_RECORDS {
+            self.make_room(now);
+        }
+        let record = self.records.entry(fingerprint);
+        let record = record.or_insert_with(|| CrashRecord::new(now, fingerprint));
+        if !record.is_kept(now) {
+            *record = CrashRecord::new(now, fingerprint);
+        }
+        record
+    }
+
+    fn make_room(&mut self, now: Duration) {
+        self.records.retain(|_, record| record.is_kept(now));
+        if self.records.len() < KEPT_RECORDS {
+            return;
+        }
+        // What has crashed servers goes last.
+        let oldest = self.records.iter().min_by_key(|(_, record)| {
+            let has_crashed = record.report.crashes > 0;
+            (has_crashed, record.changed_at)
+        });
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.records.remove(&fingerprint);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -11,17 +11,21 @@
 
 use sablehaven_http::ServerSignals;
 use sablehaven_types::{
-    CallerLimits, EvacuatedZones, ListingChange, ListingNumber, RouteDocument, ServerListing,
-    ZoneName,
+    CallerLimits, CrashReport, EvacuatedZones, ListingChange, ListingNumber, RequestFingerprint,
+    RouteDocument, ServerListing, ZoneName,
 };
 use sablehaven_wire::{DeploymentMembers, GatewayStatus};
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 
 use crate::{
-    Config, admission::Admission, load::LoadMeter, metrics::Metrics, names::HeaderNames,
-    resends::ResendDetector, route_table::RouteTable, servers::Registry, throttle::RequestThrottle,
+    Config, admission::Admission, crashes::CrashTable, load::LoadMeter, metrics::Metrics,
+    names::HeaderNames, resends::ResendDetector, route_table::RouteTable, servers::Registry,
+    throttle::RequestThrottle,
 };
 
+/// Reports that a connection to a control replica may be behind; one that is further behind begins anew.
+const UNSENT_REPORTS: usize = 64;
+
 /// Steady time since the start.
 pub(crate) struct Clock {
     started_at: Instant,
@@ -48,6 +52,10 @@
     pub(crate) admission: Admission,
     pub(crate) throttle: RefCell<RequestThrottle>,
     pub(crate) resends: RefCell<ResendDetector>,
+    /// Requests under which servers ended.
+    pub(crate) crashes: Rc<RefCell<CrashTable>>,
+    /// What this gateway sees of such requests, for the control replicas.
+    crash_reports: broadcast::Sender<CrashReport>,
     pub(crate) load: LoadMeter,
     pub(crate) signals: ServerSignals,
     pub(crate) metrics: Metrics,
@@ -79,6 +87,8 @@
             names,
             clock: Clock::new(),
             resends: RefCell::default(),
+            crashes: Rc::default(),
+            crash_reports: broadcast::channel(UNSENT_REPORTS).0,
             load: LoadMeter::default(),
             signals: ServerSignals::default(),
             metrics: Metrics::new(),
@@ -188,6 +198,32 @@
         self.add_controls(members.controls);
     }
 
+    /// Tells the control replicas what was newly seen of a request's servers, if anything.
+    pub(crate) fn report_crashes(&self, fingerprint: RequestFingerprint) {
+        let news = self
+            .crashes
+            .borrow_mut()
+            .news(self.clock.now(), fingerprint);
+        if let Some(report) = news {
+            // Without any connection nobody hears it; the next one begins with all that is known.
+            let _ = self.crash_reports.send(report);
+        }
+    }
+
+    /// What is reported from now on.
+    pub(crate) fn crash_reports(&self) -> broadcast::Receiver<CrashReport> {
+        self.crash_reports.subscribe()
+    }
+
+    /// Takes what other gateways have seen of requests under which servers ended.
+    pub(crate) fn take_crashes(&self, reports: &[CrashReport]) {
+        let now = self.clock.now();
+        let mut crashes = self.crashes.borrow_mut();
+        for report in reports {
+            crashes.take(now, report);
+        }
+    }
+
     /// Adds addresses of control replicas to those that are known.
     pub(crate) fn add_controls(&self, controls: impl IntoIterator<Item = SocketAddr>) {
         self.controls.send_if_modified(|known| {
--- a/crates/sablehaven-gateway/src/metrics.rs
+++ b/crates/sablehaven-gateway/src/metrics.rs
@@ -52,6 +52,7 @@
     attempts: Family<AttemptLabels, Counter>,
     pub(crate) extra_attempts: Counter,
     pub(crate) unaffordable_attempts: Counter,
+    pub(crate) quarantined_requests: Counter,
     pub(crate) open_requests: Gauge,
     pub(crate) routes_version: Gauge,
     pub(crate) listed_servers: Gauge,
@@ -71,6 +72,7 @@
             attempts: Family::default(),
             extra_attempts: Counter::default(),
             unaffordable_attempts: Counter::default(),
+            quarantined_requests: Counter::default(),
             open_requests: Gauge::default(),
             routes_version: Gauge::default(),
             listed_servers: Gauge::default(),
@@ -107,6 +109,11 @@
             "Hedges and retries that the budget did not bear",
             self.unaffordable_attempts.clone(),
         );
+        registry.register(
+            "quarantined_requests",
+            "Requests that were refused because they had crashed servers",
+            self.quarantined_requests.clone(),
+        );
         registry.register(
             "open_requests",
             "Requests that are being answered",
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -1,6 +1,9 @@
 //! A query over many shards: one server of each, and an answer from what is in when it is due.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use hyper::{
@@ -33,6 +36,19 @@
     may_have_run: bool,
 }
 
+impl Parts {
+    /// Whether parts are missing because servers end when they run the request.
+    fn is_quarantined(&self) -> bool {
+        let mut failures = self.missing.iter().map(|(_, failure)| failure);
+        failures.any(|failure| matches!(failure, PartFailure::Quarantined))
+    }
+}
+
+/// The refusal of a request that ends the servers that run it.
+fn quarantined(accepted: &Accepted, parts: &Parts) -> Refusal {
+    Refusal::after_crashes(accepted, parts.may_have_run)
+}
+
 /// Asks one server of every shard of the pinned version, and answers when the answer is whole, or
 /// when waiting longer would cost more than the shards that are missing.
 pub(super) async fn answer(
@@ -44,9 +60,8 @@
         return Err(Refusal::NoServers);
     }
     let mut parts = Parts::default();
-    let mut running: FuturesUnordered<_> = gather
-        .shards
-        .iter()
+    let mut running: FuturesUnordered<_> = in_order(accepted, gather)
+        .into_iter()
         .map(|shard| {
             let service = accepted.gateway.registry.service(shard);
             let part = SubRequest::new(accepted, service);
@@ -58,6 +73,7 @@
         let progress = progress(accepted, gather, &parts);
         let wait_until = match next(&progress) {
             Next::Answer => break Ok(()),
+            Next::Fail if parts.is_quarantined() => break Err(quarantined(accepted, &parts)),
             Next::Fail if parts.may_have_run || !running.is_empty() => {
                 break Err(Refusal::TooFewShards);
             }
@@ -89,6 +105,20 @@
     outcome.map(|()| (respond(accepted, gather, &parts), kind))
 }
 
+/// The shards in the order in which they are asked: those with most servers to spare first where the first may be a
+/// trial that costs its server.
+fn in_order<'a>(accepted: &Accepted, gather: &'a Gather) -> Vec<&'a ServiceName> {
+    let mut shards: Vec<&ServiceName> = gather.shards.iter().collect();
+    let now = accepted.gateway.clock.now();
+    if accepted.outgoing.crash_watch.is_clear(now) {
+        return shards;
+    }
+    let registry = &accepted.gateway.registry;
+    let allowed = &accepted.planned.route().allowed_regions;
+    shards.sort_by_cached_key(|shard| Reverse(registry.service(shard).spare(allowed, &[])));
+    shards
+}
+
 /// The shards of which some server may take the request. With too few of them there can be no answer, and
 /// asking the others would only be work for nothing.
 fn servable_shards(accepted: &Accepted, gather: &Gather) -> usize {
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -17,14 +17,19 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{HOST, HeaderValue},
+    http::request::Parts,
+};
 use sablehaven_http::WholeBody;
 use sablehaven_types::{Route, RouteTarget, ServiceName, WeightedService};
 
 use self::{first_routes::find_route_or_wait, refusal::Refusal};
 use crate::{
     admission::{AdmissionClass, Admitted, NotAdmitted},
-    crashes::{CrashWatch, fingerprint},
+    crashes::{CrashWatch, Standing, fingerprint},
     gateway::Gateway,
     metrics::Outcome,
     pace::Pace,
@@ -68,6 +73,11 @@
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
     let request_id = request_id.ok_or(Refusal::NoRequestId)?;
     let body = read_body(body, gateway.limits().max_body_bytes).await?;
+    let crash_watch = CrashWatch::new(
+        fingerprint(&head, host(&head).unwrap_or_default(), &body),
+        Rc::clone(&gateway.crashes),
+    );
+    refuse_quarantined(gateway, &crash_watch, &request_id)?;
     let route = planned.route();
     let kind = planned.profile.kind();
     let admitted = admit(gateway, route, kind, caller_try);
@@ -81,7 +91,6 @@
         return Err(Refusal::TooMany);
     }
     let deadline = arrived + time_left(gateway, &planned, &head);
-    let crash_watch = CrashWatch::new(fingerprint(&head, host(&head).unwrap_or_default(), &body));
     let outgoing = Rc::new(OutgoingRequest {
         method: head.method,
         target: head.uri,
@@ -112,6 +121,24 @@
     answer.map(|(response, _)| response)
 }
 
+/// Refuses a request that is known to crash servers, before it takes anybody's place.
+fn refuse_quarantined(
+    gateway: &Gateway,
+    watch: &CrashWatch,
+    request_id: &HeaderValue,
+) -> Result<(), Refusal> {
+    let Standing::Quarantined { left } = watch.standing(gateway.clock.now()) else {
+        return Ok(());
+    };
+    gateway.metrics.quarantined_requests.inc();
+    log::warn!(
+        event = "refused", request:% = id_text(request_id), reason = "it has crashed servers",
+        target = watch.fingerprint_text().as_str(), left_ms = left.as_millis() as u64;
+        "request"
+    );
+    Err(Refusal::Quarantined { left })
+}
+
 /// A place for a request, unless there are too many or most of its kind come to nothing.
 fn admit(
     gateway: &Gateway,
@@ -237,10 +264,18 @@
     &parts[parts.len() - 1].service
 }
 
-fn id_text(id: &hyper::header::HeaderValue) -> String {
+fn id_text(id: &HeaderValue) -> String {
     String::from_utf8_lossy(id.as_bytes()).into_owned()
 }
 
+impl Drop for Accepted {
+    /// Tells the other gateways what became of the request's servers, also when its caller has left.
+    fn drop(&mut self) {
+        let fingerprint = self.outgoing.crash_watch.fingerprint();
+        self.gateway.report_crashes(fingerprint);
+    }
+}
+
 impl Accepted {
     fn id(&self) -> String {
         id_text(&self.outgoing.request_id)
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -9,6 +9,9 @@
 };
 use sablehaven_http::WholeBody;
 
+use super::Accepted;
+use crate::crashes::Standing;
+
 /// Time that a gateway usually needs from its start until it has routes and servers: an election of
 /// the control replicas, when all of them were stopped too.
 const USUAL_START: Duration = Duration::from_millis(1_100);
@@ -50,20 +53,48 @@
     Failed,
     /// too few shards answered
     TooFewShards,
+    /// servers ended when they ran the request; it is tried again later
+    CrashesServers {
+        /// Until it may be tried.
+        left: Duration,
+    },
+    /// the request has crashed servers and is not sent to any for a while; it has not run
+    Quarantined {
+        /// Until it may be tried.
+        left: Duration,
+    },
     /// the time is over
     OutOfTime,
 }
 
 impl Refusal {
+    /// The refusal of a request that ends the servers that run it, whether or not one has run it this time.
+    pub(super) fn after_crashes(accepted: &Accepted, may_have_run: bool) -> Self {
+        let now = accepted.gateway.clock.now();
+        let left = match accepted.outgoing.crash_watch.standing(now) {
+            Standing::Quarantined { left } => left,
+            Standing::Clear | Standing::Suspect => Duration::ZERO,
+        };
+        if may_have_run {
+            Self::CrashesServers { left }
+        } else {
+            Self::Quarantined { left }
+        }
+    }
+
     pub(super) fn status(&self) -> StatusCode {
         match self {
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoRoutes { .. } | Self::TooMany | Self::NoServers | Self::NotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
+            Self::NoRoutes { .. }
+            | Self::TooMany
+            | Self::NoServers
+            | Self::NotRun
+            | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Failed | Self::TooFewShards | Self::CrashesServers { .. } => {
+                StatusCode::BAD_GATEWAY
             }
-            Self::Failed | Self::TooFewShards => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -74,6 +105,9 @@
             Self::TooMany => Some(PRESSURE_PAUSE),
             Self::NoServers => Some(NO_SERVER_PAUSE),
             Self::NotRun | Self::Failed | Self::TooFewShards => Some(NOT_RUN_PAUSE),
+            Self::CrashesServers { left } | Self::Quarantined { left } => {
+                Some((*left).max(NOT_RUN_PAUSE))
+            }
             _ => None,
         }
     }
--- a/crates/sablehaven-gateway/src/request/single.rs
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -23,6 +23,9 @@
     let service = accepted.gateway.registry.service(service);
     let part = SubRequest::new(accepted, service).run().await;
     let (refusal, failure) = match &part.result {
+        Err(failure @ PartFailure::Quarantined) => {
+            (Refusal::after_crashes(accepted, part.may_have_run), failure)
+        }
         Ok(reply) => return Ok((hand_back(reply), Outcome::Whole)),
         Err(PartFailure::Attempt(AttemptFailure::Answered(reply))) if !is_promise(reply.status) => {
             return Ok((hand_back(reply), Outcome::ServerFailed));
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -12,7 +12,10 @@
 use tokio::time::sleep_until;
 
 use super::{Accepted, hedge_timer::HedgeTimer};
-use crate::servers::{Attempt, AttemptFailure, Server, ServerReply, ServicePool};
+use crate::{
+    crashes::{Trial, Turn, WaitingPlace},
+    servers::{Attempt, AttemptFailure, Server, ServerReply, ServicePool},
+};
 
 /// An attempt that takes this many typical times is hedged although its server answers others.
 const TAIL_RATIO: f64 = 3.5;
@@ -30,6 +33,8 @@
     NoServer,
     /// {0}
     Attempt(AttemptFailure),
+    /// servers end when they run the request
+    Quarantined,
     /// the time is over
     OutOfTime,
 }
@@ -57,6 +62,8 @@
     extra: u32,
     unaffordable: u32,
     may_have_run: bool,
+    /// What is sent when the request's other parts let it.
+    waiting: Option<Waiting>,
 }
 
 /// The servers that attempts went to, in order; shared with whoever explains what is still awaited.
@@ -65,6 +72,29 @@
 struct InFlight {
     attempt: Attempt,
     timer: HedgeTimer,
+    /// Where the request is suspect and this is its only attempt.
+    trial: Option<Trial>,
+}
+
+/// An attempt that a part has reason to send.
+enum Planned {
+    First,
+    /// After this failure.
+    Retry(AttemptFailure),
+}
+
+/// An attempt that the request's other parts do not let go yet.
+struct Waiting {
+    planned: Planned,
+    _place: WaitingPlace,
+}
+
+/// An attempt that has ended.
+struct EndedAttempt {
+    result: AttemptResult,
+    /// What the server took, without the way.
+    taken: Duration,
+    trial: Option<Trial>,
 }
 
 impl<'a> SubRequest<'a> {
@@ -79,6 +109,7 @@
             extra: 0,
             unaffordable: 0,
             may_have_run: false,
+            waiting: None,
         }
     }
 
@@ -100,42 +131,82 @@
 
     async fn attempt_until_answered(&mut self) -> Result<ServerReply, PartFailure> {
         self.service.need(self.accepted.gateway.clock.now());
-        if !self.send_next() {
-            return Err(PartFailure::NoServer);
-        }
+        self.send_in_turn(Planned::First)?;
         let deadline = self.accepted.outgoing.deadline;
         loop {
             let look = self.next_look();
             let look_at = look.unwrap_or(deadline).min(deadline);
             tokio::select! {
                 biased;
-                (result, taken) = next_result(&mut self.in_flight) => {
-                    match result {
+                ended = next_result(&mut self.in_flight) => {
+                    match ended.result {
                         Ok(reply) => {
-                            self.accepted.outgoing.pace.arrived(taken);
+                            self.accepted.outgoing.pace.arrived(ended.taken);
                             return Ok(reply);
                         }
-                        Err(failure) => self.take_failure(failure)?,
+                        Err(failure) => self.take_failure(failure, ended.trial)?,
+                    }
+                }
+                () = self.accepted.outgoing.crash_watch.changed(), if self.waiting.is_some() => {
+                    if let Some(Waiting { planned, .. }) = self.waiting.take() {
+                        self.send_in_turn(planned)?;
                     }
                 }
                 () = sleep_until(look_at.into()) => {
                     if Instant::now() >= deadline {
                         return Err(PartFailure::OutOfTime);
                     }
-                    self.hedge_if_due();
+                    match self.waiting.take() {
+                        Some(Waiting { planned, .. }) => self.send_in_turn(planned)?,
+                        None => self.hedge_if_due(),
+                    }
                 }
                 () = self.accepted.outgoing.pace.becomes_known() => {}
             }
         }
     }
 
-    /// Sends to the cheapest server that was not tried yet; `false` without one.
-    fn send_next(&mut self) -> bool {
-        let Some(server) = self.next_server() else {
-            return false;
+    /// Sends an attempt now, or when the request's other parts let it: under a request that may take servers down there
+    /// is one attempt at a time, and none once it is known to.
+    fn send_in_turn(&mut self, planned: Planned) -> Result<(), PartFailure> {
+        let now = self.accepted.gateway.clock.now();
+        let allowed = &self.accepted.planned.route().allowed_regions;
+        let spare = self.service.spare(allowed, &self.tried.borrow());
+        let trial = match self.accepted.outgoing.crash_watch.turn(now, spare) {
+            Turn::Send => None,
+            Turn::Trial(trial) => Some(trial),
+            Turn::Wait(place) => {
+                self.waiting = Some(Waiting {
+                    planned,
+                    _place: place,
+                });
+                return Ok(());
+            }
+            Turn::Never => return Err(PartFailure::Quarantined),
         };
-        self.send(server);
-        true
+        match planned {
+            Planned::First => {
+                let server = self.next_server().ok_or(PartFailure::NoServer)?;
+                self.send(server, trial);
+                Ok(())
+            }
+            Planned::Retry(failure) => self.retry(failure, trial),
+        }
+    }
+
+    fn retry(&mut self, failure: AttemptFailure, trial: Option<Trial>) -> Result<(), PartFailure> {
+        let reached_server = !matches!(failure, AttemptFailure::NotSent { .. });
+        if self.send_extra(reached_server, trial) {
+            return Ok(());
+        }
+        self.give_up_unless_awaited(failure)
+    }
+
+    fn give_up_unless_awaited(&self, failure: AttemptFailure) -> Result<(), PartFailure> {
+        if self.in_flight.is_empty() {
+            return Err(PartFailure::Attempt(failure));
+        }
+        Ok(())
     }
 
     fn next_server(&self) -> Option<Rc<Server>> {
@@ -146,22 +217,30 @@
             .choose(now, &planned.profile, allowed, &self.tried.borrow())
     }
 
-    fn send(&mut self, server: Rc<Server>) {
+    fn send(&mut self, server: Rc<Server>, trial: Option<Trial>) {
         self.tried.borrow_mut().push(server.id.clone());
         self.dispatched += 1;
         let gateway = &self.accepted.gateway;
         let outgoing = Rc::clone(&self.accepted.outgoing);
-        let attempt = Attempt::start(gateway, server, outgoing);
+        let attempt = Attempt::start(gateway, server, outgoing, trial.is_some());
         self.in_flight.push(InFlight {
             attempt,
             timer: HedgeTimer::start(Instant::now()),
+            trial,
         });
     }
 
     /// Takes a failed attempt: waits for another one, sends the next, or gives up.
-    fn take_failure(&mut self, failure: AttemptFailure) -> Result<(), PartFailure> {
+    fn take_failure(
+        &mut self,
+        failure: AttemptFailure,
+        trial: Option<Trial>,
+    ) -> Result<(), PartFailure> {
+        if let (Some(trial), AttemptFailure::Lost { is_server_gone, .. }) = (&trial, &failure) {
+            trial.lost(self.accepted.gateway.clock.now(), *is_server_gone);
+        }
+        drop(trial);
         let is_safe = self.accepted.planned.route().kind == RequestKind::Safe;
-        let reached_server = !matches!(failure, AttemptFailure::NotSent { .. });
         match &failure {
             AttemptFailure::NotSent { .. } | AttemptFailure::NotExecuted { .. } => {
                 self.dispatched -= 1;
@@ -176,17 +255,14 @@
         let may_repeat = is_safe || !self.may_have_run;
         let has_room = self.dispatched < self.accepted.planned.route().max_attempts
             && self.false_starts <= MAXIMUM_FALSE_STARTS;
-        if may_repeat && has_room && self.send_extra(reached_server) {
-            return Ok(());
+        if may_repeat && has_room {
+            return self.send_in_turn(Planned::Retry(failure));
         }
-        if self.in_flight.is_empty() {
-            return Err(PartFailure::Attempt(failure));
-        }
-        Ok(())
+        self.give_up_unless_awaited(failure)
     }
 
     /// Sends one more attempt. What never reached a server is no extra load on any.
-    fn send_extra(&mut self, costs_budget: bool) -> bool {
+    fn send_extra(&mut self, costs_budget: bool, trial: Option<Trial>) -> bool {
         let Some(server) = self.next_server() else {
             return false;
         };
@@ -201,12 +277,17 @@
             self.extra += 1;
             gateway.metrics.extra_attempts.inc();
         }
-        self.send(server);
+        self.send(server, trial);
         true
     }
 
-    /// When a hedge may become due; `None` when none may be sent.
+    /// When a hedge may become due, or what waits may be sent; `None` when neither is known.
     fn next_look(&self) -> Option<Instant> {
+        if self.waiting.is_some() {
+            let now = self.accepted.gateway.clock.now();
+            let held_until = self.accepted.outgoing.crash_watch.held_until(now)?;
+            return Some(Instant::now() + held_until.saturating_sub(now));
+        }
         let route = self.accepted.planned.route();
         let may_hedge = route.kind == RequestKind::Safe
             && self.dispatched < route.max_attempts
@@ -258,8 +339,10 @@
             .health
             .borrow_mut()
             .suspect();
-        if !self.send_extra(true) {
-            // The budget or the servers do not allow one now; the next look is a little later.
+        let now = self.accepted.gateway.clock.now();
+        let may_send = self.accepted.outgoing.crash_watch.is_clear(now);
+        if !may_send || !self.send_extra(true, None) {
+            // Nothing allows one now; the next look is a little later.
             self.in_flight[0].timer.put_off(Instant::now());
         }
     }
@@ -267,15 +350,19 @@
 
 type AttemptResult = Result<ServerReply, AttemptFailure>;
 
-/// The result of whichever attempt has one first, with what its server took without the way.
-async fn next_result(in_flight: &mut Vec<InFlight>) -> (AttemptResult, Duration) {
+/// Whichever attempt ends first.
+async fn next_result(in_flight: &mut Vec<InFlight>) -> EndedAttempt {
     poll_fn(|context| {
         for position in 0..in_flight.len() {
             if let Poll::Ready(result) = in_flight[position].attempt.poll_result(context) {
                 let ended = in_flight.remove(position);
                 let round_trip = ended.attempt.server.round_trip();
                 let taken = ended.timer.taken(Instant::now(), round_trip);
-                return Poll::Ready((result, taken));
+                return Poll::Ready(EndedAttempt {
+                    result,
+                    taken,
+                    trial: ended.trial,
+                });
             }
         }
         Poll::Pending
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one server: sent, answered, checked.
 
 use std::{
+    io::ErrorKind,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -13,7 +14,7 @@
     Method, Request, StatusCode, Uri,
     header::{CONTENT_ENCODING, HeaderMap, HeaderValue},
 };
-use sablehaven_http::WholeBody;
+use sablehaven_http::{ConnectError, WholeBody, open};
 use tokio::{
     sync::oneshot,
     task::{AbortHandle, spawn_local},
@@ -31,6 +32,8 @@
 const LEAST_CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Round trips that opening a connection may take.
 const CONNECT_ROUND_TRIPS: u32 = 5;
+/// Time that sent bytes may stay unacknowledged on a connection that only shows whether the server is there.
+const LOOK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What is sent to servers for one request of a caller; shared by its attempts.
 pub(crate) struct OutgoingRequest {
@@ -44,7 +47,7 @@
     pub(crate) deadline: Instant,
     pub(crate) profile: Rc<RouteProfile>,
     pub(crate) pace: Pace,
-    pub(crate) crash_watch: CrashWatch,
+    pub(crate) crash_watch: Rc<CrashWatch>,
 }
 
 /// A server's whole answer.
@@ -75,6 +78,8 @@
     Lost {
         /// The step, the server and the cause.
         reason: String,
+        /// Whether the server was found to have ended; looked for only where that was asked for.
+        is_server_gone: bool,
     },
     /// not known: {reason}
     Unknown {
@@ -92,15 +97,21 @@
 }
 
 impl Attempt {
-    /// Starts an attempt.
+    /// Starts an attempt. `looks_for_crash` when a lost connection must be told from a server that has ended.
     pub(crate) fn start(
         gateway: &Rc<Gateway>,
         server: Rc<Server>,
         request: Rc<OutgoingRequest>,
+        looks_for_crash: bool,
     ) -> Self {
         gateway.load.count_attempt();
         let (respond, result) = oneshot::channel();
-        let running = run(Rc::clone(gateway), Rc::clone(&server), request);
+        let running = run(
+            Rc::clone(gateway),
+            Rc::clone(&server),
+            request,
+            looks_for_crash,
+        );
         let task = spawn_local(async move {
             // Whoever asked may have gone; the server's health has been noted all the same.
             let _ = respond.send(running.await);
@@ -197,11 +208,22 @@
     gateway: Rc<Gateway>,
     server: Rc<Server>,
     request: Rc<OutgoingRequest>,
+    looks_for_crash: bool,
 ) -> Result<ServerReply, AttemptFailure> {
     let noted = Noted::begin(Rc::clone(&gateway), Rc::clone(&server), Rc::clone(&request));
-    let result = exchange(&gateway, &server, &request).await;
-    if let Err(AttemptFailure::Lost { .. }) = &result {
-        request.crash_watch.lost(&server.id);
+    let _running = request.crash_watch.begin();
+    let mut result = exchange(&gateway, &server, &request).await;
+    let now = gateway.clock.now();
+    match &mut result {
+        Ok(_) | Err(AttemptFailure::Answered(_)) => request.crash_watch.answered(now),
+        Err(AttemptFailure::Lost { is_server_gone, .. }) => {
+            let usual = request.profile.typical();
+            request.crash_watch.lost(now, &server.id, usual);
+            if looks_for_crash {
+                *is_server_gone = is_gone(&gateway, &server).await;
+            }
+        }
+        Err(_) => {}
     }
     let ending = match &result {
         Ok(_) => Ending::Answered,
@@ -217,6 +239,21 @@
     result
 }
 
+/// Whether a server has ended: its address refuses connections. A lost connection alone does not show that, since
+/// networks and servers that go on reset connections too.
+async fn is_gone(gateway: &Gateway, server: &Server) -> bool {
+    let source = gateway.config.connect_from;
+    match open(source, server.address, connect_limit(server), LOOK_TIMEOUT).await {
+        Err(ConnectError::Failed { source, .. }) => source.kind() == ErrorKind::ConnectionRefused,
+        Ok(_) | Err(ConnectError::TimedOut { .. } | ConnectError::Handshake { .. }) => false,
+    }
+}
+
+/// Time that opening a connection to a server may take.
+fn connect_limit(server: &Server) -> Duration {
+    LEAST_CONNECT_LIMIT.max(server.round_trip() * CONNECT_ROUND_TRIPS)
+}
+
 /// Sends the request and takes the answer in four phases: a connection, the head, the body, the
 /// checks. Only an answer that ended as it must gives its connection back.
 async fn exchange(
@@ -225,10 +262,13 @@
     request: &OutgoingRequest,
 ) -> Result<ServerReply, AttemptFailure> {
     let not_sent = |reason: String| AttemptFailure::NotSent { reason };
-    let lost = |reason: String| AttemptFailure::Lost { reason };
+    let lost = |reason: String| AttemptFailure::Lost {
+        reason,
+        is_server_gone: false,
+    };
     let unknown = |reason: String| AttemptFailure::Unknown { reason };
     let address = server.address;
-    let connect_limit = LEAST_CONNECT_LIMIT.max(server.round_trip() * CONNECT_ROUND_TRIPS);
+    let connect_limit = connect_limit(server);
     let source = gateway.config.connect_from;
     let mut connection = server
         .pool
--- a/crates/sablehaven-gateway/src/servers/health.rs
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -270,6 +270,11 @@
         now < self.rests_until
     }
 
+    /// Whether the latest attempt that told anything of the server failed.
+    pub(crate) fn has_failed_last(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Attempts under way.
     pub(crate) fn outstanding(&self) -> usize {
         self.outstanding.len()
--- a/crates/sablehaven-gateway/src/servers/service_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/service_pool.rs
@@ -137,6 +137,16 @@
         servers.iter().any(|server| server.may_serve(allowed))
     }
 
+    /// The servers that may take a request, without those of `tried` and those that failed last.
+    pub(crate) fn spare(&self, allowed: &AllowedRegions, tried: &[BackendId]) -> usize {
+        let servers = self.servers.borrow();
+        let spare = servers.iter().filter(|server| {
+            let has_failed = server.health.borrow().has_failed_last();
+            server.may_serve(allowed) && !tried.contains(&server.id) && !has_failed
+        });
+        spare.count()
+    }
+
     /// Counts a request that needs this service.
     pub(crate) fn need(&self, now: Duration) {
         self.budget.borrow_mut().need(now);
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sablehaven_types::{
-    AgentId, BackendId, BackendRecord, EvacuatedZones, LedgerReply, LedgerRequest, ListingChange,
-    Observation, Placement, RelayId, RouteDocument, SchemaSource, ServerListing,
+    AgentId, BackendId, BackendRecord, CrashReport, EvacuatedZones, LedgerReply, LedgerRequest,
+    ListingChange, Observation, Placement, RelayId, RouteDocument, SchemaSource, ServerListing,
     ServiceConfiguration, ServiceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
@@ -248,6 +248,9 @@
     Status(GatewayStatus),
     /// A sign of life between two statuses.
     Alive(GatewayLoad),
+    /// Requests under which servers ended, for all other gateways. What is known goes out at the start of each
+    /// connection, what is new at once.
+    Crashes(Vec<CrashReport>),
 }
 
 /// Where a gateway stands.
@@ -290,6 +293,8 @@
     /// Zones whose servers are to get nothing new. Sent before any routes, so that a gateway that starts
     /// does not serve without knowing them.
     Evacuation(EvacuatedZones),
+    /// Requests under which servers ended, as gateways have reported them.
+    Crashes(Vec<CrashReport>),
     /// A sign of life.
     Alive,
 }
