Routing: what is known of requests that crash servers stands with the other decisions, for both roles

Moved from the gateway, unchanged but for its log line, which the gateway writes now: the agent needs the same decision. The gateway depends on sablehaven-routing from here on.

--- a/crates/sablehaven-gateway/src/crashes.rs
+++ b/crates/sablehaven-gateway/src/crashes.rs
@@ -1,19 +1,26 @@
 //! Requests that take their servers down: noticed, tried with one server at a time, and quarantined.
 //!
-//! A request whose servers end one after another (a "query of death", Site Reliability Engineering, 2016,
-//! chapter 22) must not be retried as if its servers had failed by themselves: it would end every server of its service.
+//! What is known of them is in [`sablehaven_routing::crash_table`]; this is what one request's parts do by it.
 //!
 //! - `fingerprint`: what a request asks for, in one number.
 //! - `watch`: what became of the servers of one request, and which of its parts may send.
-//! - `table`: what is known of all such requests, at this gateway and at others.
-//!
-//! A few connections lost without any answer make a request suspect: it has one attempt at a time, and any server's
-//! answer clears it. Crashes under single attempts quarantine it: no server gets it for a while.
 
 mod fingerprint;
-mod table;
 mod watch;
 
-pub(crate) use fingerprint::fingerprint;
-pub(crate) use table::{CrashTable, Standing};
+use sablehaven_routing::crash_table::Quarantine;
+
+pub(crate) use fingerprint::{fingerprint, fingerprint_text};
 pub(crate) use watch::{CrashWatch, Trial, Turn, WaitingPlace};
+
+/// A line about a quarantine that has just begun, if one has. `learned_from` says who saw the last crash.
+pub(crate) fn log_quarantine(begun: Option<Quarantine>, learned_from: &str) {
+    let Some(Quarantine { report, time }) = begun else {
+        return;
+    };
+    log::warn!(
+        event = "request_quarantined", target:% = fingerprint_text(report.fingerprint),
+        lost = report.lost, crashes = report.crashes, for_s = time.as_secs(), learned_from = learned_from;
+        "servers end when they run this request"
+    );
+}
--- a/crates/sablehaven-gateway/src/crashes/fingerprint.rs
+++ b/crates/sablehaven-gateway/src/crashes/fingerprint.rs
@@ -21,5 +21,10 @@
     hash.digest()
 }
 
+/// A fingerprint as log lines show it.
+pub(crate) fn fingerprint_text(fingerprint: RequestFingerprint) -> String {
+    format!("{fingerprint:016x}")
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sablehaven-gateway/src/crashes/watch.rs
+++ b/crates/sablehaven-gateway/src/crashes/watch.rs
@@ -6,10 +6,11 @@
     time::Duration,
 };
 
+use sablehaven_routing::crash_table::{CrashTable, Standing};
 use sablehaven_types::{BackendId, RequestFingerprint};
 use tokio::sync::Notify;
 
-use super::{CrashTable, Standing};
+use super::{fingerprint_text, log_quarantine};
 
 /// Lost trials after which a request is given up although its servers were not found gone.
 const MOST_LOST_TRIALS: u32 = 2;
@@ -86,7 +87,8 @@
         lost_trials.set(lost_trials.get() + 1);
         if is_gone {
             let mut table = self.watch.table.borrow_mut();
-            table.crashed(now, self.watch.fingerprint);
+            let begun = table.crashed(now, self.watch.fingerprint);
+            log_quarantine(begun, "this gateway");
         }
     }
 }
@@ -208,7 +210,7 @@
 
     /// The fingerprint as log lines show it.
     pub(crate) fn fingerprint_text(&self) -> String {
-        format!("{:016x}", self.fingerprint)
+        fingerprint_text(self.fingerprint)
     }
 
     /// The servers whose connection ended while they had the request, for log lines.
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 };
 
 use sablehaven_http::ServerSignals;
+use sablehaven_routing::crash_table::CrashTable;
 use sablehaven_types::{
     CallerLimits, CrashReport, EvacuatedZones, ListingChange, ListingNumber, RequestFingerprint,
     RouteDocument, ServerListing, ZoneName,
@@ -18,7 +19,7 @@
 use tokio::sync::{broadcast, watch};
 
 use crate::{
-    Config, admission::Admission, crashes::CrashTable, load::LoadMeter, metrics::Metrics,
+    Config, admission::Admission, crashes::log_quarantine, load::LoadMeter, metrics::Metrics,
     names::HeaderNames, resends::ResendDetector, route_table::RouteTable, servers::Registry,
     throttle::RequestThrottle,
 };
@@ -220,7 +221,8 @@
         let now = self.clock.now();
         let mut crashes = self.crashes.borrow_mut();
         for report in reports {
-            crashes.take(now, report);
+            let begun = crashes.take(now, report);
+            log_quarantine(begun, "control");
         }
     }
 
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -24,12 +24,13 @@
     http::request::Parts,
 };
 use sablehaven_http::WholeBody;
+use sablehaven_routing::crash_table::Standing;
 use sablehaven_types::{Route, RouteTarget, ServiceName, WeightedService};
 
 use self::{first_routes::find_route_or_wait, refusal::Refusal};
 use crate::{
     admission::{AdmissionClass, Admitted, NotAdmitted},
-    crashes::{CrashWatch, Standing, fingerprint},
+    crashes::{CrashWatch, fingerprint},
     gateway::Gateway,
     metrics::Outcome,
     pace::Pace,
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -8,9 +8,9 @@
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 use sablehaven_http::WholeBody;
+use sablehaven_routing::crash_table::Standing;
 
 use super::Accepted;
-use crate::crashes::Standing;
 
 /// Time that a gateway usually needs from its start until it has routes and servers: an election of
 /// the control replicas, when all of them were stopped too.
--- a/crates/sablehaven-gateway/src/crashes/table.rs
+++ b/crates/sablehaven-routing/src/crash_table.rs
@@ -1,4 +1,9 @@
 //! What is known of requests under which servers ended, without sockets. Times are any steady time.
+//!
+//! A request whose servers end one after another (a "query of death", Site Reliability Engineering, 2016,
+//! chapter 22) must not be retried as if its servers had failed by themselves: it would end every server of its service.
+//! A few connections lost without any answer make a request suspect: it has one attempt at a time, and any server's
+//! answer clears it. Crashes under single attempts quarantine it: no server gets it for a while.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -12,21 +17,21 @@
 const CONDEMNING_CRASHES: u32 = 2;
 /// The first quarantine; doubled with each server that ends after one. A request that keeps crashing costs a server
 /// in so long, and one that does so no more waits no longer.
-const FIRST_QUARANTINE: Duration = Duration::from_secs(5 * 60);
+pub const FIRST_QUARANTINE: Duration = Duration::from_secs(5 * 60);
 /// The longest quarantine.
 const LONGEST_QUARANTINE: Duration = Duration::from_secs(60 * 60);
 /// Time after which lost connections are forgotten: most have other causes.
-const LOSSES_KEPT: Duration = Duration::from_secs(10 * 60);
+pub const LOSSES_KEPT: Duration = Duration::from_secs(10 * 60);
 /// Time after which crashes are forgotten; longer than any quarantine.
 const CRASHES_KEPT: Duration = Duration::from_secs(2 * 60 * 60);
 /// Requests that are kept; beyond them the one that changed longest ago is forgotten.
-const KEPT_RECORDS: usize = 256;
+pub const KEPT_RECORDS: usize = 256;
 /// Reports in a second. A service whose servers all end would else have every request of every gateway reported.
-const REPORTS_PER_SECOND: u32 = 20;
+pub const REPORTS_PER_SECOND: u32 = 20;
 
 /// Whether a request may be sent to servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Standing {
+pub enum Standing {
     /// As any other.
     Clear,
     /// To one server at a time.
@@ -38,9 +43,18 @@
     },
 }
 
+/// A quarantine that has just begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    /// What is known of the request.
+    pub report: CrashReport,
+    /// How long it lasts.
+    pub time: Duration,
+}
+
 /// All requests under which servers ended.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct CrashTable {
+pub struct CrashTable {
     records: HashMap<RequestFingerprint, CrashRecord>,
     /// Reports that went out in the second that began last.
     reported: (u64, u32),
@@ -89,48 +103,49 @@
     }
 
     /// Begins a quarantine, or a longer one, if the crashes are enough for it.
-    fn quarantine(&mut self, now: Duration) {
-        let Some(beyond) = self.report.crashes.checked_sub(CONDEMNING_CRASHES) else {
-            return;
-        };
+    fn quarantine(&mut self, now: Duration) -> Option<Quarantine> {
+        let beyond = self.report.crashes.checked_sub(CONDEMNING_CRASHES)?;
         let time = FIRST_QUARANTINE.saturating_mul(2_u32.saturating_pow(beyond));
         let time = time.min(LONGEST_QUARANTINE);
         self.quarantined_until = now + time;
-        log::warn!(
-            event = "request_quarantined", target:% = format!("{:016x}", self.report.fingerprint),
-            lost = self.report.lost, crashes = self.report.crashes, for_s = time.as_secs();
-            "servers end when they run this request"
-        );
+        Some(Quarantine {
+            report: self.report,
+            time,
+        })
     }
 }
 
 impl CrashTable {
     /// Whether a request may be sent to servers.
-    pub(crate) fn standing(&self, now: Duration, fingerprint: RequestFingerprint) -> Standing {
+    pub fn standing(&self, now: Duration, fingerprint: RequestFingerprint) -> Standing {
         let record = self.records.get(&fingerprint);
         let record = record.filter(|record| record.is_kept(now));
         record.map_or(Standing::Clear, |record| record.standing(now))
     }
 
     /// The connection of an attempt ended while the server had the request, and no server has answered it.
-    pub(crate) fn lost(&mut self, now: Duration, fingerprint: RequestFingerprint) {
+    pub fn lost(&mut self, now: Duration, fingerprint: RequestFingerprint) {
         let record = self.record(now, fingerprint);
         record.report.lost = record.report.lost.saturating_add(1);
         record.changed_at = now;
         record.is_news = true;
     }
 
-    /// The server is gone after an attempt that was the request's only one.
-    pub(crate) fn crashed(&mut self, now: Duration, fingerprint: RequestFingerprint) {
+    /// The server is gone after an attempt that was the request's only one; the quarantine that this begins.
+    pub fn crashed(
+        &mut self,
+        now: Duration,
+        fingerprint: RequestFingerprint,
+    ) -> Option<Quarantine> {
         let record = self.record(now, fingerprint);
         record.report.crashes = record.report.crashes.saturating_add(1);
         record.changed_at = now;
         record.is_news = true;
-        record.quarantine(now);
+        record.quarantine(now)
     }
 
     /// A server has answered the request, so it is not the request that ends servers.
-    pub(crate) fn answered(&mut self, now: Duration, fingerprint: RequestFingerprint) {
+    pub fn answered(&mut self, now: Duration, fingerprint: RequestFingerprint) {
         let Some(record) = self.records.get_mut(&fingerprint) else {
             return;
         };
@@ -147,14 +162,14 @@
         record.is_news = true;
     }
 
-    /// Takes what another gateway has seen.
-    pub(crate) fn take(&mut self, now: Duration, report: &CrashReport) {
+    /// Takes what another process has seen; the quarantine that this begins.
+    pub fn take(&mut self, now: Duration, report: &CrashReport) -> Option<Quarantine> {
         let record = self.record(now, report.fingerprint);
         let former = record.report;
         // Whoever has told this need not be told.
         record.is_reported = true;
         if !record.report.merge(report) {
-            return;
+            return None;
         }
         record.changed_at = now;
         record.is_news &= record.report != *report;
@@ -163,17 +178,14 @@
         }
         let is_worse =
             record.report.revision > former.revision || record.report.crashes > former.crashes;
-        if is_worse {
-            record.quarantine(now);
+        if !is_worse {
+            return None;
         }
+        record.quarantine(now)
     }
 
     /// What others are to be told of a request, once; `None` when that is nothing, or too much at the moment.
-    pub(crate) fn news(
-        &mut self,
-        now: Duration,
-        fingerprint: RequestFingerprint,
-    ) -> Option<CrashReport> {
+    pub fn news(&mut self, now: Duration, fingerprint: RequestFingerprint) -> Option<CrashReport> {
         let record = self.records.get_mut(&fingerprint)?;
         if !record.is_news {
             return None;
@@ -192,7 +204,7 @@
     }
 
     /// Everything that is known, for a control replica that may know nothing.
-    pub(crate) fn reports(&self, now: Duration) -> Vec<CrashReport> {
+    pub fn reports(&self, now: Duration) -> Vec<CrashReport> {
         let kept = self.records.values().filter(|record| record.is_kept(now));
         kept.map(|record| record.report).collect()
     }
@@ -225,6 +237,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/sablehaven-routing/src/lib.rs
+++ b/crates/sablehaven-routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod balance;
 pub mod budget;
 mod choice;
+pub mod crash_table;
 pub mod health;
 pub mod hedging;
 mod interface;
--- a/crates/sablehaven-gateway/src/crashes/table/tests.rs
+++ b/crates/sablehaven-routing/tests/crash_table.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use sablehaven_types::CrashReport;
-
-use super::{
+use sablehaven_routing::crash_table::{
     CrashTable, FIRST_QUARANTINE, KEPT_RECORDS, LOSSES_KEPT, REPORTS_PER_SECOND, Standing,
 };
+use sablehaven_types::CrashReport;
 
 const REQUEST: u64 = 7;
 
@@ -55,9 +54,10 @@
 #[test]
 fn crashes_quarantine_a_request_and_each_further_one_for_longer() {
     let mut table = CrashTable::default();
-    table.crashed(s(1), REQUEST);
+    assert_eq!(table.crashed(s(1), REQUEST), None);
     assert_eq!(table.standing(s(1), REQUEST), Standing::Suspect);
-    table.crashed(s(1), REQUEST);
+    let begun = table.crashed(s(1), REQUEST).expect("a quarantine");
+    assert_eq!((begun.time, begun.report.crashes), (FIRST_QUARANTINE, 2));
     assert_eq!(table.standing(s(1), REQUEST), quarantined(FIRST_QUARANTINE));
     let over = s(1) + FIRST_QUARANTINE;
     assert_eq!(table.standing(over, REQUEST), Standing::Suspect);
@@ -74,8 +74,8 @@
     here.crashed(s(1), REQUEST);
     let news = here.news(s(1), REQUEST).expect("something new");
     assert_eq!(here.news(s(1), REQUEST), None, "said once");
-    there.take(s(100), &news);
-    there.take(s(150), &news);
+    assert!(there.take(s(100), &news).is_some());
+    assert!(there.take(s(150), &news).is_none());
     let left = FIRST_QUARANTINE - s(50);
     assert_eq!(
         there.standing(s(150), REQUEST),
