--- a/crates/sablehaven-agent/tests/agent/main.rs
+++ b/crates/sablehaven-agent/tests/agent/main.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod coverage_rules;
+mod crashes;
 mod http_interface;
 mod leaving;
 mod once;
--- a/crates/sablehaven-agent/tests/agent/support/backend.rs
+++ b/crates/sablehaven-agent/tests/agent/support/backend.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -50,6 +50,8 @@
     Status(u16),
     /// Replies with the echo and body of the attempt before this one.
     PreviousReply,
+    /// Ends the back end: every connection breaks, and new ones are refused.
+    Crash,
 }
 
 /// How an echo is wrong.
@@ -84,6 +86,8 @@
     running: AtomicUsize,
     cancelled: AtomicUsize,
     held: Mutex<Option<Vec<SnapshotId>>>,
+    server: OnceLock<ServerHandle>,
+    has_crashed: AtomicBool,
 }
 
 /// A running back end.
@@ -106,6 +110,8 @@
             running: AtomicUsize::new(0),
             cancelled: AtomicUsize::new(0),
             held: Mutex::new(None),
+            server: OnceLock::new(),
+            has_crashed: AtomicBool::new(false),
         });
         let handler = Attempts {
             state: Arc::clone(&state),
@@ -113,6 +119,8 @@
         let router = Router::with_path("{service}/{method}").post(handler);
         let server = Server::new(acceptor);
         let handle = server.handle();
+        // Nobody else sets it.
+        let _ = state.server.set(server.handle());
         tokio::spawn(server.serve(router));
         Self {
             address,
@@ -165,6 +173,11 @@
         self.state.cancelled.load(Ordering::SeqCst)
     }
 
+    /// Whether a request has ended it.
+    pub fn has_crashed(&self) -> bool {
+        self.state.has_crashed.load(Ordering::SeqCst)
+    }
+
     /// Breaks every connection and listens no more.
     pub fn lose(&self) {
         self.server.stop_forceful();
@@ -266,6 +279,12 @@
             Script::Reply => {}
             Script::Delay(time) => tokio::time::sleep(time).await,
             Script::Never => std::future::pending().await,
+            Script::Crash => {
+                self.state.has_crashed.store(true, Ordering::SeqCst);
+                let server = self.state.server.get().expect("a running server");
+                server.stop_forceful();
+                std::future::pending().await
+            }
             Script::Gate(ref gate) => gate.acquire().await.expect("open").forget(),
             Script::Refuse { word, echo } => {
                 return refuse(response, word, echo.then_some(seen.attempt));
