Agent: a query that takes its back ends down is tried with one at a time, then refused

Cause: as in the gateway: a lost connection counted as a failure of the replica, so the query went to the next one of each shard, and each resend began anew. Change: the agent keeps the same table (sablehaven_routing::crash_table). An exchange that broke off is told from a status that says the back end failed. A sub-request that lost its back end waits for the query's others, 100 ms at most; a suspect query has one attempt at a time; two back ends found gone after such attempts quarantine it, and it is refused as not run, with when to come back. Not shared between agents: a caller's resends come to the agent beside it. Requests that may not be repeated have one attempt each and are not looked at.

--- a/crates/sablehaven-agent/src/agent.rs
+++ b/crates/sablehaven-agent/src/agent.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     answer::Answer, config::Config, metrics::Metrics, once::OnceEnvironment, plan::AgentPlan,
-    reason::Reason,
+    query::QueryCrashes, reason::Reason,
 };
 
 /// Longest wait of a request for a plan that is being built; far more than a build takes.
@@ -29,6 +29,8 @@
     pub subscription: Subscription,
     /// Metrics.
     pub metrics: Metrics,
+    /// Queries under which back ends ended.
+    pub crashes: QueryCrashes,
     /// Requests that may not be repeated, each to the recording of its outcome.
     pub once_tasks: TaskTracker,
     plan: ArcSwap<AgentPlan>,
@@ -43,6 +45,7 @@
             config,
             subscription,
             metrics,
+            crashes: QueryCrashes::default(),
             once_tasks: TaskTracker::new(),
             plan: ArcSwap::default(),
             plan_revision: watch::Sender::new(0),
--- a/crates/sablehaven-agent/src/interface/handler.rs
+++ b/crates/sablehaven-agent/src/interface/handler.rs
@@ -132,6 +132,7 @@
             deadline,
             limits: &self.agent.config.limits,
             metrics: &self.agent.metrics,
+            crashes: &self.agent.crashes,
         };
         read.run().await
     }
--- a/crates/sablehaven-agent/src/query.rs
+++ b/crates/sablehaven-agent/src/query.rs
@@ -2,22 +2,26 @@
 
 mod attempt;
 mod coverage;
+mod crashes;
 mod fan_out;
 mod shard;
 mod sub_request;
 
 use std::time::Instant;
 
+use bytes::Bytes;
 use prost_reflect::DynamicMessage;
-use sablehaven_routing::Admission;
+use sablehaven_routing::{Admission, crash_table::Standing};
 use sablehaven_schema::{MethodKind, MethodSchema, encode_protobuf, merge, shard_for_key};
 use sablehaven_types::{Coverage, IndexSnapshot, MissingReason, ShardId};
 
 pub use coverage::{ShardEnd, combined_reason, may_have_run, split};
+pub use crashes::QueryCrashes;
 pub use sub_request::{AttemptFailure, Step, SubRequest};
 
 use crate::{answer::Answer, config::Limits, metrics::Metrics, plan::ServicePlan, reason::Reason};
 use attempt::SharedRequest;
+use crashes::{QueryWatch, fingerprint};
 use fan_out::{FanOut, FanOutLimits, fan_out};
 
 /// A decoded request that may be repeated.
@@ -35,6 +39,8 @@
     pub limits: &'a Limits,
     /// The agent's metrics.
     pub metrics: &'a Metrics,
+    /// Queries under which back ends ended.
+    pub crashes: &'a QueryCrashes,
 }
 
 impl ReadRequest<'_> {
@@ -44,7 +50,13 @@
         if let Some(refusal) = self.admit(&pinned) {
             return refusal;
         }
-        let body = encode_protobuf(self.message).into();
+        let body: Bytes = encode_protobuf(self.message).into();
+        let fingerprint = fingerprint(&self.method.path, &body);
+        let now = self.service.router.now();
+        if let Standing::Quarantined { left } = self.crashes.standing(now, fingerprint) {
+            return Answer::without_reply(Reason::Quarantined).retry_after(left);
+        }
+        let watch = QueryWatch::new(self.crashes, fingerprint);
         let mut restarts_left = self.limits.query_restarts;
         loop {
             let shared = SharedRequest {
@@ -54,6 +66,7 @@
                 pinned: &pinned,
                 deadline: self.deadline,
                 metrics: self.metrics,
+                watch: &watch,
             };
             let shards = self.shards(&pinned);
             let limits = FanOutLimits {
--- a/crates/sablehaven-agent/src/query/attempt.rs
+++ b/crates/sablehaven-agent/src/query/attempt.rs
@@ -8,12 +8,14 @@
 use sablehaven_schema::{MethodSchema, decode_reply};
 use sablehaven_types::{AttemptId, IndexSnapshot, ShardId};
 
-use super::sub_request::AttemptFailure;
+use super::{crashes::QueryWatch, sub_request::AttemptFailure};
 use crate::{
     metrics::Metrics,
     plan::ServicePlan,
     routing::AttemptTicket,
-    transport::{AttemptEnd, AttemptIdentity, AttemptMessage, AttemptReport, DiscardReason},
+    transport::{
+        AttemptEnd, AttemptIdentity, AttemptMessage, AttemptReport, DiscardReason, TransportError,
+    },
 };
 
 /// What all sub-requests of one request share.
@@ -31,6 +33,8 @@
     pub deadline: Instant,
     /// The agent's metrics.
     pub metrics: &'a Metrics,
+    /// What becomes of its back ends.
+    pub watch: &'a QueryWatch<'a>,
 }
 
 /// Sends one attempt, which the router already counts as sent, and waits for its end.
@@ -42,6 +46,7 @@
     let router = Arc::clone(&shared.service.router);
     let ticket = AttemptTicket::new(router, chosen.backend.clone(), shared.deadline);
     shared.metrics.sub_requests.inc();
+    let _running = shared.watch.begin();
     let identity = AttemptIdentity {
         attempt: AttemptId(rand::random()),
         shard,
@@ -51,6 +56,12 @@
     let draining = report.signals.draining;
     let signals = report.signals;
     let result = judge(shared, report.end);
+    let now = shared.service.router.now();
+    match &result {
+        Ok(_) | Err(AttemptFailure::Failed | AttemptFailure::BadReply) => shared.watch.replied(now),
+        Err(AttemptFailure::Lost) => shared.watch.lost(now),
+        Err(_) => {}
+    }
     let outcome = match &result {
         // The reply is used, and the router learns what matters more: no new work for this one.
         Ok(_) if draining => AttemptOutcome::Draining,
@@ -93,6 +104,7 @@
             return Err(AttemptFailure::from(refusal));
         }
         AttemptEnd::NotConnected(_) => return Err(AttemptFailure::NotConnected),
+        AttemptEnd::Failed(TransportError::Exchange { .. }) => return Err(AttemptFailure::Lost),
         AttemptEnd::Failed(_) => return Err(AttemptFailure::Failed),
     }
     .map_err(|reason| {
@@ -100,3 +112,12 @@
         AttemptFailure::BadReply
     })
 }
+
+/// Whether a back end has ended: its address refuses connections. A lost connection alone does not show that.
+pub async fn is_gone(shared: SharedRequest<'_>, chosen: &Chosen) -> bool {
+    let connections = &shared.service.connections;
+    match connections.client(&chosen.backend, chosen.address) {
+        Ok(client) => client.refuses_connections().await,
+        Err(_) => false,
+    }
+}
--- a/crates/sablehaven-agent/src/query/shard.rs
+++ b/crates/sablehaven-agent/src/query/shard.rs
@@ -5,13 +5,15 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use prometheus_client::metrics::counter::Counter;
 use prost_reflect::DynamicMessage;
-use sablehaven_types::ShardId;
+use sablehaven_routing::Chosen;
+use sablehaven_types::{MissingReason, ShardId};
 use tokio::time::sleep_until;
 
 use super::{
-    attempt::{SharedRequest, run_attempt},
+    attempt::{SharedRequest, is_gone, run_attempt},
     coverage::ShardEnd,
-    sub_request::{Step, SubRequest},
+    crashes::Turn,
+    sub_request::{AttemptFailure, Step, SubRequest},
 };
 
 /// Asks one shard until it answers or is given up. The caller bounds the time; dropping the future
@@ -24,6 +26,12 @@
     let mut sub_request = SubRequest::new(shard, attempts_allowed);
     let mut attempts = FuturesUnordered::new();
     let mut hedge_at = None;
+    let mut latest = None;
+    let mut trial = match next_turn(shared).await {
+        Turn::Send => None,
+        Turn::Trial(trial) => Some(trial),
+        Turn::Never => return ShardEnd::Missing(MissingReason::Failed),
+    };
     let mut step = decide(shared, |router, now| sub_request.start(router, now));
     loop {
         match step {
@@ -31,6 +39,7 @@
                 chosen,
                 hedge_after,
             } => {
+                latest = Some(chosen.clone());
                 attempts.push(run_attempt(shared, shard, chosen));
                 hedge_at = moment(hedge_after);
             }
@@ -41,6 +50,19 @@
             Some(result) = attempts.next() => match result {
                 Ok(reply) => return ShardEnd::Answered(reply),
                 Err(failure) => {
+                    if let Some(trial) = trial.take() {
+                        end_trial(shared, failure, latest.as_ref()).await;
+                        drop(trial);
+                    }
+                    if attempts.is_empty() {
+                        trial = match next_turn(shared).await {
+                            Turn::Send => None,
+                            Turn::Trial(trial) => Some(trial),
+                            Turn::Never => {
+                                return ShardEnd::Missing(sub_request.missing_reason(failure));
+                            }
+                        };
+                    }
                     let next = decide(shared, |router, now| {
                         sub_request.attempt_failed(router, now, failure)
                     });
@@ -50,6 +72,10 @@
             },
             () = wait_until(hedge_at) => {
                 hedge_at = None;
+                if !shared.watch.is_clear(shared.service.router.now()) {
+                    step = Step::Wait { hedge_after: None };
+                    continue;
+                }
                 let next = decide(shared, |router, now| sub_request.hedge_due(router, now));
                 count_sent(&next, &shared.metrics.hedges);
                 next
@@ -58,6 +84,21 @@
     }
 }
 
+/// Waits for the query's turn to send to this shard.
+async fn next_turn(shared: SharedRequest<'_>) -> Turn<'_> {
+    shared.watch.turn(|| shared.service.router.now()).await
+}
+
+/// Notes the end of a suspect query's only attempt.
+async fn end_trial(shared: SharedRequest<'_>, failure: AttemptFailure, chosen: Option<&Chosen>) {
+    let (AttemptFailure::Lost, Some(chosen)) = (failure, chosen) else {
+        return;
+    };
+    let is_gone = is_gone(shared, chosen).await;
+    let now = shared.service.router.now();
+    shared.watch.trial_lost(now, is_gone);
+}
+
 fn decide(
     shared: SharedRequest<'_>,
     decision: impl FnOnce(&mut crate::routing::PinnedRouter<'_>, Duration) -> Step,
--- a/crates/sablehaven-agent/src/query/sub_request.rs
+++ b/crates/sablehaven-agent/src/query/sub_request.rs
@@ -21,7 +21,9 @@
     DeadlineRefused,
     /// No connection could be opened: the back end did no work.
     NotConnected,
-    /// The connection or the back end failed.
+    /// The connection ended while the back end had the request.
+    Lost,
+    /// The back end said that it failed.
     Failed,
     /// A reply came that could not be accepted.
     BadReply,
@@ -46,7 +48,9 @@
             Self::Draining => AttemptOutcome::Draining,
             Self::SnapshotGone => AttemptOutcome::SnapshotGone,
             Self::DeadlineRefused => AttemptOutcome::DeadlineRefused,
-            Self::NotConnected | Self::Failed | Self::BadReply => AttemptOutcome::Failed,
+            Self::NotConnected | Self::Lost | Self::Failed | Self::BadReply => {
+                AttemptOutcome::Failed
+            }
         }
     }
 
@@ -57,7 +61,7 @@
             Self::Draining => MissingReason::NoReplica,
             Self::SnapshotGone => MissingReason::SnapshotGone,
             Self::DeadlineRefused => MissingReason::Deadline,
-            Self::NotConnected | Self::Failed => MissingReason::Failed,
+            Self::NotConnected | Self::Lost | Self::Failed => MissingReason::Failed,
             Self::BadReply => MissingReason::BadReply,
         }
     }
@@ -147,6 +151,12 @@
         self.send(router, now, chosen)
     }
 
+    /// Why the shard is missing when nothing more is sent after a failure.
+    pub fn missing_reason(&mut self, failure: AttemptFailure) -> MissingReason {
+        self.failures.push(failure);
+        combined_reason(&self.failures)
+    }
+
     /// The step when the hedge timer fires. A hedge that the budget refuses now may be allowed a
     /// moment later, so the timer is set again.
     pub fn hedge_due(&mut self, router: &mut PinnedRouter<'_>, now: Duration) -> Step {
@@ -196,8 +206,9 @@
 /// One reason for several failed attempts: their common one, else the most telling. A lost snapshot
 /// or a deadline is only reported if every attempt says so, because another replica may do better.
 fn combined_reason(failures: &[AttemptFailure]) -> MissingReason {
-    const MOST_TELLING_FIRST: [AttemptFailure; 4] = [
+    const MOST_TELLING_FIRST: [AttemptFailure; 5] = [
         AttemptFailure::BadReply,
+        AttemptFailure::Lost,
         AttemptFailure::Failed,
         AttemptFailure::NotConnected,
         AttemptFailure::Shed,
--- a/crates/sablehaven-agent/src/reason.rs
+++ b/crates/sablehaven-agent/src/reason.rs
@@ -37,6 +37,8 @@
     },
     /// the service is pressed
     Pressed,
+    /// the request has crashed back ends and is not sent to any for a while
+    Quarantined,
     /// this agent cannot prove that its configuration is current
     NoLease,
     /// the request ledger did not answer in time
--- a/crates/sablehaven-agent/src/transport/client.rs
+++ b/crates/sablehaven-agent/src/transport/client.rs
@@ -108,6 +108,15 @@
         let _ = self.client.execute(Request::new(Method::HEAD, url)).await;
     }
 
+    /// Whether the back end refuses connections, as one that has ended does.
+    pub async fn refuses_connections(&self) -> bool {
+        let Ok(url) = self.url("/health/live") else {
+            return false;
+        };
+        let looked = self.client.execute(Request::new(Method::HEAD, url)).await;
+        looked.is_err_and(|error| error.is_connect() && !error.is_timeout())
+    }
+
     /// Sends one attempt and waits for its end. Dropping the future resets the HTTP/2 stream,
     /// which cancels the attempt at the back end. The caller bounds the wait.
     pub async fn attempt(&self, message: AttemptMessage<'_>) -> AttemptReport {
