Crash reports: bounded at gateways and at control, with room for crashes beside lost connections

Cause: read once more: where all servers of a service end by themselves, each gateway could report 20 requests a second, and each replica passed every one on to every gateway: 0.7 million messages a second at 191 gateways (worked out, not measured). Change: a gateway reports two requests a second that only lost connections, and 20 that crashed servers or were answered since. A replica passes on as many as make 14,000 messages a second (its signs of life to 7,000 gateways), half of them for lost connections. What is not passed on stays on the board for whoever connects. Tests of both.

--- a/crates/sablehaven-control/src/gateways/crash_board.rs
+++ b/crates/sablehaven-control/src/gateways/crash_board.rs
@@ -16,15 +16,50 @@
 const KEPT_REPORTS: usize = 1_024;
 /// Time after which a report is forgotten: as long as gateways keep it.
 const REPORTS_KEPT: Duration = Duration::from_secs(2 * 60 * 60);
+/// Messages with reports that a replica sends in a second, to all gateways together: about what it sends as signs of
+/// life to 7,000 gateways. What is not passed on goes out when a gateway connects, or with the request's next report.
+const MESSAGES_PER_SECOND: u32 = 14_000;
+/// Least reports that are passed on in a second, however many gateways there are.
+const LEAST_REPORTS_PER_SECOND: u32 = 4;
+/// Most reports that are passed on in a second, however few gateways there are.
+const MOST_REPORTS_PER_SECOND: u32 = 100;
 /// Reports that a gateway's connection may be behind; one that is further behind is told everything anew.
 const UNSENT_REPORTS: usize = 256;
 
 /// The reports of all gateways.
 pub(super) struct CrashBoard {
     reports: Mutex<HashMap<RequestFingerprint, HeldReport>>,
+    passed_on: Mutex<PassedOn>,
     news: broadcast::Sender<CrashReport>,
 }
 
+/// Reports that were passed on in the second that began last.
+struct PassedOn {
+    since: Instant,
+    count: u32,
+}
+
+impl PassedOn {
+    /// Counts a report; `false` when the second has had enough. Reports of lost connections leave half to those of
+    /// crashes.
+    fn count(&mut self, now: Instant, limit: u32, report: &CrashReport) -> bool {
+        if now.saturating_duration_since(self.since) >= Duration::from_secs(1) {
+            *self = Self {
+                since: now,
+                count: 0,
+            };
+        }
+        let limit = if report.is_loss_only() {
+            limit / 2
+        } else {
+            limit
+        };
+        let has_room = self.count < limit;
+        self.count += u32::from(has_room);
+        has_room
+    }
+}
+
 #[derive(Clone, Copy)]
 struct HeldReport {
     report: CrashReport,
@@ -35,6 +70,10 @@
     pub(super) fn new() -> Self {
         Self {
             reports: Mutex::default(),
+            passed_on: Mutex::new(PassedOn {
+                since: Instant::now(),
+                count: 0,
+            }),
             news: broadcast::channel(UNSENT_REPORTS).0,
         }
     }
@@ -48,12 +87,25 @@
                     revision = merged.revision, lost = merged.lost, crashes = merged.crashes;
                     "servers end when they run a request"
                 );
-                // Without gateways nobody hears it.
-                let _ = self.news.send(merged);
+                self.pass_on(merged);
             }
         }
     }
 
+    fn pass_on(&self, report: CrashReport) {
+        let gateways = u32::try_from(self.news.receiver_count()).unwrap_or(u32::MAX);
+        let limit = MESSAGES_PER_SECOND / gateways.max(1);
+        let limit = limit.clamp(LEAST_REPORTS_PER_SECOND, MOST_REPORTS_PER_SECOND);
+        let mut passed_on = self
+            .passed_on
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if passed_on.count(Instant::now(), limit, &report) {
+            // Without gateways nobody hears it.
+            let _ = self.news.send(report);
+        }
+    }
+
     /// The report with what was known before, unless it says nothing new.
     fn merge(&self, report: &CrashReport) -> Option<CrashReport> {
         let mut held = self.lock();
--- a/crates/sablehaven-control/src/gateways/crash_board/tests.rs
+++ b/crates/sablehaven-control/src/gateways/crash_board/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of passing on reports.
 
+use std::time::{Duration, Instant};
+
 use sablehaven_types::CrashReport;
 
-use super::{CrashBoard, KEPT_REPORTS};
+use super::{CrashBoard, KEPT_REPORTS, MOST_REPORTS_PER_SECOND, PassedOn};
 
 fn report(fingerprint: u64, lost: u32, crashes: u32) -> CrashReport {
     CrashReport {
@@ -45,3 +47,19 @@
     }
     assert_eq!(board.subscribe().0.len(), KEPT_REPORTS);
 }
+
+#[test]
+fn lost_connections_leave_room_for_crashes_and_each_second_has_its_own() {
+    let limit = MOST_REPORTS_PER_SECOND;
+    let since = Instant::now();
+    let mut passed_on = PassedOn { since, count: 0 };
+    let mut pass = |at: Instant, report: &CrashReport| {
+        let passed = (0..2 * limit).filter(|_| passed_on.count(at, limit, report));
+        passed.count() as u32
+    };
+    assert_eq!(pass(since, &report(1, 1, 0)), limit / 2);
+    assert_eq!(pass(since, &report(1, 1, 1)), limit / 2);
+    assert_eq!(pass(since, &report(1, 1, 1)), 0);
+    let later = since + Duration::from_secs(1);
+    assert_eq!(pass(later, &report(1, 1, 1)), limit);
+}
--- a/crates/sablehaven-routing/src/crash_table.rs
+++ b/crates/sablehaven-routing/src/crash_table.rs
@@ -26,8 +26,11 @@
 const CRASHES_KEPT: Duration = Duration::from_secs(2 * 60 * 60);
 /// Requests that are kept; beyond them the one that changed longest ago is forgotten.
 pub const KEPT_RECORDS: usize = 256;
-/// Reports in a second. A service whose servers all end would else have every request of every gateway reported.
+/// Reports in a second of requests that crashed servers, or that a server has answered since.
 pub const REPORTS_PER_SECOND: u32 = 20;
+/// Reports in a second of requests that only lost connections. A service whose servers all end by themselves would
+/// else have every request of every gateway reported.
+pub const LOSS_REPORTS_PER_SECOND: u32 = 2;
 
 /// Whether a request may be sent to servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,8 +59,36 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashTable {
     records: HashMap<RequestFingerprint, CrashRecord>,
-    /// Reports that went out in the second that began last.
-    reported: (u64, u32),
+    reported: ReportCount,
+}
+
+/// Reports that went out in the second that began last.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReportCount {
+    second: u64,
+    /// Of requests that only lost connections.
+    losses: u32,
+    others: u32,
+}
+
+impl ReportCount {
+    /// Counts a report; `false` when the second has had enough of its kind.
+    fn count(&mut self, now: Duration, report: &CrashReport) -> bool {
+        if self.second != now.as_secs() {
+            *self = Self {
+                second: now.as_secs(),
+                ..Self::default()
+            };
+        }
+        let (count, limit) = if report.is_loss_only() {
+            (&mut self.losses, LOSS_REPORTS_PER_SECOND)
+        } else {
+            (&mut self.others, REPORTS_PER_SECOND)
+        };
+        let has_room = *count < limit;
+        *count += u32::from(has_room);
+        has_room
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -187,17 +218,9 @@
     /// What others are to be told of a request, once; `None` when that is nothing, or too much at the moment.
     pub fn news(&mut self, now: Duration, fingerprint: RequestFingerprint) -> Option<CrashReport> {
         let record = self.records.get_mut(&fingerprint)?;
-        if !record.is_news {
-            return None;
-        }
-        let second = now.as_secs();
-        if self.reported.0 != second {
-            self.reported = (second, 0);
-        }
-        if self.reported.1 >= REPORTS_PER_SECOND {
+        if !record.is_news || !self.reported.count(now, &record.report) {
             return None;
         }
-        self.reported.1 += 1;
         record.is_news = false;
         record.is_reported = true;
         Some(record.report)
--- a/crates/sablehaven-routing/tests/crash_table.rs
+++ b/crates/sablehaven-routing/tests/crash_table.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use sablehaven_routing::crash_table::{
-    CrashTable, FIRST_QUARANTINE, KEPT_RECORDS, LOSSES_KEPT, REPORTS_PER_SECOND, Standing,
+    CrashTable, FIRST_QUARANTINE, KEPT_RECORDS, LOSS_REPORTS_PER_SECOND, LOSSES_KEPT,
+    REPORTS_PER_SECOND, Standing,
 };
 use sablehaven_types::CrashReport;
 
@@ -125,10 +126,29 @@
             table.news(s(1), *request).is_some()
         })
         .count();
-    assert_eq!(sent, REPORTS_PER_SECOND as usize);
+    assert_eq!(sent, LOSS_REPORTS_PER_SECOND as usize);
     assert_eq!(table.reports(s(1)).len(), KEPT_RECORDS);
 }
 
+#[test]
+fn reports_of_crashes_have_room_beside_those_of_lost_connections() {
+    let mut table = CrashTable::default();
+    let sent = (0..2 * u64::from(REPORTS_PER_SECOND))
+        .filter(|request| {
+            table.lost(s(1), 1_000 + request);
+            table.news(s(1), 1_000 + request);
+            table.crashed(s(1), *request);
+            table.news(s(1), *request).is_some()
+        })
+        .count();
+    assert_eq!(sent, REPORTS_PER_SECOND as usize);
+    assert!(
+        table
+            .news(s(2), 2 * u64::from(REPORTS_PER_SECOND) - 1)
+            .is_some()
+    );
+}
+
 #[test]
 fn a_request_that_crashed_servers_is_forgotten_last() {
     let mut table = CrashTable::default();
--- a/crates/sablehaven-types/src/crash_report.rs
+++ b/crates/sablehaven-types/src/crash_report.rs
@@ -42,6 +42,11 @@
         *self != former
     }
 
+    /// Whether it says nothing but that connections were lost, which most often has other causes.
+    pub fn is_loss_only(&self) -> bool {
+        self.lost > 0 && self.crashes == 0
+    }
+
     /// A server has answered the request.
     pub fn clear(&mut self) {
         *self = Self {
