--- a/crates/sablehaven-cli/src/explain.rs
+++ b/crates/sablehaven-cli/src/explain.rs
@@ -85,10 +85,23 @@
         of_event.next_back().cloned()
     };
     let mut beliefs: Vec<LogLine> = BELIEFS.iter().filter_map(latest).collect();
+    beliefs.extend(quarantine_before(first, all));
     beliefs.sort_by(|one, other| one.timestamp.cmp(&other.timestamp));
     beliefs
 }
 
+/// The line by which the same process began to keep the request from its servers.
+fn quarantine_before(first: &LogLine, all: &[LogLine]) -> Option<LogLine> {
+    let target = first.fields.get("target")?;
+    let mut began = all.iter().filter(|line| {
+        line.event == "request_quarantined"
+            && line.process == first.process
+            && line.timestamp <= first.timestamp
+            && line.fields.get("target") == Some(target)
+    });
+    began.next_back().cloned()
+}
+
 /// What one line says, in words.
 fn verdict(line: &LogLine) -> String {
     let number = |key: &str| {
@@ -119,7 +132,16 @@
         ("", awaited) => format!("still awaited: {awaited}"),
         (missing, awaited) => format!("missing: {missing}; still awaited: {awaited}"),
     };
+    let lost = match text("lost") {
+        "" => String::new(),
+        lost => format!("; the connections to these servers ended under it: {lost}"),
+    };
     match line.event.as_str() {
+        "refused" if line.fields.contains_key("target") => format!(
+            "{process} refused it at once: {}; it may be tried again in {} s",
+            text("reason"),
+            number("left_ms") / 1_000
+        ),
         "refused" => format!(
             "{process} refused it at once: {} ({} open)",
             text("reason"),
@@ -130,10 +152,10 @@
         }
         "late" => format!("{process} answered whole but after its aim, after {after} ms; {extra}"),
         "failed" if line.fields.contains_key("shards") => {
-            format!("{process} gave it up after {after} ms with {parts}; {extra}; {missing}")
+            format!("{process} gave it up after {after} ms with {parts}; {extra}; {missing}{lost}")
         }
         "failed" => format!(
-            "{process} gave it up after {after} ms with status {}: {}",
+            "{process} gave it up after {after} ms with status {}: {}{lost}",
             number("status"),
             text("reason")
         ),
--- a/crates/sablehaven-cli/tests/explain.rs
+++ b/crates/sablehaven-cli/tests/explain.rs
@@ -93,3 +93,34 @@
             .is_empty()
     );
 }
+
+#[test]
+fn a_request_that_crashes_servers_names_them_and_when_it_was_quarantined() {
+    let log = [
+        line(1, &json!({"event": "request_quarantined", "target": "00ab", "crashes": 2, "lost": 12})),
+        line(2, &json!({"event": "request_quarantined", "target": "00cd", "crashes": 2, "lost": 9})),
+        line(3, &json!({"event": "failed", "request": "q-1", "target": "00ab", "shards": 10, "arrived": 0,
+                        "lost": "i-1, i-2", "after_ms": 90})),
+        line(4, &json!({"event": "refused", "request": "q-2", "target": "00ab", "left_ms": 290_000,
+                        "reason": "it has crashed servers"})),
+    ]
+    .join("\n");
+    let failed = explain("q-1", read_lines("front-1", &log));
+    assert!(
+        failed.verdicts[0].contains("i-1, i-2"),
+        "{:?}",
+        failed.verdicts
+    );
+    let refused = explain("q-2", read_lines("front-1", &log));
+    let verdict = &refused.verdicts[0];
+    assert!(
+        verdict.contains("it has crashed servers") && verdict.contains("290 s"),
+        "{verdict}"
+    );
+    let targets: Vec<_> = refused
+        .beliefs
+        .iter()
+        .map(|line| &line.fields["target"])
+        .collect();
+    assert_eq!(targets, ["00ab"]);
+}
