--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -44,19 +44,15 @@
     }
 }
 
-/// The refusal of a request that ends the servers that run it.
-fn quarantined(accepted: &Accepted, parts: &Parts) -> Refusal {
-    Refusal::after_crashes(accepted, parts.may_have_run)
-}
-
 /// Asks one server of every shard of the pinned version, and answers when the answer is whole, or
 /// when waiting longer would cost more than the shards that are missing.
 pub(super) async fn answer(
     accepted: &Accepted,
     gather: &Gather,
 ) -> Result<(Response<WholeBody>, Outcome), Refusal> {
-    if servable_shards(accepted, gather) < gather.min_shards() {
-        log_unservable(accepted, gather);
+    let servable = servable_shards(accepted, gather);
+    if servable < gather.min_shards() {
+        log_unservable(accepted, gather, servable);
         return Err(Refusal::NoServers);
     }
     let mut parts = Parts::default();
@@ -73,7 +69,9 @@
         let progress = progress(accepted, gather, &parts);
         let wait_until = match next(&progress) {
             Next::Answer => break Ok(()),
-            Next::Fail if parts.is_quarantined() => break Err(quarantined(accepted, &parts)),
+            Next::Fail if parts.is_quarantined() => {
+                break Err(Refusal::after_crashes(accepted, parts.may_have_run));
+            }
             Next::Fail if parts.may_have_run || !running.is_empty() => {
                 break Err(Refusal::TooFewShards);
             }
@@ -128,11 +126,11 @@
     gather.shards.iter().filter(can_serve).count()
 }
 
-fn log_unservable(accepted: &Accepted, gather: &Gather) {
+fn log_unservable(accepted: &Accepted, gather: &Gather, servable: usize) {
     log::warn!(
         event = "refused", request:% = accepted.id(), reason = "too few shards have a server that may answer",
         route = accepted.planned.route().name.as_str(), version = accepted.planned.version,
-        shards = gather.shards.len(), servable = servable_shards(accepted, gather);
+        shards = gather.shards.len(), servable = servable;
         "request"
     );
 }
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod gather;
 mod headers;
 mod hedge_timer;
+mod in_flight;
 mod merge;
 mod refusal;
 mod single;
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -2,27 +2,22 @@
 
 use std::{
     cell::RefCell,
-    future::poll_fn,
     rc::Rc,
-    task::Poll,
     time::{Duration, Instant},
 };
 
 use sablehaven_types::{BackendId, RequestKind};
 use tokio::time::sleep_until;
 
-use super::{Accepted, hedge_timer::HedgeTimer};
+use super::{
+    Accepted,
+    in_flight::{InFlight, next_ended},
+};
 use crate::{
     crashes::{Trial, Turn, WaitingPlace},
     servers::{Attempt, AttemptFailure, Server, ServerReply, ServicePool},
 };
 
-/// An attempt that takes this many typical times is hedged although its server answers others.
-const TAIL_RATIO: f64 = 3.5;
-/// Room for scheduling before an attempt counts as late.
-const TAIL_ROOM: Duration = Duration::from_millis(8);
-/// What a hedge is taken to need at its server, in typical times.
-const HEDGE_NEEDS: f64 = 1.5;
 /// Attempts that may come to nothing before a server has run the request.
 const MAXIMUM_FALSE_STARTS: u32 = 4;
 
@@ -69,13 +64,6 @@
 /// The servers that attempts went to, in order; shared with whoever explains what is still awaited.
 pub(super) type Tried = Rc<RefCell<Vec<BackendId>>>;
 
-struct InFlight {
-    attempt: Attempt,
-    timer: HedgeTimer,
-    /// Where the request is suspect and this is its only attempt.
-    trial: Option<Trial>,
-}
-
 /// An attempt that a part has reason to send.
 enum Planned {
     First,
@@ -89,14 +77,6 @@
     _place: WaitingPlace,
 }
 
-/// An attempt that has ended.
-struct EndedAttempt {
-    result: AttemptResult,
-    /// What the server took, without the way.
-    taken: Duration,
-    trial: Option<Trial>,
-}
-
 impl<'a> SubRequest<'a> {
     pub(super) fn new(accepted: &'a Accepted, service: Rc<ServicePool>) -> Self {
         Self {
@@ -138,7 +118,7 @@
             let look_at = look.unwrap_or(deadline).min(deadline);
             tokio::select! {
                 biased;
-                ended = next_result(&mut self.in_flight) => {
+                ended = next_ended(&mut self.in_flight) => {
                     match ended.result {
                         Ok(reply) => {
                             self.accepted.outgoing.pace.arrived(ended.taken);
@@ -223,11 +203,7 @@
         let gateway = &self.accepted.gateway;
         let outgoing = Rc::clone(&self.accepted.outgoing);
         let attempt = Attempt::start(gateway, server, outgoing, trial.is_some());
-        self.in_flight.push(InFlight {
-            attempt,
-            timer: HedgeTimer::start(Instant::now()),
-            trial,
-        });
+        self.in_flight.push(InFlight::start(attempt, trial));
     }
 
     /// Takes a failed attempt: waits for another one, sends the next, or gives up.
@@ -296,39 +272,12 @@
             return None;
         }
         let soonest = Instant::now() + Duration::from_millis(1);
-        Some(self.hedge_due_at().max(soonest))
-    }
-
-    fn hedge_due_at(&self) -> Instant {
-        let first = &self.in_flight[0];
-        let server = &first.attempt.server;
-        let clock = &self.accepted.gateway.clock;
-        let now = clock.now();
-        let still_at = server.health.borrow().stands_still_at(now);
-        let still_at = still_at.map(|at| Instant::now() + at.saturating_sub(now));
-        let sent_at = first.timer.sent_at();
-        let tail_at = sent_at + self.tail_limit(server);
-        let mut due_at = still_at.map_or(tail_at, |at| at.min(tail_at));
-        if let Some(late_after) = self.accepted.outgoing.pace.late_after() {
-            due_at = due_at.min(sent_at + server.round_trip() + late_after);
-        }
-        first.timer.not_before(due_at)
-    }
-
-    /// Time after which an attempt is hedged although its server answers others: it takes far longer
-    /// than usual, or soon no hedge could be in time any more.
-    fn tail_limit(&self, server: &Server) -> Duration {
-        let usual = self.accepted.planned.profile.typical();
-        let late = server.round_trip() + usual.mul_f64(TAIL_RATIO) + TAIL_ROOM;
-        let aim = Duration::from_millis(self.accepted.planned.route().aim_ms);
-        let hedge = server.round_trip() + usual.mul_f64(HEDGE_NEEDS);
-        let margin = self.accepted.gateway.config.answer_margin();
-        let last_useful = aim.saturating_sub(hedge + margin);
-        late.min(last_useful.max(usual.mul_f64(2.0)))
+        Some(self.in_flight[0].hedge_due_at(self.accepted).max(soonest))
     }
 
     fn hedge_if_due(&mut self) {
-        let is_due = self.in_flight.len() == 1 && Instant::now() >= self.hedge_due_at();
+        let is_due = self.in_flight.len() == 1
+            && Instant::now() >= self.in_flight[0].hedge_due_at(self.accepted);
         if !is_due {
             return;
         }
@@ -347,25 +296,3 @@
         }
     }
 }
-
-type AttemptResult = Result<ServerReply, AttemptFailure>;
-
-/// Whichever attempt ends first.
-async fn next_result(in_flight: &mut Vec<InFlight>) -> EndedAttempt {
-    poll_fn(|context| {
-        for position in 0..in_flight.len() {
-            if let Poll::Ready(result) = in_flight[position].attempt.poll_result(context) {
-                let ended = in_flight.remove(position);
-                let round_trip = ended.attempt.server.round_trip();
-                let taken = ended.timer.taken(Instant::now(), round_trip);
-                return Poll::Ready(EndedAttempt {
-                    result,
-                    taken,
-                    trial: ended.trial,
-                });
-            }
-        }
-        Poll::Pending
-    })
-    .await
-}
--- a/crates/sablehaven-gateway/src/servers/service_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/service_pool.rs
@@ -63,6 +63,7 @@
             server.pool.set_share(share);
         }
     }
+
     /// Takes what the routes say of the service.
     pub(super) fn describe(&self, described: &RoutedService) {
         self.max_connections.set(described.max_connections);
