Gateway: a request that ends its servers does not have others of its kind refused

Cause: each failed try of such a request counted as a request of its kind that came to nothing, so on a route with little traffic the throttle refused innocent ones (seen in the new test: 503 'too many requests' for another path after eight tries). Change: an answer under which servers ended, without any server's answer, is not told to the throttle.

--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -118,7 +118,7 @@
     let outcome = answer
         .as_ref()
         .map_or(Outcome::Failed, |(_, outcome)| *outcome);
-    note_answer(gateway, &planned, outcome, arrived);
+    note_answer(&accepted, outcome);
     accepted_metrics(gateway, &planned, outcome, arrived);
     answer.map(|(response, _)| response)
 }
@@ -198,14 +198,24 @@
     }
 }
 
-/// Tells the throttle of an answer, and whether it came in time.
-fn note_answer(gateway: &Gateway, planned: &PlannedRoute, outcome: Outcome, arrived: Instant) {
+/// Tells the throttle of an answer, and whether it came in time. One under which servers ended says nothing of how
+/// pressed they are, and must not have the others of its kind refused.
+fn note_answer(accepted: &Accepted, outcome: Outcome) {
+    let Accepted {
+        gateway,
+        planned,
+        outgoing,
+        arrived,
+    } = accepted;
+    let now = gateway.clock.now();
+    if !outgoing.crash_watch.is_clear(now) {
+        return;
+    }
     let route = planned.route();
     let aim = Duration::from_millis(route.aim_ms);
     let is_served = matches!(outcome, Outcome::Whole | Outcome::Partial);
     let is_useful = is_served && arrived.elapsed() <= aim;
     let class = throttle_class(route, planned.profile.kind());
-    let now = gateway.clock.now();
     let mut throttle = gateway.throttle.borrow_mut();
     throttle.answered(now, class, is_useful);
 }
--- a/crates/sablehaven-gateway/tests/gateway/crashes.rs
+++ b/crates/sablehaven-gateway/tests/gateway/crashes.rs
@@ -17,8 +17,9 @@
 
 use hyper::StatusCode;
 use sablehaven_standins::routed::Behaviour;
+use sablehaven_types::RequestKind;
 
-use crate::support::routes::{gather, record};
+use crate::support::routes::{gather, record, single};
 use crate::support::{Bed, run};
 
 const SHARDS: [&str; 4] = ["s0", "s1", "s2", "s3"];
@@ -84,3 +85,36 @@
         assert_eq!(other.status, StatusCode::OK);
     });
 }
+
+#[test]
+fn a_request_to_one_service_is_quarantined_too_whether_or_not_it_may_be_repeated() {
+    // Three losses make it suspect, two single attempts show that it is the request.
+    const MOST: usize = 5;
+    for (kind, method) in [
+        (RequestKind::Safe, "GET"),
+        (RequestKind::NonIdempotent, "POST"),
+    ] {
+        run(async move {
+            let mut bed = Bed::new().await;
+            bed.serve("sync", &vec![Behaviour::answer("done"); 8]).await;
+            for server in &bed.servers["sync"] {
+                server.crash_on("/s/deadly", WORK);
+            }
+            bed.route(1, vec![single("/s/", kind, "sync")]).await;
+            for id in 0..8 {
+                let id = id.to_string();
+                bed.send(&id, method, "/s/deadly", &[], "body").await;
+            }
+            assert!(crashes(&bed) <= MOST, "{kind:?}: {} crashed", crashes(&bed));
+            let refused = bed.send("9", method, "/s/deadly", &[], "body").await;
+            assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+            let other = bed.send("10", method, "/s/other", &[], "body").await;
+            assert_eq!(
+                other.status,
+                StatusCode::OK,
+                "{kind:?} {} {other:?}",
+                crashes(&bed)
+            );
+        });
+    }
+}
