--- a/crates/sablehaven-gateway/src/crashes/watch.rs
+++ b/crates/sablehaven-gateway/src/crashes/watch.rs
@@ -198,6 +198,12 @@
         self.is_answered.get() || self.standing(now) == Standing::Clear
     }
 
+    /// Whether servers were found gone after the request, in this try or an earlier one, and none has answered it.
+    pub(crate) fn has_crashed_servers(&self, now: Duration) -> bool {
+        let table = self.table.borrow();
+        table.has_crashed_servers(now, self.fingerprint)
+    }
+
     /// What is known of the request, from its earlier tries too.
     pub(crate) fn standing(&self, now: Duration) -> Standing {
         self.table.borrow().standing(now, self.fingerprint)
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -198,8 +198,8 @@
     }
 }
 
-/// Tells the throttle of an answer, and whether it came in time. One under which servers ended says nothing of how
-/// pressed they are, and must not have the others of its kind refused.
+/// Tells the throttle of an answer, and whether it came in time. One whose request is known to crash servers says
+/// nothing of how pressed they are, and must not have the others of its kind refused.
 fn note_answer(accepted: &Accepted, outcome: Outcome) {
     let Accepted {
         gateway,
@@ -208,7 +208,7 @@
         arrived,
     } = accepted;
     let now = gateway.clock.now();
-    if !outgoing.crash_watch.is_clear(now) {
+    if outgoing.crash_watch.has_crashed_servers(now) {
         return;
     }
     let route = planned.route();
--- a/crates/sablehaven-routing/src/crash_table.rs
+++ b/crates/sablehaven-routing/src/crash_table.rs
@@ -154,6 +154,12 @@
         record.map_or(Standing::Clear, |record| record.standing(now))
     }
 
+    /// Whether servers were found gone after the request, and none has answered it since.
+    pub fn has_crashed_servers(&self, now: Duration, fingerprint: RequestFingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.is_kept(now) && record.report.crashes > 0)
+    }
+
     /// The connection of an attempt ended while the server had the request, and no server has answered it.
     pub fn lost(&mut self, now: Duration, fingerprint: RequestFingerprint) {
         let record = self.record(now, fingerprint);
