Gateway: spare servers are counted only where a server was lost

Cause: every first attempt went through all servers of its service to count those it could lose, for a decision that is rare. Change: counted by a closure that is called where a part waits or a trial is due.

--- a/crates/sablehaven-gateway/src/crashes/watch.rs
+++ b/crates/sablehaven-gateway/src/crashes/watch.rs
@@ -148,28 +148,31 @@
         self.changed.notify_waiters();
     }
 
-    /// Whether a part may send now; see [`Turn`]. `spare` is the number of servers that its shard could lose: a trial is
-    /// made where most are left, or it might take a shard's last one.
-    pub(crate) fn turn(self: &Rc<Self>, now: Duration, spare: usize) -> Turn {
+    /// Whether a part may send now; see [`Turn`]. `spare` counts the servers that its shard could lose; it is only asked
+    /// where a server was lost.
+    pub(crate) fn turn(self: &Rc<Self>, now: Duration, spare: impl FnOnce() -> usize) -> Turn {
         if self.is_answered.get() {
             return Turn::Send;
         }
         match self.standing(now) {
-            Standing::Clear if self.is_held(now) => Turn::Wait(self.wait(spare)),
+            Standing::Clear if self.is_held(now) => Turn::Wait(self.wait(spare())),
             Standing::Clear => Turn::Send,
             Standing::Quarantined { .. } => Turn::Never,
             Standing::Suspect if self.lost_trials.get() >= MOST_LOST_TRIALS => Turn::Never,
-            Standing::Suspect if self.is_trial_running.get() || self.has_better(spare) => {
-                Turn::Wait(self.wait(spare))
-            }
-            Standing::Suspect => {
-                self.is_trial_running.set(true);
-                let watch = Rc::clone(self);
-                Turn::Trial(Trial { watch })
-            }
+            Standing::Suspect => self.trial_or_wait(spare()),
         }
     }
 
+    /// A trial is made where most servers are left, or it might take a shard's last one.
+    fn trial_or_wait(self: &Rc<Self>, spare: usize) -> Turn {
+        if self.is_trial_running.get() || self.has_better(spare) {
+            return Turn::Wait(self.wait(spare));
+        }
+        self.is_trial_running.set(true);
+        let watch = Rc::clone(self);
+        Turn::Trial(Trial { watch })
+    }
+
     fn wait(self: &Rc<Self>, spare: usize) -> WaitingPlace {
         self.waiting.borrow_mut().push(spare);
         let watch = Rc::clone(self);
--- a/crates/sablehaven-gateway/src/crashes/watch/tests.rs
+++ b/crates/sablehaven-gateway/src/crashes/watch/tests.rs
@@ -27,9 +27,9 @@
     let (watch, _) = watch();
     let _running = watch.begin();
     lose(&watch, ms(100), 1);
-    assert!(matches!(watch.turn(ms(101), 1), Turn::Wait(_)));
+    assert!(matches!(watch.turn(ms(101), || 1), Turn::Wait(_)));
     assert_eq!(watch.held_until(ms(101)), Some(ms(100) + 2 * USUAL));
-    assert!(matches!(watch.turn(ms(100) + 2 * USUAL, 1), Turn::Send));
+    assert!(matches!(watch.turn(ms(100) + 2 * USUAL, || 1), Turn::Send));
 }
 
 #[test]
@@ -37,21 +37,21 @@
     let (watch, _) = watch();
     drop(watch.begin());
     lose(&watch, ms(100), 1);
-    assert!(matches!(watch.turn(ms(100), 1), Turn::Send));
+    assert!(matches!(watch.turn(ms(100), || 1), Turn::Send));
 }
 
 #[test]
 fn a_suspect_request_has_one_attempt_at_a_time_until_a_server_answers() {
     let (watch, table) = watch();
     lose(&watch, ms(100), 3);
-    let Turn::Trial(trial) = watch.turn(ms(100), 1) else {
+    let Turn::Trial(trial) = watch.turn(ms(100), || 1) else {
         panic!("not a trial");
     };
-    assert!(matches!(watch.turn(ms(101), 1), Turn::Wait(_)));
+    assert!(matches!(watch.turn(ms(101), || 1), Turn::Wait(_)));
     drop(trial);
-    assert!(matches!(watch.turn(ms(102), 1), Turn::Trial(_)));
+    assert!(matches!(watch.turn(ms(102), || 1), Turn::Trial(_)));
     watch.answered(ms(103));
-    assert!(matches!(watch.turn(ms(103), 1), Turn::Send));
+    assert!(matches!(watch.turn(ms(103), || 1), Turn::Send));
     assert_eq!(table.borrow().standing(ms(103), REQUEST), Standing::Clear);
 }
 
@@ -60,14 +60,14 @@
     let (watch, table) = watch();
     lose(&watch, ms(100), 3);
     for _ in 0..2 {
-        let Turn::Trial(trial) = watch.turn(ms(101), 1) else {
+        let Turn::Trial(trial) = watch.turn(ms(101), || 1) else {
             panic!("not a trial");
         };
         trial.lost(ms(101), true);
     }
-    assert!(matches!(watch.turn(ms(102), 1), Turn::Never));
+    assert!(matches!(watch.turn(ms(102), || 1), Turn::Never));
     let later = CrashWatch::new(REQUEST, table);
-    assert!(matches!(later.turn(ms(200), 1), Turn::Never));
+    assert!(matches!(later.turn(ms(200), || 1), Turn::Never));
 }
 
 #[test]
@@ -75,14 +75,14 @@
     let (watch, table) = watch();
     lose(&watch, ms(100), 3);
     for _ in 0..2 {
-        let Turn::Trial(trial) = watch.turn(ms(101), 1) else {
+        let Turn::Trial(trial) = watch.turn(ms(101), || 1) else {
             panic!("not a trial");
         };
         trial.lost(ms(101), false);
     }
-    assert!(matches!(watch.turn(ms(102), 1), Turn::Never));
+    assert!(matches!(watch.turn(ms(102), || 1), Turn::Never));
     let later = CrashWatch::new(REQUEST, table);
-    assert!(matches!(later.turn(ms(200), 1), Turn::Trial(_)));
+    assert!(matches!(later.turn(ms(200), || 1), Turn::Trial(_)));
 }
 
 #[test]
@@ -90,7 +90,7 @@
     let (watch, table) = watch();
     watch.answered(ms(100));
     lose(&watch, ms(101), 5);
-    assert!(matches!(watch.turn(ms(101), 1), Turn::Send));
+    assert!(matches!(watch.turn(ms(101), || 1), Turn::Send));
     assert_eq!(table.borrow().standing(ms(101), REQUEST), Standing::Clear);
 }
 
@@ -98,18 +98,18 @@
 fn a_trial_is_made_where_most_servers_are_left() {
     let (watch, _) = watch();
     lose(&watch, ms(100), 3);
-    let Turn::Trial(trial) = watch.turn(ms(100), 1) else {
+    let Turn::Trial(trial) = watch.turn(ms(100), || 1) else {
         panic!("not a trial");
     };
-    let Turn::Wait(few) = watch.turn(ms(101), 1) else {
+    let Turn::Wait(few) = watch.turn(ms(101), || 1) else {
         panic!("does not wait");
     };
-    let Turn::Wait(many) = watch.turn(ms(101), 2) else {
+    let Turn::Wait(many) = watch.turn(ms(101), || 2) else {
         panic!("does not wait");
     };
     drop(trial);
     drop(few);
-    assert!(matches!(watch.turn(ms(102), 1), Turn::Wait(_)));
+    assert!(matches!(watch.turn(ms(102), || 1), Turn::Wait(_)));
     drop(many);
-    assert!(matches!(watch.turn(ms(102), 2), Turn::Trial(_)));
+    assert!(matches!(watch.turn(ms(102), || 2), Turn::Trial(_)));
 }
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -150,8 +150,10 @@
     /// is one attempt at a time, and none once it is known to.
     fn send_in_turn(&mut self, planned: Planned) -> Result<(), PartFailure> {
         let now = self.accepted.gateway.clock.now();
-        let allowed = &self.accepted.planned.route().allowed_regions;
-        let spare = self.service.spare(allowed, &self.tried.borrow());
+        let spare = || {
+            let allowed = &self.accepted.planned.route().allowed_regions;
+            self.service.spare(allowed, &self.tried.borrow())
+        };
         let trial = match self.accepted.outgoing.crash_watch.turn(now, spare) {
             Turn::Send => None,
             Turn::Trial(trial) => Some(trial),
