Gateway: a quarantined query says that it has not run only where no part of it is still out

Cause, found reading the diff: a query that is condemned by another gateway's report while some of its parts run counted only the parts that had ended, and could have answered 503, the promise that nothing ran, where it must answer 502. Change: the same condition as for any other failure, in one place.

--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -44,6 +44,17 @@
     }
 }
 
+/// The refusal when too many shards will not come. Only where no server may have run a part does it say so.
+fn failure(accepted: &Accepted, parts: &Parts, may_have_run: bool) -> Refusal {
+    if parts.is_quarantined() {
+        return Refusal::after_crashes(accepted, may_have_run);
+    }
+    if may_have_run {
+        return Refusal::TooFewShards;
+    }
+    Refusal::NotRun
+}
+
 /// Asks one server of every shard of the pinned version, and answers when the answer is whole, or
 /// when waiting longer would cost more than the shards that are missing.
 pub(super) async fn answer(
@@ -69,13 +80,10 @@
         let progress = progress(accepted, gather, &parts);
         let wait_until = match next(&progress) {
             Next::Answer => break Ok(()),
-            Next::Fail if parts.is_quarantined() => {
-                break Err(Refusal::after_crashes(accepted, parts.may_have_run));
-            }
-            Next::Fail if parts.may_have_run || !running.is_empty() => {
-                break Err(Refusal::TooFewShards);
+            Next::Fail => {
+                let may_have_run = parts.may_have_run || !running.is_empty();
+                break Err(failure(accepted, &parts, may_have_run));
             }
-            Next::Fail => break Err(Refusal::NotRun),
             Next::OutOfTime => break Err(Refusal::OutOfTime),
             Next::WaitUntil(at) => accepted.arrived + at,
         };
