Control, gateways: routes and list are fetched from near replicas, and the list outlives an election

The list of servers went from the leader alone to every gateway, whole where a gateway had none and after each change of term, since the list was in the leader's memory only. With 985 gateways and 4,082 servers (some 240 kB) that is 0.24 GB a time, two thirds between regions: it grows with gateways times servers. Routes went from every replica to gateways that had not said within 0.1 or 0.3 s that they have them, which a small fleet does; here the near replica is still sending to others then. Each change made every gateway send its whole status to every replica.

Sub-requests: near servers are there in every region.

Ways weighed: the list by the same delays as the routes (a whole list takes longer than they are, so far replicas would send it too); each replica reads the platform's list (six times its calls, and six numberings); gateways fetch from the nearest replica that says it has it.

The leader sends each reading to the other replicas on their links (what has changed, or all of it), and whoever is elected goes on from the reading it has. Replicas say which versions they have; the gateway fetches what it lacks: from its zone at once, from its region or another after 0.1 or 0.3 s without a nearer one (the same bounds as before, now at the gateway), another replica after 0.5 s without an answer, at once where the connection is lost. Who takes part is told by the nearest replica only; versions in force are reported to that one only. Bytes of a frame that is not whole yet count as a sign of life. The protocol's version is 6.

The four of who sends routes are replaced by ten of where state is fetched from (`sources`): the same four promises, and silence, lost connections, replicas left behind, 1,000 gateways without a fetch across regions. `listing` of control with three replicas, one of them with a killed leader. The stand-in replica of the gateway's tests says where it is, as replicas do now.

Left: what a gateway holds still grows with all servers, and a whole list with the servers of the fleet.

--- a/crates/sablehaven-control/src/gateways/encoded.rs
+++ b/crates/sablehaven-control/src/gateways/encoded.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use sablehaven_types::{ListingChange, ListingNumber, ServerListing};
+use sablehaven_types::{ListingChange, ListingNumber, ListingUpdate, ServerListing};
 use sablehaven_wire::{ControlToGateway, EncodedMessage};
 
 /// Former readings of the list that are kept. Gateways are sent each new one at once, so nearly all have the
@@ -53,21 +53,42 @@
             self.number = listing.number;
             self.messages.clear();
         }
-        // Before its first reading a gateway must be told all, so that it knows that it has one.
-        let is_first = held == ListingNumber::default();
-        let mut former = self.former.iter();
-        let base = former.find(|former| !is_first && former.number == held);
+        let base = self.known(held);
         let key = base.map(|base| base.number);
         let mut messages = self.messages.iter();
         if let Some((_, message)) = messages.find(|(from, _)| *from == key) {
             return Some(Arc::clone(message));
         }
-        let message = match base {
-            Some(base) => ControlToGateway::ListingChange(ListingChange::between(base, listing)),
-            None => ControlToGateway::Listing(Arc::clone(listing)),
+        let message = match update(base, listing) {
+            ListingUpdate::Whole(listing) => ControlToGateway::Listing(listing),
+            ListingUpdate::Change(change) => ControlToGateway::ListingChange(change),
         };
         let encoded = encode(&message)?;
         self.messages.push((key, Arc::clone(&encoded)));
         Some(encoded)
     }
+
+    /// What brings a receiver from the reading `held` to `listing`.
+    pub(super) fn update(
+        &self,
+        listing: &Arc<ServerListing>,
+        held: ListingNumber,
+    ) -> ListingUpdate {
+        update(self.known(held), listing)
+    }
+
+    /// The former reading of this number. Before its first reading a receiver must be told all, so that it knows
+    /// that it has one.
+    fn known(&self, held: ListingNumber) -> Option<&Arc<ServerListing>> {
+        let is_first = held == ListingNumber::default();
+        let mut former = self.former.iter();
+        former.find(|former| !is_first && former.number == held)
+    }
+}
+
+fn update(base: Option<&Arc<ServerListing>>, listing: &Arc<ServerListing>) -> ListingUpdate {
+    match base {
+        Some(base) => ListingUpdate::Change(ListingChange::between(base, listing)),
+        None => ListingUpdate::Whole(Arc::clone(listing)),
+    }
 }
--- a/crates/sablehaven-control/src/gateways/mod.rs
+++ b/crates/sablehaven-control/src/gateways/mod.rs
@@ -5,7 +5,6 @@
 mod entry;
 mod members_view;
 mod registry;
-mod routes_turn;
 mod session;
 mod sessions;
 mod subset;
--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -8,7 +8,8 @@
 };
 
 use sablehaven_types::{
-    AllowedRegions, ListedServer, ListingNumber, Placement, RouteDocument, ServerListing,
+    AllowedRegions, ListedServer, ListingNumber, ListingUpdate, Placement, RouteDocument,
+    ServerListing,
 };
 use sablehaven_wire::{ControlToGateway, GatewayLoad, GatewayStatus};
 use tokio::sync::watch;
@@ -134,6 +135,10 @@
     pub(crate) fn take_reading(&self, term: u64, servers: Vec<ListedServer>) {
         self.listing.send_if_modified(|held| {
             let mut number = held.number;
+            // A later leader's reading has come meanwhile.
+            if term < number.term {
+                return false;
+            }
             if number.term == term && !is_news(&held.servers, &servers) {
                 // Whether a server turns cold anew is told from the latest reading.
                 *held = Arc::new(ServerListing { number, servers });
@@ -145,21 +150,61 @@
                 1
             };
             number.term = term;
-            let former = std::mem::replace(held, Arc::new(ServerListing { number, servers }));
-            self.encoded_listings
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .remember(former);
+            self.replace(held, Arc::new(ServerListing { number, servers }));
             true
         });
     }
 
+    /// Takes a reading of the leader, so that gateways near this replica have it from here, and that the next leader
+    /// goes on from it. `false` where it changes a reading that this replica does not have.
+    pub(crate) fn take_update(&self, update: ListingUpdate) -> bool {
+        let mut is_known = true;
+        self.listing.send_if_modified(|held| {
+            let next = match update {
+                ListingUpdate::Whole(listing) => Some(listing),
+                ListingUpdate::Change(change) if change.number <= held.number => return false,
+                ListingUpdate::Change(change) => change.apply(held).map(Arc::new),
+            };
+            is_known = next.is_some();
+            let newer = next.filter(|next| next.number > held.number);
+            let is_newer = newer.is_some();
+            if let Some(newer) = newer {
+                self.replace(held, newer);
+            }
+            is_newer
+        });
+        is_known
+    }
+
+    /// What brings another replica from the reading `held` to the latest; `None` where it has that.
+    pub(crate) fn listing_update(
+        &self,
+        held: ListingNumber,
+    ) -> Option<(ListingNumber, ListingUpdate)> {
+        let listing = Arc::clone(&self.listing.borrow());
+        (listing.number > held).then(|| {
+            let update = self.encoded_listings().update(&listing, held);
+            (listing.number, update)
+        })
+    }
+
+    /// Puts a reading in the place of the latest one, which gateways may still have.
+    fn replace(&self, held: &mut Arc<ServerListing>, next: Arc<ServerListing>) {
+        let former = std::mem::replace(held, next);
+        self.encoded_listings().remember(former);
+    }
+
+    /// The number of the latest reading.
+    pub(crate) fn reading_number(&self) -> ListingNumber {
+        self.listing.borrow().number
+    }
+
     /// The term of the latest reading.
     pub(crate) fn reading_term(&self) -> u64 {
         self.listing.borrow().number.term
     }
 
-    pub(super) fn listing(&self) -> watch::Receiver<Arc<ServerListing>> {
+    pub(crate) fn listing(&self) -> watch::Receiver<Arc<ServerListing>> {
         self.listing.subscribe()
     }
 
@@ -189,10 +234,13 @@
         listing: &Arc<ServerListing>,
         held: ListingNumber,
     ) -> Option<Encoded> {
+        self.encoded_listings().encode(listing, held)
+    }
+
+    fn encoded_listings(&self) -> MutexGuard<'_, EncodedListings> {
         self.encoded_listings
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .encode(listing, held)
     }
 
     fn lock(&self) -> MutexGuard<'_, Sessions> {
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -1,22 +1,17 @@
 //! One connection of a gateway.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use sablehaven_types::{CrashReport, Distance, ListingNumber, RouteDocument, ServerListing};
 use sablehaven_wire::{
     Connection, ControlToGateway, DeploymentMembers, EncodedMessage, FrameReader, FrameWriter,
-    GatewayStatus, GatewayToControl, WireError,
+    GatewayStatus, GatewayToControl, StateVersions, WireError,
 };
 use tokio::{
-    sync::{broadcast::error::RecvError, watch},
-    time::{MissedTickBehavior, interval, sleep_until, timeout},
+    sync::{broadcast::error::RecvError, mpsc, watch},
+    time::{MissedTickBehavior, interval, timeout},
 };
 
-use super::routes_turn::{RoutesStep, RoutesTurn};
 use crate::{driver::read, server::Context};
 
 /// Time between two signs of life towards a gateway.
@@ -25,6 +20,8 @@
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// Time that one write may take.
 const SEND_TIMEOUT: Duration = Duration::from_secs(5);
+/// Requests of a gateway that wait until what was sent before has been taken; it asks twice a second at most.
+const WAITING_REQUESTS: usize = 8;
 
 /// Errors of a gateway's connection.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -43,8 +40,18 @@
     },
 }
 
-/// Serves a gateway until its connection ends: takes its status, and sends it the routes, the list
-/// of servers and the members as they change.
+/// What a gateway asks for.
+enum GatewayRequest {
+    /// Routes that are newer than this version.
+    Routes(u64),
+    /// What leads from this reading of the list to the latest.
+    Listing(ListingNumber),
+    /// To be told who takes part, or no more.
+    Prefer(bool),
+}
+
+/// Serves a gateway until its connection ends: takes its status, tells it which versions there are as they change,
+/// and sends the routes, the list of servers and the members that it asks for.
 pub(crate) async fn serve_gateway(
     context: Arc<Context>,
     connection: Connection<GatewayToControl, ControlToGateway>,
@@ -52,22 +59,23 @@
     let session = context.gateways.open();
     let peer = connection.peer_address.to_string();
     let (reported, status) = watch::channel(None);
-    let reader = take_statuses(&context, session, connection.reader, reported, &peer);
+    let (asked, requests) = mpsc::channel(WAITING_REQUESTS);
+    let reader = take_messages(&context, session, connection.reader, reported, asked, &peer);
     let writer = Writer {
         context: Arc::clone(&context),
         peer: peer.clone(),
         writer: connection.writer,
         distance: Distance::Zone,
         counted_bytes: 0,
-        sent_version: 0,
-        sent_listing: ListingNumber::default(),
+        sent_versions: StateVersions::default(),
         sent_evacuation: 0,
+        is_preferred: false,
         sent_members: None,
         address: connection.peer_address,
     };
     let ended = tokio::select! {
         ended = reader => ended,
-        ended = writer.run(status) => ended,
+        ended = writer.run(status, requests) => ended,
     };
     context.gateways.close(session);
     if let Err(error) = ended {
@@ -75,11 +83,12 @@
     }
 }
 
-async fn take_statuses(
+async fn take_messages(
     context: &Context,
     session: u64,
     mut reader: FrameReader<GatewayToControl>,
     reported: watch::Sender<Option<GatewayStatus>>,
+    asked: mpsc::Sender<GatewayRequest>,
     peer: &str,
 ) -> Result<(), GatewaySessionError> {
     // Known with the first status, which comes first.
@@ -105,6 +114,18 @@
                 context.gateways.crashes.take(&reports);
                 "crashes"
             }
+            GatewayToControl::FetchRoutes(held) => {
+                ask(&asked, GatewayRequest::Routes(held)).await;
+                "fetch_routes"
+            }
+            GatewayToControl::FetchListing(held) => {
+                ask(&asked, GatewayRequest::Listing(held)).await;
+                "fetch_listing"
+            }
+            GatewayToControl::Prefer(is_preferred) => {
+                ask(&asked, GatewayRequest::Prefer(is_preferred)).await;
+                "prefer"
+            }
         };
         let bytes = reader.received_bytes();
         context
@@ -114,6 +135,11 @@
     }
 }
 
+/// The writer ends with the connection, and this with it.
+async fn ask(asked: &mpsc::Sender<GatewayRequest>, request: GatewayRequest) {
+    let _ = asked.send(request).await;
+}
+
 struct Writer {
     context: Arc<Context>,
     peer: String,
@@ -122,10 +148,11 @@
     distance: Distance,
     /// Bytes that the metrics have counted.
     counted_bytes: u64,
-    /// The latest version that was sent, or that the gateway said it has.
-    sent_version: u64,
-    sent_listing: ListingNumber,
+    /// The latest word of which versions this replica has.
+    sent_versions: StateVersions,
     sent_evacuation: u64,
+    /// Whether the gateway hears from this replica who takes part.
+    is_preferred: bool,
     sent_members: Option<DeploymentMembers>,
     /// Where callers reach the gateway; known with its first status.
     address: SocketAddr,
@@ -135,35 +162,40 @@
     async fn run(
         mut self,
         mut status: watch::Receiver<Option<GatewayStatus>>,
+        mut requests: mpsc::Receiver<GatewayRequest>,
     ) -> Result<(), GatewaySessionError> {
         let mut published = self.context.published.clone();
         let mut listing = self.context.gateways.listing();
         let mut members = self.context.gateways.members();
-        members.mark_changed();
         let (known_crashes, mut crashes) = self.context.gateways.crashes.subscribe();
-        // What the gateway has comes with its first status; nothing is sent twice.
         if let Ok(first) = status.wait_for(Option::is_some).await
             && let Some(first) = &*first
         {
-            self.sent_version = first.routes_version;
-            self.sent_listing = first.listing;
             self.sent_evacuation = first.evacuation_revision;
             self.address = first.address;
             self.distance = Distance::between(&self.context.config.placement, &first.placement);
         }
-        let mut turn = RoutesTurn::new(self.distance);
+        let placement = self.context.config.placement.clone();
+        self.send("placement", &ControlToGateway::Placement(placement))
+            .await?;
         let mut alive = interval(ALIVE_INTERVAL);
         alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.send_crashes(known_crashes).await?;
         loop {
             self.send_evacuation().await?;
-            let look_at = self.send_routes(&mut turn, &status).await?;
-            self.send_listing(&mut listing, &status).await?;
+            self.send_versions().await?;
             tokio::select! {
-                () = sleep_until(look_at.unwrap_or_else(Instant::now).into()), if look_at.is_some() => {}
                 Ok(()) = published.changed() => {}
                 Ok(()) = listing.changed() => {}
-                Ok(()) = members.changed() => {
+                Some(request) = requests.recv() => match request {
+                    GatewayRequest::Routes(held) => self.send_routes(held).await?,
+                    GatewayRequest::Listing(held) => self.send_listing(held).await?,
+                    GatewayRequest::Prefer(is_preferred) => {
+                        self.is_preferred = is_preferred;
+                        members.mark_changed();
+                    }
+                },
+                Ok(()) = members.changed(), if self.is_preferred => {
                     let members = members.borrow_and_update().told_to(self.address);
                     self.send_members(members).await?;
                 }
@@ -197,53 +229,51 @@
         self.send("evacuation", &message).await
     }
 
-    /// Sends routes that the gateway lacks if it is this replica's turn; answers when to look again.
-    async fn send_routes(
-        &mut self,
-        turn: &mut RoutesTurn,
-        status: &watch::Receiver<Option<GatewayStatus>>,
-    ) -> Result<Option<Instant>, GatewaySessionError> {
-        let said = status.borrow().as_ref().map(|said| said.routes_version);
-        self.sent_version = self.sent_version.max(said.unwrap_or(0));
-        let newer = self.newer_routes();
-        match (turn.next(Instant::now(), newer.is_some()), newer) {
-            (RoutesStep::WaitUntil(at), _) => return Ok(Some(at)),
-            (RoutesStep::Send, Some(routes)) => self.send_document(&routes).await?,
-            (RoutesStep::Send | RoutesStep::Nothing, _) => {}
+    /// Says which versions this replica has, where that has changed.
+    async fn send_versions(&mut self) -> Result<(), GatewaySessionError> {
+        let versions = self.versions();
+        if versions == self.sent_versions {
+            return Ok(());
         }
-        Ok(None)
+        self.sent_versions = versions;
+        self.send("versions", &ControlToGateway::Versions(versions))
+            .await
     }
 
-    async fn send_document(
-        &mut self,
-        routes: &Arc<RouteDocument>,
-    ) -> Result<(), GatewaySessionError> {
-        self.sent_version = routes.version;
-        match self.context.gateways.encode_routes(routes) {
-            Some(encoded) => self.send_encoded("routes", &encoded).await,
-            None => Ok(()),
+    fn versions(&self) -> StateVersions {
+        StateVersions {
+            routes: self.routes().map_or(0, |document| document.version),
+            listing: self.listing().number,
         }
     }
 
-    fn newer_routes(&self) -> Option<Arc<RouteDocument>> {
+    fn routes(&self) -> Option<Arc<RouteDocument>> {
         read(&self.context.state, |state| {
             let held = state.routes().held()?;
-            (held.document.version > self.sent_version).then(|| Arc::clone(&held.document))
+            Some(Arc::clone(&held.document))
         })
     }
 
-    async fn send_listing(
-        &mut self,
-        listing: &mut watch::Receiver<Arc<ServerListing>>,
-        status: &watch::Receiver<Option<GatewayStatus>>,
-    ) -> Result<(), GatewaySessionError> {
-        let listing = Arc::clone(&listing.borrow_and_update());
-        let said = status.borrow().as_ref().map(|said| said.listing);
-        let held = self.sent_listing.max(said.unwrap_or_default());
+    fn listing(&self) -> Arc<ServerListing> {
+        Arc::clone(&self.context.gateways.listing().borrow())
+    }
+
+    /// Sends the routes where they are newer than what the gateway has.
+    async fn send_routes(&mut self, held: u64) -> Result<(), GatewaySessionError> {
+        let newer = self.routes().filter(|document| document.version > held);
+        let encoded = newer.and_then(|document| self.context.gateways.encode_routes(&document));
+        match encoded {
+            Some(encoded) => self.send_encoded("routes", &encoded).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Sends what leads from the reading that the gateway has to the latest one.
+    async fn send_listing(&mut self, held: ListingNumber) -> Result<(), GatewaySessionError> {
+        let listing = self.listing();
         if listing.number <= held {
             return Ok(());
         }
-        self.sent_listing = listing.number;
         match self.context.gateways.encode_listing(&listing, held) {
             Some(encoded) => self.send_encoded("listing", &encoded).await,
             None => Ok(()),
--- a/crates/sablehaven-control/src/peers/incoming.rs
+++ b/crates/sablehaven-control/src/peers/incoming.rs
@@ -36,7 +36,13 @@
             }
             // Meant for the replica whose disk was here before.
             PeerPayload::Consensus { .. } => {}
-            PeerPayload::Alive => connection.writer.send(&alive(&peer)?).await?,
+            PeerPayload::Alive(_) => connection.writer.send(&alive(context, &peer)?).await?,
+            // On the next connection the leader hears which reading this replica has.
+            PeerPayload::Listing(update) => {
+                if !context.listing.take(update) {
+                    return Err(PeerError::ListingGap { peer });
+                }
+            }
             PeerPayload::Introduction(_) => {}
         }
     }
--- a/crates/sablehaven-control/src/peers/introduction.rs
+++ b/crates/sablehaven-control/src/peers/introduction.rs
@@ -8,12 +8,14 @@
 };
 
 use sablehaven_consensus::{Message, ReplicaId};
+use sablehaven_types::{ListingNumber, ListingUpdate};
 use sablehaven_wire::{
     Connection, Hello, PROTOCOL_VERSION, PeerMessage, Role, WireError, connect_from,
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
+use super::listing::PeerListing;
 use crate::{
     Config,
     codec::{self, CodecError},
@@ -35,6 +37,11 @@
 pub(crate) enum PeerError {
     /// {0}
     Wire(#[from] WireError),
+    /// list of servers of replica {peer}: it changes a reading that this replica does not have
+    ListingGap {
+        /// The other side.
+        peer: String,
+    },
     /// message of replica {peer}: {source}
     Codec {
         /// The other side.
@@ -72,8 +79,10 @@
         to: ReplicaId,
         message: Message,
     },
-    /// A sign of life, answered by one.
-    Alive,
+    /// A sign of life, answered by one; with the sender's reading of the list of servers.
+    Alive(ListingNumber),
+    /// The leader's reading of the list of servers.
+    Listing(ListingUpdate),
 }
 
 /// Who a replica is.
@@ -187,6 +196,7 @@
     pub(crate) addresses: ReplicaAddresses,
     pub(crate) directory: Directory,
     pub(crate) driver: DriverHandle,
+    pub(super) listing: PeerListing,
     state: SharedHandle,
     /// The addresses to dial that the settings name; they may change while the process runs.
     configured: Mutex<BTreeSet<SocketAddr>>,
@@ -202,6 +212,7 @@
         directory: Directory,
         driver: DriverHandle,
         state: SharedHandle,
+        listing: PeerListing,
     ) -> Self {
         let configured = config.peers.iter().copied().collect();
         Self {
@@ -210,6 +221,7 @@
             addresses,
             directory,
             driver,
+            listing,
             state,
             configured: Mutex::new(configured),
             learned: Mutex::default(),
@@ -341,8 +353,14 @@
 }
 
 /// A sign of life.
-pub(crate) fn alive(peer: &str) -> Result<PeerMessage, PeerError> {
-    encode(NO_GROUP, &PeerPayload::Alive, peer)
+pub(super) fn alive(context: &PeerContext, peer: &str) -> Result<PeerMessage, PeerError> {
+    let alive = PeerPayload::Alive(context.listing.number());
+    encode(NO_GROUP, &alive, peer)
+}
+
+/// A reading of the list of servers.
+pub(super) fn listing(update: ListingUpdate, peer: &str) -> Result<PeerMessage, PeerError> {
+    encode(NO_GROUP, &PeerPayload::Listing(update), peer)
 }
 
 pub(crate) fn decode(message: &PeerMessage, peer: &str) -> Result<PeerPayload, PeerError> {
--- a/crates/sablehaven-control/src/peers/link.rs
+++ b/crates/sablehaven-control/src/peers/link.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use sablehaven_consensus::{Message, ReplicaId};
+use sablehaven_types::ListingNumber;
 use sablehaven_wire::{DialPatience, FrameReader, FrameWriter, PeerMessage};
 use tokio::{
     sync::mpsc,
@@ -10,7 +11,7 @@
 };
 
 use super::{
-    introduction::{PeerContext, PeerError, PeerPayload, alive, dial, encode},
+    introduction::{PeerContext, PeerError, PeerPayload, alive, decode, dial, encode, listing},
     links::Links,
 };
 
@@ -52,6 +53,8 @@
             let reader = connection.reader;
             let writer = connection.writer;
             let pump = Pump {
+                context: Arc::clone(&context),
+                listing: None,
                 to: theirs.replica,
                 peer: address.to_string(),
                 last_sign: Instant::now(),
@@ -64,6 +67,9 @@
 }
 
 struct Pump {
+    context: Arc<PeerContext>,
+    /// The reading of the list that the other side has, once it has said so.
+    listing: Option<ListingNumber>,
     to: ReplicaId,
     peer: String,
     last_sign: Instant,
@@ -78,17 +84,20 @@
     ) -> Result<(), PeerError> {
         let mut ticker = interval(ALIVE_INTERVAL);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut changes = self.context.listing.changes();
         loop {
             tokio::select! {
                 received = reader.receive() => {
-                    received?;
                     self.last_sign = Instant::now();
+                    self.take(&received?)?;
+                    self.send_listing(&mut writer).await?;
                 }
+                Ok(()) = changes.changed() => self.send_listing(&mut writer).await?,
                 _ = ticker.tick() => {
                     if self.last_sign.elapsed() > SILENCE_LIMIT {
                         return Err(PeerError::Silent { peer: self.peer });
                     }
-                    let sign = alive(&self.peer)?;
+                    let sign = alive(&self.context, &self.peer)?;
                     self.within_limit(writer.send(&sign)).await?;
                 }
                 Some(first) = queue.recv() => {
@@ -98,6 +107,31 @@
         }
     }
 
+    /// Notes which reading of the list the other side has.
+    fn take(&mut self, received: &PeerMessage) -> Result<(), PeerError> {
+        if let PeerPayload::Alive(said) = decode(received, &self.peer)? {
+            let known = self.listing.unwrap_or_default();
+            self.listing = Some(known.max(said));
+        }
+        Ok(())
+    }
+
+    /// Sends the leader's reading where the other side is known to lack it.
+    async fn send_listing(
+        &mut self,
+        writer: &mut FrameWriter<PeerMessage>,
+    ) -> Result<(), PeerError> {
+        let Some(held) = self.listing else {
+            return Ok(());
+        };
+        let Some((number, update)) = self.context.listing.update_from(held) else {
+            return Ok(());
+        };
+        self.listing = Some(number);
+        let message = listing(update, &self.peer)?;
+        self.within_limit(writer.send(&message)).await
+    }
+
     /// Sends everything that is queued with one flush.
     async fn send_queued(
         &self,
--- a/crates/sablehaven-control/src/peers/mod.rs
+++ b/crates/sablehaven-control/src/peers/mod.rs
@@ -8,8 +8,10 @@
 mod introduction;
 mod link;
 mod links;
+mod listing;
 
 pub(crate) use formation::form_or_join;
 pub(crate) use incoming::receive_from_peer;
 pub(crate) use introduction::{Directory, Introduction, PeerContext, probe};
 pub(crate) use links::{Links, keep_links};
+pub(crate) use listing::PeerListing;
--- a/crates/sablehaven-control/src/server/context.rs
+++ b/crates/sablehaven-control/src/server/context.rs
@@ -27,7 +27,7 @@
     pub(crate) state: SharedHandle,
     pub(crate) published: watch::Receiver<Published>,
     pub(crate) registry: Registry,
-    pub(crate) gateways: Gateways,
+    pub(crate) gateways: Arc<Gateways>,
     pub(crate) observations: mpsc::Sender<AgentObservation>,
     pub(crate) peers: Arc<PeerContext>,
     pub(crate) links: Arc<Links>,
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -25,7 +25,7 @@
     membership::AgentObservation,
     metrics::Metrics,
     operator,
-    peers::{Directory, Links, PeerContext, form_or_join, keep_links},
+    peers::{Directory, Links, PeerContext, PeerListing, form_or_join, keep_links},
     relays::Registry,
     replicas::ReplicaAddresses,
 };
@@ -196,6 +196,7 @@
         published,
         metrics: metrics.clone(),
     })?;
+    let gateways = Arc::new(Gateways::new());
     let peers = Arc::new(PeerContext::new(
         Arc::clone(&config),
         replica,
@@ -203,6 +204,10 @@
         directory,
         driver_handle.clone(),
         Arc::clone(&state),
+        PeerListing {
+            gateways: Arc::clone(&gateways),
+            published: published_receiver.clone(),
+        },
     ));
     let (observations, observation_queue) = mpsc::channel(leader::OBSERVATION_QUEUE);
     let context = Arc::new(Context {
@@ -211,7 +216,7 @@
         state,
         published: published_receiver,
         registry: Registry::new(config.lease_duration()),
-        gateways: Gateways::new(),
+        gateways,
         config,
         observations,
         peers,
--- a/crates/sablehaven-control/tests/support/mod.rs
+++ b/crates/sablehaven-control/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod cut;
+pub mod gateway;
 pub mod operator;
 pub mod platform;
 pub mod relay;
@@ -15,7 +16,9 @@
 };
 
 use sablehaven_consensus::ReplicaId;
-use sablehaven_control::{Config, Environment, Handle, Listeners, StartError, start_in};
+use sablehaven_control::{
+    Config, Environment, Handle, Listeners, ServerSource, StartError, start_in,
+};
 use sablehaven_storage::{Disk, RealDisk};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{
@@ -62,6 +65,8 @@
     pub config: Config,
     pub handle: Option<Handle>,
     pub disk: Arc<dyn Disk>,
+    /// Lists the servers that gateways send to.
+    pub servers: Option<Arc<dyn ServerSource>>,
     listeners: Option<Listeners>,
 }
 
@@ -104,6 +109,7 @@
             config,
             handle: None,
             disk: Arc::new(RealDisk),
+            servers: None,
             listeners: Some(listeners),
         }
     }
@@ -117,7 +123,7 @@
         let environment = Environment {
             listeners,
             disk: Arc::clone(&self.disk),
-            servers: None,
+            servers: self.servers.clone(),
         };
         let handle = start_in(self.config.clone(), telemetry, environment).await?;
         self.handle = Some(handle);
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -1,13 +1,14 @@
 //! Connections to the control replicas: one to each that is known.
 //!
-//! Routes count as soon as any replica has applied them, so a gateway that hears every replica has
-//! them while any of them is reached; an old leader's word only comes too late and is ignored.
+//! Routes count as soon as any replica has applied them, so a gateway that hears of every replica what it has
+//! gets them while any of them is reached; an old leader's word only comes too late and is ignored.
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use sablehaven_types::Distance;
 use sablehaven_wire::{
-    Connection, ControlToGateway, DialPatience, GatewayToControl, Hello, PROTOCOL_VERSION, Role,
-    WireError, connect_from,
+    Connection, ControlToGateway, DialPatience, GatewayStatus, GatewayToControl, Hello,
+    PROTOCOL_VERSION, Role, WireError, connect_from,
 };
 use tokio::{
     sync::broadcast::error::RecvError,
@@ -15,7 +16,7 @@
     time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 
-use crate::gateway::Gateway;
+use crate::{control_links::LinkQueue, gateway::Gateway};
 
 /// Pause before a lost connection is opened again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
@@ -72,7 +73,9 @@
             Ok(connection) => {
                 log::info!(event = "control_connected", peer:% = address; "control");
                 gateway.metrics.control_connections.inc();
-                let ended = follow(&gateway, address, connection).await;
+                let queue = gateway.control_links.open(address);
+                let ended = follow(&gateway, address, connection, queue).await;
+                gateway.control_links.close(address);
                 gateway.metrics.control_connections.dec();
                 was_connected = true;
                 if let Err(error) = ended {
@@ -109,6 +112,7 @@
     gateway: &Gateway,
     peer: SocketAddr,
     connection: Connection<ControlToGateway, GatewayToControl>,
+    mut queue: LinkQueue,
 ) -> Result<(), LinkError> {
     let Connection {
         mut reader,
@@ -123,19 +127,22 @@
     let mut alive = interval(ALIVE_INTERVAL);
     alive.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_sign = Instant::now();
+    let mut arrived_bytes = 0;
+    let mut told: Option<GatewayStatus> = None;
     loop {
         // The first status goes out before any sign of life.
         let message = tokio::select! {
             biased;
             Ok(()) = status.changed() => {
                 let status = status.borrow_and_update().clone();
-                Some(GatewayToControl::Status(status))
+                let is_due = is_due(gateway, peer, told.as_ref(), &status);
+                is_due.then(|| GatewayToControl::Status(told.insert(status).clone()))
             }
             received = reader.receive() => {
-                last_sign = Instant::now();
                 take(gateway, peer, received?)?;
                 None
             }
+            Some(message) = queue.recv() => Some(message),
             () = std::future::ready(()), if known.is_some() => {
                 let known = known.take().filter(|known| !known.is_empty());
                 known.map(GatewayToControl::Crashes)
@@ -149,6 +156,10 @@
             },
             _ = alive.tick() => Some(GatewayToControl::Alive(gateway.load.load())),
         };
+        if reader.arrived_bytes() != arrived_bytes {
+            arrived_bytes = reader.arrived_bytes();
+            last_sign = Instant::now();
+        }
         if last_sign.elapsed() > SILENCE_LIMIT {
             return Err(LinkError::Silent { peer });
         }
@@ -161,8 +172,26 @@
     }
 }
 
+/// Whether a replica must hear a status. Every one hears where the gateway is and whether it is ready, which callers
+/// are told; the versions in force are for the preferred one alone, since each change of them would else be a message
+/// from every gateway to every replica.
+fn is_due(
+    gateway: &Gateway,
+    peer: SocketAddr,
+    told: Option<&GatewayStatus>,
+    status: &GatewayStatus,
+) -> bool {
+    gateway.control_links.is_preferred(peer)
+        || told.is_none_or(|told| told.is_ready != status.is_ready)
+}
+
 fn take(gateway: &Gateway, peer: SocketAddr, message: ControlToGateway) -> Result<(), LinkError> {
     match message {
+        ControlToGateway::Placement(placement) => {
+            let distance = Distance::between(&gateway.config.placement, &placement);
+            gateway.control_links.place(peer, distance);
+        }
+        ControlToGateway::Versions(versions) => gateway.control_links.offer(peer, versions),
         ControlToGateway::Routes(document) => gateway.take_routes(document),
         ControlToGateway::Listing(listing) => gateway.take_listing(&listing),
         ControlToGateway::ListingChange(change) => {
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -15,13 +15,13 @@
     CallerLimits, CrashReport, EvacuatedZones, ListingChange, ListingNumber, RequestFingerprint,
     RouteDocument, ServerListing, ZoneName,
 };
-use sablehaven_wire::{DeploymentMembers, GatewayStatus};
+use sablehaven_wire::{DeploymentMembers, GatewayStatus, StateVersions};
 use tokio::sync::{broadcast, watch};
 
 use crate::{
-    Config, admission::Admission, crashes::log_quarantine, load::LoadMeter, metrics::Metrics,
-    names::HeaderNames, resends::ResendDetector, route_table::RouteTable, servers::Registry,
-    throttle::RequestThrottle,
+    Config, admission::Admission, control_links::ControlLinks, crashes::log_quarantine,
+    load::LoadMeter, metrics::Metrics, names::HeaderNames, resends::ResendDetector,
+    route_table::RouteTable, servers::Registry, throttle::RequestThrottle,
 };
 
 /// Reports that a connection to a control replica may be behind; one that is further behind begins anew.
@@ -64,6 +64,8 @@
     advertised: SocketAddr,
     is_stopping: Cell<bool>,
     status: watch::Sender<GatewayStatus>,
+    /// The connections to control replicas, and what is fetched on them.
+    pub(crate) control_links: ControlLinks,
     /// Internal addresses of control replicas: those of the settings and every one learned since.
     controls: watch::Sender<BTreeSet<SocketAddr>>,
 }
@@ -97,6 +99,7 @@
             advertised,
             is_stopping: Cell::new(false),
             status: watch::channel(status).0,
+            control_links: ControlLinks::default(),
             controls: watch::channel(controls).0,
         }
     }
@@ -114,6 +117,15 @@
             .map_or_else(CallerLimits::default, |table| table.document().limits)
     }
 
+    /// The versions of routes and list in force.
+    pub(crate) fn versions(&self) -> StateVersions {
+        let routes = self.routes.borrow();
+        StateVersions {
+            routes: routes.as_ref().map_or(0, |table| table.document().version),
+            listing: self.registry.number(),
+        }
+    }
+
     /// Whether callers' requests are taken.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping.get() && self.has_routes()
@@ -251,17 +263,14 @@
     }
 
     fn refresh_status(&self) {
-        let version = self
-            .routes
-            .borrow()
-            .as_ref()
-            .map_or(0, |table| table.document().version);
+        let versions = self.versions();
+        self.control_links.look_again();
         self.status.send_replace(GatewayStatus {
             address: self.advertised,
             placement: self.config.placement.clone(),
             is_ready: self.is_ready(),
-            routes_version: version,
-            listing: self.registry.number(),
+            routes_version: versions.routes,
+            listing: versions.listing,
             evacuation_revision: self.registry.evacuation_revision(),
         });
     }
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! fraction of a core, and state without locks is smaller and simpler.
 //!
 //! - [`names`]: what headers are called; a deployment may call them otherwise.
-//! - `control_link`: routes and the list of servers from the control replicas.
+//! - `control_link`, `control_links`, `sources`: routes and the list of servers from the control replicas.
 //! - `route_table`: which route a request takes.
 //! - `servers`: connections, health and choice of servers; the budget of extra attempts.
 //! - `request`: the way of one request.
@@ -16,6 +16,7 @@
 mod admission;
 mod config;
 mod control_link;
+mod control_links;
 mod crashes;
 mod gateway;
 mod load;
@@ -27,6 +28,7 @@
 mod role;
 mod route_table;
 mod servers;
+mod sources;
 mod throttle;
 
 pub use config::{Config, RetryBounds};
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -17,7 +17,8 @@
 };
 
 use crate::{
-    Config, control_link::keep_links, gateway::Gateway, names::HeaderNames, request::answer,
+    Config, control_link::keep_links, control_links::fetch_state, gateway::Gateway,
+    names::HeaderNames, request::answer,
 };
 
 /// Time between two looks for connections that have rested too long.
@@ -81,6 +82,7 @@
     let gateway = Rc::new(Gateway::new(config, names, address));
     let accepting = spawn_local(accept_callers(Rc::clone(&gateway), callers));
     spawn_local(keep_links(Rc::clone(&gateway)));
+    spawn_local(fetch_state(Rc::clone(&gateway)));
     spawn_local(sweep(Rc::clone(&gateway)));
     spawn_local(read_load(Rc::clone(&gateway)));
     let mut ready_address = None;
--- a/crates/sablehaven-gateway/tests/gateway/support/control.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/control.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use sablehaven_types::{EvacuatedZones, RouteDocument, ServerListing};
+use sablehaven_types::{EvacuatedZones, Placement, RouteDocument, ServerListing};
 use sablehaven_wire::{
     ControlToGateway, DeploymentMembers, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION,
     Role, accept,
@@ -49,6 +49,12 @@
                     ..DeploymentMembers::default()
                 })
             };
+            let placement = Placement {
+                region: "north".into(),
+                zone: "a".into(),
+            };
+            let message = ControlToGateway::Placement(placement);
+            connection.writer.send(&message).await.expect("send");
             loop {
                 tokio::select! {
                     Ok(()) = saying.changed() => {
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -35,7 +35,7 @@
     RequestId, ServiceName, ShardId, ZoneName,
 };
 pub use ledger::{ClaimAnswer, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome};
-pub use listing::{ListedServer, ListingChange, ListingNumber, ServerListing};
+pub use listing::{ListedServer, ListingChange, ListingNumber, ListingUpdate, ServerListing};
 pub use membership::{BackendRecord, BackendState, Observation, ObservationKind, Placement};
 pub use outcome::{ConfigurationAge, Envelope, Outcome, SnapshotId};
 pub use process::BoundAddresses;
--- a/crates/sablehaven-types/src/listing.rs
+++ b/crates/sablehaven-types/src/listing.rs
@@ -1,6 +1,10 @@
 //! The platform's list of servers, as gateways use it.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -92,6 +96,33 @@
     }
 }
 
+impl ListingChange {
+    /// The reading that this leads to from `base`; `None` where it changes another one.
+    pub fn apply(&self, base: &ServerListing) -> Option<ServerListing> {
+        if self.base != base.number {
+            return None;
+        }
+        let gone = self.gone.iter();
+        let changed = self.changed.iter().map(|server| &server.id);
+        let replaced: HashSet<&BackendId> = gone.chain(changed).collect();
+        let kept = base.servers.iter();
+        let kept = kept.filter(|server| !replaced.contains(&server.id));
+        Some(ServerListing {
+            number: self.number,
+            servers: kept.chain(&self.changed).cloned().collect(),
+        })
+    }
+}
+
+/// What brings a receiver to a reading.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListingUpdate {
+    /// All of it.
+    Whole(Arc<ServerListing>),
+    /// What differs from the reading that the receiver has.
+    Change(ListingChange),
+}
+
 /// A whole reading of the platform's list.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerListing {
--- a/crates/sablehaven-wire/src/connection.rs
+++ b/crates/sablehaven-wire/src/connection.rs
@@ -21,7 +21,7 @@
 };
 
 /// The version of the internal protocol.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 
 /// The largest frame that is accepted, in bytes.
 pub const MAXIMUM_FRAME_BYTES: usize = 32 * 1024 * 1024;
@@ -143,6 +143,12 @@
         self.received_bytes
     }
 
+    /// Bytes that have arrived so far, also of a frame that is not whole yet: a large one that is on its way is a
+    /// sign of life too.
+    pub fn arrived_bytes(&self) -> u64 {
+        self.received_bytes + self.inner.read_buffer().len() as u64
+    }
+
     fn retype<Other>(self) -> FrameReader<Other> {
         FrameReader {
             peer: self.peer,
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -21,6 +21,6 @@
 pub use message::{
     AgentStatus, AgentToRelay, ControlToGateway, ControlToRelay, DeploymentMembers, GatewayLoad,
     GatewayStatus, GatewayToControl, Hello, LeaseGrant, PeerMessage, RelayToAgent, RelayToControl,
-    Role, StateUpdate, UpdateFit,
+    Role, StateUpdate, StateVersions, UpdateFit,
 };
 pub use patience::DialPatience;
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -4,8 +4,8 @@
 
 use sablehaven_types::{
     AgentId, BackendId, BackendRecord, CrashReport, EvacuatedZones, LedgerReply, LedgerRequest,
-    ListingChange, Observation, Placement, RelayId, RouteDocument, SchemaSource, ServerListing,
-    ServiceConfiguration, ServiceName, ZoneName,
+    ListingChange, ListingNumber, Observation, Placement, RelayId, RouteDocument, SchemaSource,
+    ServerListing, ServiceConfiguration, ServiceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -248,6 +248,12 @@
     Status(GatewayStatus),
     /// A sign of life between two statuses.
     Alive(GatewayLoad),
+    /// Asks for routes that are newer than this version.
+    FetchRoutes(u64),
+    /// Asks for what leads from this reading of the platform's list to the replica's.
+    FetchListing(ListingNumber),
+    /// Whether the replica is the one that tells this gateway who takes part; none is before it is said.
+    Prefer(bool),
     /// Requests under which servers ended, for all other gateways. What is known goes out at the start of each
     /// connection, what is new at once.
     Crashes(Vec<CrashReport>),
@@ -265,7 +271,7 @@
     /// The version of the routes that it has put in force; 0 for none.
     pub routes_version: u64,
     /// The reading of the platform's list that it has.
-    pub listing: sablehaven_types::ListingNumber,
+    pub listing: ListingNumber,
     /// The revision of the evacuated zones that it obeys; 0 for none.
     pub evacuation_revision: u64,
 }
@@ -282,6 +288,10 @@
 /// From a control replica to a gateway.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ControlToGateway {
+    /// Where the replica runs; sent first.
+    Placement(Placement),
+    /// What the replica has. Sent at the start and at each change; the gateway fetches what it lacks.
+    Versions(StateVersions),
     /// Committed routes.
     Routes(std::sync::Arc<RouteDocument>),
     /// A reading of the platform's list.
@@ -299,6 +309,15 @@
     Alive,
 }
 
+/// The versions of what a control replica has for gateways.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateVersions {
+    /// The version of its routes; 0 for none.
+    pub routes: u64,
+    /// Its reading of the platform's list.
+    pub listing: ListingNumber,
+}
+
 /// Who takes part in the deployment, as one control replica sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeploymentMembers {
