Directory: gateways are kept in the order in which callers are told of them

Each look-up of a caller copied the status of every gateway and sorted all of them, and so did the count of sharers twice a second: work that grows with the fleet times its callers.

The reports of gateways are kept by zone and rank (`order.rs`); a look-up takes the first ready ones of the nearest place. Who is told is the same: the tests of the decision keep their assertions and read the kept order.

--- a/crates/sablehaven-control/src/gateways/entry.rs
+++ b/crates/sablehaven-control/src/gateways/entry.rs
@@ -1,11 +1,17 @@
 //! Which gateways a caller is told of, as a pure decision.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use sablehaven_types::{AllowedRegions, Placement, ZoneName};
-use sablehaven_wire::GatewayStatus;
 
-use super::subset::{NamingRank, SubsetSize};
+use super::{
+    order::{GatewayOrder, GatewayReport, ZoneGateways},
+    subset::{NamingRank, SubsetSize},
+};
 
 /// The most addresses that a caller is told.
 const MAXIMUM_ADDRESSES: usize = 64;
@@ -13,61 +19,79 @@
 /// half second. Its connection is given up much later, since one that is only slow comes back.
 const FRESH_LIMIT: Duration = Duration::from_millis(900);
 
-/// A gateway, and how long ago it was heard.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct HeardGateway<'a> {
-    pub(crate) status: &'a GatewayStatus,
-    pub(crate) rank: NamingRank,
-    pub(crate) silent_for: Duration,
-}
-
 /// The sizes of the zones' subsets.
 pub(super) type SubsetSizes = BTreeMap<ZoneName, SubsetSize>;
 
-/// The named gateways of the nearest place that has any: the caller's zone, its region, the regions that
-/// may serve what it asks for, anywhere. Callers draw among the addresses, so far ones beside near ones would be used as much.
-pub(super) fn choose(
-    gateways: &[HeardGateway<'_>],
-    sizes: &SubsetSizes,
-    caller: &Placement,
-    allowed: &AllowedRegions,
-) -> Vec<SocketAddr> {
-    let named = named(gateways, sizes);
-    let in_zone = |gateway: &GatewayStatus| gateway.placement.zone == caller.zone;
-    let in_region = |gateway: &GatewayStatus| gateway.placement.region == caller.region;
-    let is_allowed = |gateway: &GatewayStatus| allowed.admit(Some(&gateway.placement.region));
-    let anywhere = |_: &GatewayStatus| true;
-    let circles: [&dyn Fn(&GatewayStatus) -> bool; 4] =
-        [&in_zone, &in_region, &is_allowed, &anywhere];
-    for is_near in circles {
-        let near = named.iter().filter(|gateway| is_near(gateway.status));
-        let addresses: Vec<SocketAddr> = near.map(|gateway| gateway.status.address).collect();
-        if !addresses.is_empty() {
-            return addresses.into_iter().take(MAXIMUM_ADDRESSES).collect();
+/// The gateways that callers may be told of, at one moment.
+pub(super) struct NamedGateways<'a> {
+    order: &'a GatewayOrder,
+    sizes: &'a SubsetSizes,
+    now: Instant,
+    /// Whether any gateway is heard. When all are silent it is this replica that did not listen.
+    is_any_fresh: bool,
+}
+
+impl<'a> NamedGateways<'a> {
+    pub(super) fn new(order: &'a GatewayOrder, sizes: &'a SubsetSizes, now: Instant) -> Self {
+        let is_fresh =
+            |report: &GatewayReport| report.status.is_ready && report.silent_for(now) < FRESH_LIMIT;
+        Self {
+            order,
+            sizes,
+            now,
+            is_any_fresh: order.reports().any(is_fresh),
         }
     }
-    Vec::new()
-}
 
-/// The gateways of every zone that callers may be told of: the first of those that are ready and heard.
-pub(super) fn named<'a>(
-    gateways: &[HeardGateway<'a>],
-    sizes: &SubsetSizes,
-) -> Vec<HeardGateway<'a>> {
-    let is_fresh = |gateway: &HeardGateway<'_>| gateway.silent_for < FRESH_LIMIT;
-    let ready = gateways.iter().filter(|gateway| gateway.status.is_ready);
-    // When all are silent it is this replica that did not listen.
-    let (fresh, silent): (Vec<&HeardGateway<'a>>, Vec<_>) =
-        ready.partition(|gateway| is_fresh(gateway));
-    let mut told = if fresh.is_empty() { silent } else { fresh };
-    told.sort_by_key(|gateway| gateway.rank);
-    let mut taken: BTreeMap<&ZoneName, usize> = BTreeMap::new();
-    let has_room = |gateway: &&HeardGateway<'a>| {
-        let zone = &gateway.status.placement.zone;
-        let size = sizes.get(zone).copied().unwrap_or_default();
-        let taken = taken.entry(zone).or_default();
-        *taken += 1;
-        *taken <= size.size()
-    };
-    told.into_iter().filter(has_room).copied().collect()
+    /// The named gateways of the nearest place that has any: the caller's zone, its region, the regions that
+    /// may serve what it asks for, anywhere. Callers draw among the addresses, so far ones beside near ones would be
+    /// used as much.
+    pub(super) fn near(&self, caller: &Placement, allowed: &AllowedRegions) -> Vec<SocketAddr> {
+        let in_zone = |place: &Placement| place.zone == caller.zone;
+        let in_region = |place: &Placement| place.region == caller.region;
+        let is_allowed = |place: &Placement| allowed.admit(Some(&place.region));
+        let anywhere = |_: &Placement| true;
+        let circles: [&dyn Fn(&Placement) -> bool; 4] =
+            [&in_zone, &in_region, &is_allowed, &anywhere];
+        for is_near in circles {
+            let addresses = self.within(is_near);
+            if !addresses.is_empty() {
+                return addresses;
+            }
+        }
+        Vec::new()
+    }
+
+    /// The named gateways of some places, in the order of their ranks, no more than a caller is told.
+    fn within(&self, is_near: &dyn Fn(&Placement) -> bool) -> Vec<SocketAddr> {
+        let mut ranks: Vec<NamingRank> = Vec::new();
+        for (name, zone) in self.order.zones() {
+            let is_zone_near = zone
+                .values()
+                .any(|report| is_near(&report.status.placement));
+            if is_zone_near {
+                ranks.extend(self.of_zone(name, zone));
+            }
+        }
+        ranks.sort_unstable();
+        let addresses = ranks.into_iter().map(|(_, address)| address);
+        addresses.take(MAXIMUM_ADDRESSES).collect()
+    }
+
+    /// The named gateways of one zone: the first of those that are ready and heard.
+    pub(super) fn of_zone(
+        &self,
+        name: &ZoneName,
+        zone: &'a ZoneGateways,
+    ) -> impl Iterator<Item = NamingRank> {
+        let size = self.sizes.get(name).copied().unwrap_or_default();
+        let may_be_told = |(_, report): &(&NamingRank, &GatewayReport)| self.may_be_told(report);
+        let told = zone.iter().filter(may_be_told);
+        told.map(|(rank, _)| *rank).take(size.size())
+    }
+
+    fn may_be_told(&self, report: &GatewayReport) -> bool {
+        let is_fresh = report.silent_for(self.now) < FRESH_LIMIT;
+        report.status.is_ready && (is_fresh || !self.is_any_fresh)
+    }
 }
--- a/crates/sablehaven-control/src/gateways/mod.rs
+++ b/crates/sablehaven-control/src/gateways/mod.rs
@@ -4,6 +4,7 @@
 mod encoded;
 mod entry;
 mod members_view;
+mod order;
 mod registry;
 mod session;
 mod sessions;
--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -17,7 +17,7 @@
 use super::{
     crash_board::CrashBoard,
     encoded::{Encoded, EncodedListings, encode},
-    entry::choose,
+    entry::NamedGateways,
     members_view::MembersView,
     sessions::Sessions,
 };
@@ -94,7 +94,8 @@
     /// what it asks for.
     pub(crate) fn entry(&self, caller: &Placement, allowed: &AllowedRegions) -> Vec<SocketAddr> {
         let sessions = self.lock();
-        choose(&sessions.heard(), &sessions.sizes, caller, allowed)
+        let named = NamedGateways::new(&sessions.order, &sessions.sizes, Instant::now());
+        named.near(caller, allowed)
     }
 
     /// Gateways share what servers bear by their number, so a picture that is not whole yet would make
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -12,10 +12,11 @@
 
 use super::{
     Gateways,
-    entry::{HeardGateway, SubsetSizes, choose},
+    entry::{NamedGateways, SubsetSizes},
+    order::{GatewayOrder, GatewayReport},
     registry::has_settled,
     sessions::Sessions,
-    subset::{SubsetSize, naming_rank},
+    subset::SubsetSize,
 };
 
 fn place(region: &str, zone: &str) -> Placement {
@@ -62,13 +63,18 @@
     caller: &Placement,
     allowed: &AllowedRegions,
 ) -> Vec<u16> {
-    let gateways = gateways.iter().map(|(status, silent_for)| HeardGateway {
-        rank: naming_rank(status.address),
-        status,
-        silent_for: *silent_for,
-    });
-    let gateways: Vec<HeardGateway<'_>> = gateways.collect();
-    let chosen = choose(&gateways, sizes, caller, allowed);
+    let now = Instant::now();
+    let mut order = GatewayOrder::default();
+    for (status, silent_for) in gateways {
+        order.insert(GatewayReport {
+            session: 1,
+            status: status.clone(),
+            load: GatewayLoad::default(),
+            heard_at: now - *silent_for,
+            served_at: None,
+        });
+    }
+    let chosen = NamedGateways::new(&order, sizes, now).near(caller, allowed);
     let mut ports: Vec<u16> = chosen.iter().map(std::net::SocketAddr::port).collect();
     ports.sort_unstable();
     ports
@@ -226,11 +232,15 @@
     sessions.take(1, ready(false));
     sessions.take(2, ready(true));
     sessions.take(1, ready(false));
-    assert!(sessions.heard()[0].status.is_ready);
+    let heard = |sessions: &Sessions| -> Vec<bool> {
+        let reports = sessions.order.reports();
+        reports.map(|report| report.status.is_ready).collect()
+    };
+    assert_eq!(heard(&sessions), [true]);
     sessions.remove(1);
-    assert_eq!(sessions.heard().len(), 1);
+    assert_eq!(heard(&sessions).len(), 1);
     sessions.remove(2);
-    assert!(sessions.heard().is_empty());
+    assert!(heard(&sessions).is_empty());
 }
 
 fn listed(warmup_left_ms: u64, is_draining: bool) -> ListedServer {
