Gateway: an answer that comes after another replica's is ignored and not a lost connection; evacuated zones before routes

With lists that are fetched, a change that was asked for from a slow replica may come after another replica's answer. It then changes a reading that the gateway no longer has, and the gateway closed that connection and dialled again: with slow replicas after a loss of power, from many gateways at once. It is ignored now, with a line in the log, and what is still missing is fetched anew at once (test in `sources`). A replica sends the evacuated zones right before routes that are asked for, as it did when it sent them by itself.

--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -258,8 +258,9 @@
         Arc::clone(&self.context.gateways.listing().borrow())
     }
 
-    /// Sends the routes where they are newer than what the gateway has.
+    /// Sends the routes where they are newer than what the gateway has, and the evacuated zones before them.
     async fn send_routes(&mut self, held: u64) -> Result<(), GatewaySessionError> {
+        self.send_evacuation().await?;
         let newer = self.routes().filter(|document| document.version > held);
         let encoded = newer.and_then(|document| self.context.gateways.encode_routes(&document));
         match encoded {
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -32,11 +32,6 @@
 enum LinkError {
     /// {0}
     Wire(#[from] WireError),
-    /// connection to control {peer}: it changes a list of servers that this gateway does not have
-    ListingGap {
-        /// The replica.
-        peer: SocketAddr,
-    },
     /// connection to control {peer}: no sign of life
     Silent {
         /// The replica.
@@ -194,12 +189,7 @@
         ControlToGateway::Versions(versions) => gateway.control_links.offer(peer, versions),
         ControlToGateway::Routes(document) => gateway.take_routes(document),
         ControlToGateway::Listing(listing) => gateway.take_listing(&listing),
-        ControlToGateway::ListingChange(change) => {
-            // The replica hears on the next connection which reading this gateway has.
-            if !gateway.take_listing_change(&change) {
-                return Err(LinkError::ListingGap { peer });
-            }
-        }
+        ControlToGateway::ListingChange(change) => gateway.take_listing_change(&change),
         ControlToGateway::Members(members) => gateway.take_members(members),
         ControlToGateway::Evacuation(zones) => gateway.take_evacuation(zones),
         ControlToGateway::Crashes(reports) => gateway.take_crashes(&reports),
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -169,14 +169,21 @@
         self.refresh_status();
     }
 
-    /// Takes what a reading says otherwise than the one before it; `false` when that is not the one in force
-    /// and something newer than that is missing.
-    pub(crate) fn take_listing_change(&self, change: &ListingChange) -> bool {
-        if change.number <= self.registry.number() {
-            return true;
+    /// Takes what a reading says otherwise than the one that was in force when it was asked for. Where another replica's
+    /// answer has come first, what is still missing is fetched anew.
+    pub(crate) fn take_listing_change(&self, change: &ListingChange) {
+        let held = self.registry.number();
+        if change.number <= held {
+            return;
         }
         if !self.registry.take_listing_change(change) {
-            return false;
+            log::info!(
+                event = "listing_change_ignored", base_term = change.base.term,
+                base_reading = change.base.reading, held_term = held.term,
+                held_reading = held.reading;
+                "list of servers"
+            );
+            return;
         }
         let number = change.number;
         let servers = self.registry.server_count();
@@ -187,7 +194,6 @@
             "list of servers"
         );
         self.refresh_status();
-        true
     }
 
     /// Takes the evacuated zones. Only forward, as routes.
--- a/crates/sablehaven-gateway/src/sources/tests.rs
+++ b/crates/sablehaven-gateway/src/sources/tests.rs
@@ -147,6 +147,21 @@
     assert_eq!(asked(&mut sources, ms(1), NOTHING), [2]);
 }
 
+/// Replica 1 answered after it had been given up, with less than replica 2 has.
+#[test]
+fn what_is_still_missing_after_an_answer_is_fetched_anew_at_once() {
+    let mut sources = sources();
+    sources.offer(replica(1), listing(2, 2));
+    sources.offer(replica(2), listing(2, 3));
+    assert_eq!(asked(&mut sources, ms(0), listing(2, 1)), [1]);
+    assert_eq!(asked(&mut sources, FETCH_PATIENCE, listing(2, 1)), [2]);
+    sources.offer(replica(1), listing(2, 3));
+    let steps = sources.next(FETCH_PATIENCE + ms(5), listing(2, 2), 0.0);
+    let base = listing(2, 2).listing;
+    let fetch = (replica(1), GatewayToControl::FetchListing(base));
+    assert!(steps.messages.contains(&fetch), "{steps:?}");
+}
+
 /// Replicas 3 and 4 have gone on while 1 and 2 are cut off from them, but not from the gateway.
 #[test]
 fn replicas_that_are_left_behind_do_not_hold_a_change_up() {
