--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -134,7 +134,7 @@
                 is_due.then(|| GatewayToControl::Status(told.insert(status).clone()))
             }
             received = reader.receive() => {
-                take(gateway, peer, received?)?;
+                take(gateway, peer, received?);
                 None
             }
             Some(message) = queue.recv() => Some(message),
@@ -180,7 +180,7 @@
         || told.is_none_or(|told| told.is_ready != status.is_ready)
 }
 
-fn take(gateway: &Gateway, peer: SocketAddr, message: ControlToGateway) -> Result<(), LinkError> {
+fn take(gateway: &Gateway, peer: SocketAddr, message: ControlToGateway) {
     match message {
         ControlToGateway::Placement(placement) => {
             let distance = Distance::between(&gateway.config.placement, &placement);
@@ -195,5 +195,4 @@
         ControlToGateway::Crashes(reports) => gateway.take_crashes(&reports),
         ControlToGateway::Alive => {}
     }
-    Ok(())
 }
