--- a/crates/sablehaven-control/src/config.rs
+++ b/crates/sablehaven-control/src/config.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use sablehaven_types::{Placement, SettingChecks, SettingError, ZoneName};
+use sablehaven_types::{Placement, QuotaTolerance, SettingChecks, SettingError, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::ledger::LedgerLimits;
@@ -52,6 +52,8 @@
     /// while its own data folder is new and every peer is there, new too, and may do the same. Set
     /// it at the first start of a deployment; a machine that joins later does without.
     pub bootstrap: bool,
+    /// How far tenants' requests may go beyond their quotas, over all gateways together.
+    pub quotas: QuotaTolerance,
     /// Groups that the ledger's keys are spread over; the same on every replica, fixed at the first
     /// start. 0 goes without a ledger: agents then cannot send requests that run at most once.
     pub ledger_groups: u32,
@@ -112,6 +114,7 @@
             data_folder: PathBuf::from("data"),
             peers: Vec::new(),
             bootstrap: false,
+            quotas: QuotaTolerance::default(),
             ledger_groups: 4,
             ledger: LedgerLimits::default(),
             platform: None,
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -122,6 +122,8 @@
                 ask(&asked, GatewayRequest::Listing(held)).await;
                 "fetch_listing"
             }
+            // Nothing grants any yet.
+            GatewayToControl::TakeTokens(_) => "take_tokens",
             GatewayToControl::Prefer(is_preferred) => {
                 ask(&asked, GatewayRequest::Prefer(is_preferred)).await;
                 "prefer"
--- a/crates/sablehaven-gateway/src/admission.rs
+++ b/crates/sablehaven-gateway/src/admission.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use crate::{resends::CallerTry, servers::KindOfRequest};
+use crate::{resends::CallerTry, servers::KindOfRequest, urgency::Urgency};
 
 /// Part of the room that requests of the most urgent rank may fill; each further rank gets
 /// [`RANK_STEP`] less.
@@ -23,8 +23,7 @@
 /// What the admission needs to know of a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AdmissionClass {
-    /// 0 is the most urgent.
-    pub(crate) priority: u32,
+    pub(crate) urgency: Urgency,
     pub(crate) kind: KindOfRequest,
     /// Until when it is worth most.
     pub(crate) due: Duration,
@@ -87,7 +86,7 @@
         class: AdmissionClass,
     ) -> Result<Admitted, NotAdmitted> {
         let shared = &self.shared;
-        let part = FIRST_RANK_PART - RANK_STEP * f64::from(class.priority);
+        let part = FIRST_RANK_PART - RANK_STEP * class.urgency.steps();
         let room = shared.limit as f64 * part.max(LEAST_PART);
         if shared.open.get() as f64 >= room {
             return Err(NotAdmitted::NoRoom);
--- a/crates/sablehaven-gateway/src/admission/tests.rs
+++ b/crates/sablehaven-gateway/src/admission/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Admission, AdmissionClass, NotAdmitted};
-use crate::{resends::CallerTry, servers::KindOfRequest};
+use crate::{resends::CallerTry, servers::KindOfRequest, urgency::Urgency};
 
 const KIND: KindOfRequest = KindOfRequest(1);
 const NOW: Duration = Duration::from_secs(10);
@@ -11,7 +11,7 @@
 
 fn first(priority: u32, kind: KindOfRequest, due: Duration) -> AdmissionClass {
     AdmissionClass {
-        priority,
+        urgency: Urgency::new(None, priority),
         kind,
         due,
         caller_try: CallerTry::First,
--- a/crates/sablehaven-gateway/src/config.rs
+++ b/crates/sablehaven-gateway/src/config.rs
@@ -6,7 +6,9 @@
     time::Duration,
 };
 
-use sablehaven_types::{Placement, RegionName, SettingChecks, SettingError, ZoneName};
+use sablehaven_types::{
+    Placement, QuotaTolerance, RegionName, SettingChecks, SettingError, ZoneName,
+};
 use serde::{Deserialize, Serialize};
 
 /// Settings of a gateway. Durations are in milliseconds.
@@ -44,6 +46,8 @@
     /// The largest share of a kind of request that is refused while most of its answers are late or none,
     /// 0 to 0.9; 0 refuses none for that.
     pub max_throttled: f64,
+    /// How far tenants' requests may go beyond their quotas, over all gateways together.
+    pub quotas: QuotaTolerance,
 }
 
 /// Bounds of extra attempts, for all gateways together: in any window, attempts beyond the first of
@@ -93,6 +97,7 @@
             stop_limit_ms: 5_500,
             max_requests: 512,
             max_throttled: 0.7,
+            quotas: QuotaTolerance::default(),
         }
     }
 }
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -193,6 +193,8 @@
         ControlToGateway::Members(members) => gateway.take_members(members),
         ControlToGateway::Evacuation(zones) => gateway.take_evacuation(zones),
         ControlToGateway::Crashes(reports) => gateway.take_crashes(&reports),
+        // Nothing asks for any yet.
+        ControlToGateway::Tokens(_) => {}
         ControlToGateway::Alive => {}
     }
 }
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod servers;
 mod sources;
 mod throttle;
+mod urgency;
 
 pub use config::{Config, RetryBounds};
 pub use role::{Figures, Handle, StartError, start};
--- a/crates/sablehaven-gateway/src/names.rs
+++ b/crates/sablehaven-gateway/src/names.rs
@@ -22,6 +22,8 @@
     pub part_stamps: HeaderName,
     /// The number of shards that are left out.
     pub missing_parts: HeaderName,
+    /// Tells servers whose request it is; what a caller says of that is not passed on.
+    pub tenant: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -35,6 +37,7 @@
             instance: HeaderName::from_static("sablehaven-instance"),
             part_stamps: HeaderName::from_static("sablehaven-part-stamps"),
             missing_parts: HeaderName::from_static("sablehaven-missing-parts"),
+            tenant: HeaderName::from_static("sablehaven-tenant"),
         }
     }
 }
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -120,7 +120,7 @@
         return shards;
     }
     let registry = &accepted.gateway.registry;
-    let allowed = &accepted.planned.route().allowed_regions;
+    let allowed = accepted.allowed_regions();
     shards.sort_by_cached_key(|shard| Reverse(registry.service(shard).spare(allowed, &[])));
     shards
 }
@@ -129,7 +129,7 @@
 /// asking the others would only be work for nothing.
 fn servable_shards(accepted: &Accepted, gather: &Gather) -> usize {
     let registry = &accepted.gateway.registry;
-    let allowed = &accepted.planned.route().allowed_regions;
+    let allowed = accepted.allowed_regions();
     let can_serve = |shard: &&ServiceName| registry.service(shard).can_serve(allowed);
     gather.shards.iter().filter(can_serve).count()
 }
--- a/crates/sablehaven-gateway/src/request/headers.rs
+++ b/crates/sablehaven-gateway/src/request/headers.rs
@@ -26,6 +26,7 @@
         &names.request_id,
         &names.deadline_ms,
         &names.expect_instance,
+        &names.tenant,
     ] {
         kept.remove(own);
     }
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! The way of one request: route, admission, servers, answer.
 
+mod authorize;
 mod first_routes;
 mod gather;
 mod headers;
@@ -9,6 +10,7 @@
 mod refusal;
 mod single;
 mod sub_request;
+mod tokens;
 mod wait;
 
 use std::{
@@ -26,9 +28,11 @@
 };
 use sablehaven_http::WholeBody;
 use sablehaven_routing::crash_table::Standing;
-use sablehaven_types::{Route, RouteTarget, ServiceName, WeightedService};
+use sablehaven_types::{AllowedRegions, Route, RouteTarget, ServiceName, Tenant, WeightedService};
 
-use self::{first_routes::find_route_or_wait, refusal::Refusal};
+use self::{
+    authorize::find_tenant, first_routes::find_route_or_wait, refusal::Refusal, tokens::take_token,
+};
 use crate::{
     admission::{AdmissionClass, Admitted, NotAdmitted},
     crashes::{CrashWatch, fingerprint},
@@ -39,6 +43,7 @@
     route_table::PlannedRoute,
     servers::{KindOfRequest, OutgoingRequest},
     throttle::ThrottleClass,
+    urgency::Urgency,
 };
 
 /// Time before the caller's own deadline at which it is told that there is no answer.
@@ -48,6 +53,8 @@
 pub(crate) struct Accepted {
     pub(crate) gateway: Rc<Gateway>,
     pub(crate) planned: Rc<PlannedRoute>,
+    /// Whose request it is; `None` where nobody needs a key.
+    pub(crate) tenant: Option<Rc<Tenant>>,
     pub(crate) outgoing: Rc<OutgoingRequest>,
     pub(crate) arrived: Instant,
 }
@@ -72,6 +79,7 @@
     let (head, body) = request.into_parts();
     let caller_try = caller_try(gateway, &head);
     let planned = find_route_or_wait(gateway, &head, caller_try).await?;
+    let tenant = find_tenant(gateway, &planned, &head)?;
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
     let request_id = request_id.ok_or(Refusal::NoRequestId)?;
     let body = read_body(body, gateway.limits().max_body_bytes).await?;
@@ -82,7 +90,8 @@
     refuse_quarantined(gateway, &crash_watch, &request_id)?;
     let route = planned.route();
     let kind = planned.profile.kind();
-    let admitted = admit(gateway, route, kind, caller_try);
+    let urgency = urgency(route, tenant.as_deref());
+    let admitted = admit(gateway, route, kind, urgency, caller_try);
     if let Err(reason) = &admitted {
         log::warn!(
             event = "refused", request:% = id_text(&request_id), reason:% = reason,
@@ -92,6 +101,9 @@
         accepted_metrics(gateway, &planned, Outcome::Refused, arrived);
         return Err(Refusal::TooMany);
     }
+    if let Some(tenant) = &tenant {
+        take_token(gateway, tenant, 0.0).await?;
+    }
     let deadline = arrived + time_left(gateway, &planned, &head);
     let outgoing = Rc::new(OutgoingRequest {
         method: head.method,
@@ -107,6 +119,7 @@
     let accepted = Accepted {
         gateway: Rc::clone(gateway),
         planned: Rc::clone(&planned),
+        tenant,
         outgoing,
         arrived,
     };
@@ -146,18 +159,19 @@
     gateway: &Gateway,
     route: &Route,
     kind: KindOfRequest,
+    urgency: Urgency,
     caller_try: CallerTry,
 ) -> Result<Admitted, NotAdmitted> {
     let now = gateway.clock.now();
     if caller_try == CallerTry::First {
-        let class = throttle_class(route, kind);
+        let class = throttle_class(route, kind, urgency);
         let throttle = gateway.throttle.borrow();
         if !throttle.may_pass(now, class, rand::random()) {
             return Err(NotAdmitted::Throttled);
         }
     }
     let class = AdmissionClass {
-        priority: route.priority,
+        urgency,
         kind,
         due: now + Duration::from_millis(route.aim_ms),
         caller_try,
@@ -190,10 +204,14 @@
     named.or_else(|| head.uri.host())
 }
 
-fn throttle_class(route: &Route, kind: KindOfRequest) -> ThrottleClass<'_> {
+fn urgency(route: &Route, tenant: Option<&Tenant>) -> Urgency {
+    Urgency::new(tenant.map(|tenant| tenant.priority), route.priority)
+}
+
+fn throttle_class(route: &Route, kind: KindOfRequest, urgency: Urgency) -> ThrottleClass<'_> {
     ThrottleClass {
         kind,
-        priority: route.priority,
+        urgency,
         service: route.first_service(),
     }
 }
@@ -204,6 +222,7 @@
     let Accepted {
         gateway,
         planned,
+        tenant,
         outgoing,
         arrived,
     } = accepted;
@@ -215,7 +234,8 @@
     let aim = Duration::from_millis(route.aim_ms);
     let is_served = matches!(outcome, Outcome::Whole | Outcome::Partial);
     let is_useful = is_served && arrived.elapsed() <= aim;
-    let class = throttle_class(route, planned.profile.kind());
+    let urgency = urgency(route, tenant.as_deref());
+    let class = throttle_class(route, planned.profile.kind(), urgency);
     let mut throttle = gateway.throttle.borrow_mut();
     throttle.answered(now, class, is_useful);
 }
@@ -289,6 +309,11 @@
 }
 
 impl Accepted {
+    /// The regions in which its servers may be.
+    fn allowed_regions(&self) -> &AllowedRegions {
+        &self.planned.route().allowed_regions
+    }
+
     fn id(&self) -> String {
         id_text(&self.outgoing.request_id)
     }
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -24,7 +24,7 @@
 /// When to come back when no server ran the request.
 const NOT_RUN_PAUSE: Duration = Duration::from_millis(100);
 
-/// Why a request has no answer of a server. 503 is a promise that it has not run and never will;
+/// Why a request has no answer of a server. 429 and 503 are a promise that it has not run and never will;
 /// 502 and 504 promise nothing.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 pub(super) enum Refusal {
@@ -37,6 +37,9 @@
     NoHost,
     /// no route has this host and path
     UnknownRoute,
+    /// no key of a tenant is presented, or one that is not known
+    #[expect(dead_code, reason = "what refuses so follows")]
+    UnknownKey,
     /// the request has no id
     NoRequestId,
     /// the body is larger than allowed
@@ -45,6 +48,15 @@
     BodyCutOff,
     /// too many requests
     TooMany,
+    /// the tenant's quota is used up
+    #[expect(dead_code, reason = "what refuses so follows")]
+    OverQuota {
+        /// Until a token is there for this caller.
+        left: Duration,
+    },
+    /// no control replica says in time whether the tenant's quota bears the request
+    #[expect(dead_code, reason = "what refuses so follows")]
+    NoTokens,
     /// no server may take the request; it has not run
     NoServers,
     /// no server took the request; it has not run
@@ -86,9 +98,12 @@
         match self {
             Self::NoHost | Self::NoRequestId | Self::BodyCutOff => StatusCode::BAD_REQUEST,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoutes { .. }
             | Self::TooMany
+            | Self::NoTokens
             | Self::NoServers
             | Self::NotRun
             | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -102,7 +117,8 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoRoutes { age } => Some(USUAL_START.saturating_sub(*age).max(LEAST_START_PAUSE)),
-            Self::TooMany => Some(PRESSURE_PAUSE),
+            Self::TooMany | Self::NoTokens => Some(PRESSURE_PAUSE),
+            Self::OverQuota { left } => Some(*left),
             Self::NoServers => Some(NO_SERVER_PAUSE),
             Self::NotRun | Self::Failed | Self::TooFewShards => Some(NOT_RUN_PAUSE),
             Self::CrashesServers { left } | Self::Quarantined { left } => {
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -151,7 +151,7 @@
     fn send_in_turn(&mut self, planned: Planned) -> Result<(), PartFailure> {
         let now = self.accepted.gateway.clock.now();
         let spare = || {
-            let allowed = &self.accepted.planned.route().allowed_regions;
+            let allowed = self.accepted.allowed_regions();
             self.service.spare(allowed, &self.tried.borrow())
         };
         let trial = match self.accepted.outgoing.crash_watch.turn(now, spare) {
@@ -194,7 +194,7 @@
     fn next_server(&self) -> Option<Rc<Server>> {
         let now = self.accepted.gateway.clock.now();
         let planned = &self.accepted.planned;
-        let allowed = &planned.route().allowed_regions;
+        let allowed = self.accepted.allowed_regions();
         self.service
             .choose(now, &planned.profile, allowed, &self.tried.borrow())
     }
--- a/crates/sablehaven-gateway/src/route_table/tests.rs
+++ b/crates/sablehaven-gateway/src/route_table/tests.rs
@@ -19,6 +19,7 @@
         priority: 1,
         max_attempts: 2,
         allowed_regions: AllowedRegions::default(),
+        is_public: false,
         target: RouteTarget::Service("search".into()),
     }
 }
@@ -38,6 +39,7 @@
         routes,
         services: BTreeMap::from([("search".into(), RoutedService::default())]),
         limits: CallerLimits::default(),
+        tenants: Vec::new(),
     };
     RouteTable::new(Arc::new(document), former)
 }
--- a/crates/sablehaven-gateway/src/throttle.rs
+++ b/crates/sablehaven-gateway/src/throttle.rs
@@ -10,7 +10,7 @@
 
 use sablehaven_types::ServiceName;
 
-use crate::servers::KindOfRequest;
+use crate::{servers::KindOfRequest, urgency::Urgency};
 
 /// Answers that are taken as right for each useful one.
 const PASSED_PER_USEFUL: f64 = 2.0;
@@ -27,8 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ThrottleClass<'a> {
     pub(crate) kind: KindOfRequest,
-    /// 0 is the most urgent.
-    pub(crate) priority: u32,
+    pub(crate) urgency: Urgency,
     /// A service that it needs; kinds with the same one need the same servers.
     pub(crate) service: &'a ServiceName,
 }
@@ -43,7 +42,7 @@
 
 #[derive(Clone, Debug)]
 struct KindCount {
-    priority: u32,
+    urgency: Urgency,
     service: ServiceName,
     answered: DecayingCount,
     useful: DecayingCount,
@@ -70,13 +69,13 @@
         }
         let count = self.counts.entry(class.kind.0);
         let count = count.or_insert_with(|| KindCount {
-            priority: class.priority,
+            urgency: class.urgency,
             service: class.service.clone(),
             answered: DecayingCount::default(),
             useful: DecayingCount::default(),
         });
         // Both may change with the configuration.
-        count.priority = class.priority;
+        count.urgency = class.urgency;
         if count.service != *class.service {
             count.service = class.service.clone();
         }
@@ -91,7 +90,7 @@
         let counts = self.counts.iter();
         let as_urgent = counts.filter(|(kind, count)| {
             let is_own = **kind == class.kind.0;
-            is_own || (count.priority < class.priority && count.service == *class.service)
+            is_own || (count.urgency < class.urgency && count.service == *class.service)
         });
         as_urgent
             .map(|(_, count)| count.share(now))
--- a/crates/sablehaven-gateway/src/throttle/tests.rs
+++ b/crates/sablehaven-gateway/src/throttle/tests.rs
@@ -5,7 +5,7 @@
 use sablehaven_types::ServiceName;
 
 use super::{RequestThrottle, ThrottleClass};
-use crate::servers::KindOfRequest;
+use crate::{servers::KindOfRequest, urgency::Urgency};
 
 const URGENT: KindOfRequest = KindOfRequest(1);
 const OTHER: KindOfRequest = KindOfRequest(2);
@@ -25,7 +25,7 @@
     let service = ServiceName::from(service);
     let class = ThrottleClass {
         kind,
-        priority: if kind == URGENT { 1 } else { 2 },
+        urgency: Urgency::new(None, if kind == URGENT { 1 } else { 2 }),
         service: &service,
     };
     let requests = 200;
@@ -62,7 +62,7 @@
     let service = ServiceName::from("s");
     let class = ThrottleClass {
         kind: URGENT,
-        priority: 1,
+        urgency: Urgency::new(None, 1),
         service: &service,
     };
     for request in 0..3 {
@@ -96,7 +96,7 @@
     for kind in 0..10_000 {
         let class = ThrottleClass {
             kind: KindOfRequest(kind),
-            priority: 1,
+            urgency: Urgency::new(None, 1),
             service: &service,
         };
         throttle.answered(ms(kind as u64 * 1_000), class, true);
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -15,7 +15,7 @@
 use sablehaven_standins::routed::{Behaviour, RoutedNames, RoutedServer};
 use sablehaven_types::{
     CallerLimits, EvacuatedZones, ListedServer, ListingNumber, Placement, Route, RouteDocument,
-    RoutedService, ServerListing, ServiceName,
+    RoutedService, ServerListing, ServiceName, Tenant,
 };
 use sablehaven_wire::GatewayStatus;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet, time::sleep};
@@ -68,6 +68,8 @@
     cold: Vec<String>,
     /// What cold servers bear; 0 for no bound.
     pub warmup_per_second: f64,
+    /// The tenants of the routes that are put in force next; none at first.
+    pub tenants: Vec<Tenant>,
 }
 
 impl Bed {
@@ -115,6 +117,7 @@
             draining: Vec::new(),
             cold: Vec::new(),
             warmup_per_second: 0.0,
+            tenants: Vec::new(),
         }
     }
 
@@ -235,6 +238,7 @@
                 max_body_bytes: 1_000,
                 ..CallerLimits::default()
             },
+            tenants: self.tenants.clone(),
         };
         self.said
             .send_modify(|said| said.routes = Some(Arc::new(document)));
--- a/crates/sablehaven-gateway/tests/gateway/support/routes.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/routes.rs
@@ -14,6 +14,7 @@
         priority: 1,
         max_attempts: 2,
         allowed_regions: AllowedRegions::default(),
+        is_public: false,
         target: RouteTarget::Service(service.into()),
     }
 }
--- a/crates/sablehaven-types/src/id.rs
+++ b/crates/sablehaven-types/src/id.rs
@@ -74,6 +74,8 @@
     RequestId,
     /// A service as `<package>.<Service>`.
     ServiceName,
+    /// A tenant: a group of callers with keys and a quota of its own.
+    TenantName,
     /// A zone of the deployment; zone names are unique over all regions.
     ZoneName,
 }
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -18,8 +18,11 @@
 mod outcome;
 mod process;
 pub mod protobuf;
+mod quota_tolerance;
 mod routes;
 mod setting;
+mod tenant;
+mod tokens;
 
 pub use allowed_regions::AllowedRegions;
 pub use configuration::{
@@ -32,15 +35,20 @@
 pub use evacuation::EvacuatedZones;
 pub use id::{
     AgentId, AttemptId, BackendId, CallerId, ClaimId, CommandId, OperatorId, RegionName, RelayId,
-    RequestId, ServiceName, ShardId, ZoneName,
+    RequestId, ServiceName, ShardId, TenantName, ZoneName,
 };
 pub use ledger::{ClaimAnswer, LedgerKey, LedgerReply, LedgerRequest, RecordedOutcome};
 pub use listing::{ListedServer, ListingChange, ListingNumber, ListingUpdate, ServerListing};
 pub use membership::{BackendRecord, BackendState, Observation, ObservationKind, Placement};
 pub use outcome::{ConfigurationAge, Envelope, Outcome, SnapshotId};
 pub use process::BoundAddresses;
+pub use quota_tolerance::QuotaTolerance;
 pub use routes::{
     CallerLimits, Gather, RequestKind, Route, RouteDocument, RouteError, RouteTarget,
     RoutedService, WeightedService,
 };
 pub use setting::{SettingChecks, SettingError};
+pub use tenant::{KeyDigest, RequestQuota, Tenant};
+pub use tokens::{
+    LoanRequest, TokenLoan, TokenReply, TokenRequest, TokenRequestNumber, TokenVerdict,
+};
--- a/crates/sablehaven-types/src/routes.rs
+++ b/crates/sablehaven-types/src/routes.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AllowedRegions, ServiceName};
+use crate::{AllowedRegions, KeyDigest, ServiceName, Tenant, TenantName};
 
 /// All routes of a deployment under one version.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -20,6 +20,9 @@
     pub services: BTreeMap<ServiceName, RoutedService>,
     /// What a caller may send, and how long it may take.
     pub limits: CallerLimits,
+    /// The tenants; without any, every caller's requests are taken and none needs a key.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tenants: Vec<Tenant>,
 }
 
 /// One route.
@@ -46,6 +49,9 @@
     /// Where its requests may be served.
     #[serde(default)]
     pub allowed_regions: AllowedRegions,
+    /// Whether callers need no key, also where there are tenants.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
 }
 
 /// Whether a request may run more than once.
@@ -179,6 +185,26 @@
         /// The route.
         route: String,
     },
+    /// tenant '{tenant}': another tenant has the same name
+    SameTenant {
+        /// The tenant.
+        tenant: TenantName,
+    },
+    /// tenant '{tenant}': one of its keys is named twice
+    SharedKey {
+        /// The tenant that names it last.
+        tenant: TenantName,
+    },
+    /// tenant '{tenant}': a key is empty
+    EmptyKey {
+        /// The tenant.
+        tenant: TenantName,
+    },
+    /// tenant '{tenant}': rate and burst must be finite and not negative
+    BadQuota {
+        /// The tenant.
+        tenant: TenantName,
+    },
 }
 
 impl RouteDocument {
@@ -196,6 +222,29 @@
                 return Err(RouteError::SamePlace { route });
             }
         }
+        self.validate_tenants()
+    }
+}
+
+impl RouteDocument {
+    fn validate_tenants(&self) -> Result<(), RouteError> {
+        let mut names: BTreeSet<&TenantName> = BTreeSet::new();
+        let mut keys: BTreeSet<KeyDigest> = BTreeSet::new();
+        for tenant in &self.tenants {
+            let name = || tenant.name.clone();
+            if !names.insert(&tenant.name) {
+                return Err(RouteError::SameTenant { tenant: name() });
+            }
+            if tenant.keys.iter().any(KeyDigest::is_of_empty_key) {
+                return Err(RouteError::EmptyKey { tenant: name() });
+            }
+            if !tenant.keys.iter().all(|key| keys.insert(*key)) {
+                return Err(RouteError::SharedKey { tenant: name() });
+            }
+            if tenant.quota.is_some_and(|quota| !quota.is_valid()) {
+                return Err(RouteError::BadQuota { tenant: name() });
+            }
+        }
         Ok(())
     }
 }
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -5,7 +5,7 @@
 use sablehaven_types::{
     AgentId, BackendId, BackendRecord, CrashReport, EvacuatedZones, LedgerReply, LedgerRequest,
     ListingChange, ListingNumber, Observation, Placement, RelayId, RouteDocument, SchemaSource,
-    ServerListing, ServiceConfiguration, ServiceName, ZoneName,
+    ServerListing, ServiceConfiguration, ServiceName, TokenReply, TokenRequest, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -257,6 +257,8 @@
     /// Requests under which servers ended, for all other gateways. What is known goes out at the start of each
     /// connection, what is new at once.
     Crashes(Vec<CrashReport>),
+    /// Asks for tokens of tenants' quotas, each answered by a [`TokenReply`] with the same number.
+    TakeTokens(Vec<TokenRequest>),
 }
 
 /// Where a gateway stands.
@@ -307,6 +309,8 @@
     Crashes(Vec<CrashReport>),
     /// A sign of life.
     Alive,
+    /// Answers to [`GatewayToControl::TakeTokens`].
+    Tokens(Vec<TokenReply>),
 }
 
 /// The versions of what a control replica has for gateways.
