--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -134,6 +134,7 @@
     /// Takes a reading of the platform's list; one that says nothing new keeps its number, so that
     /// it is not sent again.
     pub(crate) fn take_reading(&self, term: u64, servers: Vec<ListedServer>) {
+        let servers = ServerListing::latest_starts(servers);
         self.listing.send_if_modified(|held| {
             let mut number = held.number;
             // A later leader's reading has come meanwhile.
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -252,6 +252,7 @@
         slots: 1,
         is_draining,
         warmup_left_ms,
+        started_at_ms: None,
     }
 }
 
--- a/crates/sablehaven-control/tests/listing.rs
+++ b/crates/sablehaven-control/tests/listing.rs
@@ -24,6 +24,7 @@
             slots: 1,
             is_draining: false,
             warmup_left_ms: 0,
+            started_at_ms: None,
         };
         self.servers.lock().expect("the list").push(server);
     }
--- a/crates/sablehaven-gateway/src/servers/registry.rs
+++ b/crates/sablehaven-gateway/src/servers/registry.rs
@@ -91,8 +91,15 @@
         }
         self.number.set(change.number);
         let gone: HashSet<&BackendId> = change.gone.iter().collect();
-        for service in self.services.borrow().values() {
-            service.keep(|id| !gone.contains(id));
+        let moved: HashMap<&BackendId, &ServiceName> = change
+            .changed
+            .iter()
+            .map(|listed| (&listed.id, &listed.service))
+            .collect();
+        for (name, service) in self.services.borrow().iter() {
+            let is_elsewhere =
+                |id: &BackendId| moved.get(id).is_some_and(|service| *service != name);
+            service.keep(|id| !gone.contains(id) && !is_elsewhere(id));
         }
         for listed in &change.changed {
             self.service(&listed.service).take(listed, &self.zones);
--- a/crates/sablehaven-gateway/src/servers/registry/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/registry/tests.rs
@@ -19,6 +19,7 @@
         slots: 3,
         is_draining,
         warmup_left_ms: 0,
+        started_at_ms: None,
     }
 }
 
@@ -96,3 +97,62 @@
 fn registry() -> Registry {
     Registry::new(&Config::default())
 }
+
+/// The change that leads from one reading to the next, whose number is one more.
+fn change(base: &ServerListing, servers: Vec<ListedServer>) -> (ServerListing, ListingChange) {
+    let next = listing(base.number.reading + 1, servers);
+    let change = ListingChange::between(base, &next);
+    (next, change)
+}
+
+fn started(at: u64, is_draining: bool) -> ListedServer {
+    ListedServer {
+        started_at_ms: Some(at),
+        ..listed(1, 1, is_draining)
+    }
+}
+
+#[test]
+fn another_start_under_the_same_id_is_another_server() {
+    let registry = Registry::new(&Config::default());
+    let first = listing(1, vec![started(1_000, false)]);
+    assert!(registry.take_listing(&first));
+    let service = registry.service(&"s-1".into());
+    let former = std::rc::Rc::clone(&service.servers.borrow()[0]);
+    // It leaves, and starts again before the list was read without it.
+    let (second, leaving) = change(&first, vec![started(1_000, true)]);
+    assert!(registry.take_listing_change(&leaving));
+    assert!(!former.takes_work());
+    let (_, again) = change(&second, vec![started(2_000, false)]);
+    assert!(registry.take_listing_change(&again));
+    let servers = service.servers.borrow();
+    assert_eq!(servers.len(), 1);
+    assert!(servers[0].takes_work());
+    assert!(!former.takes_work(), "nothing new for the former start");
+}
+
+#[test]
+fn a_start_under_the_same_id_at_another_address_is_another_server() {
+    let registry = Registry::new(&Config::default());
+    registry.take_listing(&listing(1, vec![listed(1, 1, false)]));
+    let mut moved = listed(1, 1, false);
+    moved.address = ([127, 0, 0, 1], 9_000).into();
+    registry.take_listing(&listing(2, vec![moved.clone()]));
+    let service = registry.service(&"s-1".into());
+    let servers = service.servers.borrow();
+    let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+    assert_eq!(addresses, [moved.address]);
+}
+
+#[test]
+fn a_server_that_another_service_has_now_is_left() {
+    let registry = Registry::new(&Config::default());
+    let first = listing(1, vec![listed(1, 1, false)]);
+    registry.take_listing(&first);
+    let (_, moved) = change(&first, vec![listed(1, 2, false)]);
+    assert!(registry.take_listing_change(&moved));
+    assert_eq!(
+        state(&registry),
+        [("s-2".to_owned(), "i-1".to_owned(), true)]
+    );
+}
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -18,6 +18,8 @@
 /// One server, as the list and the gateway's own attempts show it.
 pub(crate) struct Server {
     pub(crate) id: BackendId,
+    /// When it started, where the list says so.
+    started_at_ms: Option<u64>,
     pub(crate) address: SocketAddr,
     pub(crate) zone: ZoneName,
     /// The region of its zone, where that is known.
@@ -46,6 +48,7 @@
     ) -> Self {
         Self {
             id: listed.id.clone(),
+            started_at_ms: listed.started_at_ms,
             address: listed.address,
             zone: listed.zone.clone(),
             region,
@@ -62,6 +65,13 @@
         }
     }
 
+    /// Whether the list describes this start of the server. Another start under the same id knows nothing of what this one
+    /// was sent, may be elsewhere, and is cold.
+    pub(crate) fn is_same_start(&self, listed: &ListedServer) -> bool {
+        let is_same_time = self.started_at_ms == listed.started_at_ms;
+        is_same_time && self.address == listed.address && self.zone == listed.zone
+    }
+
     /// Takes what a newer list says.
     pub(crate) fn update(&self, listed: &ListedServer) {
         self.slots.set(listed.slots);
--- a/crates/sablehaven-gateway/src/servers/service_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/service_pool.rs
@@ -103,9 +103,12 @@
     /// Takes what the list says of one server.
     pub(super) fn take(&self, listed: &ListedServer, zones: &ZoneMap) {
         let mut servers = self.servers.borrow_mut();
-        if let Some(server) = servers.iter().find(|server| server.id == listed.id) {
-            server.update(listed);
-            return;
+        if let Some(position) = servers.iter().position(|server| server.id == listed.id) {
+            if servers[position].is_same_start(listed) {
+                servers[position].update(listed);
+                return;
+            }
+            servers.remove(position).leave();
         }
         let region = zones.region(&listed.zone).cloned();
         let server = Server::new(listed, region, zones.distance(&listed.zone));
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -196,6 +196,7 @@
                     } else {
                         0
                     },
+                    started_at_ms: None,
                 });
             }
         }
--- a/crates/sablehaven-types/src/listing.rs
+++ b/crates/sablehaven-types/src/listing.rs
@@ -13,7 +13,7 @@
 /// One server of the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedServer {
-    /// This start of the server; another start has another one.
+    /// The server; another start of it has another one as a rule, but may have the same.
     pub id: BackendId,
     /// The service that it belongs to.
     pub service: ServiceName,
@@ -27,6 +27,10 @@
     pub is_draining: bool,
     /// Time until it is warm, in milliseconds, when the list was read.
     pub warmup_left_ms: u64,
+    /// When it started, in milliseconds since the Unix epoch, where the list says so. Tells two starts under the same
+    /// id apart.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_at_ms: Option<u64>,
 }
 
 impl ListedServer {
@@ -45,6 +49,7 @@
             || self.service != former.service
             || self.zone != former.zone
             || self.slots != former.slots
+            || self.started_at_ms != former.started_at_ms
             || self.is_draining != former.is_draining
     }
 }
@@ -131,3 +136,23 @@
     /// Every server.
     pub servers: Vec<ListedServer>,
 }
+
+impl ServerListing {
+    /// The servers of a reading, each id once: of several entries with the same one, the latest start.
+    pub fn latest_starts(servers: Vec<ListedServer>) -> Vec<ListedServer> {
+        let mut latest: HashMap<BackendId, Option<u64>> = HashMap::with_capacity(servers.len());
+        for server in &servers {
+            let known = latest.entry(server.id.clone()).or_default();
+            *known = (*known).max(server.started_at_ms);
+        }
+        let mut kept = servers;
+        kept.retain(|server| {
+            let is_latest = latest.get(&server.id) == Some(&server.started_at_ms);
+            if is_latest {
+                latest.remove(&server.id);
+            }
+            is_latest
+        });
+        kept
+    }
+}
