Control: each replica grants tokens of tenants' quotas, and replicas lend each other

A replica's part is kept by what the driver publishes (leader, vote, members of group 0, version of the routes) and looked at again with each request, so that a part that is lost or made smaller is not spent any more. Answers go out on the gateway's connection; the reader drops one rather than wait for the writer. Ruled out: a background task alone (a request could be granted by a former version), asking for loans by a timer (it would wake without tenants). The driver now publishes its vote and the number of voters.

Tests: a replica grants, refuses with the time, has no part without a leader or vote, a lower limit binds with its version, nothing asks for loans without tenants; payloads reach their replica or are dropped. Lending itself is not seen in them: the decisions lend nothing yet.

--- a/crates/sablehaven-control/src/driver/publish.rs
+++ b/crates/sablehaven-control/src/driver/publish.rs
@@ -17,6 +17,8 @@
             published.leader = status.leader;
             published.is_formed = is_formed;
             published.term = status.term;
+            published.members = u32::try_from(status.membership.voters.len()).unwrap_or(u32::MAX);
+            published.is_member = status.membership.voters.contains(&self.id);
             published.leading_since = match published.leading_since {
                 Some(since) if is_leader => Some(since),
                 _ => is_leader.then(Instant::now),
--- a/crates/sablehaven-control/src/driver/status.rs
+++ b/crates/sablehaven-control/src/driver/status.rs
@@ -17,6 +17,10 @@
     pub(crate) routes_version: u64,
     /// The revision of the evacuated zones.
     pub(crate) evacuation_revision: u64,
+    /// The members of group 0 that vote.
+    pub(crate) members: u32,
+    /// Whether this replica is one of them.
+    pub(crate) is_member: bool,
     /// The term.
     pub(crate) term: u64,
     /// Whether this replica holds the log of a deployment.
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use sablehaven_types::{CrashReport, Distance, ListingNumber, RouteDocument, ServerListing};
+use sablehaven_types::{
+    CrashReport, Distance, ListingNumber, RouteDocument, ServerListing, TokenReply,
+};
 use sablehaven_wire::{
     Connection, ControlToGateway, DeploymentMembers, EncodedMessage, FrameReader, FrameWriter,
     GatewayStatus, GatewayToControl, StateVersions, WireError,
@@ -23,6 +25,10 @@
 /// Requests of a gateway that wait until what was sent before has been taken; it asks twice a second at most.
 const WAITING_REQUESTS: usize = 8;
 
+/// Answers to requests for tokens that wait until what was sent before has been taken. Beyond them the gateway has long
+/// asked elsewhere.
+const WAITING_REPLIES: usize = 256;
+
 /// Errors of a gateway's connection.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
 pub(crate) enum GatewaySessionError {
@@ -60,7 +66,16 @@
     let peer = connection.peer_address.to_string();
     let (reported, status) = watch::channel(None);
     let (asked, requests) = mpsc::channel(WAITING_REQUESTS);
-    let reader = take_messages(&context, session, connection.reader, reported, asked, &peer);
+    let (replying, replies) = mpsc::channel(WAITING_REPLIES);
+    let answers = GatewayAnswers { asked, replying };
+    let reader = take_messages(
+        &context,
+        session,
+        connection.reader,
+        reported,
+        answers,
+        &peer,
+    );
     let writer = Writer {
         context: Arc::clone(&context),
         peer: peer.clone(),
@@ -75,7 +90,7 @@
     };
     let ended = tokio::select! {
         ended = reader => ended,
-        ended = writer.run(status, requests) => ended,
+        ended = writer.run(status, requests, replies) => ended,
     };
     context.gateways.close(session);
     if let Err(error) = ended {
@@ -88,7 +103,7 @@
     session: u64,
     mut reader: FrameReader<GatewayToControl>,
     reported: watch::Sender<Option<GatewayStatus>>,
-    asked: mpsc::Sender<GatewayRequest>,
+    answers: GatewayAnswers,
     peer: &str,
 ) -> Result<(), GatewaySessionError> {
     // Known with the first status, which comes first.
@@ -115,17 +130,20 @@
                 "crashes"
             }
             GatewayToControl::FetchRoutes(held) => {
-                ask(&asked, GatewayRequest::Routes(held)).await;
+                answers.ask(GatewayRequest::Routes(held)).await;
                 "fetch_routes"
             }
             GatewayToControl::FetchListing(held) => {
-                ask(&asked, GatewayRequest::Listing(held)).await;
+                answers.ask(GatewayRequest::Listing(held)).await;
                 "fetch_listing"
             }
-            // Nothing grants any yet.
-            GatewayToControl::TakeTokens(_) => "take_tokens",
+            GatewayToControl::TakeTokens(requests) => {
+                let replies = context.quotas.take(&requests);
+                answers.reply(context, replies);
+                "take_tokens"
+            }
             GatewayToControl::Prefer(is_preferred) => {
-                ask(&asked, GatewayRequest::Prefer(is_preferred)).await;
+                answers.ask(GatewayRequest::Prefer(is_preferred)).await;
                 "prefer"
             }
         };
@@ -137,9 +155,24 @@
     }
 }
 
-/// The writer ends with the connection, and this with it.
-async fn ask(asked: &mpsc::Sender<GatewayRequest>, request: GatewayRequest) {
-    let _ = asked.send(request).await;
+/// The way from what a gateway asks to the connection's writer.
+struct GatewayAnswers {
+    asked: mpsc::Sender<GatewayRequest>,
+    replying: mpsc::Sender<Vec<TokenReply>>,
+}
+
+impl GatewayAnswers {
+    /// The writer ends with the connection, and this with it.
+    async fn ask(&self, request: GatewayRequest) {
+        let _ = self.asked.send(request).await;
+    }
+
+    /// Never waits: others' requests for tokens are behind this one.
+    fn reply(&self, context: &Context, replies: Vec<TokenReply>) {
+        if self.replying.try_send(replies).is_err() {
+            context.metrics.token_replies_dropped.inc();
+        }
+    }
 }
 
 struct Writer {
@@ -165,6 +198,7 @@
         mut self,
         mut status: watch::Receiver<Option<GatewayStatus>>,
         mut requests: mpsc::Receiver<GatewayRequest>,
+        mut replies: mpsc::Receiver<Vec<TokenReply>>,
     ) -> Result<(), GatewaySessionError> {
         let mut published = self.context.published.clone();
         let mut listing = self.context.gateways.listing();
@@ -187,6 +221,7 @@
             self.send_evacuation().await?;
             self.send_versions().await?;
             tokio::select! {
+                Some(first) = replies.recv() => self.send_tokens(first, &mut replies).await?,
                 Ok(()) = published.changed() => {}
                 Ok(()) = listing.changed() => {}
                 Some(request) = requests.recv() => match request {
@@ -293,6 +328,18 @@
             .await
     }
 
+    /// Sends all answers to requests for tokens that wait.
+    async fn send_tokens(
+        &mut self,
+        mut first: Vec<TokenReply>,
+        replies: &mut mpsc::Receiver<Vec<TokenReply>>,
+    ) -> Result<(), GatewaySessionError> {
+        while let Ok(more) = replies.try_recv() {
+            first.extend(more);
+        }
+        self.send("tokens", &ControlToGateway::Tokens(first)).await
+    }
+
     /// Sends who takes part, unless that says what the gateway was told already.
     async fn send_members(
         &mut self,
--- a/crates/sablehaven-control/src/lib.rs
+++ b/crates/sablehaven-control/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod operator;
 mod peers;
 mod quorum_call;
+mod quotas;
 mod relays;
 mod repair;
 pub mod replicas;
--- a/crates/sablehaven-control/src/metrics.rs
+++ b/crates/sablehaven-control/src/metrics.rs
@@ -36,6 +36,11 @@
     pub(crate) agents: Gauge,
     pub(crate) leading: Gauge,
     pub(crate) revision: Gauge,
+    pub(crate) tokens_granted: Counter,
+    pub(crate) tokens_lent: Counter,
+    pub(crate) tokens_borrowed: Counter,
+    pub(crate) token_replies_dropped: Counter,
+    tokens_refused: Family<KindLabel, Counter>,
     gateway_bytes: Family<GatewayMessageLabel, Counter>,
     errors: Family<KindLabel, Counter>,
     log_syncs: Gauge,
@@ -91,6 +96,28 @@
             "Agents' observations dropped: not the leader, or too many",
             &self.observations_dropped,
         );
+        counter(
+            "tokens_granted",
+            "Tokens of tenants' quotas granted to gateways",
+            &self.tokens_granted,
+        );
+        counter(
+            "tokens_lent",
+            "Tokens lent to other replicas",
+            &self.tokens_lent,
+        );
+        counter(
+            "tokens_borrowed",
+            "Tokens that came as loans of other replicas",
+            &self.tokens_borrowed,
+        );
+        counter(
+            "token_replies_dropped",
+            "Answers to requests for tokens dropped: the gateway did not take them",
+            &self.token_replies_dropped,
+        );
+        let help = "Requests for tokens that were refused, by reason";
+        registry.register("tokens_refused", help, self.tokens_refused.clone());
         let help = "Bytes of messages with gateways, both ways, by message and distance";
         registry.register("gateway_bytes", help, self.gateway_bytes.clone());
         let help = "Errors of the leader's duties, by kind";
@@ -139,6 +166,11 @@
         self.gateway_bytes.get_or_create(&label).inc_by(bytes);
     }
 
+    /// Counts a request for tokens that was refused.
+    pub(crate) fn tokens_refused(&self, kind: &'static str) {
+        self.tokens_refused.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts an error of the leader's duties.
     pub(crate) fn error(&self, kind: &'static str) {
         self.errors.get_or_create(&KindLabel { kind }).inc();
--- a/crates/sablehaven-control/src/peers/incoming.rs
+++ b/crates/sablehaven-control/src/peers/incoming.rs
@@ -5,7 +5,7 @@
 use tokio::time::timeout;
 
 use super::introduction::{PeerConnection, PeerContext, PeerError, PeerPayload, alive, decode};
-use crate::driver::Input;
+use crate::{driver::Input, quotas::LoanCounter};
 
 /// Time without any message after which a dialler is given up; it sends signs of life meanwhile.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
@@ -13,6 +13,7 @@
 /// Receives from another replica until the connection ends.
 pub(crate) async fn receive_from_peer(
     context: &PeerContext,
+    loans: &LoanCounter,
     mut connection: PeerConnection,
 ) -> Result<(), PeerError> {
     let peer = connection.peer_address.to_string();
@@ -43,6 +44,8 @@
                     return Err(PeerError::ListingGap { peer });
                 }
             }
+            PeerPayload::LoanRequest(request) => loans.answer(theirs.replica, &request),
+            PeerPayload::TokenLoan(loan) => loans.receive(&loan),
             PeerPayload::Introduction(_) => {}
         }
     }
--- a/crates/sablehaven-control/src/peers/introduction.rs
+++ b/crates/sablehaven-control/src/peers/introduction.rs
@@ -8,7 +8,7 @@
 };
 
 use sablehaven_consensus::{Message, ReplicaId};
-use sablehaven_types::{ListingNumber, ListingUpdate};
+use sablehaven_types::{ListingNumber, ListingUpdate, LoanRequest, TokenLoan};
 use sablehaven_wire::{
     Connection, Hello, PROTOCOL_VERSION, PeerMessage, Role, WireError, connect_from,
 };
@@ -27,7 +27,7 @@
 const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Introductions and signs of life belong to no consensus group.
-const NO_GROUP: u32 = u32::MAX;
+pub(super) const NO_GROUP: u32 = u32::MAX;
 
 /// A connection between two control replicas.
 pub(crate) type PeerConnection = Connection<PeerMessage, PeerMessage>;
@@ -83,6 +83,10 @@
     Alive(ListingNumber),
     /// The leader's reading of the list of servers.
     Listing(ListingUpdate),
+    /// The sender's part of a tenant's quota is used up.
+    LoanRequest(LoanRequest),
+    /// Tokens of the sender's part, for the receiver's.
+    TokenLoan(TokenLoan),
 }
 
 /// Who a replica is.
--- a/crates/sablehaven-control/src/peers/link.rs
+++ b/crates/sablehaven-control/src/peers/link.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use sablehaven_consensus::{Message, ReplicaId};
 use sablehaven_types::ListingNumber;
 use sablehaven_wire::{DialPatience, FrameReader, FrameWriter, PeerMessage};
 use tokio::{
@@ -25,11 +24,11 @@
 /// Time that one write may take.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A consensus message on its way out.
+/// What is on its way out.
 #[derive(Debug)]
 pub(super) struct Outgoing {
     pub(super) group: u32,
-    pub(super) message: Message,
+    pub(super) payload: PeerPayload,
 }
 
 /// Keeps a connection to `address` up and sends on it what the queue holds.
@@ -55,7 +54,6 @@
             let pump = Pump {
                 context: Arc::clone(&context),
                 listing: None,
-                to: theirs.replica,
                 peer: address.to_string(),
                 last_sign: Instant::now(),
             };
@@ -70,7 +68,6 @@
     context: Arc<PeerContext>,
     /// The reading of the list that the other side has, once it has said so.
     listing: Option<ListingNumber>,
-    to: ReplicaId,
     peer: String,
     last_sign: Instant,
 }
@@ -141,11 +138,7 @@
     ) -> Result<(), PeerError> {
         let mut next = Some(first);
         while let Some(outgoing) = next {
-            let payload = PeerPayload::Consensus {
-                to: self.to,
-                message: outgoing.message,
-            };
-            let message = encode(outgoing.group, &payload, &self.peer)?;
+            let message = encode(outgoing.group, &outgoing.payload, &self.peer)?;
             self.within_limit(writer.feed(&message)).await?;
             next = queue.try_recv().ok();
         }
--- a/crates/sablehaven-control/src/peers/links.rs
+++ b/crates/sablehaven-control/src/peers/links.rs
@@ -10,7 +10,7 @@
 use tokio::{sync::mpsc, task::AbortHandle, time::interval};
 
 use super::{
-    introduction::PeerContext,
+    introduction::{NO_GROUP, PeerContext, PeerPayload},
     link::{Outgoing, keep_link},
 };
 use crate::{
@@ -49,18 +49,35 @@
 
     /// Hands a message to a connection of the replica, or drops it: consensus allows for loss.
     pub(crate) fn send(&self, to: ReplicaId, group: u32, message: Message) {
-        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
-        let mut up = routes.values().filter(|route| route.is_up);
-        let sent = up
-            .find(|route| route.replica == to)
-            .is_some_and(|route| route.sender.try_send(Outgoing { group, message }).is_ok());
-        if sent {
+        let payload = PeerPayload::Consensus { to, message };
+        if self.hand_over(to, Outgoing { group, payload }) {
             self.metrics.peer_messages_sent.inc();
         } else {
             self.metrics.peer_messages_dropped.inc();
         }
     }
 
+    /// Hands what belongs to no group to a connection of the replica, or drops it.
+    pub(crate) fn send_payload(&self, to: ReplicaId, payload: PeerPayload) {
+        let group = NO_GROUP;
+        self.hand_over(to, Outgoing { group, payload });
+    }
+
+    fn hand_over(&self, to: ReplicaId, outgoing: Outgoing) -> bool {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        let mut up = routes.values().filter(|route| route.is_up);
+        up.find(|route| route.replica == to)
+            .is_some_and(|route| route.sender.try_send(outgoing).is_ok())
+    }
+
+    /// The replicas to which a connection is up.
+    pub(crate) fn connected(&self) -> Vec<ReplicaId> {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        let up = routes.values().filter(|route| route.is_up);
+        let replicas: BTreeSet<ReplicaId> = up.map(|route| route.replica).collect();
+        replicas.into_iter().collect()
+    }
+
     /// Whether a connection to the replica is up.
     pub(crate) fn is_connected(&self, replica: ReplicaId) -> bool {
         let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
@@ -187,3 +204,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sablehaven-control/src/quotas/desk.rs
@@ -0,0 +1,172 @@
+//! This replica's part of the quotas, shared by the connections of gateways and of other replicas.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use sablehaven_quota::QuotaPart;
+use sablehaven_types::{
+    LoanRequest, QuotaTolerance, RequestQuota, RouteDocument, TenantName, TokenLoan, TokenReply,
+    TokenRequest, TokenVerdict,
+};
+use tokio::sync::{Notify, watch};
+
+use super::parts::parts;
+use crate::{
+    driver::{Published, SharedHandle, read},
+    metrics::Metrics,
+};
+
+/// This replica's part of the quotas.
+pub(crate) struct QuotaDesk {
+    published: watch::Receiver<Published>,
+    state: SharedHandle,
+    metrics: Metrics,
+    /// Times are counted from here.
+    started_at: Instant,
+    held: Mutex<HeldPart>,
+    /// Told when gateways ask while there are tenants.
+    asked: Notify,
+}
+
+/// The part, and the version of the routes whose tenants it knows.
+struct HeldPart {
+    part: QuotaPart,
+    routes_version: u64,
+    has_tenants: bool,
+}
+
+impl QuotaDesk {
+    /// A desk that follows what the driver publishes.
+    pub(crate) fn new(
+        tolerance: QuotaTolerance,
+        published: watch::Receiver<Published>,
+        state: SharedHandle,
+        metrics: Metrics,
+    ) -> Self {
+        Self {
+            published,
+            state,
+            metrics,
+            started_at: Instant::now(),
+            held: Mutex::new(HeldPart {
+                part: QuotaPart::new(tolerance),
+                routes_version: 0,
+                has_tenants: false,
+            }),
+            asked: Notify::new(),
+        }
+    }
+
+    /// Decides on requests for tokens; one reply for each.
+    pub(crate) fn take(&self, requests: &[TokenRequest]) -> Vec<TokenReply> {
+        let now = self.now();
+        let mut held = self.current(now);
+        let replies = requests.iter().map(|request| TokenReply {
+            number: request.number,
+            verdict: held.part.take(now, request, rand::random()),
+        });
+        let replies: Vec<TokenReply> = replies.collect();
+        let has_tenants = held.has_tenants;
+        drop(held);
+        for reply in &replies {
+            self.count(reply.verdict);
+        }
+        if has_tenants {
+            self.asked.notify_one();
+        }
+        replies
+    }
+
+    /// Waits until gateways ask for tokens.
+    pub(super) async fn asked(&self) {
+        self.asked.notified().await;
+    }
+
+    /// What is to be asked of other replicas.
+    pub(super) fn loans_wanted(&self) -> Vec<LoanRequest> {
+        let now = self.now();
+        self.current(now).part.loans_wanted(now)
+    }
+
+    /// Lends what this part can spare.
+    pub(crate) fn lend(&self, request: &LoanRequest) -> Option<TokenLoan> {
+        let now = self.now();
+        let loan = self.current(now).part.lend(now, request)?;
+        self.metrics.tokens_lent.inc_by(loan.tokens.into());
+        Some(loan)
+    }
+
+    /// Takes a loan.
+    pub(crate) fn receive(&self, loan: &TokenLoan) {
+        let now = self.now();
+        self.current(now).part.receive(now, loan);
+        self.metrics.tokens_borrowed.inc_by(loan.tokens.into());
+    }
+
+    fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    /// The part by the latest word of the driver, so that one that is lost or made smaller is not spent any more.
+    fn current(&self, now: Duration) -> MutexGuard<'_, HeldPart> {
+        let (parts, routes_version) = {
+            let published = self.published.borrow();
+            (parts(&published), published.routes_version)
+        };
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        held.part.set_parts(now, parts);
+        if held.routes_version < routes_version {
+            held.take_routes(now, self.routes());
+        }
+        held
+    }
+
+    fn routes(&self) -> Option<Arc<RouteDocument>> {
+        read(&self.state, |state| {
+            let held = state.routes().held()?;
+            Some(Arc::clone(&held.document))
+        })
+    }
+
+    fn count(&self, verdict: TokenVerdict) {
+        match verdict {
+            TokenVerdict::Granted(tokens) => {
+                self.metrics.tokens_granted.inc_by(tokens.into());
+            }
+            TokenVerdict::OverQuota { .. } => self.metrics.tokens_refused("over_quota"),
+            TokenVerdict::OverFairShare => self.metrics.tokens_refused("over_fair_share"),
+            TokenVerdict::NoPart => self.metrics.tokens_refused("no_part"),
+        }
+    }
+}
+
+impl HeldPart {
+    fn take_routes(&mut self, now: Duration, document: Option<Arc<RouteDocument>>) {
+        let Some(document) = document else {
+            return;
+        };
+        let quotas = document.tenants.iter();
+        let quotas = quotas
+            .map(|tenant| -> (&TenantName, Option<RequestQuota>) { (&tenant.name, tenant.quota) });
+        self.part.set_tenants(now, quotas);
+        self.has_tenants = !document.tenants.is_empty();
+        self.routes_version = document.version;
+    }
+}
+
+/// Keeps the part by what the driver publishes, also while nobody asks: buckets fill from when their tenants are known.
+pub(crate) async fn follow_configuration(desk: Arc<QuotaDesk>) {
+    let mut published = desk.published.clone();
+    loop {
+        published.mark_unchanged();
+        drop(desk.current(desk.now()));
+        if published.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sablehaven-control/src/quotas/desk/tests.rs
@@ -0,0 +1,202 @@
+use std::{collections::BTreeMap, thread::sleep};
+
+use sablehaven_consensus::ReplicaId;
+use sablehaven_types::{AllowedRegions, CallerLimits, Tenant};
+
+use super::*;
+use crate::{
+    routes::PutRoutes,
+    shared::{SharedCommand, SharedState},
+};
+
+/// Leaves room for tokens to be kept.
+const WITH_SLACK: QuotaTolerance = QuotaTolerance {
+    window_ms: 1_000,
+    excess_permille: 0,
+    slack: 20,
+};
+
+/// A desk, and what its driver publishes.
+struct Counter {
+    desk: QuotaDesk,
+    published: watch::Sender<Published>,
+    state: SharedHandle,
+}
+
+impl Counter {
+    /// A desk of a member of a group of one, which leads.
+    fn new(tolerance: QuotaTolerance) -> Self {
+        let published = Published {
+            leader: Some(ReplicaId(1)),
+            members: 1,
+            is_member: true,
+            ..Published::default()
+        };
+        let (published, receiver) = watch::channel(published);
+        let state = SharedHandle::default();
+        let metrics = Metrics::default();
+        let desk = QuotaDesk::new(tolerance, receiver, Arc::clone(&state), metrics);
+        Self {
+            desk,
+            published,
+            state,
+        }
+    }
+
+    /// Applies a version of the routes with one tenant.
+    fn apply(&self, version: u64, per_second: f64) {
+        let quota = RequestQuota {
+            per_second,
+            burst: 0.0,
+        };
+        let tenant = Tenant {
+            name: "desk".into(),
+            keys: Vec::new(),
+            priority: 0,
+            allowed_regions: AllowedRegions::default(),
+            quota: Some(quota),
+        };
+        let document = RouteDocument {
+            version,
+            services: BTreeMap::new(),
+            routes: Vec::new(),
+            limits: CallerLimits::default(),
+            tenants: vec![tenant],
+        };
+        let put = PutRoutes {
+            document: Arc::new(document),
+            source: Vec::new().into(),
+        };
+        let mut state: std::sync::RwLockWriteGuard<'_, SharedState> =
+            self.state.write().expect("the state");
+        state.apply(version, SharedCommand::Routes(put));
+        drop(state);
+        self.published
+            .send_modify(|published| published.routes_version = version);
+        // As the task does that follows the driver.
+        drop(self.desk.current(self.desk.now()));
+    }
+
+    fn take(&self, number: u64, wanted: u32) -> TokenVerdict {
+        let request = TokenRequest {
+            number,
+            tenant: "desk".into(),
+            wanted,
+            shed_permille: 0,
+        };
+        let replies = self.desk.take(&[request]);
+        assert_eq!(replies.len(), 1);
+        assert_eq!(replies[0].number, number);
+        replies[0].verdict
+    }
+}
+
+#[test]
+fn a_replica_grants_what_has_come_into_its_part() {
+    let counter = Counter::new(WITH_SLACK);
+    counter.apply(1, 1_000.0);
+    sleep(Duration::from_millis(50));
+    assert_eq!(counter.take(7, 3), TokenVerdict::Granted(3));
+}
+
+#[test]
+fn a_replica_that_has_just_started_refuses_and_says_when_a_token_is_there() {
+    let counter = Counter::new(QuotaTolerance::default());
+    // One of two parts: a token in 10 s, of which some has passed.
+    counter.apply(1, 0.2);
+    let TokenVerdict::OverQuota { retry_after_ms } = counter.take(1, 1) else {
+        panic!("granted from an empty part");
+    };
+    assert!(
+        (1_000..=10_000).contains(&retry_after_ms),
+        "{retry_after_ms}"
+    );
+}
+
+#[test]
+fn an_unknown_tenant_is_no_business_of_a_replica_without_its_version() {
+    let counter = Counter::new(QuotaTolerance::default());
+    assert_eq!(counter.take(1, 1), TokenVerdict::NoPart);
+}
+
+#[test]
+fn a_replica_that_knows_no_leader_any_more_has_no_part_at_once() {
+    let counter = Counter::new(WITH_SLACK);
+    counter.apply(1, 1_000.0);
+    sleep(Duration::from_millis(50));
+    counter
+        .published
+        .send_modify(|published| published.leader = None);
+    assert_eq!(counter.take(1, 1), TokenVerdict::NoPart);
+    // Its part is empty when it has one again: what it held may have been granted elsewhere by then.
+    counter
+        .published
+        .send_modify(|published| published.leader = Some(ReplicaId(2)));
+    counter.apply(2, 0.1);
+    let verdict = counter.take(2, 1);
+    assert!(
+        matches!(verdict, TokenVerdict::OverQuota { .. }),
+        "{verdict:?}"
+    );
+}
+
+#[test]
+fn a_lower_limit_binds_with_its_version() {
+    let counter = Counter::new(WITH_SLACK);
+    counter.apply(1, 10_000.0);
+    sleep(Duration::from_millis(50));
+    // What the part may hold is the slack's half whatever the rate; the rate is the lower one from here on.
+    counter.apply(2, 0.1);
+    assert!(matches!(counter.take(1, 100), TokenVerdict::Granted(granted) if granted <= 10));
+    let TokenVerdict::OverQuota { retry_after_ms } = counter.take(2, 1) else {
+        panic!("granted at the former rate");
+    };
+    assert!(retry_after_ms > 5_000, "{retry_after_ms}");
+}
+
+#[test]
+fn replies_keep_the_numbers_of_their_requests() {
+    let counter = Counter::new(QuotaTolerance::default());
+    let request = |number| TokenRequest {
+        number,
+        tenant: "desk".into(),
+        wanted: 1,
+        shed_permille: 0,
+    };
+    let replies = counter.desk.take(&[request(5), request(3)]);
+    let numbers: Vec<u64> = replies.iter().map(|reply| reply.number).collect();
+    assert_eq!(numbers, [5, 3]);
+}
+
+#[test]
+fn parts_are_one_more_than_members_and_none_without_a_leader_or_a_vote() {
+    let member = Published {
+        leader: Some(ReplicaId(1)),
+        members: 9,
+        is_member: true,
+        ..Published::default()
+    };
+    assert_eq!(parts(&member), Some(10));
+    let leaderless = Published {
+        leader: None,
+        ..member.clone()
+    };
+    assert_eq!(parts(&leaderless), None);
+    let replaced = Published {
+        is_member: false,
+        ..member
+    };
+    assert_eq!(parts(&replaced), None);
+}
+
+#[tokio::test]
+async fn without_tenants_nothing_asks_for_loans() {
+    let counter = Counter::new(QuotaTolerance::default());
+    counter.take(1, 1);
+    // The word would be there at once.
+    let asked = tokio::time::timeout(Duration::from_millis(50), counter.desk.asked()).await;
+    assert!(asked.is_err());
+    counter.apply(1, 1.0);
+    counter.take(2, 1);
+    counter.desk.asked().await;
+}
--- a/crates/sablehaven-control/src/server/context.rs
+++ b/crates/sablehaven-control/src/server/context.rs
@@ -15,6 +15,7 @@
     metrics::Metrics,
     operator::CallError,
     peers::{Links, PeerContext},
+    quotas::QuotaDesk,
     relays::Registry,
     replicas::ReplicaAddresses,
 };
@@ -31,6 +32,7 @@
     pub(crate) observations: mpsc::Sender<AgentObservation>,
     pub(crate) peers: Arc<PeerContext>,
     pub(crate) links: Arc<Links>,
+    pub(crate) quotas: Arc<QuotaDesk>,
     pub(crate) metrics: Metrics,
     /// Cancelled when the replica takes no new work.
     pub(crate) stopping: CancellationToken,
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -26,6 +26,7 @@
     metrics::Metrics,
     operator,
     peers::{Directory, Links, PeerContext, PeerListing, form_or_join, keep_links},
+    quotas::{QuotaDesk, ask_for_loans, follow_configuration},
     relays::Registry,
     replicas::ReplicaAddresses,
 };
@@ -209,6 +210,12 @@
             published: published_receiver.clone(),
         },
     ));
+    let quotas = Arc::new(QuotaDesk::new(
+        config.quotas,
+        published_receiver.clone(),
+        Arc::clone(&state),
+        metrics.clone(),
+    ));
     let (observations, observation_queue) = mpsc::channel(leader::OBSERVATION_QUEUE);
     let context = Arc::new(Context {
         replica,
@@ -221,6 +228,7 @@
         observations,
         peers,
         links,
+        quotas,
         metrics,
         stopping: CancellationToken::new(),
     });
@@ -258,6 +266,11 @@
     background.spawn(observing);
     background.spawn(leader::propose_watchers(Arc::clone(context)));
     background.spawn(refresh_gauges(Arc::clone(context)));
+    background.spawn(follow_configuration(Arc::clone(&context.quotas)));
+    background.spawn(ask_for_loans(
+        Arc::clone(&context.quotas),
+        Arc::clone(&context.links),
+    ));
     let minimum = context.config.repair_minimum_members;
     if minimum > 0 {
         background.spawn(leader::repair_members(Arc::clone(context), minimum));
