Gateway: a token of the tenant's quota before any server hears of a request

Before, take_token let everything pass. Now a token in stock is spent, or the nearest connected replica is asked, the next one when it is silent for longer than its answers take or has no part, for half of the route's aim at the most; then 503, and 429 with the time where the quota is used up. Requests for tokens that wait side by side on one connection are one message. Tokens age on the clock that counts suspension. While the throttle would refuse some of a kind, the replica decides whose they are; without a replica's word the lot decides as before. Retry-After of a used-up quota is spread upward only and rounded up.

Tests with a set clock and noted requests: silent replica and late grant, no part, none connected, a caller that leaves before and after the grant, suspension, a connection that ends, pressure.

--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -71,6 +71,7 @@
                 let queue = gateway.control_links.open(address);
                 let ended = follow(&gateway, address, connection, queue).await;
                 gateway.control_links.close(address);
+                gateway.tokens.close(address);
                 gateway.metrics.control_connections.dec();
                 was_connected = true;
                 if let Err(error) = ended {
@@ -193,8 +194,7 @@
         ControlToGateway::Members(members) => gateway.take_members(members),
         ControlToGateway::Evacuation(zones) => gateway.take_evacuation(zones),
         ControlToGateway::Crashes(reports) => gateway.take_crashes(&reports),
-        // Nothing asks for any yet.
-        ControlToGateway::Tokens(_) => {}
+        ControlToGateway::Tokens(replies) => gateway.tokens.take(peer, &replies),
         ControlToGateway::Alive => {}
     }
 }
--- a/crates/sablehaven-gateway/src/control_links.rs
+++ b/crates/sablehaven-gateway/src/control_links.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::Distance;
+use sablehaven_types::{Distance, TokenRequest};
 use sablehaven_wire::{GatewayToControl, StateVersions};
 use tokio::{
     sync::{Notify, mpsc},
@@ -18,7 +18,35 @@
 use crate::{gateway::Gateway, sources::StateSources};
 
 /// Messages for one replica that wait for its connection to take them.
-pub(crate) type LinkQueue = mpsc::UnboundedReceiver<GatewayToControl>;
+pub(crate) struct LinkQueue {
+    waiting: mpsc::UnboundedReceiver<GatewayToControl>,
+    /// Taken while requests for tokens were put together.
+    next: Option<GatewayToControl>,
+}
+
+impl LinkQueue {
+    /// The next message; all requests for tokens that wait side by side are one. `None` when there will be no more.
+    /// Nothing is lost where this is dropped before it ends.
+    pub(crate) async fn recv(&mut self) -> Option<GatewayToControl> {
+        let first = match self.next.take() {
+            Some(first) => first,
+            None => self.waiting.recv().await?,
+        };
+        let GatewayToControl::TakeTokens(mut requests) = first else {
+            return Some(first);
+        };
+        while let Ok(message) = self.waiting.try_recv() {
+            match message {
+                GatewayToControl::TakeTokens(more) => requests.extend(more),
+                other => {
+                    self.next = Some(other);
+                    break;
+                }
+            }
+        }
+        Some(GatewayToControl::TakeTokens(requests))
+    }
+}
 
 /// The connections that stand.
 #[derive(Default)]
@@ -30,11 +58,14 @@
 
 impl ControlLinks {
     /// A connection to a replica stands. What is to be sent on it comes from the queue: at most a few messages,
-    /// since nothing is asked for twice within half a second.
+    /// since nothing is asked for twice within half a second, and a request for a token for each open request.
     pub(crate) fn open(&self, replica: SocketAddr) -> LinkQueue {
         let (sender, queue) = mpsc::unbounded_channel();
         self.queues.borrow_mut().insert(replica, sender);
-        queue
+        LinkQueue {
+            waiting: queue,
+            next: None,
+        }
     }
 
     /// The connection has ended.
@@ -61,6 +92,21 @@
         self.sources.borrow().preferred() == Some(replica)
     }
 
+    /// The connected replicas, the preferred one first, of the others the nearest.
+    pub(crate) fn by_distance(&self) -> Vec<(SocketAddr, Distance)> {
+        self.sources.borrow().by_distance()
+    }
+
+    /// Hands a request for tokens to a replica's connection; whether there is one.
+    pub(crate) fn take_tokens(&self, replica: SocketAddr, request: TokenRequest) -> bool {
+        let queues = self.queues.borrow();
+        let queue = queues.get(&replica);
+        queue.is_some_and(|queue| {
+            let message = GatewayToControl::TakeTokens(vec![request]);
+            queue.send(message).is_ok()
+        })
+    }
+
     /// Something may have to be fetched from elsewhere now.
     pub(crate) fn look_again(&self) {
         self.changed.notify_one();
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -19,9 +19,18 @@
 use tokio::sync::{broadcast, watch};
 
 use crate::{
-    Config, admission::Admission, control_links::ControlLinks, crashes::log_quarantine,
-    load::LoadMeter, metrics::Metrics, names::HeaderNames, resends::ResendDetector,
-    route_table::RouteTable, servers::Registry, throttle::RequestThrottle,
+    Config,
+    admission::Admission,
+    control_links::ControlLinks,
+    crashes::log_quarantine,
+    load::LoadMeter,
+    metrics::Metrics,
+    names::HeaderNames,
+    quotas::{SuspensionClock, TokenClient},
+    resends::ResendDetector,
+    route_table::RouteTable,
+    servers::Registry,
+    throttle::RequestThrottle,
 };
 
 /// Reports that a connection to a control replica may be behind; one that is further behind begins anew.
@@ -66,6 +75,8 @@
     status: watch::Sender<GatewayStatus>,
     /// The connections to control replicas, and what is fetched on them.
     pub(crate) control_links: ControlLinks,
+    /// Tokens of tenants' quotas.
+    pub(crate) tokens: TokenClient<SuspensionClock>,
     /// Internal addresses of control replicas: those of the settings and every one learned since.
     controls: watch::Sender<BTreeSet<SocketAddr>>,
 }
@@ -81,6 +92,7 @@
             listing: ListingNumber::default(),
             evacuation_revision: 0,
         };
+        let tokens = TokenClient::new(SuspensionClock::default(), &config.quotas);
         let controls = config.controls.iter().copied().collect();
         Self {
             registry: Registry::new(&config),
@@ -100,6 +112,7 @@
             is_stopping: Cell::new(false),
             status: watch::channel(status).0,
             control_links: ControlLinks::default(),
+            tokens,
             controls: watch::channel(controls).0,
         }
     }
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - `request`: the way of one request.
 //! - `crashes`: requests that take their servers down.
 //! - `load`: how much there is to do, for the control replicas.
+//! - `quotas`: tokens of tenants' quotas, and asking control replicas for them.
 //! - `admission`, `throttle`, `resends`: who is refused under pressure.
 
 mod admission;
@@ -23,6 +24,7 @@
 mod metrics;
 pub mod names;
 mod pace;
+mod quotas;
 mod request;
 mod resends;
 mod role;
--- a/crates/sablehaven-gateway/src/metrics.rs
+++ b/crates/sablehaven-gateway/src/metrics.rs
@@ -13,6 +13,8 @@
 
 /// The shortest time told apart, in seconds.
 const SHORTEST_SECONDS: f64 = 0.004;
+/// The shortest wait for a token told apart, in seconds.
+const SHORTEST_TOKEN_SECONDS: f64 = 0.000_5;
 /// Buckets, each twice as long as the one before.
 const BUCKETS: u16 = 12;
 
@@ -44,6 +46,18 @@
     ending: &'static str,
 }
 
+/// Labels of a token.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TokenLabels {
+    from: &'static str,
+}
+
+/// Labels of a request that was refused for want of a token.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TokenRefusalLabels {
+    reason: &'static str,
+}
+
 /// The metrics of one gateway; cheap to clone.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -53,6 +67,9 @@
     pub(crate) extra_attempts: Counter,
     pub(crate) unaffordable_attempts: Counter,
     pub(crate) quarantined_requests: Counter,
+    tokens_spent: Family<TokenLabels, Counter>,
+    tokens_refused: Family<TokenRefusalLabels, Counter>,
+    pub(crate) token_wait_seconds: Histogram,
     pub(crate) open_requests: Gauge,
     pub(crate) routes_version: Gauge,
     pub(crate) listed_servers: Gauge,
@@ -63,6 +80,11 @@
     Histogram::new(exponential_buckets(SHORTEST_SECONDS, 2.0, BUCKETS))
 }
 
+/// Tokens mostly come within a few milliseconds.
+fn token_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(SHORTEST_TOKEN_SECONDS, 2.0, BUCKETS))
+}
+
 impl Metrics {
     pub(crate) fn new() -> Self {
         let mut metrics = Self {
@@ -73,6 +95,9 @@
             extra_attempts: Counter::default(),
             unaffordable_attempts: Counter::default(),
             quarantined_requests: Counter::default(),
+            tokens_spent: Family::default(),
+            tokens_refused: Family::default(),
+            token_wait_seconds: token_histogram(),
             open_requests: Gauge::default(),
             routes_version: Gauge::default(),
             listed_servers: Gauge::default(),
@@ -114,6 +139,21 @@
             "Requests that were refused because they had crashed servers",
             self.quarantined_requests.clone(),
         );
+        registry.register(
+            "tokens_spent",
+            "Tokens of tenants' quotas spent, from the stock or asked for",
+            self.tokens_spent.clone(),
+        );
+        registry.register(
+            "tokens_refused",
+            "Requests refused for want of a token, by reason",
+            self.tokens_refused.clone(),
+        );
+        registry.register(
+            "token_wait_seconds",
+            "Time for which requests waited for a token",
+            self.token_wait_seconds.clone(),
+        );
         registry.register(
             "open_requests",
             "Requests that are being answered",
@@ -155,6 +195,15 @@
         self.attempts.get_or_create(&AttemptLabels { ending }).inc();
     }
 
+    pub(crate) fn tokens_spent(&self, from: &'static str) {
+        self.tokens_spent.get_or_create(&TokenLabels { from }).inc();
+    }
+
+    pub(crate) fn tokens_refused(&self, reason: &'static str) {
+        let labels = TokenRefusalLabels { reason };
+        self.tokens_refused.get_or_create(&labels).inc();
+    }
+
     /// The metrics in Prometheus text.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- /dev/null
+++ b/crates/sablehaven-gateway/src/quotas/mod.rs
@@ -0,0 +1,8 @@
+//! Tokens of tenants' quotas: what this gateway holds, and asking control replicas for more.
+
+mod client;
+mod clock;
+mod replicas;
+
+pub(crate) use client::{TokenClient, TokenRequester, Waited};
+pub(crate) use clock::SuspensionClock;
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -91,7 +91,9 @@
     let route = planned.route();
     let kind = planned.profile.kind();
     let urgency = urgency(route, tenant.as_deref());
-    let admitted = admit(gateway, route, kind, urgency, caller_try);
+    let throttling = throttling(tenant.as_deref(), caller_try);
+    let class = throttle_class(route, kind, urgency);
+    let admitted = admit(gateway, route, class, throttling, caller_try);
     if let Err(reason) = &admitted {
         log::warn!(
             event = "refused", request:% = id_text(&request_id), reason:% = reason,
@@ -102,7 +104,12 @@
         return Err(Refusal::TooMany);
     }
     if let Some(tenant) = &tenant {
-        take_token(gateway, tenant, 0.0).await?;
+        let shed_share = shed_share(gateway, class, throttling);
+        let tokened = take_token(gateway, tenant, route, &request_id, shed_share).await;
+        if tokened.is_err() {
+            accepted_metrics(gateway, &planned, Outcome::Refused, arrived);
+        }
+        tokened?;
     }
     let deadline = arrived + time_left(gateway, &planned, &head);
     let outgoing = Rc::new(OutgoingRequest {
@@ -154,25 +161,52 @@
     Err(Refusal::Quarantined { left })
 }
 
+/// Who decides which requests are refused while most of their kind come to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Throttling {
+    /// A request that was refused already passes.
+    Nobody,
+    /// Where nobody knows whose it is, this gateway by lot.
+    Lot,
+    /// The control replica that is asked for a token, by what the tenant has had.
+    Replica,
+}
+
+fn throttling(tenant: Option<&Tenant>, caller_try: CallerTry) -> Throttling {
+    match (caller_try, tenant) {
+        (CallerTry::First, None) => Throttling::Lot,
+        (CallerTry::First, Some(_)) => Throttling::Replica,
+        _ => Throttling::Nobody,
+    }
+}
+
+/// The share of such requests of tenants that is to be refused.
+fn shed_share(gateway: &Gateway, class: ThrottleClass<'_>, throttling: Throttling) -> f64 {
+    if throttling != Throttling::Replica {
+        return 0.0;
+    }
+    let throttle = gateway.throttle.borrow();
+    throttle.share(gateway.clock.now(), class)
+}
+
 /// A place for a request, unless there are too many or most of its kind come to nothing.
 fn admit(
     gateway: &Gateway,
     route: &Route,
-    kind: KindOfRequest,
-    urgency: Urgency,
+    class: ThrottleClass<'_>,
+    throttling: Throttling,
     caller_try: CallerTry,
 ) -> Result<Admitted, NotAdmitted> {
     let now = gateway.clock.now();
-    if caller_try == CallerTry::First {
-        let class = throttle_class(route, kind, urgency);
+    if throttling == Throttling::Lot {
         let throttle = gateway.throttle.borrow();
         if !throttle.may_pass(now, class, rand::random()) {
             return Err(NotAdmitted::Throttled);
         }
     }
     let class = AdmissionClass {
-        urgency,
-        kind,
+        urgency: class.urgency,
+        kind: class.kind,
         due: now + Duration::from_millis(route.aim_ms),
         caller_try,
     };
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -49,13 +49,11 @@
     /// too many requests
     TooMany,
     /// the tenant's quota is used up
-    #[expect(dead_code, reason = "what refuses so follows")]
     OverQuota {
         /// Until a token is there for this caller.
         left: Duration,
     },
     /// no control replica says in time whether the tenant's quota bears the request
-    #[expect(dead_code, reason = "what refuses so follows")]
     NoTokens,
     /// no server may take the request; it has not run
     NoServers,
@@ -128,15 +126,24 @@
         }
     }
 
+    /// The least part of the pause after which a caller is told to come back. Pauses are spread, so that callers that
+    /// were refused together do not come back together; before its token is there, a caller would be refused again.
+    fn least_spread(&self) -> f64 {
+        match self {
+            Self::OverQuota { .. } => 1.0,
+            _ => 0.75,
+        }
+    }
+
     pub(super) fn response(&self) -> Response<WholeBody> {
         let mut response = Response::new(WholeBody::new(Bytes::from(format!("{self}\n"))));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         if let Some(pause) = self.retry_after() {
-            // Spread, so that callers that were refused together do not come back together.
-            let spread = 0.75 + 0.5 * rand::random::<f64>();
-            let seconds = format!("{:.2}", pause.as_secs_f64() * spread);
+            let spread = self.least_spread() + 0.5 * rand::random::<f64>();
+            let hundredths = (pause.as_secs_f64() * spread * 100.0).ceil();
+            let seconds = format!("{:.2}", hundredths / 100.0);
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 headers.insert(RETRY_AFTER, value);
             }
--- a/crates/sablehaven-gateway/src/request/tokens.rs
+++ b/crates/sablehaven-gateway/src/request/tokens.rs
@@ -1,9 +1,32 @@
 //! A token of the tenant's quota for each request, before any server hears of it.
 
-use sablehaven_types::Tenant;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
-use super::refusal::Refusal;
-use crate::gateway::Gateway;
+use hyper::header::HeaderValue;
+use sablehaven_types::{Distance, Route, Tenant, TokenRequest};
+
+use super::{id_text, refusal::Refusal};
+use crate::{
+    control_links::ControlLinks,
+    gateway::Gateway,
+    quotas::{TokenRequester, Waited},
+};
+
+/// Part of the aim for which a request waits for a token: servers need the rest.
+const WAIT_PART_OF_AIM: f64 = 0.5;
+
+impl TokenRequester for ControlLinks {
+    fn connected(&self) -> Vec<(SocketAddr, Distance)> {
+        self.by_distance()
+    }
+
+    fn send(&self, replica: SocketAddr, request: TokenRequest) -> bool {
+        self.take_tokens(replica, request)
+    }
+}
 
 /// Takes a token for a request of the tenant. `shed_share` is the part of such requests that this gateway refuses lately
 /// for want of room, 0 to 1.
@@ -12,9 +35,71 @@
 /// [`Refusal::OverQuota`] where the tenant's quota is used up, [`Refusal::TooMany`] where there is too little room and it
 /// has had its fair share, [`Refusal::NoTokens`] where no control replica says so in time.
 pub(super) async fn take_token(
-    _gateway: &Gateway,
-    _tenant: &Tenant,
-    _shed_share: f64,
+    gateway: &Gateway,
+    tenant: &Tenant,
+    route: &Route,
+    request_id: &HeaderValue,
+    shed_share: f64,
 ) -> Result<(), Refusal> {
-    Ok(())
+    let shed_permille = (shed_share * 1_000.0).round() as u16;
+    let is_pressed = shed_permille > 0;
+    if tenant.quota.is_none() && !is_pressed {
+        return Ok(());
+    }
+    // Who passes under pressure is decided for each request, by what the tenant has had.
+    if !is_pressed && gateway.tokens.spend(&tenant.name) {
+        gateway.metrics.tokens_spent("stock");
+        return Ok(());
+    }
+    let started = Instant::now();
+    let aim = Duration::from_millis(route.aim_ms);
+    let limit = aim.mul_f64(WAIT_PART_OF_AIM);
+    let waited = gateway
+        .tokens
+        .ask(&gateway.control_links, &tenant.name, shed_permille, limit)
+        .await;
+    let seconds = started.elapsed().as_secs_f64();
+    gateway.metrics.token_wait_seconds.observe(seconds);
+    let decided = decide(waited, tenant, shed_share, rand::random());
+    match &decided {
+        Ok(()) => gateway.metrics.tokens_spent("asked"),
+        Err(refusal) => refused(gateway, tenant, route, request_id, refusal),
+    }
+    decided
 }
+
+/// What becomes of a request by what replicas said. Where none did, the gateway refuses by lot as it does without
+/// tenants, and whatever needs a token of a quota. `draw` is uniform, 0 to 1.
+fn decide(waited: Waited, tenant: &Tenant, shed_share: f64, draw: f64) -> Result<(), Refusal> {
+    match waited {
+        Waited::Granted => Ok(()),
+        Waited::OverQuota(left) => Err(Refusal::OverQuota { left }),
+        Waited::OverFairShare => Err(Refusal::TooMany),
+        Waited::Undecided if draw < shed_share => Err(Refusal::TooMany),
+        Waited::Undecided if tenant.quota.is_some() => Err(Refusal::NoTokens),
+        Waited::Undecided => Ok(()),
+    }
+}
+
+fn refused(
+    gateway: &Gateway,
+    tenant: &Tenant,
+    route: &Route,
+    request_id: &HeaderValue,
+    refusal: &Refusal,
+) {
+    let reason = match refusal {
+        Refusal::OverQuota { .. } => "over_quota",
+        Refusal::NoTokens => "no_tokens",
+        _ => "over_fair_share",
+    };
+    gateway.metrics.tokens_refused(reason);
+    log::warn!(
+        event = "refused", request:% = id_text(request_id), tenant = tenant.name.as_str(),
+        reason:% = refusal, route = route.name.as_str();
+        "request"
+    );
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sablehaven-gateway/src/sources.rs
+++ b/crates/sablehaven-gateway/src/sources.rs
@@ -74,6 +74,16 @@
         self.preferred
     }
 
+    /// The connected replicas, the preferred one first, of the others the nearest.
+    pub(crate) fn by_distance(&self) -> Vec<(SocketAddr, Distance)> {
+        let replicas = self.replicas.iter();
+        let mut ordered: Vec<(SocketAddr, Distance)> = replicas
+            .map(|(replica, offer)| (*replica, offer.distance))
+            .collect();
+        ordered.sort_by_key(|(replica, distance)| (Some(*replica) != self.preferred, *distance));
+        ordered
+    }
+
     /// What to do, where the gateway has `held`; `draw` (0 to 1) decides among equally near replicas.
     pub(crate) fn next(&mut self, now: Duration, held: StateVersions, draw: f64) -> SourceSteps {
         let mut steps = SourceSteps::default();
--- a/crates/sablehaven-gateway/src/throttle.rs
+++ b/crates/sablehaven-gateway/src/throttle.rs
@@ -86,7 +86,7 @@
     }
 
     /// The share of requests to refuse.
-    fn share(&self, now: Duration, class: ThrottleClass<'_>) -> f64 {
+    pub(crate) fn share(&self, now: Duration, class: ThrottleClass<'_>) -> f64 {
         let counts = self.counts.iter();
         let as_urgent = counts.filter(|(kind, count)| {
             let is_own = **kind == class.kind.0;
