--- a/crates/sablehaven-cli/src/arguments.rs
+++ b/crates/sablehaven-cli/src/arguments.rs
@@ -211,6 +211,10 @@
         ))
         .subcommand(read("backends", "Shows the back ends and their state"))
         .subcommand(Command::new("status").about("Shows control replicas, groups, relays, agents"))
+        .subcommand(
+            Command::new("quotas")
+                .about("Shows each tenant's quota, what it has had, and how often it was refused"),
+        )
         .subcommand(ledger())
         .subcommand(transfer_leadership())
         .subcommand(control_machines())
--- a/crates/sablehaven-cli/src/operator/mod.rs
+++ b/crates/sablehaven-cli/src/operator/mod.rs
@@ -3,7 +3,7 @@
 mod apply;
 mod client;
 mod control_machines;
-
+mod quotas;
 mod reads;
 
 pub use client::OperatorClient;
@@ -41,6 +41,7 @@
         "history" => reads::history(&context, action_matches).await,
         "backends" => reads::backends(&context, action_matches).await,
         "status" => reads::status(&context).await,
+        "quotas" => quotas::quotas(&context).await,
         "ledger" => reads::ledger(&context, action_matches).await,
         "transfer-leadership" => control_machines::transfer(&context, action_matches).await,
         "control" => control_machines::run(&context, action_matches).await,
--- a/crates/sablehaven-control/src/operator/handlers.rs
+++ b/crates/sablehaven-control/src/operator/handlers.rs
@@ -57,6 +57,7 @@
     Wait,
     Backends,
     Status,
+    Quotas,
     Add,
     Remove,
     Replace,
@@ -83,6 +84,7 @@
         .push(at(paths::WAIT).get(handler(Call::Wait)))
         .push(at(paths::BACKENDS).get(handler(Call::Backends)))
         .push(at(paths::STATUS).get(handler(Call::Status)))
+        .push(at(paths::QUOTAS).get(handler(Call::Quotas)))
         .push(at(paths::ADD).post(handler(Call::Add)))
         .push(at(paths::REMOVE).post(handler(Call::Remove)))
         .push(at(paths::REPLACE).post(handler(Call::Replace)))
@@ -131,6 +133,7 @@
                 render(response, reads::backends(context, confirmation).await?);
             }
             Call::Status => render(response, reads::status(context).await?),
+            Call::Quotas => render(response, reads::quotas(context)),
             Call::Add => render(response, changes::add(context, body(request).await?).await?),
             Call::Remove => {
                 render(
--- a/crates/sablehaven-control/src/operator/mod.rs
+++ b/crates/sablehaven-control/src/operator/mod.rs
@@ -14,6 +14,6 @@
 pub(crate) use handlers::{CallError, router};
 pub use types::{
     AddReplica, AgentBehind, AgentState, ControlStatus, GroupStatus, OperatorError, PeerState,
-    RelayState, RemoveReplica, ReplaceReplica, ReplicaState, TransferLeadership, TransferStarted,
-    WaitReply, paths,
+    QuotaUsage, RelayState, RemoveReplica, ReplaceReplica, ReplicaState, TransferLeadership,
+    TransferStarted, WaitReply, paths,
 };
--- a/crates/sablehaven-control/src/operator/reads.rs
+++ b/crates/sablehaven-control/src/operator/reads.rs
@@ -5,7 +5,9 @@
 
 use super::{
     handlers::CallError,
-    types::{AgentState, ControlStatus, GroupStatus, PeerState, RelayState, ReplicaState},
+    types::{
+        AgentState, ControlStatus, GroupStatus, PeerState, QuotaUsage, RelayState, ReplicaState,
+    },
 };
 use crate::{
     driver::{DriverStatus, GroupState, read},
@@ -69,6 +71,20 @@
     Ok(control_status(context, &driver))
 }
 
+/// What tenants have had of this replica.
+pub(super) fn quotas(context: &Context) -> Vec<QuotaUsage> {
+    let usage = context.quotas.usage().into_iter();
+    usage
+        .map(|usage| QuotaUsage {
+            tenant: usage.tenant,
+            quota: usage.quota,
+            granted: usage.granted,
+            refused: usage.refused,
+            tokens: usage.tokens,
+        })
+        .collect()
+}
+
 fn control_status(context: &Context, driver: &DriverStatus) -> ControlStatus {
     let published = context.published.borrow().clone();
     read(&context.state, |state| ControlStatus {
--- a/crates/sablehaven-control/src/operator/types.rs
+++ b/crates/sablehaven-control/src/operator/types.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use sablehaven_consensus::ReplicaId;
-use sablehaven_types::{AgentId, Placement, RelayId};
+use sablehaven_types::{AgentId, Placement, RelayId, RequestQuota, TenantName};
 use serde::{Deserialize, Serialize};
 
 use crate::replicas::{ReplicaAddresses, ReplicaChange};
@@ -23,6 +23,8 @@
     pub const BACKENDS: &str = "/operator/v1/backends";
     /// GET, answers [`super::ControlStatus`]; every replica answers for itself.
     pub const STATUS: &str = "/operator/v1/status";
+    /// GET, answers a list of [`super::QuotaUsage`]; every replica answers for what it granted itself.
+    pub const QUOTAS: &str = "/operator/v1/quotas";
     /// POST [`super::AddReplica`], answers [`crate::replicas::ReplicasOutcome`].
     pub const ADD: &str = "/operator/v1/control/add";
     /// POST [`super::RemoveReplica`], answers [`crate::replicas::ReplicasOutcome`].
@@ -48,6 +50,21 @@
     pub retry_after_ms: Option<u64>,
 }
 
+/// What a tenant has had of one control replica, or of several together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuotaUsage {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Its quota over all gateways; `None` for any number of requests.
+    pub quota: Option<RequestQuota>,
+    /// Tokens granted since the replica's start.
+    pub granted: u64,
+    /// Requests refused since then because the quota was used up.
+    pub refused: u64,
+    /// Tokens that are there now.
+    pub tokens: f64,
+}
+
 /// Whether a version is in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitReply {
--- a/crates/sablehaven-control/src/quotas/desk.rs
+++ b/crates/sablehaven-control/src/quotas/desk.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_quota::QuotaPart;
+use sablehaven_quota::{QuotaPart, TenantUsage};
 use sablehaven_types::{
     LoanRequest, QuotaTolerance, RequestQuota, RouteDocument, TenantName, TokenLoan, TokenReply,
     TokenRequest, TokenVerdict,
@@ -105,6 +105,12 @@
         self.metrics.tokens_borrowed.inc_by(loan.tokens.into());
     }
 
+    /// What each tenant has had of this replica.
+    pub(crate) fn usage(&self) -> Vec<TenantUsage> {
+        let now = self.now();
+        self.current(now).part.usage(now)
+    }
+
     fn now(&self) -> Duration {
         self.started_at.elapsed()
     }
