Control: a replica whose driver has failed has no part; quotas over real connections in tests

A driver that ended by a failed write left its last word of the leader standing, and the replica would have gone on granting.

--- a/crates/sablehaven-control/src/quotas/desk/tests.rs
+++ b/crates/sablehaven-control/src/quotas/desk/tests.rs
@@ -169,7 +169,7 @@
 }
 
 #[test]
-fn parts_are_one_more_than_members_and_none_without_a_leader_or_a_vote() {
+fn parts_are_one_more_than_members_and_none_without_a_leader_a_vote_or_a_driver() {
     let member = Published {
         leader: Some(ReplicaId(1)),
         members: 9,
@@ -182,6 +182,11 @@
         ..member.clone()
     };
     assert_eq!(parts(&leaderless), None);
+    let failed = Published {
+        failure: Some("store: no space".to_owned()),
+        ..member.clone()
+    };
+    assert_eq!(parts(&failed), None);
     let replaced = Published {
         is_member: false,
         ..member
--- a/crates/sablehaven-control/src/quotas/parts.rs
+++ b/crates/sablehaven-control/src/quotas/parts.rs
@@ -6,11 +6,10 @@
 /// what became of the group meanwhile, may spend its former part for a moment, beside all the others.
 const SPARE_PARTS: u32 = 1;
 
-/// The number of equal parts of which this replica holds one; `None` while it may not spend any: it is no member, or knows
-/// no leader. A leader without a quorum steps down, and a follower without a leader knows none after its election time.
+/// The number of equal parts of which this replica holds one; `None` while it may not spend any: it is no member, knows
+/// no leader, or its driver has failed. A leader without a quorum steps down, and a follower without a leader knows none after its election time.
 pub(super) fn parts(published: &Published) -> Option<u32> {
     published.leader?;
-    published
-        .is_member
-        .then_some(published.members + SPARE_PARTS)
+    let may_spend = published.is_member && published.failure.is_none();
+    may_spend.then_some(published.members + SPARE_PARTS)
 }
--- a/crates/sablehaven-control/tests/support/gateway.rs
+++ b/crates/sablehaven-control/tests/support/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use sablehaven_types::{ListingNumber, ListingUpdate, Placement};
+use sablehaven_types::{ListingNumber, ListingUpdate, Placement, TokenRequest, TokenVerdict};
 use sablehaven_wire::{
     Connection, ControlToGateway, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION, Role,
     StateVersions, connect,
@@ -13,6 +13,7 @@
 
 pub struct Gateway {
     connection: Connection<ControlToGateway, GatewayToControl>,
+    last_number: u64,
 }
 
 impl Gateway {
@@ -27,6 +28,7 @@
         let connection = connect(address, &hello, Role::Control).await;
         let mut gateway = Self {
             connection: connection.expect("connect to control"),
+            last_number: 0,
         };
         let status = GatewayStatus {
             address: ([127, 0, 0, 1], 1).into(),
@@ -80,4 +82,25 @@
         })
         .await
     }
+
+    /// The replica's verdict on one request for a token.
+    pub async fn take_token(&mut self, tenant: &str) -> TokenVerdict {
+        self.last_number += 1;
+        let number = self.last_number;
+        let request = TokenRequest {
+            number,
+            tenant: tenant.into(),
+            wanted: 1,
+            shed_permille: 0,
+        };
+        self.send(GatewayToControl::TakeTokens(vec![request])).await;
+        self.receive_some(|message| match message {
+            ControlToGateway::Tokens(replies) => {
+                let own = replies.iter().find(|reply| reply.number == number);
+                own.map(|reply| reply.verdict)
+            }
+            _ => None,
+        })
+        .await
+    }
 }
