Control, gateways: a change of the routes travels as what differs

Each version of the routes went to every gateway whole. With 10,000 tenants and 40,000 keys that is nearly a megabyte a gateway for one exchanged key, on links of 20 Mbit/s.

`RoutesChange` (types) holds the routes, services and tenants that are new or differ, those that are gone, and the limits where they differ, from one version to another. A replica remembers the last four versions that it had in force and sends a gateway that has one of them the difference, any other one the whole document. A gateway that has another version than the base by then ignores the change and fetches anew.

Remembering only the versions that were fetched: the near replica of a gateway that fetched elsewhere would send all. A bound in bytes: four versions of the largest document that was measured are a few megabytes.

Control: whole or change by the version held, four versions kept.

--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -11,12 +11,12 @@
     AllowedRegions, ListedServer, ListingNumber, ListingUpdate, Placement, RouteDocument,
     ServerListing,
 };
-use sablehaven_wire::{ControlToGateway, GatewayLoad, GatewayStatus};
+use sablehaven_wire::{GatewayLoad, GatewayStatus};
 use tokio::sync::watch;
 
 use super::{
     crash_board::CrashBoard,
-    encoded::{Encoded, EncodedListings, encode},
+    encoded::{Encoded, EncodedListings, EncodedRoutes},
     entry::NamedGateways,
     members_view::MembersView,
     sessions::Sessions,
@@ -41,7 +41,7 @@
     /// Requests under which servers ended.
     pub(super) crashes: CrashBoard,
     /// The latest routes and listing as they go out, so that many connections share the work.
-    encoded_routes: Mutex<Option<(u64, Encoded)>>,
+    encoded_routes: Mutex<EncodedRoutes>,
     encoded_listings: Mutex<EncodedListings>,
 }
 
@@ -214,19 +214,21 @@
         self.members.subscribe()
     }
 
-    pub(super) fn encode_routes(&self, routes: &Arc<RouteDocument>) -> Option<Encoded> {
-        let mut cached = self
-            .encoded_routes
+    /// Takes the routes in force, so that later ones go out as what differs from them.
+    pub(super) fn take_routes(&self, routes: &Arc<RouteDocument>) {
+        self.encoded_routes().take(routes);
+    }
+
+    /// The routes in force as they go to a gateway that has the version `held`: what has changed since, or all of them
+    /// where this replica does not know that version. `None` where the gateway has them.
+    pub(super) fn encode_routes(&self, held: u64) -> Option<Encoded> {
+        self.encoded_routes().encode(held)
+    }
+
+    fn encoded_routes(&self) -> MutexGuard<'_, EncodedRoutes> {
+        self.encoded_routes
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some((version, encoded)) = &*cached
-            && *version == routes.version
-        {
-            return Some(Arc::clone(encoded));
-        }
-        let encoded = encode(&ControlToGateway::Routes(Arc::clone(routes)))?;
-        *cached = Some((routes.version, Arc::clone(&encoded)));
-        Some(encoded)
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The listing as it goes to a gateway that has the reading `held`: what has changed since, or all of it
--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -237,6 +237,10 @@
         if versions == self.sent_versions {
             return Ok(());
         }
+        // Every session does, so that the replica knows each version that it may have told of.
+        if let Some(routes) = self.routes() {
+            self.context.gateways.take_routes(&routes);
+        }
         self.sent_versions = versions;
         self.send("versions", &ControlToGateway::Versions(versions))
             .await
@@ -263,9 +267,10 @@
     /// Sends the routes where they are newer than what the gateway has, and the evacuated zones before them.
     async fn send_routes(&mut self, held: u64) -> Result<(), GatewaySessionError> {
         self.send_evacuation().await?;
-        let newer = self.routes().filter(|document| document.version > held);
-        let encoded = newer.and_then(|document| self.context.gateways.encode_routes(&document));
-        match encoded {
+        if let Some(routes) = self.routes() {
+            self.context.gateways.take_routes(&routes);
+        }
+        match self.context.gateways.encode_routes(held) {
             Some(encoded) => self.send_encoded("routes", &encoded).await,
             None => Ok(()),
         }
--- a/crates/sablehaven-gateway/src/control_link.rs
+++ b/crates/sablehaven-gateway/src/control_link.rs
@@ -188,6 +188,7 @@
         }
         ControlToGateway::Versions(versions) => gateway.control_links.offer(peer, versions),
         ControlToGateway::Routes(document) => gateway.take_routes(document),
+        ControlToGateway::RoutesChange(change) => gateway.take_routes_change(&change),
         ControlToGateway::Listing(listing) => gateway.take_listing(&listing),
         ControlToGateway::ListingChange(change) => gateway.take_listing_change(&change),
         ControlToGateway::Members(members) => gateway.take_members(members),
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use sablehaven_routing::crash_table::CrashTable;
 use sablehaven_types::{
     CallerLimits, CrashReport, EvacuatedZones, ListingChange, ListingNumber, RequestFingerprint,
-    RouteDocument, ServerListing, ZoneName,
+    RouteDocument, RoutesChange, ServerListing, ZoneName,
 };
 use sablehaven_wire::{DeploymentMembers, GatewayStatus, StateVersions};
 use tokio::sync::{broadcast, watch};
@@ -152,6 +152,26 @@
         self.refresh_status();
     }
 
+    /// Takes what a version of the routes says otherwise than the one that was in force when it was asked for. Where another
+    /// replica's answer has come first, what is still missing is fetched anew.
+    pub(crate) fn take_routes_change(&self, change: &RoutesChange) {
+        let Some(held) = self.routes() else {
+            log::info!(event = "routes_change_ignored", base = change.base, held = 0; "routes");
+            return;
+        };
+        let held = held.document();
+        if change.version <= held.version {
+            return;
+        }
+        match change.apply(held) {
+            Some(document) => self.take_routes(Arc::new(document)),
+            None => log::info!(
+                event = "routes_change_ignored", base = change.base, held = held.version;
+                "routes"
+            ),
+        }
+    }
+
     /// Takes a reading of the list of servers.
     pub(crate) fn take_listing(&self, listing: &ServerListing) {
         if !self.registry.take_listing(listing) {
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod protobuf;
 mod quota_tolerance;
 mod routes;
+mod routes_change;
 mod setting;
 mod tenant;
 mod tokens;
@@ -47,6 +48,7 @@
     CallerLimits, Gather, RequestKind, Route, RouteDocument, RouteError, RouteTarget,
     RoutedService, WeightedService,
 };
+pub use routes_change::{RoutePlace, RoutesChange};
 pub use setting::{SettingChecks, SettingError};
 pub use tenant::{KeyDigest, RequestQuota, Tenant};
 pub use tokens::{
--- a/crates/sablehaven-wire/src/message.rs
+++ b/crates/sablehaven-wire/src/message.rs
@@ -4,8 +4,9 @@
 
 use sablehaven_types::{
     AgentId, BackendId, BackendRecord, CrashReport, EvacuatedZones, LedgerReply, LedgerRequest,
-    ListingChange, ListingNumber, Observation, Placement, RelayId, RouteDocument, SchemaSource,
-    ServerListing, ServiceConfiguration, ServiceName, TokenReply, TokenRequest, ZoneName,
+    ListingChange, ListingNumber, Observation, Placement, RelayId, RouteDocument, RoutesChange,
+    SchemaSource, ServerListing, ServiceConfiguration, ServiceName, TokenReply, TokenRequest,
+    ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -311,6 +312,8 @@
     Alive,
     /// Answers to [`GatewayToControl::TakeTokens`].
     Tokens(Vec<TokenReply>),
+    /// What committed routes say otherwise than the version that the gateway has.
+    RoutesChange(RoutesChange),
 }
 
 /// The versions of what a control replica has for gateways.
