Gateway: callers' keys name their tenants, which rank, bind and are told to servers

The configuration's tenants were read and not used: every caller was served, servers were told what callers claimed of their tenant and saw their keys, and a tenant's rank and regions bound nothing.

A gateway finds the tenant by the digest of the key before it reads a body, in a table that is kept with the version of the routes; 401 at once where none is known, without a place, a token or a count in the detection of second tries. Public routes need no key; a known one counts there too. Servers get the tenant's name whatever the caller sent, and never the key where there are tenants. A request may be served where both its route and its tenant allow (a type of its own, since an empty set of allowed regions means everywhere). What has waited is looked up again before its servers are asked, and before each attempt leaves. The throttle counts by kind and urgency: one urgency for each kind was overwritten by the next request's. A tenant that names one of its keys twice is valid now (only two tenants must not share one); a name that no header holds is not. The error about tenants that cannot be read quotes nothing of them: it could have been a key.

A map by key with a tenant of its own for each: twice the memory. A check only in the choice of a server: a key could go while the connection is opened. The directory by tenant: it does not know the caller, and names gateways near it before any other.

Gateway: known, unknown, malformed and doubled keys; a body that never comes; claimed headers; public routes; regions of both; keys that come, go while a connection stays open, while a body is read and between attempts; no key in a log line, figure or answer. Types: each rule of tenants, no key in errors, debug output or the serialized form; without tenants the same bytes as before.

--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -19,9 +19,18 @@
 use tokio::sync::{broadcast, watch};
 
 use crate::{
-    Config, admission::Admission, control_links::ControlLinks, crashes::log_quarantine,
-    load::LoadMeter, metrics::Metrics, names::HeaderNames, resends::ResendDetector,
-    route_table::RouteTable, servers::Registry, throttle::RequestThrottle,
+    Config,
+    admission::Admission,
+    caller::{Caller, CallerStanding},
+    control_links::ControlLinks,
+    crashes::log_quarantine,
+    load::LoadMeter,
+    metrics::Metrics,
+    names::HeaderNames,
+    resends::ResendDetector,
+    route_table::RouteTable,
+    servers::Registry,
+    throttle::RequestThrottle,
 };
 
 /// Reports that a connection to a control replica may be behind; one that is further behind begins anew.
@@ -109,6 +118,14 @@
         self.routes.borrow().clone()
     }
 
+    /// What the version in force says of a caller who was looked up in it or an earlier one.
+    pub(crate) fn standing(&self, caller: &Caller) -> CallerStanding {
+        let routes = self.routes.borrow();
+        let standing = routes.as_ref().map(|table| caller.standing(table));
+        // There are always routes once a caller was looked up in them.
+        standing.unwrap_or(CallerStanding::Holds)
+    }
+
     /// The limits in force.
     pub(crate) fn limits(&self) -> CallerLimits {
         let routes = self.routes.borrow();
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`names`]: what headers are called; a deployment may call them otherwise.
 //! - `control_link`, `control_links`, `sources`: routes and the list of servers from the control replicas.
 //! - `route_table`: which route a request takes.
+//! - `tenant_table`, `caller`: whose request it is; `serving_regions`: where it may be served.
 //! - `servers`: connections, health and choice of servers; the budget of extra attempts.
 //! - `request`: the way of one request.
 //! - `crashes`: requests that take their servers down.
@@ -14,6 +15,7 @@
 //! - `admission`, `throttle`, `resends`: who is refused under pressure.
 
 mod admission;
+mod caller;
 mod config;
 mod control_link;
 mod control_links;
@@ -28,7 +30,9 @@
 mod role;
 mod route_table;
 mod servers;
+mod serving_regions;
 mod sources;
+mod tenant_table;
 mod throttle;
 mod urgency;
 
--- a/crates/sablehaven-gateway/src/metrics.rs
+++ b/crates/sablehaven-gateway/src/metrics.rs
@@ -53,6 +53,7 @@
     pub(crate) extra_attempts: Counter,
     pub(crate) unaffordable_attempts: Counter,
     pub(crate) quarantined_requests: Counter,
+    pub(crate) unknown_key_requests: Counter,
     pub(crate) open_requests: Gauge,
     pub(crate) routes_version: Gauge,
     pub(crate) listed_servers: Gauge,
@@ -73,6 +74,7 @@
             extra_attempts: Counter::default(),
             unaffordable_attempts: Counter::default(),
             quarantined_requests: Counter::default(),
+            unknown_key_requests: Counter::default(),
             open_requests: Gauge::default(),
             routes_version: Gauge::default(),
             listed_servers: Gauge::default(),
@@ -114,6 +116,11 @@
             "Requests that were refused because they had crashed servers",
             self.quarantined_requests.clone(),
         );
+        registry.register(
+            "unknown_key_requests",
+            "Requests that were refused because no tenant has the key that they came with, or they came without",
+            self.unknown_key_requests.clone(),
+        );
         registry.register(
             "open_requests",
             "Requests that are being answered",
--- a/crates/sablehaven-gateway/src/request/first_routes.rs
+++ b/crates/sablehaven-gateway/src/request/first_routes.rs
@@ -19,10 +19,10 @@
 pub(super) async fn find_route_or_wait(
     gateway: &Gateway,
     head: &Parts,
-    caller_try: CallerTry,
+    caller_try: Option<CallerTry>,
 ) -> Result<Rc<PlannedRoute>, Refusal> {
     let found = find_route(gateway, head);
-    if !matches!(found, Err(Refusal::NoRoutes { .. })) || caller_try == CallerTry::First {
+    if !matches!(found, Err(Refusal::NoRoutes { .. })) || caller_try != Some(CallerTry::Resend) {
         return found;
     }
     let Some(left) = caller_time(gateway, head) else {
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -28,13 +28,17 @@
 };
 use sablehaven_http::WholeBody;
 use sablehaven_routing::crash_table::Standing;
-use sablehaven_types::{AllowedRegions, Route, RouteTarget, ServiceName, Tenant, WeightedService};
+use sablehaven_types::{Route, RouteTarget, ServiceName, Tenant, WeightedService};
 
 use self::{
-    authorize::find_tenant, first_routes::find_route_or_wait, refusal::Refusal, tokens::take_token,
+    authorize::{find_again, find_caller},
+    first_routes::find_route_or_wait,
+    refusal::Refusal,
+    tokens::take_token,
 };
 use crate::{
     admission::{AdmissionClass, Admitted, NotAdmitted},
+    caller::CallerStanding,
     crashes::{CrashWatch, fingerprint},
     gateway::Gateway,
     metrics::Outcome,
@@ -42,6 +46,7 @@
     resends::CallerTry,
     route_table::PlannedRoute,
     servers::{KindOfRequest, OutgoingRequest},
+    serving_regions::ServingRegions,
     throttle::ThrottleClass,
     urgency::Urgency,
 };
@@ -53,13 +58,13 @@
 pub(crate) struct Accepted {
     pub(crate) gateway: Rc<Gateway>,
     pub(crate) planned: Rc<PlannedRoute>,
-    /// Whose request it is; `None` where nobody needs a key.
-    pub(crate) tenant: Option<Rc<Tenant>>,
+    /// Where its servers may be.
+    regions: ServingRegions,
     pub(crate) outgoing: Rc<OutgoingRequest>,
     pub(crate) arrived: Instant,
 }
 
-/// Answers a request in four phases: find its route, read its body, admit it, and ask its servers.
+/// Answers a request in five phases: find its route, find its tenant, read its body, admit it, and ask its servers.
 /// The future is dropped when the caller leaves, and every attempt with it.
 pub(crate) async fn answer(
     gateway: Rc<Gateway>,
@@ -77,9 +82,12 @@
 ) -> Result<Response<WholeBody>, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let caller_try = caller_try(gateway, &head);
-    let planned = find_route_or_wait(gateway, &head, caller_try).await?;
-    let tenant = find_tenant(gateway, &planned, &head)?;
+    // Only a gateway that has yet to start needs to know before the caller is known: what callers without a key send says
+    // nothing of the others.
+    let first_look = (!gateway.has_routes()).then(|| caller_try(gateway, &head));
+    let planned = find_route_or_wait(gateway, &head, first_look).await?;
+    let caller = find_caller(gateway, &planned, &head)?;
+    let caller_try = first_look.unwrap_or_else(|| caller_try(gateway, &head));
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
     let request_id = request_id.ok_or(Refusal::NoRequestId)?;
     let body = read_body(body, gateway.limits().max_body_bytes).await?;
@@ -90,7 +98,7 @@
     refuse_quarantined(gateway, &crash_watch, &request_id)?;
     let route = planned.route();
     let kind = planned.profile.kind();
-    let urgency = urgency(route, tenant.as_deref());
+    let urgency = urgency(route, caller.tenant());
     let admitted = admit(gateway, route, kind, urgency, caller_try);
     if let Err(reason) = &admitted {
         log::warn!(
@@ -101,14 +109,19 @@
         accepted_metrics(gateway, &planned, Outcome::Refused, arrived);
         return Err(Refusal::TooMany);
     }
-    if let Some(tenant) = &tenant {
+    if let Some(tenant) = caller.tenant() {
         take_token(gateway, tenant, 0.0).await?;
     }
+    let caller = find_again(gateway, &planned, &head, caller)?;
+    let regions = regions(&planned, caller.tenant());
+    let mut headers = headers::passed_on(&head.headers, &gateway.names);
+    caller.mark(&mut headers, &gateway.names);
     let deadline = arrived + time_left(gateway, &planned, &head);
     let outgoing = Rc::new(OutgoingRequest {
+        caller,
         method: head.method,
         target: head.uri,
-        headers: headers::passed_on(&head.headers, &gateway.names),
+        headers,
         request_id,
         body,
         deadline,
@@ -119,7 +132,7 @@
     let accepted = Accepted {
         gateway: Rc::clone(gateway),
         planned: Rc::clone(&planned),
-        tenant,
+        regions,
         outgoing,
         arrived,
     };
@@ -128,6 +141,7 @@
         RouteTarget::Split(parts) => single::answer(&accepted, draw(parts, rand::random())).await,
         RouteTarget::Gather(gather) => gather::answer(&accepted, gather).await,
     };
+    let answer = answer.map_err(|refusal| accepted.explain(refusal));
     let outcome = answer
         .as_ref()
         .map_or(Outcome::Failed, |(_, outcome)| *outcome);
@@ -208,6 +222,14 @@
     Urgency::new(tenant.map(|tenant| tenant.priority), route.priority)
 }
 
+/// Where a request may be served: where both its route and its tenant allow.
+fn regions(planned: &PlannedRoute, tenant: Option<&Tenant>) -> ServingRegions {
+    match tenant {
+        Some(tenant) => planned.regions.within(&tenant.allowed_regions),
+        None => planned.regions.clone(),
+    }
+}
+
 fn throttle_class(route: &Route, kind: KindOfRequest, urgency: Urgency) -> ThrottleClass<'_> {
     ThrottleClass {
         kind,
@@ -222,9 +244,9 @@
     let Accepted {
         gateway,
         planned,
-        tenant,
         outgoing,
         arrived,
+        ..
     } = accepted;
     let now = gateway.clock.now();
     if outgoing.crash_watch.has_crashed_servers(now) {
@@ -234,7 +256,7 @@
     let aim = Duration::from_millis(route.aim_ms);
     let is_served = matches!(outcome, Outcome::Whole | Outcome::Partial);
     let is_useful = is_served && arrived.elapsed() <= aim;
-    let urgency = urgency(route, tenant.as_deref());
+    let urgency = urgency(route, outgoing.caller.tenant());
     let class = throttle_class(route, planned.profile.kind(), urgency);
     let mut throttle = gateway.throttle.borrow_mut();
     throttle.answered(now, class, is_useful);
@@ -310,8 +332,23 @@
 
 impl Accepted {
     /// The regions in which its servers may be.
-    fn allowed_regions(&self) -> &AllowedRegions {
-        &self.planned.route().allowed_regions
+    fn allowed_regions(&self) -> &ServingRegions {
+        &self.regions
+    }
+
+    fn caller_holds(&self) -> bool {
+        self.gateway.standing(&self.outgoing.caller) == CallerStanding::Holds
+    }
+
+    /// The refusal as its caller is told it. Where no server has run the request because its key was taken away, that is
+    /// the reason; where it is another tenant's by now, the caller may come again.
+    fn explain(&self, refusal: Refusal) -> Refusal {
+        let is_not_run = matches!(refusal, Refusal::NoServers | Refusal::NotRun);
+        match self.gateway.standing(&self.outgoing.caller) {
+            CallerStanding::KeyGone if is_not_run => Refusal::UnknownKey,
+            CallerStanding::Changed if is_not_run => Refusal::NotRun,
+            _ => refusal,
+        }
     }
 
     fn id(&self) -> String {
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -38,7 +38,6 @@
     /// no route has this host and path
     UnknownRoute,
     /// no key of a tenant is presented, or one that is not known
-    #[expect(dead_code, reason = "what refuses so follows")]
     UnknownKey,
     /// the request has no id
     NoRequestId,
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -191,7 +191,11 @@
         Ok(())
     }
 
+    /// The server for the next attempt; none once the caller's key does not hold any more.
     fn next_server(&self) -> Option<Rc<Server>> {
+        if !self.accepted.caller_holds() {
+            return None;
+        }
         let now = self.accepted.gateway.clock.now();
         let planned = &self.accepted.planned;
         let allowed = self.accepted.allowed_regions();
--- a/crates/sablehaven-gateway/src/route_table.rs
+++ b/crates/sablehaven-gateway/src/route_table.rs
@@ -4,13 +4,14 @@
 
 use sablehaven_types::{Route, RouteDocument};
 
-use crate::servers::KindOfRequest;
+use crate::{servers::KindOfRequest, serving_regions::ServingRegions, tenant_table::TenantTable};
 
 /// The routes of one version, ready to be looked up.
 pub(crate) struct RouteTable {
     document: Arc<RouteDocument>,
     /// Routes by host in lower case, the longest prefix first.
     by_host: HashMap<String, Vec<Rc<PlannedRoute>>>,
+    tenants: TenantTable,
     /// Kinds of request that were named so far, by this table and those before it.
     kinds: usize,
 }
@@ -21,6 +22,8 @@
     position: usize,
     pub(crate) version: u64,
     pub(crate) profile: Rc<RouteProfile>,
+    /// Where its requests may be served, whosever they are.
+    pub(crate) regions: ServingRegions,
 }
 
 /// What has been learned of a route's requests; kept over versions.
@@ -88,6 +91,7 @@
                 position,
                 version: document.version,
                 profile,
+                regions: ServingRegions::new(&route.allowed_regions),
             });
             let host = route.host.to_ascii_lowercase();
             by_host.entry(host).or_default().push(planned);
@@ -96,6 +100,7 @@
             routes.sort_by_key(|planned| std::cmp::Reverse(planned.route().path_prefix.len()));
         }
         Self {
+            tenants: TenantTable::new(Arc::clone(&document)),
             document,
             by_host,
             kinds,
@@ -106,6 +111,11 @@
         &self.document
     }
 
+    /// The keys of the same version.
+    pub(crate) fn tenants(&self) -> &TenantTable {
+        &self.tenants
+    }
+
     /// The route of a host and path: the longest prefix that begins the path.
     pub(crate) fn find(&self, host: &str, path: &str) -> Option<&Rc<PlannedRoute>> {
         let host = without_port(host).to_ascii_lowercase();
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -24,7 +24,13 @@
     Server,
     health::{Ending, Taken},
 };
-use crate::{crashes::CrashWatch, gateway::Gateway, pace::Pace, route_table::RouteProfile};
+use crate::{
+    caller::{Caller, CallerStanding},
+    crashes::CrashWatch,
+    gateway::Gateway,
+    pace::Pace,
+    route_table::RouteProfile,
+};
 
 /// The largest body of an answer, in bytes.
 const MAXIMUM_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -37,6 +43,7 @@
 
 /// What is sent to servers for one request of a caller; shared by its attempts.
 pub(crate) struct OutgoingRequest {
+    pub(crate) caller: Caller,
     pub(crate) method: Method,
     pub(crate) target: Uri,
     /// The caller's headers but for those of its connection.
@@ -285,6 +292,12 @@
             "send to {address}: the server is to get nothing new"
         )));
     }
+    // So must this one: a key that was taken away while this waited reaches no server.
+    if gateway.standing(&request.caller) != CallerStanding::Holds {
+        return Err(not_sent(format!(
+            "send to {address}: the caller's key does not hold any more"
+        )));
+    }
     let Some(outgoing) = build(gateway, server, request) else {
         return Err(not_sent(format!("send to {address}: no time is left")));
     };
--- a/crates/sablehaven-gateway/src/servers/health.rs
+++ b/crates/sablehaven-gateway/src/servers/health.rs
@@ -81,7 +81,7 @@
 }
 
 /// Names a kind of request: those of one route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct KindOfRequest(pub(crate) usize);
 
 /// What an attempt took, and what it is to be measured against; both without the way there.
--- a/crates/sablehaven-gateway/src/servers/server.rs
+++ b/crates/sablehaven-gateway/src/servers/server.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{AllowedRegions, BackendId, Distance, ListedServer, RegionName, ZoneName};
+use sablehaven_types::{BackendId, Distance, ListedServer, RegionName, ZoneName};
 
 use super::{
     choice::Candidate,
@@ -14,6 +14,7 @@
     connection_pool::ConnectionPool,
     health::ServerHealth,
 };
+use crate::serving_regions::ServingRegions;
 
 /// One server, as the list and the gateway's own attempts show it.
 pub(crate) struct Server {
@@ -138,7 +139,7 @@
     }
 
     /// Whether it takes work, in a region that is allowed.
-    pub(crate) fn may_serve(&self, allowed: &AllowedRegions) -> bool {
+    pub(crate) fn may_serve(&self, allowed: &ServingRegions) -> bool {
         self.takes_work() && allowed.admit(self.region.as_ref())
     }
 
--- a/crates/sablehaven-gateway/src/servers/service_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/service_pool.rs
@@ -7,9 +7,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{
-    AllowedRegions, BackendId, Distance, EvacuatedZones, ListedServer, RoutedService,
-};
+use sablehaven_types::{BackendId, Distance, EvacuatedZones, ListedServer, RoutedService};
 
 use super::{
     Server,
@@ -19,7 +17,7 @@
     connection_share::{SharerCount, connection_share},
     zone_map::ZoneMap,
 };
-use crate::{RetryBounds, route_table::RouteProfile};
+use crate::{RetryBounds, route_table::RouteProfile, serving_regions::ServingRegions};
 
 /// The servers of one service.
 pub(crate) struct ServicePool {
@@ -121,7 +119,7 @@
         &self,
         now: Duration,
         profile: &RouteProfile,
-        allowed: &AllowedRegions,
+        allowed: &ServingRegions,
         tried: &[BackendId],
     ) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
@@ -141,13 +139,13 @@
     }
 
     /// Whether any server may take a request, leaving aside how well it does.
-    pub(crate) fn can_serve(&self, allowed: &AllowedRegions) -> bool {
+    pub(crate) fn can_serve(&self, allowed: &ServingRegions) -> bool {
         let servers = self.servers.borrow();
         servers.iter().any(|server| server.may_serve(allowed))
     }
 
     /// The servers that may take a request, without those of `tried` and those that failed last.
-    pub(crate) fn spare(&self, allowed: &AllowedRegions, tried: &[BackendId]) -> usize {
+    pub(crate) fn spare(&self, allowed: &ServingRegions, tried: &[BackendId]) -> usize {
         let servers = self.servers.borrow();
         let spare = servers.iter().filter(|server| {
             let has_failed = server.health.borrow().has_failed_last();
--- /dev/null
+++ b/crates/sablehaven-gateway/src/tenant_table.rs
@@ -0,0 +1,65 @@
+//! Whose key a caller presents.
+
+use std::sync::Arc;
+
+use hyper::header::HeaderValue;
+use sablehaven_types::{KeyDigest, RouteDocument, Tenant};
+
+/// The keys of one version, ready to be looked up.
+pub(crate) struct TenantTable {
+    document: Arc<RouteDocument>,
+    /// The digest of each key with its tenant's place in the document, in the order of the digests: tens of thousands of
+    /// keys take what they are long and little more.
+    by_key: Box<[(KeyDigest, u32)]>,
+}
+
+/// A tenant of one version; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct KnownTenant {
+    document: Arc<RouteDocument>,
+    position: usize,
+}
+
+impl TenantTable {
+    pub(crate) fn new(document: Arc<RouteDocument>) -> Self {
+        let mut by_key = Vec::new();
+        for (position, tenant) in (0..).zip(&document.tenants) {
+            by_key.extend(tenant.keys.iter().map(|key| (*key, position)));
+        }
+        by_key.sort_unstable();
+        Self {
+            by_key: by_key.into_boxed_slice(),
+            document,
+        }
+    }
+
+    /// Whether nobody needs a key.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.document.tenants.is_empty()
+    }
+
+    /// The tenant that has a key.
+    pub(crate) fn find(&self, key: KeyDigest) -> Option<KnownTenant> {
+        let found = self.by_key.binary_search_by_key(&key, |(known, _)| *known);
+        let (_, position) = self.by_key[found.ok()?];
+        Some(KnownTenant {
+            document: Arc::clone(&self.document),
+            position: position as usize,
+        })
+    }
+}
+
+impl KnownTenant {
+    pub(crate) fn tenant(&self) -> &Tenant {
+        &self.document.tenants[self.position]
+    }
+
+    /// The tenant's name as servers are told it; `None` where no header can hold it, which
+    /// [`RouteDocument::validate`] refuses.
+    pub(crate) fn header(&self) -> Option<HeaderValue> {
+        HeaderValue::from_bytes(self.tenant().name.as_str().as_bytes()).ok()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sablehaven-gateway/src/throttle.rs
+++ b/crates/sablehaven-gateway/src/throttle.rs
@@ -3,8 +3,8 @@
 //! Servers that are asked for more than they can do are late with everything. A gateway sees only its own
 //! requests: the further the useful ones lately were below half of those that passed, the more it refuses
 //! at once (after the adaptive throttling of Site Reliability Engineering, 2016, chapter 21, which also
-//! counts what it refused). The caller may come back when there is room. A kind is refused at least as often as any more
-//! urgent kind that needs the same servers.
+//! counts what it refused). The caller may come back when there is room. Requests of one kind and urgency are
+//! refused at least as often as any more urgent ones that need the same servers.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -16,8 +16,8 @@
 const PASSED_PER_USEFUL: f64 = 2.0;
 /// Requests that may come to nothing before any is refused: few say little.
 const ALLOWANCE: f64 = 3.0;
-/// Kinds beyond which those that were not asked for lately are forgotten.
-const KEPT_KINDS: usize = 64;
+/// Kinds, by urgency, beyond which those that were not asked for lately are forgotten.
+const KEPT_CLASSES: usize = 64;
 /// A count below this is as good as none.
 const FORGOTTEN_COUNT: f64 = 0.01;
 /// Time after which a request counts half.
@@ -37,12 +37,11 @@
 pub(crate) struct RequestThrottle {
     /// The largest share that is refused: what passes shows when the servers are well again.
     max_share: f64,
-    counts: HashMap<usize, KindCount>,
+    counts: HashMap<(KindOfRequest, Urgency), ClassCount>,
 }
 
 #[derive(Clone, Debug)]
-struct KindCount {
-    urgency: Urgency,
+struct ClassCount {
     service: ServiceName,
     answered: DecayingCount,
     useful: DecayingCount,
@@ -63,19 +62,17 @@
 
     /// A request that passed has its answer, in time or not. One whose caller left says nothing.
     pub(crate) fn answered(&mut self, now: Duration, class: ThrottleClass<'_>, is_useful: bool) {
-        if self.counts.len() > KEPT_KINDS {
-            let is_kept = |count: &KindCount| count.answered.now(now) > FORGOTTEN_COUNT;
+        if self.counts.len() > KEPT_CLASSES {
+            let is_kept = |count: &ClassCount| count.answered.now(now) > FORGOTTEN_COUNT;
             self.counts.retain(|_, count| is_kept(count));
         }
-        let count = self.counts.entry(class.kind.0);
-        let count = count.or_insert_with(|| KindCount {
-            urgency: class.urgency,
+        let count = self.counts.entry((class.kind, class.urgency));
+        let count = count.or_insert_with(|| ClassCount {
             service: class.service.clone(),
             answered: DecayingCount::default(),
             useful: DecayingCount::default(),
         });
-        // Both may change with the configuration.
-        count.urgency = class.urgency;
+        // It may change with the configuration.
         if count.service != *class.service {
             count.service = class.service.clone();
         }
@@ -88,9 +85,9 @@
     /// The share of requests to refuse.
     fn share(&self, now: Duration, class: ThrottleClass<'_>) -> f64 {
         let counts = self.counts.iter();
-        let as_urgent = counts.filter(|(kind, count)| {
-            let is_own = **kind == class.kind.0;
-            is_own || (count.urgency < class.urgency && count.service == *class.service)
+        let as_urgent = counts.filter(|((kind, urgency), count)| {
+            let is_own = *kind == class.kind && *urgency == class.urgency;
+            is_own || (*urgency < class.urgency && count.service == *class.service)
         });
         as_urgent
             .map(|(_, count)| count.share(now))
@@ -99,7 +96,7 @@
     }
 }
 
-impl KindCount {
+impl ClassCount {
     fn share(&self, now: Duration) -> f64 {
         let answered = self.answered.now(now);
         let passed = PASSED_PER_USEFUL * self.useful.now(now) + ALLOWANCE;
--- a/crates/sablehaven-gateway/src/throttle/tests.rs
+++ b/crates/sablehaven-gateway/src/throttle/tests.rs
@@ -103,3 +103,30 @@
     }
     assert!(throttle.counts.len() <= 66, "{}", throttle.counts.len());
 }
+
+#[test]
+fn of_one_kind_the_requests_of_less_urgent_tenants_are_refused_first() {
+    let mut throttle = RequestThrottle::new(0.7);
+    let service = ServiceName::from("s");
+    let class = |rank| ThrottleClass {
+        kind: URGENT,
+        urgency: Urgency::new(Some(rank), 1),
+        service: &service,
+    };
+    // Both ask in turn, so that neither's rank may stand for the other's; only the less urgent one's come to nothing.
+    for request in 0..200 {
+        throttle.answered(ms(request * 50), class(0), true);
+        throttle.answered(ms(request * 50), class(3), false);
+    }
+    let now = ms(10_000);
+    assert!(throttle.may_pass(now, class(0), 0.0));
+    assert!(!throttle.may_pass(now, class(3), 0.5));
+    // When those of the more urgent one come to nothing, the less urgent are refused as often.
+    let mut throttle = RequestThrottle::new(0.7);
+    for request in 0..200 {
+        throttle.answered(ms(request * 50), class(0), false);
+        throttle.answered(ms(request * 50), class(3), true);
+    }
+    assert!(!throttle.may_pass(now, class(0), 0.5));
+    assert!(!throttle.may_pass(now, class(3), 0.5));
+}
--- a/crates/sablehaven-gateway/src/urgency.rs
+++ b/crates/sablehaven-gateway/src/urgency.rs
@@ -1,7 +1,7 @@
 //! How urgent a request is, among others that need the same room.
 
 /// How urgent a request is: its tenant's rank decides, among equal ones that of its route. The least is the most urgent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Urgency {
     /// The tenant's rank; `None` where there are no tenants, or the route is for everybody.
     tenant: Option<u32>,
--- a/crates/sablehaven-gateway/tests/gateway/main.rs
+++ b/crates/sablehaven-gateway/tests/gateway/main.rs
@@ -11,3 +11,5 @@
 mod servers;
 mod stops;
 mod support;
+mod tenant_keys;
+mod tenants;
--- a/crates/sablehaven-gateway/tests/gateway/support/control.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/control.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use sablehaven_types::{EvacuatedZones, Placement, RouteDocument, ServerListing};
+use sablehaven_types::{EvacuatedZones, Placement, RouteDocument, RoutesChange, ServerListing};
 use sablehaven_wire::{
     ControlToGateway, DeploymentMembers, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION,
     Role, accept,
@@ -15,6 +15,8 @@
     /// Gateways of zone `a`; one where it is not said.
     pub(super) gateways: Option<u32>,
     pub(super) routes: Option<Arc<RouteDocument>>,
+    /// Said after the routes.
+    pub(super) routes_change: Option<RoutesChange>,
     pub(super) listing: Option<Arc<ServerListing>>,
     pub(super) evacuated: EvacuatedZones,
     pub(super) has_no_part: bool,
@@ -71,6 +73,10 @@
                             let message = ControlToGateway::Routes(routes);
                             connection.writer.send(&message).await.expect("send");
                         }
+                        if let Some(change) = said.routes_change {
+                            let message = ControlToGateway::RoutesChange(change);
+                            connection.writer.send(&message).await.expect("send");
+                        }
                     }
                     received = connection.reader.receive() => match received {
                         Ok(message) => {
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -2,7 +2,9 @@
 
 mod caller;
 mod control;
+pub mod raw_caller;
 pub mod routes;
+pub mod tenants;
 
 use std::{
     collections::BTreeMap,
@@ -15,7 +17,7 @@
 use sablehaven_standins::routed::{Behaviour, RoutedNames, RoutedServer};
 use sablehaven_types::{
     CallerLimits, EvacuatedZones, ListedServer, ListingNumber, Placement, Route, RouteDocument,
-    RoutedService, ServerListing, ServiceName, Tenant,
+    RoutedService, RoutesChange, ServerListing, ServiceName, Tenant,
 };
 use sablehaven_wire::GatewayStatus;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet, time::sleep};
@@ -245,6 +247,20 @@
             .send_modify(|said| said.routes = Some(Arc::new(document)));
     }
 
+    /// Says only what differs between the routes that were said last and these tenants, as a change of the version `base`.
+    pub fn say_tenants_change(&mut self, base: u64, version: u64, tenants: Vec<Tenant>) {
+        self.said.send_modify(|said| {
+            let held = said.routes.as_ref().expect("routes were said");
+            let next = RouteDocument {
+                version,
+                tenants,
+                ..RouteDocument::clone(held)
+            };
+            let change = RoutesChange::between(held, &next);
+            said.routes_change = Some(RoutesChange { base, ..change });
+        });
+    }
+
     /// Says which zones are evacuated, and waits until the gateway has heard it.
     pub async fn evacuate(&self, revision: u64, zones: &[&str]) {
         let zones = zones.iter().map(|zone| (*zone).into()).collect();
--- /dev/null
+++ b/crates/sablehaven-gateway/tests/gateway/support/raw_caller.rs
@@ -0,0 +1,79 @@
+//! A caller that says byte for byte what the test says, on one connection for many requests.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use super::LIMIT;
+
+/// A caller's connection.
+pub struct RawCaller {
+    stream: TcpStream,
+}
+
+impl RawCaller {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.expect("connect");
+        Self { stream }
+    }
+
+    /// Sends text as it is.
+    pub async fn say(&mut self, text: &str) {
+        let sent = self.stream.write_all(text.as_bytes()).await;
+        sent.expect("send");
+    }
+
+    /// Sends a request without a body.
+    pub async fn ask(&mut self, path: &str, headers: &[&str]) -> String {
+        self.say(&head("GET", path, headers)).await;
+        self.hear().await
+    }
+
+    /// The next answer, head and body, as text.
+    pub async fn hear(&mut self) -> String {
+        let heard = timeout(LIMIT, self.read_answer()).await;
+        heard.expect("an answer in time")
+    }
+
+    async fn read_answer(&mut self) -> String {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(self.stream.read_u8().await.expect("a whole head"));
+        }
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let mut lines = head.lines().map(str::to_ascii_lowercase);
+        let length =
+            lines.find_map(|line| line.strip_prefix("content-length: ").map(str::to_owned));
+        let length = length.map_or(0, |length| length.parse().expect("a length"));
+        let mut body = vec![0; length];
+        let read = self.stream.read_exact(&mut body).await;
+        read.expect("a whole body");
+        head + &String::from_utf8_lossy(&body)
+    }
+
+    /// Whether the gateway has closed the connection, or does so within `limit`.
+    pub async fn is_closed_within(&mut self, limit: Duration) -> bool {
+        let read = timeout(limit, self.stream.read_u8()).await;
+        read.is_ok_and(|read| read.is_err())
+    }
+}
+
+/// The head of a request.
+pub fn head(method: &str, path: &str, headers: &[&str]) -> String {
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: stock.example\r\n");
+    head += "sablehaven-request-id: raw\r\n";
+    for header in headers {
+        head += header;
+        head += "\r\n";
+    }
+    head + "\r\n"
+}
+
+/// Whether an answer has a status.
+pub fn has_status(answer: &str, status: u16) -> bool {
+    answer.starts_with(&format!("HTTP/1.1 {status} "))
+}
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -23,6 +23,7 @@
 mod routes_change;
 mod setting;
 mod tenant;
+mod tenant_rules;
 mod tokens;
 
 pub use allowed_regions::AllowedRegions;
--- a/crates/sablehaven-types/src/routes.rs
+++ b/crates/sablehaven-types/src/routes.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AllowedRegions, KeyDigest, ServiceName, Tenant, TenantName};
+use crate::{AllowedRegions, ServiceName, Tenant, TenantName, tenant_rules::validate_tenants};
 
 /// All routes of a deployment under one version.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -190,11 +190,16 @@
         /// The tenant.
         tenant: TenantName,
     },
-    /// tenant '{tenant}': one of its keys is named twice
+    /// tenant '{tenant}': another tenant has one of its keys
     SharedKey {
         /// The tenant that names it last.
         tenant: TenantName,
     },
+    /// tenant '{tenant}': its name must not be empty and have no control characters
+    BadTenantName {
+        /// The tenant, with those characters escaped.
+        tenant: TenantName,
+    },
     /// tenant '{tenant}': a key is empty
     EmptyKey {
         /// The tenant.
@@ -222,30 +227,7 @@
                 return Err(RouteError::SamePlace { route });
             }
         }
-        self.validate_tenants()
-    }
-}
-
-impl RouteDocument {
-    fn validate_tenants(&self) -> Result<(), RouteError> {
-        let mut names: BTreeSet<&TenantName> = BTreeSet::new();
-        let mut keys: BTreeSet<KeyDigest> = BTreeSet::new();
-        for tenant in &self.tenants {
-            let name = || tenant.name.clone();
-            if !names.insert(&tenant.name) {
-                return Err(RouteError::SameTenant { tenant: name() });
-            }
-            if tenant.keys.iter().any(KeyDigest::is_of_empty_key) {
-                return Err(RouteError::EmptyKey { tenant: name() });
-            }
-            if !tenant.keys.iter().all(|key| keys.insert(*key)) {
-                return Err(RouteError::SharedKey { tenant: name() });
-            }
-            if tenant.quota.is_some_and(|quota| !quota.is_valid()) {
-                return Err(RouteError::BadQuota { tenant: name() });
-            }
-        }
-        Ok(())
+        validate_tenants(&self.tenants)
     }
 }
 
--- /dev/null
+++ b/crates/sablehaven-types/src/tenant_rules.rs
@@ -0,0 +1,51 @@
+//! Which tenants a document may have, as a pure decision.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{KeyDigest, RouteError, Tenant, TenantName};
+
+/// Checks the tenants of a document.
+///
+/// # Errors
+/// The first tenant that is not valid, and why. No error holds a key.
+pub(crate) fn validate_tenants(tenants: &[Tenant]) -> Result<(), RouteError> {
+    let mut names: BTreeSet<&TenantName> = BTreeSet::new();
+    let mut owners: BTreeMap<KeyDigest, &TenantName> = BTreeMap::new();
+    for tenant in tenants {
+        tenant.validate()?;
+        let name = || tenant.name.clone();
+        if !names.insert(&tenant.name) {
+            return Err(RouteError::SameTenant { tenant: name() });
+        }
+        for key in &tenant.keys {
+            // A tenant that names one of its keys twice means nothing else by it.
+            let owner = *owners.entry(*key).or_insert(&tenant.name);
+            if owner != &tenant.name {
+                return Err(RouteError::SharedKey { tenant: name() });
+            }
+        }
+    }
+    Ok(())
+}
+
+impl Tenant {
+    fn validate(&self) -> Result<(), RouteError> {
+        let name = self.name.as_str();
+        // Servers are told the name in a header.
+        if name.is_empty() || name.chars().any(char::is_control) {
+            let tenant = name.escape_debug().to_string().into();
+            return Err(RouteError::BadTenantName { tenant });
+        }
+        let tenant = || self.name.clone();
+        if self.keys.iter().any(KeyDigest::is_of_empty_key) {
+            return Err(RouteError::EmptyKey { tenant: tenant() });
+        }
+        if self.quota.is_some_and(|quota| !quota.is_valid()) {
+            return Err(RouteError::BadQuota { tenant: tenant() });
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests;
