--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use sablehaven_routing::crash_table::CrashTable;
 use sablehaven_types::{
     CallerLimits, CrashReport, EvacuatedZones, ListingChange, ListingNumber, RequestFingerprint,
-    RouteDocument, ServerListing, ZoneName,
+    RouteDocument, RoutesChange, ServerListing, ZoneName,
 };
 use sablehaven_wire::{DeploymentMembers, GatewayStatus, StateVersions};
 use tokio::sync::{broadcast, watch};
@@ -21,6 +21,7 @@
 use crate::{
     Config,
     admission::Admission,
+    caller::{Caller, CallerStanding},
     control_links::ControlLinks,
     crashes::log_quarantine,
     load::LoadMeter,
@@ -122,6 +123,14 @@
         self.routes.borrow().clone()
     }
 
+    /// What the version in force says of a caller who was looked up in it or an earlier one.
+    pub(crate) fn standing(&self, caller: &Caller) -> CallerStanding {
+        let routes = self.routes.borrow();
+        let standing = routes.as_ref().map(|table| caller.standing(table));
+        // There are always routes once a caller was looked up in them.
+        standing.unwrap_or(CallerStanding::Holds)
+    }
+
     /// The limits in force.
     pub(crate) fn limits(&self) -> CallerLimits {
         let routes = self.routes.borrow();
@@ -165,6 +174,26 @@
         self.refresh_status();
     }
 
+    /// Takes what a version of the routes says otherwise than the one that was in force when it was asked for. Where another
+    /// replica's answer has come first, what is still missing is fetched anew.
+    pub(crate) fn take_routes_change(&self, change: &RoutesChange) {
+        let Some(held) = self.routes() else {
+            log::info!(event = "routes_change_ignored", base = change.base, held = 0; "routes");
+            return;
+        };
+        let held = held.document();
+        if change.version <= held.version {
+            return;
+        }
+        match change.apply(held) {
+            Some(document) => self.take_routes(Arc::new(document)),
+            None => log::info!(
+                event = "routes_change_ignored", base = change.base, held = held.version;
+                "routes"
+            ),
+        }
+    }
+
     /// Takes a reading of the list of servers.
     pub(crate) fn take_listing(&self, listing: &ServerListing) {
         if !self.registry.take_listing(listing) {
--- a/crates/sablehaven-gateway/src/metrics.rs
+++ b/crates/sablehaven-gateway/src/metrics.rs
@@ -70,6 +70,7 @@
     tokens_spent: Family<TokenLabels, Counter>,
     tokens_refused: Family<TokenRefusalLabels, Counter>,
     pub(crate) token_wait_seconds: Histogram,
+    pub(crate) unknown_key_requests: Counter,
     pub(crate) open_requests: Gauge,
     pub(crate) routes_version: Gauge,
     pub(crate) listed_servers: Gauge,
@@ -98,6 +99,7 @@
             tokens_spent: Family::default(),
             tokens_refused: Family::default(),
             token_wait_seconds: token_histogram(),
+            unknown_key_requests: Counter::default(),
             open_requests: Gauge::default(),
             routes_version: Gauge::default(),
             listed_servers: Gauge::default(),
@@ -154,6 +156,11 @@
             "Time for which requests waited for a token",
             self.token_wait_seconds.clone(),
         );
+        registry.register(
+            "unknown_key_requests",
+            "Requests that were refused because no tenant has the key that they came with, or they came without",
+            self.unknown_key_requests.clone(),
+        );
         registry.register(
             "open_requests",
             "Requests that are being answered",
--- a/crates/sablehaven-gateway/tests/gateway/support/control.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/control.rs
@@ -1,8 +1,13 @@
 //! A stand-in control replica that says what the test says.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::Arc,
+};
 
-use sablehaven_types::{EvacuatedZones, Placement, RouteDocument, ServerListing};
+use sablehaven_types::{EvacuatedZones, Placement, RouteDocument, RoutesChange, ServerListing};
 use sablehaven_wire::{
     ControlToGateway, DeploymentMembers, GatewayStatus, GatewayToControl, Hello, PROTOCOL_VERSION,
     Role, accept,
@@ -15,16 +20,22 @@
     /// Gateways of zone `a`; one where it is not said.
     pub(super) gateways: Option<u32>,
     pub(super) routes: Option<Arc<RouteDocument>>,
+    /// Said after the routes.
+    pub(super) routes_change: Option<RoutesChange>,
     pub(super) listing: Option<Arc<ServerListing>>,
     pub(super) evacuated: EvacuatedZones,
     pub(super) has_no_part: bool,
 }
 
+/// The names of the messages that gateways have sent.
+pub(super) type HeardNames = Rc<RefCell<BTreeSet<&'static str>>>;
+
 /// Serves gateways until the test ends.
 pub(super) async fn stand_in_control(
     listener: TcpListener,
     saying: watch::Receiver<Said>,
     hearing: watch::Sender<Option<GatewayStatus>>,
+    names: HeardNames,
 ) {
     loop {
         let (stream, address) = listener.accept().await.expect("accept");
@@ -41,6 +52,7 @@
         let mut saying = saying.clone();
         saying.mark_changed();
         let hearing = hearing.clone();
+        let names = Rc::clone(&names);
         tokio::task::spawn_local(async move {
             let members = |said: &Said| {
                 ControlToGateway::Members(DeploymentMembers {
@@ -71,9 +83,14 @@
                             let message = ControlToGateway::Routes(routes);
                             connection.writer.send(&message).await.expect("send");
                         }
+                        if let Some(change) = said.routes_change {
+                            let message = ControlToGateway::RoutesChange(change);
+                            connection.writer.send(&message).await.expect("send");
+                        }
                     }
                     received = connection.reader.receive() => match received {
                         Ok(message) => {
+                            names.borrow_mut().insert(name(&message));
                             if let GatewayToControl::Status(status) = message {
                                 hearing.send_replace(Some(status));
                             }
@@ -88,3 +105,15 @@
         });
     }
 }
+
+fn name(message: &GatewayToControl) -> &'static str {
+    match message {
+        GatewayToControl::Status(_) => "status",
+        GatewayToControl::Alive(_) => "alive",
+        GatewayToControl::FetchRoutes(_) => "fetch routes",
+        GatewayToControl::FetchListing(_) => "fetch listing",
+        GatewayToControl::Prefer(_) => "prefer",
+        GatewayToControl::Crashes(_) => "crashes",
+        GatewayToControl::TakeTokens(_) => "take tokens",
+    }
+}
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -2,7 +2,9 @@
 
 mod caller;
 mod control;
+pub mod raw_caller;
 pub mod routes;
+pub mod tenants;
 
 use std::{
     collections::BTreeMap,
@@ -15,7 +17,7 @@
 use sablehaven_standins::routed::{Behaviour, RoutedNames, RoutedServer};
 use sablehaven_types::{
     CallerLimits, EvacuatedZones, ListedServer, ListingNumber, Placement, Route, RouteDocument,
-    RoutedService, ServerListing, ServiceName, Tenant,
+    RoutedService, RoutesChange, ServerListing, ServiceName, Tenant,
 };
 use sablehaven_wire::GatewayStatus;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet, time::sleep};
@@ -25,7 +27,7 @@
     reason = "the example gather_cost needs no answers of the gateway's own"
 )]
 pub use self::caller::{Answer, assert_unservable, call};
-use self::control::{Said, stand_in_control};
+use self::control::{HeardNames, Said, stand_in_control};
 
 pub const NAMES: RoutedNames = RoutedNames {
     request_id: "sablehaven-request-id",
@@ -61,6 +63,7 @@
     pub ready: SocketAddr,
     said: watch::Sender<Said>,
     heard: watch::Receiver<Option<GatewayStatus>>,
+    heard_names: HeardNames,
     reading: u64,
     /// Servers by service, as they are listed.
     pub servers: BTreeMap<String, Vec<RoutedServer>>,
@@ -84,7 +87,9 @@
         let control = listener.local_addr().expect("address");
         let (said, saying) = watch::channel(Said::default());
         let (hearing, heard) = watch::channel(None);
-        tokio::task::spawn_local(stand_in_control(listener, saying, hearing));
+        let heard_names = HeardNames::default();
+        let names = HeardNames::clone(&heard_names);
+        tokio::task::spawn_local(stand_in_control(listener, saying, hearing, names));
         let mut config = Config {
             deployment: "test".to_owned(),
             ready_listen: Some(([127, 0, 0, 1], 0).into()),
@@ -112,6 +117,7 @@
             gateway: Some(gateway),
             said,
             heard,
+            heard_names,
             reading: 0,
             servers: BTreeMap::new(),
             draining: Vec::new(),
@@ -245,6 +251,20 @@
             .send_modify(|said| said.routes = Some(Arc::new(document)));
     }
 
+    /// Says only what differs between the routes that were said last and these tenants, as a change of the version `base`.
+    pub fn say_tenants_change(&mut self, base: u64, version: u64, tenants: Vec<Tenant>) {
+        self.said.send_modify(|said| {
+            let held = said.routes.as_ref().expect("routes were said");
+            let next = RouteDocument {
+                version,
+                tenants,
+                ..RouteDocument::clone(held)
+            };
+            let change = RoutesChange::between(held, &next);
+            said.routes_change = Some(RoutesChange { base, ..change });
+        });
+    }
+
     /// Says which zones are evacuated, and waits until the gateway has heard it.
     pub async fn evacuate(&self, revision: u64, zones: &[&str]) {
         let zones = zones.iter().map(|zone| (*zone).into()).collect();
@@ -285,6 +305,11 @@
             .expect("control");
     }
 
+    /// The names of the messages that the gateway has sent.
+    pub fn heard_names(&self) -> Vec<&'static str> {
+        self.heard_names.borrow().iter().copied().collect()
+    }
+
     /// The latest word of the gateway.
     pub fn status(&self) -> Option<GatewayStatus> {
         self.heard.borrow().clone()
--- a/crates/sablehaven-types/src/lib.rs
+++ b/crates/sablehaven-types/src/lib.rs
@@ -20,8 +20,10 @@
 pub mod protobuf;
 mod quota_tolerance;
 mod routes;
+mod routes_change;
 mod setting;
 mod tenant;
+mod tenant_rules;
 mod tokens;
 
 pub use allowed_regions::AllowedRegions;
@@ -47,6 +49,7 @@
     CallerLimits, Gather, RequestKind, Route, RouteDocument, RouteError, RouteTarget,
     RoutedService, WeightedService,
 };
+pub use routes_change::{RoutePlace, RoutesChange};
 pub use setting::{SettingChecks, SettingError};
 pub use tenant::{KeyDigest, RequestQuota, Tenant};
 pub use tokens::{
