Gateway: an answer's margin follows what the gateway sees of its own lateness; off unless asked for

Cause: on a machine with an eighth of a core a query that is decided on 20 ms before its aim of 100 ms leaves late two times in five; a larger constant costs coverage where there was time. Gathers and the last useful hedge use the margin. max_answer_margin_ms equals answer_margin_ms by default: nothing is observed then.

--- /dev/null
+++ b/crates/sablehaven-gateway/src/answer_margin.rs
@@ -0,0 +1,87 @@
+//! How long before its aim an answer must leave, as a pure module.
+//!
+//! Load: queries over dozens of shards with an aim of a few hop times, on a machine with a part of a
+//! core. A timer that fires while the processor is elsewhere, merging and writing then take a good part
+//! of the aim, and an answer that was decided on in time leaves late. How much later than planned a
+//! gateway acts is observed at its own timers and answers; what most of the recent ones stay within
+//! comes on top of the least margin.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// The figures that are kept, so that memory and the work for a margin are bounded.
+const MAXIMUM_SAMPLES: usize = 64;
+/// Time for which a figure counts. The share of a core and the load change within seconds; a caller should not
+/// lose coverage for what has passed.
+const WINDOW: Duration = Duration::from_secs(3);
+/// The part of the figures that the margin covers.
+const QUANTILE: f64 = 0.9;
+/// The part of an aim that a margin may take, so that the parts of a query have time.
+const LARGEST_PART: f64 = 0.4;
+
+/// Between what a margin may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct MarginBounds {
+    pub(crate) least: Duration,
+    pub(crate) most: Duration,
+}
+
+impl MarginBounds {
+    /// Whether there is anything to learn.
+    pub(crate) fn is_adaptive(self) -> bool {
+        self.most > self.least
+    }
+
+    /// The largest margin for an aim.
+    fn most_for(self, aim: Duration) -> Duration {
+        self.most.min(aim.mul_f64(LARGEST_PART)).max(self.least)
+    }
+}
+
+/// The recent overruns of one route, in the order in which they were observed. Times count from any fixed
+/// moment.
+#[derive(Debug, Default)]
+pub(crate) struct AnswerMargin {
+    samples: VecDeque<Sample>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at: Duration,
+    overrun: Duration,
+}
+
+impl AnswerMargin {
+    /// Takes in how much later than planned something was done.
+    pub(crate) fn observe(&mut self, now: Duration, overrun: Duration) {
+        if self.samples.len() == MAXIMUM_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(Sample { at: now, overrun });
+    }
+
+    /// How long before `aim` an answer must leave.
+    pub(crate) fn margin(&self, now: Duration, bounds: MarginBounds, aim: Duration) -> Duration {
+        let margin = bounds.least + self.overrun(now);
+        margin.min(bounds.most_for(aim))
+    }
+
+    /// What most recent overruns stay within. The largest never counts: one alone says nothing of the next.
+    fn overrun(&self, now: Duration) -> Duration {
+        let is_recent = |sample: &&Sample| now.saturating_sub(sample.at) < WINDOW;
+        let mut recent = [Duration::ZERO; MAXIMUM_SAMPLES];
+        let mut count = 0;
+        for sample in self.samples.iter().filter(is_recent) {
+            recent[count] = sample.overrun;
+            count += 1;
+        }
+        if count < 2 {
+            return Duration::ZERO;
+        }
+        let rank = (count as f64 * QUANTILE).ceil() as usize;
+        let position = (rank - 1).min(count - 2);
+        *recent[..count].select_nth_unstable(position).1
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sablehaven-gateway/src/answer_margin/tests.rs
@@ -0,0 +1,95 @@
+use std::time::Duration;
+
+use super::{AnswerMargin, MAXIMUM_SAMPLES, MarginBounds, WINDOW};
+
+const AIM: Duration = Duration::from_millis(100);
+const BOUNDS: MarginBounds = MarginBounds {
+    least: ms(20),
+    most: ms(200),
+};
+
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// Observes one figure every 100 ms.
+fn replay(margin: &mut AnswerMargin, from: Duration, overruns: &[u64]) -> Duration {
+    let mut now = from;
+    for overrun in overruns {
+        now += ms(100);
+        margin.observe(now, ms(*overrun));
+    }
+    now
+}
+
+#[test]
+fn nothing_observed_is_the_least_margin() {
+    let margin = AnswerMargin::default();
+    assert_eq!(margin.margin(ms(5), BOUNDS, AIM), ms(20));
+}
+
+#[test]
+fn late_timers_move_the_margin_within_a_second() {
+    let mut margin = AnswerMargin::default();
+    let idle = replay(&mut margin, ms(0), &[0; 10]);
+    assert_eq!(margin.margin(idle, BOUNDS, AIM), ms(20));
+    let pressed = replay(&mut margin, idle, &[12, 15, 9, 14, 12, 16, 13, 12, 15, 14]);
+    let now = margin.margin(pressed, BOUNDS, AIM);
+    assert!(now >= ms(32), "{now:?}");
+}
+
+#[test]
+fn an_idle_gateway_goes_back_to_the_least() {
+    let mut margin = AnswerMargin::default();
+    let pressed = replay(&mut margin, ms(0), &[15; 20]);
+    assert_eq!(margin.margin(pressed, BOUNDS, AIM), ms(35));
+    let idle = replay(&mut margin, pressed, &[0; 30]);
+    assert_eq!(margin.margin(idle, BOUNDS, AIM), ms(20));
+}
+
+#[test]
+fn a_gateway_without_queries_forgets() {
+    let mut margin = AnswerMargin::default();
+    let pressed = replay(&mut margin, ms(0), &[15; 20]);
+    assert_eq!(margin.margin(pressed + WINDOW, BOUNDS, AIM), ms(20));
+}
+
+#[test]
+fn one_outlier_moves_nothing() {
+    for others in [0, 1, 5, 40] {
+        let mut margin = AnswerMargin::default();
+        let before = replay(&mut margin, ms(0), &vec![0; others]);
+        let after = replay(&mut margin, before, &[400]);
+        assert_eq!(margin.margin(after, BOUNDS, AIM), ms(20), "{others} others");
+    }
+}
+
+#[test]
+fn the_margin_takes_a_part_of_the_aim_at_most() {
+    let mut margin = AnswerMargin::default();
+    let now = replay(&mut margin, ms(0), &[400; 10]);
+    assert_eq!(margin.margin(now, BOUNDS, AIM), ms(40));
+    assert_eq!(margin.margin(now, BOUNDS, ms(400)), ms(160));
+    assert_eq!(margin.margin(now, BOUNDS, ms(4_000)), ms(200));
+    // The configured margin holds whatever the aim.
+    assert_eq!(margin.margin(now, BOUNDS, ms(10)), ms(20));
+}
+
+#[test]
+fn equal_bounds_are_a_constant() {
+    let mut margin = AnswerMargin::default();
+    let now = replay(&mut margin, ms(0), &[30; 10]);
+    let bounds = MarginBounds {
+        least: ms(20),
+        most: ms(20),
+    };
+    assert!(!bounds.is_adaptive());
+    assert_eq!(margin.margin(now, bounds, AIM), ms(20));
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut margin = AnswerMargin::default();
+    replay(&mut margin, ms(0), &vec![3; 10 * MAXIMUM_SAMPLES]);
+    assert_eq!(margin.samples.len(), MAXIMUM_SAMPLES);
+}
--- a/crates/sablehaven-gateway/src/config.rs
+++ b/crates/sablehaven-gateway/src/config.rs
@@ -11,6 +11,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::answer_margin::MarginBounds;
+
 /// Settings of a gateway. Durations are in milliseconds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -36,6 +38,9 @@
     /// Time that an answer takes back to its caller, with some room: an answer that is to be in time
     /// leaves so long before its aim.
     pub answer_margin_ms: u64,
+    /// The most that an answer leaves before its aim, where the gateway sees that it acts later than planned;
+    /// `answer_margin_ms` or less adapts nothing.
+    pub max_answer_margin_ms: u64,
     /// Time for which a stopping gateway still takes requests: callers may hold its address for so
     /// long.
     pub stop_linger_ms: u64,
@@ -93,6 +98,7 @@
             controls: Vec::new(),
             retries: RetryBounds::default(),
             answer_margin_ms: 20,
+            max_answer_margin_ms: 20,
             stop_linger_ms: 3_300,
             stop_limit_ms: 5_500,
             max_requests: 512,
@@ -125,7 +131,10 @@
         checks.into_errors()
     }
 
-    pub(crate) fn answer_margin(&self) -> Duration {
-        Duration::from_millis(self.answer_margin_ms)
+    pub(crate) fn margin_bounds(&self) -> MarginBounds {
+        MarginBounds {
+            least: Duration::from_millis(self.answer_margin_ms),
+            most: Duration::from_millis(self.max_answer_margin_ms),
+        }
     }
 }
--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -11,9 +11,11 @@
 //! - `request`: the way of one request.
 //! - `crashes`: requests that take their servers down.
 //! - `load`: how much there is to do, for the control replicas.
+//! - `answer_margin`: how long before its aim an answer must leave.
 //! - `admission`, `throttle`, `resends`: who is refused under pressure.
 
 mod admission;
+mod answer_margin;
 mod config;
 mod control_link;
 mod control_links;
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -16,6 +16,7 @@
 
 use super::{
     Accepted,
+    lateness::{AnswerBody, LeaveNote, TimerProbe},
     merge::greatest_records,
     refusal::Refusal,
     sub_request::{PartFailure, SubRequest, Tried},
@@ -60,7 +61,7 @@
 pub(super) async fn answer(
     accepted: &Accepted,
     gather: &Gather,
-) -> Result<(Response<WholeBody>, Outcome), Refusal> {
+) -> Result<(Response<AnswerBody>, Outcome), Refusal> {
     let servable = servable_shards(accepted, gather);
     if servable < gather.min_shards() {
         log_unservable(accepted, gather, servable);
@@ -76,7 +77,10 @@
             async move { (shard, part.run().await) }
         })
         .collect();
+    let mut probe = TimerProbe::start(accepted);
+    let mut planned_at = accepted.outgoing.deadline;
     let outcome = loop {
+        probe.look(accepted);
         let progress = progress(accepted, gather, &parts);
         let wait_until = match next(&progress) {
             Next::Answer => break Ok(()),
@@ -87,6 +91,7 @@
             Next::OutOfTime => break Err(Refusal::OutOfTime),
             Next::WaitUntil(at) => accepted.arrived + at,
         };
+        planned_at = wait_until;
         tokio::select! {
             Some((shard, part)) = running.next() => {
                 parts.awaited.retain(|(awaited, _)| awaited != shard);
@@ -98,7 +103,7 @@
                     Err(failure) => parts.missing.push((shard.to_string(), failure)),
                 }
             }
-            () = sleep_until(wait_until.into()) => {}
+            () = sleep_until(probe.wake_at(wait_until).into()) => {}
         }
     };
     log_unusual(accepted, gather, &parts, outcome.as_ref().err());
@@ -108,7 +113,8 @@
     } else {
         Outcome::Partial
     };
-    outcome.map(|()| (respond(accepted, gather, &parts), kind))
+    let note = LeaveNote::new(accepted, planned_at.min(Instant::now()));
+    outcome.map(|()| (respond(accepted, gather, &parts, note), kind))
 }
 
 /// The shards in the order in which they are asked: those with most servers to spare first where the first may be a
@@ -152,16 +158,21 @@
         arrived: parts.replies.len(),
         failed: parts.missing.len(),
         elapsed: accepted.arrived.elapsed(),
-        due: aim.saturating_sub(accepted.gateway.config.answer_margin()),
+        due: aim.saturating_sub(accepted.answer_margin()),
         limit: held.saturating_duration_since(accepted.arrived),
     }
 }
 
-fn respond(accepted: &Accepted, gather: &Gather, parts: &Parts) -> Response<WholeBody> {
+fn respond(
+    accepted: &Accepted,
+    gather: &Gather,
+    parts: &Parts,
+    note: Option<LeaveNote>,
+) -> Response<AnswerBody> {
     let names = &accepted.gateway.names;
     let bodies = parts.replies.iter().map(|reply| &reply.body[..]);
     let records = greatest_records(bodies, gather.top_k);
-    let mut response = Response::new(WholeBody::new(records));
+    let mut response = Response::new(AnswerBody::new(WholeBody::new(records), note));
     let headers = response.headers_mut();
     let octets = HeaderValue::from_static("application/octet-stream");
     headers.insert(CONTENT_TYPE, octets);
--- a/crates/sablehaven-gateway/src/request/in_flight.rs
+++ b/crates/sablehaven-gateway/src/request/in_flight.rs
@@ -68,8 +68,7 @@
     let late = server.round_trip() + usual.mul_f64(TAIL_RATIO) + TAIL_ROOM;
     let aim = Duration::from_millis(accepted.planned.route().aim_ms);
     let hedge = server.round_trip() + usual.mul_f64(HEDGE_NEEDS);
-    let margin = accepted.gateway.config.answer_margin();
-    let last_useful = aim.saturating_sub(hedge + margin);
+    let last_useful = aim.saturating_sub(hedge + accepted.answer_margin());
     late.min(last_useful.max(usual.mul_f64(2.0)))
 }
 
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 mod hedge_timer;
 mod in_flight;
+mod lateness;
 mod merge;
 mod refusal;
 mod single;
@@ -31,7 +32,8 @@
 use sablehaven_types::{AllowedRegions, Route, RouteTarget, ServiceName, Tenant, WeightedService};
 
 use self::{
-    authorize::find_tenant, first_routes::find_route_or_wait, refusal::Refusal, tokens::take_token,
+    authorize::find_tenant, first_routes::find_route_or_wait, lateness::AnswerBody,
+    refusal::Refusal, tokens::take_token,
 };
 use crate::{
     admission::{AdmissionClass, Admitted, NotAdmitted},
@@ -64,17 +66,17 @@
 pub(crate) async fn answer(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
-) -> Response<WholeBody> {
+) -> Response<AnswerBody> {
     match take(&gateway, request).await {
         Ok(response) => response,
-        Err(refusal) => refusal.response(),
+        Err(refusal) => unnoted(refusal.response()),
     }
 }
 
 async fn take(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
-) -> Result<Response<WholeBody>, Refusal> {
+) -> Result<Response<AnswerBody>, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let caller_try = caller_try(gateway, &head);
@@ -124,8 +126,8 @@
         arrived,
     };
     let answer = match &route.target {
-        RouteTarget::Service(service) => single::answer(&accepted, service).await,
-        RouteTarget::Split(parts) => single::answer(&accepted, draw(parts, rand::random())).await,
+        RouteTarget::Service(service) => answer_single(&accepted, service).await,
+        RouteTarget::Split(parts) => answer_single(&accepted, draw(parts, rand::random())).await,
         RouteTarget::Gather(gather) => gather::answer(&accepted, gather).await,
     };
     let outcome = answer
@@ -136,6 +138,19 @@
     answer.map(|(response, _)| response)
 }
 
+async fn answer_single(
+    accepted: &Accepted,
+    service: &ServiceName,
+) -> Result<(Response<AnswerBody>, Outcome), Refusal> {
+    let (response, outcome) = single::answer(accepted, service).await?;
+    Ok((unnoted(response), outcome))
+}
+
+/// An answer whose leaving is not observed: it was not planned for a moment.
+fn unnoted(response: Response<WholeBody>) -> Response<AnswerBody> {
+    response.map(|body| AnswerBody::new(body, None))
+}
+
 /// Refuses a request that is known to crash servers, before it takes anybody's place.
 fn refuse_quarantined(
     gateway: &Gateway,
@@ -314,6 +329,14 @@
         &self.planned.route().allowed_regions
     }
 
+    /// How long before its aim its answer must leave.
+    fn answer_margin(&self) -> Duration {
+        let aim = Duration::from_millis(self.planned.route().aim_ms);
+        let now = self.gateway.clock.now();
+        let bounds = self.gateway.config.margin_bounds();
+        self.planned.profile.answer_margin(now, bounds, aim)
+    }
+
     fn id(&self) -> String {
         id_text(&self.outgoing.request_id)
     }
--- a/crates/sablehaven-gateway/src/route_table.rs
+++ b/crates/sablehaven-gateway/src/route_table.rs
@@ -1,10 +1,19 @@
 //! Which route a request takes.
 
-use std::{cell::Cell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use sablehaven_types::{Route, RouteDocument};
 
-use crate::servers::KindOfRequest;
+use crate::{
+    answer_margin::{AnswerMargin, MarginBounds},
+    servers::KindOfRequest,
+};
 
 /// The routes of one version, ready to be looked up.
 pub(crate) struct RouteTable {
@@ -28,6 +37,8 @@
     kind: KindOfRequest,
     /// What a server usually takes, without the way there, in milliseconds.
     typical_ms: Cell<f64>,
+    /// How much later than planned its answers left of late.
+    answer_margin: RefCell<AnswerMargin>,
 }
 
 /// Weight of one new time in the running average.
@@ -45,6 +56,7 @@
         Self {
             kind,
             typical_ms: Cell::new(guess.max(LEAST_TYPICAL_MS)),
+            answer_margin: RefCell::default(),
         }
     }
 
@@ -64,6 +76,21 @@
         let next = typical + TYPICAL_WEIGHT * (taken - typical);
         self.typical_ms.set(next.max(LEAST_TYPICAL_MS));
     }
+
+    /// Takes in how much later than planned a request was acted on.
+    pub(crate) fn overran(&self, now: Duration, overrun: Duration) {
+        self.answer_margin.borrow_mut().observe(now, overrun);
+    }
+
+    /// How long before its aim an answer must leave.
+    pub(crate) fn answer_margin(
+        &self,
+        now: Duration,
+        bounds: MarginBounds,
+        aim: Duration,
+    ) -> Duration {
+        self.answer_margin.borrow().margin(now, bounds, aim)
+    }
 }
 
 impl PlannedRoute {
--- a/crates/sablehaven-gateway/tests/gateway/main.rs
+++ b/crates/sablehaven-gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway between a caller, a stand-in control replica and stand-in servers.
 
+mod answer_margin;
 mod cold;
 mod crashes;
 mod evacuations;
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -4,7 +4,7 @@
 
 use hyper::{
     Request, Response,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONNECTION, HeaderValue},
     server::conn::http1::Builder,
     service::service_fn,
@@ -17,10 +17,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    WholeBody,
-    watched_stream::{Activity, Waiting, WatchedStream},
-};
+use crate::watched_stream::{Activity, Waiting, WatchedStream};
 
 /// The least buffer that hyper takes, in bytes.
 const LEAST_BUFFER_BYTES: usize = 8 * 1024;
@@ -65,14 +62,15 @@
 
 /// Accepts connections and serves each in a task of its own on this thread, until they are closing.
 /// `bounds` is asked for each connection, since they may change while the process runs.
-pub async fn accept_connections<Handler, Answering>(
+pub async fn accept_connections<Handler, Answering, Answer>(
     listener: TcpListener,
     bounds: impl Fn() -> ConnectionBounds,
     signals: ServerSignals,
     handler: Handler,
 ) where
     Handler: Fn(Request<Incoming>) -> Answering + Clone + 'static,
-    Answering: Future<Output = Response<WholeBody>> + 'static,
+    Answering: Future<Output = Response<Answer>> + 'static,
+    Answer: Body<Error = Infallible> + 'static,
 {
     loop {
         let accepted = tokio::select! {
@@ -90,14 +88,15 @@
 }
 
 /// Serves one connection until it ends. The handler's future is dropped when the caller leaves.
-pub async fn serve_connection<Handler, Answering>(
+pub async fn serve_connection<Handler, Answering, Answer>(
     stream: TcpStream,
     bounds: ConnectionBounds,
     signals: ServerSignals,
     handler: Handler,
 ) where
     Handler: Fn(Request<Incoming>) -> Answering,
-    Answering: Future<Output = Response<WholeBody>>,
+    Answering: Future<Output = Response<Answer>>,
+    Answer: Body<Error = Infallible> + 'static,
 {
     // Without the option small answers are only late.
     let _ = stream.set_nodelay(true);
