--- a/crates/sablehaven-gateway/src/answer_margin.rs
+++ b/crates/sablehaven-gateway/src/answer_margin.rs
@@ -16,7 +16,7 @@
 /// The part of the figures that the margin covers.
 const QUANTILE: f64 = 0.9;
 /// The part of an aim that a margin may take, so that the parts of a query have time.
-const LARGEST_PART: f64 = 0.4;
+const LARGEST_PART: f64 = 0.5;
 
 /// Between what a margin may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,9 +59,16 @@
         self.samples.push_back(Sample { at: now, overrun });
     }
 
-    /// How long before `aim` an answer must leave.
-    pub(crate) fn margin(&self, now: Duration, bounds: MarginBounds, aim: Duration) -> Duration {
-        let margin = bounds.least + self.overrun(now);
+    /// How long before `aim`, counted from a request's arrival, its answer must leave where `spent` of the aim had
+    /// passed by then.
+    pub(crate) fn margin(
+        &self,
+        now: Duration,
+        bounds: MarginBounds,
+        aim: Duration,
+        spent: Duration,
+    ) -> Duration {
+        let margin = bounds.least + self.overrun(now) + spent;
         margin.min(bounds.most_for(aim))
     }
 
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -59,6 +59,8 @@
     pub(crate) tenant: Option<Rc<Tenant>>,
     pub(crate) outgoing: Rc<OutgoingRequest>,
     pub(crate) arrived: Instant,
+    /// The part of its aim that had passed by then, as far as its caller shows it.
+    pub(crate) spent: Duration,
 }
 
 /// Answers a request in four phases: find its route, read its body, admit it, and ask its servers.
@@ -79,7 +81,7 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let caller_try = caller_try(gateway, &head);
+    let (caller_try, spent) = caller_try(gateway, &head);
     let planned = find_route_or_wait(gateway, &head, caller_try).await?;
     let tenant = find_tenant(gateway, &planned, &head)?;
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
@@ -124,6 +126,7 @@
         tenant,
         outgoing,
         arrived,
+        spent,
     };
     let answer = match &route.target {
         RouteTarget::Service(service) => answer_single(&accepted, service).await,
@@ -194,16 +197,21 @@
     gateway.admission.admit(now, class)
 }
 
-/// Whether the caller asks for the first time, by the time that it says it has left.
-fn caller_try(gateway: &Gateway, head: &Parts) -> CallerTry {
+/// Whether the caller asks for the first time, by the time that it says it has left, and what it spent before
+/// if so. The aim of a second try has passed or nearly so; it is answered as if it were a first.
+fn caller_try(gateway: &Gateway, head: &Parts) -> (CallerTry, Duration) {
     let Some(left) = caller_time(gateway, head) else {
-        return CallerTry::First;
+        return (CallerTry::First, Duration::ZERO);
     };
     let path = head.uri.path();
     let folder = path.rsplit_once('/').map_or("", |(folder, _)| folder);
     let place = format!("{}{folder}", host(head).unwrap_or_default());
     let now = gateway.clock.now();
-    gateway.resends.borrow_mut().observe(now, &place, left)
+    let mut resends = gateway.resends.borrow_mut();
+    match resends.observe(now, &place, left) {
+        CallerTry::First => (CallerTry::First, resends.spent(&place, left)),
+        CallerTry::Resend => (CallerTry::Resend, Duration::ZERO),
+    }
 }
 
 /// The time for which the caller waits, where it says so.
@@ -240,6 +248,7 @@
         tenant,
         outgoing,
         arrived,
+        ..
     } = accepted;
     let now = gateway.clock.now();
     if outgoing.crash_watch.has_crashed_servers(now) {
@@ -334,7 +343,8 @@
         let aim = Duration::from_millis(self.planned.route().aim_ms);
         let now = self.gateway.clock.now();
         let bounds = self.gateway.config.margin_bounds();
-        self.planned.profile.answer_margin(now, bounds, aim)
+        let profile = &self.planned.profile;
+        profile.answer_margin(now, bounds, aim, self.spent)
     }
 
     fn id(&self) -> String {
--- a/crates/sablehaven-gateway/src/resends.rs
+++ b/crates/sablehaven-gateway/src/resends.rs
@@ -63,6 +63,13 @@
         *longest = LongestTime { time, seen_at: now };
         CallerTry::First
     }
+
+    /// What passed at the caller and on its way before a first try that has `left` arrived, such as opening a
+    /// connection: what it has less than the longest time for its place.
+    pub(crate) fn spent(&self, place: &str, left: Duration) -> Duration {
+        let longest = self.places.get(place).map(|longest| longest.time);
+        longest.unwrap_or_default().saturating_sub(left)
+    }
 }
 
 #[cfg(test)]
--- a/crates/sablehaven-gateway/src/resends/tests.rs
+++ b/crates/sablehaven-gateway/src/resends/tests.rs
@@ -61,3 +61,13 @@
     detector.observe(ms(20_000), "new", ms(3_000));
     assert_eq!(detector.places.len(), 1);
 }
+
+#[test]
+fn what_a_first_try_spent_is_what_it_lacks_of_the_longest_time() {
+    let mut detector = ResendDetector::default();
+    let left = Duration::from_millis;
+    detector.observe(left(0), "a", left(2_000));
+    assert_eq!(detector.spent("a", left(1_976)), left(24));
+    assert_eq!(detector.spent("a", left(2_000)), left(0));
+    assert_eq!(detector.spent("unknown", left(1_976)), left(0));
+}
--- a/crates/sablehaven-gateway/src/route_table.rs
+++ b/crates/sablehaven-gateway/src/route_table.rs
@@ -88,8 +88,10 @@
         now: Duration,
         bounds: MarginBounds,
         aim: Duration,
+        spent: Duration,
     ) -> Duration {
-        self.answer_margin.borrow().margin(now, bounds, aim)
+        let margin = self.answer_margin.borrow();
+        margin.margin(now, bounds, aim, spent)
     }
 }
 
