--- a/crates/sablehaven-gateway/src/lib.rs
+++ b/crates/sablehaven-gateway/src/lib.rs
@@ -13,9 +13,11 @@
 //! - `crashes`: requests that take their servers down.
 //! - `load`: how much there is to do, for the control replicas.
 //! - `quotas`: tokens of tenants' quotas, and asking control replicas for them.
+//! - `answer_margin`: how long before its aim an answer must leave.
 //! - `admission`, `throttle`, `resends`: who is refused under pressure.
 
 mod admission;
+mod answer_margin;
 mod caller;
 mod config;
 mod control_link;
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 mod hedge_timer;
 mod in_flight;
+mod lateness;
 mod merge;
 mod refusal;
 mod single;
@@ -33,6 +34,7 @@
 use self::{
     authorize::{find_again, find_caller},
     first_routes::find_route_or_wait,
+    lateness::AnswerBody,
     refusal::Refusal,
     tokens::take_token,
 };
@@ -62,6 +64,8 @@
     regions: ServingRegions,
     pub(crate) outgoing: Rc<OutgoingRequest>,
     pub(crate) arrived: Instant,
+    /// The part of its aim that had passed by then, as far as its caller shows it.
+    pub(crate) spent: Duration,
 }
 
 /// Answers a request in five phases: find its route, find its tenant, read its body, admit it, and ask its servers.
@@ -69,25 +73,26 @@
 pub(crate) async fn answer(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
-) -> Response<WholeBody> {
+) -> Response<AnswerBody> {
     match take(&gateway, request).await {
         Ok(response) => response,
-        Err(refusal) => refusal.response(),
+        Err(refusal) => unnoted(refusal.response()),
     }
 }
 
 async fn take(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
-) -> Result<Response<WholeBody>, Refusal> {
+) -> Result<Response<AnswerBody>, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     // Only a gateway that has yet to start needs to know before the caller is known: what callers without a key send says
     // nothing of the others.
     let first_look = (!gateway.has_routes()).then(|| caller_try(gateway, &head));
-    let planned = find_route_or_wait(gateway, &head, first_look).await?;
+    let known_try = first_look.map(|(caller_try, _)| caller_try);
+    let planned = find_route_or_wait(gateway, &head, known_try).await?;
     let caller = find_caller(gateway, &planned, &head)?;
-    let caller_try = first_look.unwrap_or_else(|| caller_try(gateway, &head));
+    let (caller_try, spent) = first_look.unwrap_or_else(|| caller_try(gateway, &head));
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
     let request_id = request_id.ok_or(Refusal::NoRequestId)?;
     let body = read_body(body, gateway.limits().max_body_bytes).await?;
@@ -142,10 +147,11 @@
         regions,
         outgoing,
         arrived,
+        spent,
     };
     let answer = match &route.target {
-        RouteTarget::Service(service) => single::answer(&accepted, service).await,
-        RouteTarget::Split(parts) => single::answer(&accepted, draw(parts, rand::random())).await,
+        RouteTarget::Service(service) => answer_single(&accepted, service).await,
+        RouteTarget::Split(parts) => answer_single(&accepted, draw(parts, rand::random())).await,
         RouteTarget::Gather(gather) => gather::answer(&accepted, gather).await,
     };
     let answer = answer.map_err(|refusal| accepted.explain(refusal));
@@ -157,6 +163,19 @@
     answer.map(|(response, _)| response)
 }
 
+async fn answer_single(
+    accepted: &Accepted,
+    service: &ServiceName,
+) -> Result<(Response<AnswerBody>, Outcome), Refusal> {
+    let (response, outcome) = single::answer(accepted, service).await?;
+    Ok((unnoted(response), outcome))
+}
+
+/// An answer whose leaving is not observed: it was not planned for a moment.
+fn unnoted(response: Response<WholeBody>) -> Response<AnswerBody> {
+    response.map(|body| AnswerBody::new(body, None))
+}
+
 /// Refuses a request that is known to crash servers, before it takes anybody's place.
 fn refuse_quarantined(
     gateway: &Gateway,
@@ -227,16 +246,21 @@
     gateway.admission.admit(now, class)
 }
 
-/// Whether the caller asks for the first time, by the time that it says it has left.
-fn caller_try(gateway: &Gateway, head: &Parts) -> CallerTry {
+/// Whether the caller asks for the first time, by the time that it says it has left, and what it spent before
+/// if so. The aim of a second try has passed or nearly so; it is answered as if it were a first.
+fn caller_try(gateway: &Gateway, head: &Parts) -> (CallerTry, Duration) {
     let Some(left) = caller_time(gateway, head) else {
-        return CallerTry::First;
+        return (CallerTry::First, Duration::ZERO);
     };
     let path = head.uri.path();
     let folder = path.rsplit_once('/').map_or("", |(folder, _)| folder);
     let place = format!("{}{folder}", host(head).unwrap_or_default());
     let now = gateway.clock.now();
-    gateway.resends.borrow_mut().observe(now, &place, left)
+    let mut resends = gateway.resends.borrow_mut();
+    match resends.observe(now, &place, left) {
+        CallerTry::First => (CallerTry::First, resends.spent(&place, left)),
+        CallerTry::Resend => (CallerTry::Resend, Duration::ZERO),
+    }
 }
 
 /// The time for which the caller waits, where it says so.
@@ -385,6 +409,15 @@
         }
     }
 
+    /// How long before its aim its answer must leave.
+    fn answer_margin(&self) -> Duration {
+        let aim = Duration::from_millis(self.planned.route().aim_ms);
+        let now = self.gateway.clock.now();
+        let bounds = self.gateway.config.margin_bounds();
+        let profile = &self.planned.profile;
+        profile.answer_margin(now, bounds, aim, self.spent)
+    }
+
     fn id(&self) -> String {
         id_text(&self.outgoing.request_id)
     }
--- a/crates/sablehaven-gateway/src/route_table.rs
+++ b/crates/sablehaven-gateway/src/route_table.rs
@@ -1,10 +1,21 @@
 //! Which route a request takes.
 
-use std::{cell::Cell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use sablehaven_types::{Route, RouteDocument};
 
-use crate::{servers::KindOfRequest, serving_regions::ServingRegions, tenant_table::TenantTable};
+use crate::{
+    answer_margin::{AnswerMargin, MarginBounds},
+    servers::KindOfRequest,
+    serving_regions::ServingRegions,
+    tenant_table::TenantTable,
+};
 
 /// The routes of one version, ready to be looked up.
 pub(crate) struct RouteTable {
@@ -31,6 +42,8 @@
     kind: KindOfRequest,
     /// What a server usually takes, without the way there, in milliseconds.
     typical_ms: Cell<f64>,
+    /// How much later than planned its answers left of late.
+    answer_margin: RefCell<AnswerMargin>,
 }
 
 /// Weight of one new time in the running average.
@@ -48,6 +61,7 @@
         Self {
             kind,
             typical_ms: Cell::new(guess.max(LEAST_TYPICAL_MS)),
+            answer_margin: RefCell::default(),
         }
     }
 
@@ -67,6 +81,23 @@
         let next = typical + TYPICAL_WEIGHT * (taken - typical);
         self.typical_ms.set(next.max(LEAST_TYPICAL_MS));
     }
+
+    /// Takes in how much later than planned a request was acted on.
+    pub(crate) fn overran(&self, now: Duration, overrun: Duration) {
+        self.answer_margin.borrow_mut().observe(now, overrun);
+    }
+
+    /// How long before its aim an answer must leave.
+    pub(crate) fn answer_margin(
+        &self,
+        now: Duration,
+        bounds: MarginBounds,
+        aim: Duration,
+        spent: Duration,
+    ) -> Duration {
+        let margin = self.answer_margin.borrow();
+        margin.margin(now, bounds, aim, spent)
+    }
 }
 
 impl PlannedRoute {
