Gateway: a query over shards decides for all of its parts who gets an extra attempt

Cause: each part took from the budget for itself, hedges as retries, so that under many lost answers every query got some extra attempts and few got enough.

--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cmp::Reverse,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -12,11 +13,13 @@
 };
 use sablehaven_http::WholeBody;
 use sablehaven_types::{Gather, ServiceName};
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 use super::{
     Accepted,
+    hedge_timer::BUDGET_PAUSE,
     merge::greatest_records,
+    query_attempts::{PartPlace, QueryAttempts, settle},
     refusal::Refusal,
     sub_request::{PartFailure, SubRequest, Tried},
     wait::{Next, Progress, next},
@@ -67,16 +70,21 @@
         return Err(Refusal::NoServers);
     }
     let mut parts = Parts::default();
+    let query = QueryAttempts::new(gather.shards.len(), gather.min_shards());
     let mut running: FuturesUnordered<_> = in_order(accepted, gather)
         .into_iter()
-        .map(|shard| {
+        .enumerate()
+        .map(|(number, shard)| {
             let service = accepted.gateway.registry.service(shard);
-            let part = SubRequest::new(accepted, service);
+            let query = Rc::clone(&query);
+            let place = PartPlace { query, number };
+            let part = SubRequest::new(accepted, service, Some(place));
             parts.awaited.push((shard.clone(), part.tried()));
             async move { (shard, part.run().await) }
         })
         .collect();
     let outcome = loop {
+        settle(accepted, &query);
         let progress = progress(accepted, gather, &parts);
         let wait_until = match next(&progress) {
             Next::Answer => break Ok(()),
@@ -94,10 +102,17 @@
                 parts.unaffordable += part.unaffordable;
                 parts.may_have_run |= part.may_have_run || part.result.is_ok();
                 match part.result {
-                    Ok(reply) => parts.replies.push(reply),
-                    Err(failure) => parts.missing.push((shard.to_string(), failure)),
+                    Ok(reply) => {
+                        query.arrived();
+                        parts.replies.push(reply);
+                    }
+                    Err(failure) => {
+                        query.lost();
+                        parts.missing.push((shard.to_string(), failure));
+                    }
                 }
             }
+            () = sleep(BUDGET_PAUSE), if query.has_failed_parts() => {}
             () = sleep_until(wait_until.into()) => {}
         }
     };
--- a/crates/sablehaven-gateway/src/request/hedge_timer.rs
+++ b/crates/sablehaven-gateway/src/request/hedge_timer.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 /// Pause before the retry budget is asked again.
-const BUDGET_PAUSE: Duration = Duration::from_millis(25);
+pub(super) const BUDGET_PAUSE: Duration = Duration::from_millis(25);
 
 /// The times of one attempt. A hedge that is put off leaves the time at which the attempt was sent as it
 /// is: the pace of the whole query is measured from it.
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! The way of one request: route, admission, servers, answer.
 
+mod attempt_plan;
 mod authorize;
 mod first_routes;
 mod gather;
@@ -7,6 +8,7 @@
 mod hedge_timer;
 mod in_flight;
 mod merge;
+mod query_attempts;
 mod refusal;
 mod single;
 mod sub_request;
--- a/crates/sablehaven-gateway/src/request/single.rs
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -21,7 +21,7 @@
     service: &ServiceName,
 ) -> Result<(Response<WholeBody>, Outcome), Refusal> {
     let service = accepted.gateway.registry.service(service);
-    let part = SubRequest::new(accepted, service).run().await;
+    let part = SubRequest::new(accepted, service, None).run().await;
     let (refusal, failure) = match &part.result {
         Err(failure @ PartFailure::Quarantined) => {
             (Refusal::after_crashes(accepted, part.may_have_run), failure)
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -11,7 +11,9 @@
 
 use super::{
     Accepted,
+    attempt_plan::AttemptPurpose,
     in_flight::{InFlight, next_ended},
+    query_attempts::{PartPlace, settle, verdict},
 };
 use crate::{
     crashes::{Trial, Turn, WaitingPlace},
@@ -59,6 +61,21 @@
     may_have_run: bool,
     /// What is sent when the request's other parts let it.
     waiting: Option<Waiting>,
+    /// Where it is a part of a query over shards.
+    place: Option<PartPlace>,
+    /// How it failed, while its query decides whether it gets another attempt.
+    failed: Option<AttemptFailure>,
+}
+
+/// What pays for an extra attempt.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Payment {
+    /// Nothing: no server was reached, so it is no extra load on any.
+    Free,
+    /// The budget has been charged already.
+    Paid,
+    /// The budget, as far as such attempts may use it.
+    Budget(AttemptPurpose),
 }
 
 /// The servers that attempts went to, in order; shared with whoever explains what is still awaited.
@@ -78,7 +95,11 @@
 }
 
 impl<'a> SubRequest<'a> {
-    pub(super) fn new(accepted: &'a Accepted, service: Rc<ServicePool>) -> Self {
+    pub(super) fn new(
+        accepted: &'a Accepted,
+        service: Rc<ServicePool>,
+        place: Option<PartPlace>,
+    ) -> Self {
         Self {
             accepted,
             service,
@@ -90,6 +111,8 @@
             unaffordable: 0,
             may_have_run: false,
             waiting: None,
+            place,
+            failed: None,
         }
     }
 
@@ -127,6 +150,9 @@
                         Err(failure) => self.take_failure(failure, ended.trial)?,
                     }
                 }
+                may_send = verdict(self.place.as_ref()), if self.failed.is_some() => {
+                    self.take_verdict(may_send)?;
+                }
                 () = self.accepted.outgoing.crash_watch.changed(), if self.waiting.is_some() => {
                     if let Some(Waiting { planned, .. }) = self.waiting.take() {
                         self.send_in_turn(planned)?;
@@ -177,8 +203,11 @@
     }
 
     fn retry(&mut self, failure: AttemptFailure, trial: Option<Trial>) -> Result<(), PartFailure> {
-        let reached_server = !matches!(failure, AttemptFailure::NotSent { .. });
-        if self.send_extra(reached_server, trial) {
+        let payment = match failure {
+            AttemptFailure::NotSent { .. } => Payment::Free,
+            _ => Payment::Budget(AttemptPurpose::Decides),
+        };
+        if self.send_extra(payment, trial) {
             return Ok(());
         }
         self.give_up_unless_awaited(failure)
@@ -234,24 +263,69 @@
         let has_room = self.dispatched < self.accepted.planned.route().max_attempts
             && self.false_starts <= MAXIMUM_FALSE_STARTS;
         if may_repeat && has_room {
+            if self.is_for_query(&failure) {
+                return self.leave_to_query(failure);
+            }
             return self.send_in_turn(Planned::Retry(failure));
         }
         self.give_up_unless_awaited(failure)
     }
 
-    /// Sends one more attempt. What never reached a server is no extra load on any.
-    fn send_extra(&mut self, costs_budget: bool, trial: Option<Trial>) -> bool {
+    /// Whether the query decides, for all of its parts together, if another attempt follows. A request that may take
+    /// servers down has its own order.
+    fn is_for_query(&self, failure: &AttemptFailure) -> bool {
+        let now = self.accepted.gateway.clock.now();
+        let is_free = matches!(failure, AttemptFailure::NotSent { .. });
+        self.place.is_some() && !is_free && self.accepted.outgoing.crash_watch.is_clear(now)
+    }
+
+    /// Waits for an attempt that is under way, or for the query's verdict.
+    fn leave_to_query(&mut self, failure: AttemptFailure) -> Result<(), PartFailure> {
+        if !self.in_flight.is_empty() {
+            return Ok(());
+        }
+        let allowed = self.accepted.allowed_regions();
+        if !self.service.has_other(allowed, &self.tried.borrow()) {
+            return Err(PartFailure::Attempt(failure));
+        }
+        if let Some(PartPlace { query, number }) = &self.place {
+            query.failed(*number, Rc::clone(&self.service));
+            settle(self.accepted, query);
+            self.failed = Some(failure);
+        }
+        Ok(())
+    }
+
+    fn take_verdict(&mut self, may_send: bool) -> Result<(), PartFailure> {
+        let Some(failure) = self.failed.take() else {
+            return Ok(());
+        };
+        if !may_send {
+            self.unaffordable += 1;
+            self.accepted.gateway.metrics.unaffordable_attempts.inc();
+        }
+        if may_send && self.send_extra(Payment::Paid, None) {
+            return Ok(());
+        }
+        Err(PartFailure::Attempt(failure))
+    }
+
+    /// Sends one more attempt.
+    fn send_extra(&mut self, payment: Payment, trial: Option<Trial>) -> bool {
         let Some(server) = self.next_server() else {
             return false;
         };
         let gateway = &self.accepted.gateway;
-        if costs_budget {
+        if let Payment::Budget(purpose) = payment {
             let gateways = gateway.registry.sharer_count();
-            if !self.service.take_extra(gateway.clock.now(), gateways) {
+            let now = gateway.clock.now();
+            if !self.service.take_extra(now, gateways, purpose.reserve()) {
                 self.unaffordable += 1;
                 gateway.metrics.unaffordable_attempts.inc();
                 return false;
             }
+        }
+        if payment != Payment::Free {
             self.extra += 1;
             gateway.metrics.extra_attempts.inc();
         }
@@ -277,6 +351,19 @@
         Some(self.in_flight[0].hedge_due_at(self.accepted).max(soonest))
     }
 
+    /// Hedges of a query's parts leave a reserve for its retries, unless the server of the attempt stands still: then
+    /// the hedge is the part's only hope, as a retry is.
+    fn hedge_purpose(&self) -> AttemptPurpose {
+        let now = self.accepted.gateway.clock.now();
+        let server = &self.in_flight[0].attempt.server;
+        let still_at = server.health.borrow().stands_still_at(now);
+        let stands_still = still_at.is_some_and(|at| at <= now);
+        if self.place.is_none() || stands_still {
+            return AttemptPurpose::Decides;
+        }
+        AttemptPurpose::Hastens
+    }
+
     fn hedge_if_due(&mut self) {
         let is_due = self.in_flight.len() == 1
             && Instant::now() >= self.in_flight[0].hedge_due_at(self.accepted);
@@ -292,7 +379,8 @@
             .suspect();
         let now = self.accepted.gateway.clock.now();
         let may_send = self.accepted.outgoing.crash_watch.is_clear(now);
-        if !may_send || !self.send_extra(true, None) {
+        let payment = Payment::Budget(self.hedge_purpose());
+        if !may_send || !self.send_extra(payment, None) {
             // Nothing allows one now; the next look is a little later.
             self.in_flight[0].timer.put_off(Instant::now());
         }
--- a/crates/sablehaven-gateway/src/servers/budget.rs
+++ b/crates/sablehaven-gateway/src/servers/budget.rs
@@ -17,6 +17,27 @@
     extra: u32,
 }
 
+/// How much of a budget is used at one moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct BudgetLevel {
+    /// Extra attempts that the window bears.
+    allowed: f64,
+    /// Extra attempts that were taken in the window.
+    used: f64,
+}
+
+impl BudgetLevel {
+    /// Extra attempts that are left, with a fraction.
+    pub(crate) fn left(&self) -> f64 {
+        self.allowed - self.used
+    }
+
+    /// Whether the budget bears one more attempt that leaves this share (0 to 1) of it to others.
+    pub(crate) fn bears(&self, reserve: f64) -> bool {
+        self.used + 1.0 <= self.allowed * (1.0 - reserve)
+    }
+}
+
 /// The budget of one service in one gateway.
 #[derive(Clone, Debug)]
 pub(crate) struct RetryBudget {
@@ -42,16 +63,24 @@
         self.needed += 1;
     }
 
-    /// Takes one extra attempt; `false` means that the budget does not bear it. `gateways` is the
-    /// number of gateways that share the slack; a gateway that has no part of it has `None`.
-    pub(crate) fn take(&mut self, now: Duration, gateways: Option<u32>) -> bool {
+    /// How much of it is used. `gateways` is the number of gateways that share the slack; a gateway that has no
+    /// part of it has `None`.
+    pub(crate) fn level(&mut self, now: Duration, gateways: Option<u32>) -> BudgetLevel {
         self.forget(now);
         let has_paused = now >= Duration::from_millis(self.bounds.slack_pause_ms);
         let gateways = gateways.filter(|_| has_paused);
         let part = |gateways: u32| self.bounds.slack / f64::from(gateways.max(1));
         let slack = gateways.map_or(0.0, part);
-        let allowed = USED_SHARE * (self.bounds.ratio * f64::from(self.needed) + slack);
-        if f64::from(self.extra) + 1.0 > allowed {
+        BudgetLevel {
+            allowed: USED_SHARE * (self.bounds.ratio * f64::from(self.needed) + slack),
+            used: f64::from(self.extra),
+        }
+    }
+
+    /// Takes one extra attempt that leaves the share `reserve` of the budget; `false` means that the budget does
+    /// not bear it.
+    pub(crate) fn take(&mut self, now: Duration, gateways: Option<u32>, reserve: f64) -> bool {
+        if !self.level(now, gateways).bears(reserve) {
             return false;
         }
         self.part(now).extra += 1;
--- a/crates/sablehaven-gateway/src/servers/budget/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/budget/tests.rs
@@ -21,7 +21,7 @@
 
 fn taken(budget: &mut RetryBudget, now: Duration, gateways: u32) -> u32 {
     (0..10_000)
-        .take_while(|_| budget.take(now, Some(gateways)))
+        .take_while(|_| budget.take(now, Some(gateways), 0.0))
         .count() as u32
 }
 
@@ -59,7 +59,7 @@
             budget.need(seconds(at));
             needed.push(at);
         }
-        if step % 2 == 0 && budget.take(seconds(at), Some(1)) {
+        if step % 2 == 0 && budget.take(seconds(at), Some(1), 0.0) {
             extra.push(at);
         }
     }
@@ -82,11 +82,11 @@
 #[test]
 fn the_slack_is_not_used_while_the_number_of_gateways_is_not_known() {
     let mut budget = RetryBudget::new(BOUNDS);
-    assert!(!budget.take(seconds(1.0), None));
+    assert!(!budget.take(seconds(1.0), None, 0.0));
     for _ in 0..100 {
         budget.need(seconds(1.0));
     }
-    let taken = (0..100).take_while(|_| budget.take(seconds(1.0), None));
+    let taken = (0..100).take_while(|_| budget.take(seconds(1.0), None, 0.0));
     assert_eq!(taken.count(), 17);
 }
 
--- a/crates/sablehaven-gateway/src/servers/service_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/service_pool.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Server,
-    budget::RetryBudget,
+    budget::{BudgetLevel, RetryBudget},
     choice::Choice,
     cold_turns::ColdLimit,
     connection_share::{SharerCount, connection_share},
@@ -158,8 +158,20 @@
         self.budget.borrow_mut().need(now);
     }
 
-    /// Takes one extra attempt from the budget.
-    pub(crate) fn take_extra(&self, now: Duration, gateways: Option<u32>) -> bool {
-        self.budget.borrow_mut().take(now, gateways)
+    /// How much of the budget of extra attempts is used.
+    pub(crate) fn budget_level(&self, now: Duration, gateways: Option<u32>) -> BudgetLevel {
+        self.budget.borrow_mut().level(now, gateways)
+    }
+
+    /// Takes one extra attempt that leaves the share `reserve` of the budget to others.
+    pub(crate) fn take_extra(&self, now: Duration, gateways: Option<u32>, reserve: f64) -> bool {
+        self.budget.borrow_mut().take(now, gateways, reserve)
+    }
+
+    /// Whether a server beside those of `tried` may take the request.
+    pub(crate) fn has_other(&self, allowed: &AllowedRegions, tried: &[BackendId]) -> bool {
+        let servers = self.servers.borrow();
+        let mut open = servers.iter().filter(|server| server.may_serve(allowed));
+        open.any(|server| !tried.contains(&server.id))
     }
 }
