--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! The way of one request: route, admission, servers, answer.
 
+mod attempt_plan;
 mod authorize;
 mod first_routes;
 mod gather;
@@ -8,6 +9,7 @@
 mod in_flight;
 mod lateness;
 mod merge;
+mod query_attempts;
 mod refusal;
 mod single;
 mod sub_request;
