--- a/crates/sablehaven-quota/src/bucket.rs
+++ b/crates/sablehaven-quota/src/bucket.rs
@@ -1,88 +1,162 @@
 //! One replica's part of a tenant's token bucket.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
-use sablehaven_types::{QuotaTolerance, RequestQuota};
+use crate::allowance::PartAllowance;
 
-/// The longest time for which a granted token is good: about as long as a gateway foresees what it will need.
-const LONGEST_TOKEN_LIFE: Duration = Duration::from_millis(500);
+/// The longest wait that is told to a caller that was refused, and up to which tokens are promised: callers that
+/// wait longer have given up.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+/// Sums of small gains fall short of a whole token by rounding; so little is made up for. It is far below
+/// what a window can tell apart.
+const ROUNDING: f64 = 1e-9;
 
-/// Time for which a granted token is good. A token that is spent late counts in a window that began after it was
-/// granted, which the tolerance has to bear: without any, tokens are for the request that waits alone.
-pub(crate) fn token_life(tolerance: &QuotaTolerance) -> Duration {
-    let borne = tolerance.window().mul_f64(tolerance.excess());
-    borne.min(LONGEST_TOKEN_LIFE)
-}
-
-/// The tokens that all parts together hold at the most: what a window may have beyond the rate.
-fn whole_depth(tolerance: &QuotaTolerance, quota: RequestQuota) -> f64 {
-    let span = tolerance.window() + token_life(tolerance);
-    tolerance.bound(quota) - quota.per_second * span.as_secs_f64()
-}
+/// A loan that comes later than this after it was asked for is dropped. So long the lender's room for it stays blocked.
+pub(crate) const LOAN_LIFE: Duration = Duration::from_millis(100);
 
-/// One part of a tenant's token bucket; it starts empty.
-#[derive(Clone, Copy, Debug)]
+/// One part of a tenant's token bucket; it starts empty. Tokens and blocked room never exceed the depth together.
+#[derive(Clone, Debug)]
 pub(crate) struct TokenBucket {
-    per_second: f64,
-    depth: f64,
+    allowance: PartAllowance,
+    /// Below 0 after a lower limit.
     tokens: f64,
+    /// Room of tokens that were lent and may still be on their way, by the time until which they may.
+    lent: VecDeque<(Duration, u32)>,
     filled_at: Duration,
+    started_at: Duration,
+    /// When the last token comes that is promised to a caller that was refused.
+    promised_until: Duration,
 }
 
 impl TokenBucket {
-    /// An empty part: one of `parts`.
-    pub(crate) fn new(
-        now: Duration,
-        tolerance: &QuotaTolerance,
-        quota: RequestQuota,
-        parts: u32,
-    ) -> Self {
-        let parts = f64::from(parts.max(1));
+    /// An empty part. It gains nothing while loans of the former one may be on their way.
+    pub(crate) fn new(now: Duration, allowance: PartAllowance) -> Self {
         Self {
-            per_second: quota.per_second / parts,
-            depth: whole_depth(tolerance, quota) / parts,
+            allowance,
             tokens: 0.0,
-            filled_at: now,
+            lent: VecDeque::new(),
+            filled_at: now + LOAN_LIFE,
+            started_at: now + LOAN_LIFE,
+            promised_until: Duration::ZERO,
         }
     }
 
-    /// Takes another quota or number of parts. Tokens beyond what fits then are gone at once.
-    pub(crate) fn resize(&mut self, now: Duration, resized: Self) {
+    /// Takes another allowance. What was lacking to a full part stays lacking where the depth goes down.
+    pub(crate) fn resize(&mut self, now: Duration, allowance: PartAllowance) {
         self.fill(now);
-        let tokens = self.tokens.min(resized.depth);
-        *self = Self { tokens, ..resized };
+        self.tokens += (allowance.depth - self.allowance.depth).min(0.0);
+        self.allowance = allowance;
+        self.promised_until = Duration::ZERO;
     }
 
     /// Takes as many whole tokens as there are, `wanted` at the most.
     pub(crate) fn take(&mut self, now: Duration, wanted: u32) -> u32 {
+        self.take_above(now, wanted, 0.0)
+    }
+
+    /// Takes as many whole tokens as there are beyond those that are kept, `wanted` at the most.
+    fn take_above(&mut self, now: Duration, wanted: u32, kept: f64) -> u32 {
         self.fill(now);
-        let taken = wanted.min(self.tokens.max(0.0) as u32);
+        let taken = wanted.min((self.tokens - kept + ROUNDING).max(0.0) as u32);
         self.tokens -= f64::from(taken);
         taken
     }
 
-    /// Puts tokens in, as far as they fit.
+    /// Takes tokens for another part, as many as there are beyond those that are kept.
+    pub(crate) fn lend(&mut self, now: Duration, wanted: u32, kept: f64) -> u32 {
+        let tokens = self.take_above(now, wanted, kept);
+        if tokens > 0 {
+            self.lent.push_back((now + LOAN_LIFE, tokens));
+        }
+        tokens
+    }
+
+    /// Takes tokens of another part, as far as there is room.
     pub(crate) fn put(&mut self, now: Duration, tokens: u32) {
+        let fitting = f64::from(tokens).min(self.room(now));
+        self.tokens += fitting.max(0.0);
+    }
+
+    /// Room that is left for tokens.
+    pub(crate) fn room(&mut self, now: Duration) -> f64 {
         self.fill(now);
-        self.tokens = (self.tokens + f64::from(tokens)).min(self.depth);
+        self.allowance.depth - self.blocked() - self.tokens
     }
 
     /// The tokens that are there.
     pub(crate) fn tokens(&mut self, now: Duration) -> f64 {
         self.fill(now);
-        self.tokens
+        self.tokens.max(0.0)
+    }
+
+    /// Tokens that come in a second.
+    pub(crate) fn per_second(&self) -> f64 {
+        self.allowance.per_second
+    }
+
+    /// Whether this part is too new to know whether its own tokens will be asked for.
+    pub(crate) fn is_new(&self, now: Duration) -> bool {
+        now.saturating_sub(self.started_at) < self.time_for(2.0)
+    }
+
+    /// Time in which all other parts have to be asked in turn, so that none of them stays full while this one is short.
+    pub(crate) fn time_to_ask_all(&self) -> Duration {
+        self.time_for(self.allowance.depth) / 2
     }
 
-    /// Time until so many tokens are there.
-    pub(crate) fn time_until(&mut self, now: Duration, tokens: f64) -> Duration {
+    /// The number of parts.
+    pub(crate) fn parts(&self) -> f64 {
+        self.allowance.parts
+    }
+
+    /// Promises the next token that is not promised yet to a caller that is refused; returns the time until it is there.
+    /// Without this all who are refused would come back for the same token.
+    pub(crate) fn promise(&mut self, now: Duration) -> Duration {
         self.fill(now);
-        let lacking = (tokens - self.tokens).max(0.0);
-        Duration::from_secs_f64(lacking / self.per_second)
+        let lacking = (1.0 - self.tokens).max(0.0);
+        let first = now.max(self.filled_at) + self.time_for(lacking);
+        let next = self.promised_until + self.time_for(1.0);
+        let promised = if self.promised_until > now {
+            first.max(next)
+        } else {
+            first
+        };
+        let latest = now + LONGEST_WAIT;
+        if promised > latest {
+            return LONGEST_WAIT;
+        }
+        self.promised_until = promised;
+        promised - now
+    }
+
+    fn time_for(&self, tokens: f64) -> Duration {
+        let seconds = tokens / self.allowance.per_second;
+        Duration::try_from_secs_f64(seconds)
+            .unwrap_or(LONGEST_WAIT)
+            .min(LONGEST_WAIT * 2)
     }
 
     fn fill(&mut self, now: Duration) {
-        let since = now.saturating_sub(self.filled_at).as_secs_f64();
-        self.tokens = (self.tokens + since * self.per_second).min(self.depth);
-        self.filled_at = self.filled_at.max(now);
+        while let Some((until, _)) = self.lent.front().copied() {
+            if until > now {
+                break;
+            }
+            self.fill_to(until);
+            self.lent.pop_front();
+        }
+        self.fill_to(now);
+    }
+
+    fn fill_to(&mut self, time: Duration) {
+        let since = time.saturating_sub(self.filled_at).as_secs_f64();
+        let most = self.allowance.depth - self.blocked();
+        let filled = self.tokens + since * self.allowance.per_second;
+        self.tokens = filled.min(most.max(self.tokens));
+        self.filled_at = self.filled_at.max(time);
+    }
+
+    fn blocked(&self) -> f64 {
+        let lent: u32 = self.lent.iter().map(|(_, tokens)| tokens).sum();
+        f64::from(lent)
     }
 }
--- a/crates/sablehaven-quota/src/lib.rs
+++ b/crates/sablehaven-quota/src/lib.rs
@@ -5,9 +5,13 @@
 //! that it serves often ([`TokenStock`]). A replica whose part is used up asks others for a loan. Nothing here is durable: a
 //! replica starts with an empty part, so that what it gave out before counts for nobody twice.
 
+mod allowance;
 mod bucket;
+mod demand;
+mod loan;
 mod part;
 mod stock;
+mod tenant_part;
 
 pub use part::{QuotaPart, TenantUsage};
 pub use stock::TokenStock;
--- a/crates/sablehaven-quota/src/part.rs
+++ b/crates/sablehaven-quota/src/part.rs
@@ -1,28 +1,28 @@
 //! One control replica's part of all tenants' quotas.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use sablehaven_types::{
     LoanRequest, QuotaTolerance, RequestQuota, TenantName, TokenLoan, TokenRequest, TokenVerdict,
 };
 
-use crate::bucket::TokenBucket;
+use crate::tenant_part::TenantPart;
+
+/// The most requests for loans in one call: a bound for the messages of a moment in which all tenants are short.
+const MOST_LOANS: usize = 64;
 
 /// One control replica's part of all tenants' quotas. Times are any steady time of the replica.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct QuotaPart {
     tolerance: QuotaTolerance,
     /// The number of equal parts, of which this is one; `None` while this replica may not spend any.
     parts: Option<u32>,
     tenants: HashMap<TenantName, TenantPart>,
-}
-
-#[derive(Debug)]
-struct TenantPart {
-    quota: Option<RequestQuota>,
-    bucket: Option<TokenBucket>,
-    granted: u64,
-    refused: u64,
+    /// Tenants whose part is short, in the order in which loans are asked for.
+    short: VecDeque<TenantName>,
 }
 
 /// What a tenant has had of this replica since its start.
@@ -47,6 +47,7 @@
             tolerance,
             parts: None,
             tenants: HashMap::new(),
+            short: VecDeque::new(),
         }
     }
 
@@ -59,16 +60,12 @@
         let mut former = std::mem::take(&mut self.tenants);
         for (name, quota) in tenants {
             let part = former.remove(name);
-            let mut part = part.unwrap_or(TenantPart {
-                quota: None,
-                bucket: None,
-                granted: 0,
-                refused: 0,
-            });
+            let mut part = part.unwrap_or_else(|| TenantPart::new(now));
             part.quota = quota;
             part.resize(now, &self.tolerance, self.parts);
             self.tenants.insert(name.clone(), part);
         }
+        self.short.retain(|name| self.tenants.contains_key(name));
     }
 
     /// Takes the number of equal parts, or that this replica has none. What it held before is gone then.
@@ -83,44 +80,64 @@
     }
 
     /// Decides on a request that waits for a token. `draw` is uniform, 0 to 1.
-    pub fn take(&mut self, now: Duration, request: &TokenRequest, _draw: f64) -> TokenVerdict {
+    pub fn take(&mut self, now: Duration, request: &TokenRequest, draw: f64) -> TokenVerdict {
         let Some(part) = self.tenants.get_mut(&request.tenant) else {
             // The gateway has a newer configuration than this replica, or an older one.
             return TokenVerdict::NoPart;
         };
-        if part.quota.is_none() {
-            return TokenVerdict::Granted(request.wanted);
+        let verdict = part.take(now, request.wanted, draw);
+        if !part.is_queued && part.is_short(now) {
+            part.is_queued = true;
+            self.short.push_back(request.tenant.clone());
         }
-        let Some(bucket) = &mut part.bucket else {
-            return TokenVerdict::NoPart;
-        };
-        let granted = bucket.take(now, request.wanted);
-        if granted == 0 {
-            part.refused += 1;
-            let wait = bucket.time_until(now, 1.0).as_millis();
-            return TokenVerdict::OverQuota {
-                retry_after_ms: u32::try_from(wait).unwrap_or(u32::MAX),
-            };
-        }
-        part.granted += u64::from(granted);
-        TokenVerdict::Granted(granted)
+        verdict
     }
 
-    /// What is to be asked of other replicas: tokens of the tenants whose part is used up while requests wait.
-    pub fn loans_wanted(&mut self, _now: Duration) -> Vec<LoanRequest> {
-        Vec::new()
+    /// What is to be asked of other replicas: tokens of the tenants whose part is used up, or soon will be, while requests come.
+    /// A request goes to one other replica; a tenant's numbers are consecutive, so that the number, modulo the others, takes
+    /// each in turn. To be called every few milliseconds.
+    pub fn loans_wanted(&mut self, now: Duration) -> Vec<LoanRequest> {
+        let mut requests = Vec::new();
+        for _ in 0..self.short.len() {
+            if requests.len() == MOST_LOANS {
+                break;
+            }
+            let Some(tenant) = self.short.pop_front() else {
+                break;
+            };
+            let Some(part) = self.tenants.get_mut(&tenant) else {
+                continue;
+            };
+            let ask = part.ask_for_loan(now);
+            part.is_queued = part.is_short(now);
+            if part.is_queued {
+                self.short.push_back(tenant.clone());
+            }
+            requests.extend(ask.map(|ask| LoanRequest {
+                number: ask.number,
+                tenant,
+                wanted: ask.wanted,
+            }));
+        }
+        requests
     }
 
-    /// Lends what this part can spare.
-    pub fn lend(&mut self, _now: Duration, _request: &LoanRequest) -> Option<TokenLoan> {
-        None
+    /// Lends what this part can spare. A loan of no tokens tells the other one to ask elsewhere; `None` while this replica has
+    /// no part.
+    pub fn lend(&mut self, now: Duration, request: &LoanRequest) -> Option<TokenLoan> {
+        let part = self.tenants.get_mut(&request.tenant)?;
+        let tokens = part.lend(now, request.wanted)?;
+        Some(TokenLoan {
+            number: request.number,
+            tenant: request.tenant.clone(),
+            tokens,
+        })
     }
 
-    /// Takes a loan, unless it comes too late.
+    /// Takes a loan, unless it comes too late or twice.
     pub fn receive(&mut self, now: Duration, loan: &TokenLoan) {
-        let part = self.tenants.get_mut(&loan.tenant);
-        if let Some(bucket) = part.and_then(|part| part.bucket.as_mut()) {
-            bucket.put(now, loan.tokens);
+        if let Some(part) = self.tenants.get_mut(&loan.tenant) {
+            part.receive(now, loan.number, loan.tokens);
         }
     }
 
@@ -133,25 +150,8 @@
                 quota: part.quota,
                 granted: part.granted,
                 refused: part.refused,
-                tokens: part
-                    .bucket
-                    .as_mut()
-                    .map_or(0.0, |bucket| bucket.tokens(now)),
+                tokens: part.tokens(now),
             })
             .collect()
     }
 }
-
-impl TenantPart {
-    fn resize(&mut self, now: Duration, tolerance: &QuotaTolerance, parts: Option<u32>) {
-        let (Some(quota), Some(parts)) = (self.quota, parts) else {
-            self.bucket = None;
-            return;
-        };
-        let resized = TokenBucket::new(now, tolerance, quota, parts);
-        match &mut self.bucket {
-            Some(bucket) => bucket.resize(now, resized),
-            None => self.bucket = Some(resized),
-        }
-    }
-}
--- /dev/null
+++ b/crates/sablehaven-quota/src/tenant_part.rs
@@ -0,0 +1,103 @@
+//! One tenant's quota at one replica.
+
+use std::time::Duration;
+
+use sablehaven_types::{QuotaTolerance, RequestQuota, TokenVerdict};
+
+use crate::{
+    allowance::PartAllowance,
+    bucket::TokenBucket,
+    loan::{LoanAsk, LoanNeed},
+};
+
+/// One tenant's quota at one replica.
+#[derive(Clone, Debug)]
+pub(crate) struct TenantPart {
+    pub(crate) quota: Option<RequestQuota>,
+    pub(crate) granted: u64,
+    pub(crate) refused: u64,
+    bucket: Option<TokenBucket>,
+    loan: LoanNeed,
+    /// Whether the tenant stands in the queue of those that need a loan.
+    pub(crate) is_queued: bool,
+}
+
+impl TenantPart {
+    /// A tenant without a quota yet.
+    pub(crate) fn new(now: Duration) -> Self {
+        Self {
+            quota: None,
+            granted: 0,
+            refused: 0,
+            bucket: None,
+            loan: LoanNeed::new(now),
+            is_queued: false,
+        }
+    }
+
+    /// Takes the number of parts, and the quota as it is now.
+    pub(crate) fn resize(&mut self, now: Duration, tolerance: &QuotaTolerance, parts: Option<u32>) {
+        let (Some(quota), Some(parts)) = (self.quota, parts) else {
+            self.bucket = None;
+            self.loan = LoanNeed::new(now);
+            return;
+        };
+        let allowance = PartAllowance::new(tolerance, quota, parts);
+        match &mut self.bucket {
+            Some(bucket) => bucket.resize(now, allowance),
+            None => self.bucket = Some(TokenBucket::new(now, allowance)),
+        }
+    }
+
+    /// Decides on a request that waits for a token.
+    pub(crate) fn take(&mut self, now: Duration, wanted: u32, draw: f64) -> TokenVerdict {
+        if self.quota.is_none() {
+            return TokenVerdict::Granted(wanted);
+        }
+        let Some(bucket) = &mut self.bucket else {
+            return TokenVerdict::NoPart;
+        };
+        self.loan.count(now, wanted, draw);
+        let granted = bucket.take(now, wanted);
+        self.loan.note_refused(granted == 0);
+        if granted == 0 {
+            self.refused += 1;
+            let wait = bucket.promise(now).as_micros().div_ceil(1_000);
+            return TokenVerdict::OverQuota {
+                retry_after_ms: u32::try_from(wait).unwrap_or(u32::MAX),
+            };
+        }
+        self.granted += u64::from(granted);
+        TokenVerdict::Granted(granted)
+    }
+
+    /// Whether this part needs a loan now or soon.
+    pub(crate) fn is_short(&mut self, now: Duration) -> bool {
+        let bucket = self.bucket.as_mut();
+        bucket.is_some_and(|bucket| self.loan.is_short(now, bucket))
+    }
+
+    /// Opens a request for a loan if it is time for one; returns what to ask for.
+    pub(crate) fn ask_for_loan(&mut self, now: Duration) -> Option<LoanAsk> {
+        self.loan.ask(now, self.bucket.as_mut()?)
+    }
+
+    /// Takes tokens out for another part; `None` while this replica has none.
+    pub(crate) fn lend(&mut self, now: Duration, wanted: u32) -> Option<u32> {
+        let bucket = self.bucket.as_mut()?;
+        Some(self.loan.lend(now, bucket, wanted))
+    }
+
+    /// Takes a loan if it answers the open request and is not late.
+    pub(crate) fn receive(&mut self, now: Duration, number: u64, tokens: u32) {
+        if let Some(bucket) = &mut self.bucket {
+            self.loan.receive(now, bucket, number, tokens);
+        }
+    }
+
+    /// The tokens that are there.
+    pub(crate) fn tokens(&mut self, now: Duration) -> f64 {
+        let bucket = self.bucket.as_mut();
+        bucket.map_or(0.0, |bucket| bucket.tokens(now))
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-quota/tests/even_demand.rs
@@ -0,0 +1,61 @@
+//! What is inside a quota is not refused: with even demand nothing, with all demand at one replica next to nothing.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::{prelude::*, test_runner::Config};
+use sablehaven_types::{QuotaTolerance, RequestQuota};
+use support::steady::{SteadyDemand, SteadyServed};
+
+const TOLERANCE: QuotaTolerance = QuotaTolerance {
+    window_ms: 5_000,
+    excess_permille: 100,
+    slack: 20,
+};
+/// Parts are empty at first; the first token of each comes within a window.
+const FIRST_SECONDS: Duration = Duration::from_secs(6);
+/// Parts lend their last token after the time for two.
+const UNTIL_LOANS: Duration = Duration::from_secs(12);
+
+fn play(quota: RequestQuota, replicas: usize, load: f64, at_one: bool, seed: u64) -> SteadyServed {
+    SteadyDemand {
+        tolerance: TOLERANCE,
+        quota,
+        replicas,
+        load,
+        at_one,
+        round_trip: Duration::from_millis(30),
+        warm_up: if at_one { UNTIL_LOANS } else { FIRST_SECONDS },
+        seconds: 30,
+        seed,
+    }
+    .play()
+}
+
+proptest! {
+    #![proptest_config(Config::with_cases(60))]
+
+    #[test]
+    fn even_demand_inside_the_quota_is_never_refused(
+        per_second in prop_oneof![0.5..5.0f64, 5.0..1_000.0f64],
+        replicas in 3..=9usize,
+        seed: u64,
+    ) {
+        let quota = RequestQuota { per_second, burst: 0.0 };
+        let served = play(quota, replicas, 0.6, false, seed);
+        prop_assert_eq!(served.refused, 0, "of {}", served.asked);
+    }
+
+    #[test]
+    fn nine_tenths_of_a_quota_are_served_at_one_replica(
+        per_second in prop_oneof![0.5..5.0f64, 5.0..1_000.0f64],
+        replicas in 6..=9usize,
+        seed: u64,
+    ) {
+        let quota = RequestQuota { per_second, burst: per_second / 2.0 };
+        let served = play(quota, replicas, 1.0, true, seed);
+        let share = 1.0 - served.refused as f64 / served.asked as f64;
+        prop_assert!(share >= 0.9, "{share}");
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-quota/tests/support/faults.rs
@@ -0,0 +1,147 @@
+//! What befalls replicas and gateways.
+
+use std::time::Duration;
+
+use sablehaven_quota::{QuotaPart, TokenStock};
+use sablehaven_types::RequestQuota;
+
+use super::{
+    ms,
+    plan::Event,
+    windows::InForce,
+    world::{Gateway, Message, Replica, Without, World},
+};
+
+/// Time until all replicas have applied a change.
+const APPLY_MS: u64 = 400;
+
+impl World {
+    pub fn apply_event(&mut self, event: &Event) {
+        let members = (self.parts - 1) as usize;
+        match event {
+            Event::Nothing => {}
+            Event::RestartReplica(index) => self.restart(index % members),
+            Event::RestartAllReplicas => (0..members).for_each(|index| self.restart(index)),
+            Event::ReplaceReplica(index) => self.replace(index % members),
+            Event::KillGateway(index) => {
+                let index = index % self.gateways.len();
+                let incarnation = self.gateways[index].incarnation + 1;
+                self.gateways[index] = self.new_gateway(incarnation);
+            }
+            Event::SuspendGateway(index, time) => {
+                let index = index % self.gateways.len();
+                self.gateways[index].suspended_until = self.now + ms(*time);
+            }
+            Event::SuspendAllGateways(time) => {
+                for gateway in &mut self.gateways {
+                    gateway.suspended_until = self.now + ms(*time);
+                }
+            }
+            Event::CutReplica(index) => self.replicas[index % members].is_cut = true,
+            Event::SpendAllTokens => {
+                for index in 0..self.gateways.len() {
+                    while self.spend(index) {}
+                }
+            }
+            Event::SetQuota(quota) => self.set_quota(*quota),
+        }
+    }
+
+    fn set_quota(&mut self, quota: RequestQuota) {
+        self.quota = quota;
+        for replica in &mut self.replicas {
+            let at = self.now + ms(self.lottery.below(APPLY_MS));
+            replica.next_quota = Some((at, quota));
+        }
+    }
+
+    pub fn apply_quotas(&mut self) {
+        for index in 0..self.replicas.len() {
+            let Some((at, quota)) = self.replicas[index].next_quota else {
+                continue;
+            };
+            if at > self.now {
+                continue;
+            }
+            self.end_quota(index);
+            let replica = &mut self.replicas[index];
+            let is_lower = self.tolerance.bound(quota) < self.tolerance.bound(replica.quota);
+            if self.without != Without::LowerLimit || !is_lower {
+                let tenants = [(&self.tenant, Some(quota))].into_iter();
+                replica.part.set_tenants(self.now, tenants);
+            }
+            replica.quota = quota;
+            replica.next_quota = None;
+        }
+        let now = self.now;
+        for index in 0..self.gateways.len() {
+            if self.gateways[index].suspended_until <= now {
+                for (asked_at, verdict) in std::mem::take(&mut self.gateways[index].inbox) {
+                    self.use_reply(index, asked_at, verdict);
+                }
+            }
+        }
+    }
+
+    pub fn end_quota(&mut self, index: usize) {
+        let replica = &mut self.replicas[index];
+        self.quotas.push(InForce {
+            quota: replica.quota,
+            from: replica.in_force_since,
+            until: self.now,
+        });
+        replica.in_force_since = self.now;
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.end_quota(index);
+        let filled_since = match self.without {
+            Without::EmptyStart => self.now - ms(60_000),
+            _ => self.now,
+        };
+        self.replicas[index] = self.new_replica(filled_since);
+    }
+
+    /// The replica goes on for a while without knowing that another one has its place. The one that went on before ends.
+    fn replace(&mut self, index: usize) {
+        if let Some(stale) = self.replicas.iter().position(|replica| replica.is_stale) {
+            self.end_quota(stale);
+            self.replicas.truncate(stale);
+            self.messages.retain(|(_, message)| match message {
+                Message::Take { replica, .. } => *replica < stale,
+                Message::Ask { from, to, .. } => *from < stale && *to < stale,
+                Message::Loan { to, .. } => *to < stale,
+                Message::Reply { .. } => true,
+            });
+        }
+        let newcomer = self.new_replica(self.now);
+        let mut stale = std::mem::replace(&mut self.replicas[index], newcomer);
+        stale.is_stale = true;
+        self.replicas.push(stale);
+    }
+
+    pub fn new_replica(&mut self, filled_since: Duration) -> Replica {
+        let mut part = QuotaPart::new(self.tolerance);
+        part.set_parts(filled_since, Some(self.parts));
+        let tenants = [(&self.tenant, Some(self.quota))].into_iter();
+        part.set_tenants(filled_since, tenants);
+        Replica {
+            part,
+            quota: self.quota,
+            in_force_since: self.now,
+            next_quota: None,
+            is_cut: false,
+            is_stale: false,
+        }
+    }
+
+    pub fn new_gateway(&self, incarnation: u64) -> Gateway {
+        Gateway {
+            stock: TokenStock::new(&self.tolerance),
+            suspended_until: Duration::ZERO,
+            inbox: Vec::new(),
+            answered: Vec::new(),
+            incarnation,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-quota/tests/support/mod.rs
@@ -0,0 +1,15 @@
+//! Replicas, gateways and messages as fakes, all in one thread with a made-up time.
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+pub mod faults;
+pub mod lottery;
+pub mod plan;
+pub mod steady;
+pub mod windows;
+pub mod world;
+
+use std::time::Duration;
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
--- /dev/null
+++ b/crates/sablehaven-quota/tests/support/steady.rs
@@ -0,0 +1,114 @@
+//! Steady demand of one tenant, every request for one token, and loans that always come.
+
+use std::time::Duration;
+
+use sablehaven_quota::QuotaPart;
+use sablehaven_types::{
+    LoanRequest, QuotaTolerance, RequestQuota, TenantName, TokenLoan, TokenRequest, TokenVerdict,
+};
+
+use super::{lottery::Lottery, ms};
+
+const STEP: Duration = Duration::from_millis(1);
+
+pub struct SteadyDemand {
+    pub tolerance: QuotaTolerance,
+    pub quota: RequestQuota,
+    pub replicas: usize,
+    /// Part of the quota that is asked for.
+    pub load: f64,
+    /// All of it at one replica, or evenly spread.
+    pub at_one: bool,
+    /// Between replicas.
+    pub round_trip: Duration,
+    pub warm_up: Duration,
+    pub seconds: u64,
+    pub seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SteadyServed {
+    pub asked: u64,
+    pub refused: u64,
+    pub loan_requests: u64,
+}
+
+enum Message {
+    Ask(usize, usize, LoanRequest),
+    Loan(usize, TokenLoan),
+}
+
+impl SteadyDemand {
+    pub fn play(&self) -> SteadyServed {
+        let tenant = TenantName::from("tenant");
+        let start = ms(10_000);
+        let mut lottery = Lottery(self.seed);
+        let mut parts: Vec<_> = (0..self.replicas)
+            .map(|_| self.part(start, &tenant))
+            .collect();
+        let mut messages: Vec<(Duration, Message)> = Vec::new();
+        let mut served = SteadyServed::default();
+        let mut due = lottery.draw();
+        let mut turn = 0;
+        let mut now = start;
+        while now < start + self.warm_up + Duration::from_secs(self.seconds) {
+            now += STEP;
+            due += self.quota.per_second * self.load * STEP.as_secs_f64();
+            while due >= 1.0 {
+                due -= 1.0;
+                turn += 1;
+                let index = if self.at_one { 0 } else { turn % self.replicas };
+                let is_refused = Self::is_refused(&mut parts[index], now, &tenant, &mut lottery);
+                if now >= start + self.warm_up {
+                    served.asked += 1;
+                    served.refused += u64::from(is_refused);
+                }
+            }
+            let (arrived, waiting): (Vec<_>, Vec<_>) =
+                messages.into_iter().partition(|(at, _)| *at <= now);
+            messages = waiting;
+            for (_, message) in arrived {
+                match message {
+                    Message::Ask(from, to, request) => {
+                        let loan = parts[to].lend(now, &request);
+                        let loan = loan.map(|loan| Message::Loan(from, loan));
+                        messages.extend(loan.map(|loan| (now + self.round_trip / 2, loan)));
+                    }
+                    Message::Loan(to, loan) => parts[to].receive(now, &loan),
+                }
+            }
+            for (from, part) in parts.iter_mut().enumerate() {
+                for request in part.loans_wanted(now) {
+                    served.loan_requests += 1;
+                    let step = 1 + request.number as usize % (self.replicas - 1);
+                    let to = (from + step) % self.replicas;
+                    let ask = Message::Ask(from, to, request);
+                    messages.push((now + self.round_trip / 2, ask));
+                }
+            }
+        }
+        served
+    }
+
+    fn part(&self, now: Duration, tenant: &TenantName) -> QuotaPart {
+        let mut part = QuotaPart::new(self.tolerance);
+        part.set_parts(now, Some(self.replicas as u32 + 1));
+        part.set_tenants(now, [(tenant, Some(self.quota))].into_iter());
+        part
+    }
+
+    fn is_refused(
+        part: &mut QuotaPart,
+        now: Duration,
+        tenant: &TenantName,
+        lottery: &mut Lottery,
+    ) -> bool {
+        let request = TokenRequest {
+            number: 0,
+            tenant: tenant.clone(),
+            wanted: 1,
+            shed_permille: 0,
+        };
+        part.take(now, &request, lottery.draw()) != TokenVerdict::Granted(1)
+    }
+}
--- /dev/null
+++ b/crates/sablehaven-quota/tests/window_bound.rs
@@ -0,0 +1,74 @@
+//! Whatever happens to replicas, gateways and messages, no window holds more requests than its bound.
+
+mod support;
+
+use proptest::{
+    prelude::*,
+    strategy::ValueTree,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use support::{
+    plan::{Plan, plan},
+    windows::{WorstWindow, worst_window},
+    world::{Without, World},
+};
+
+/// Far below one request.
+const ROUNDING: f64 = 1e-6;
+/// Plans in which a broken variant has to show.
+const BROKEN_PLANS: u32 = 250;
+
+fn play(plan: &Plan, without: Without) -> WorstWindow {
+    let mut world = World::new(plan, without);
+    for phase in &plan.phases {
+        world.play(phase);
+    }
+    world.finish();
+    worst_window(&plan.tolerance, &world.served, &world.quotas)
+}
+
+/// Plans of a fixed seed in which the window is over its bound.
+fn plans_over_bound(without: Without) -> usize {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let strategy = plan();
+    (0..BROKEN_PLANS)
+        .map(|_| strategy.new_tree(&mut runner).expect("a plan").current())
+        .filter(|plan| play(plan, without).excess() > ROUNDING)
+        .count()
+}
+
+proptest! {
+    #![proptest_config(Config::with_cases(250))]
+
+    #[test]
+    fn no_window_goes_over_its_bound(plan in plan()) {
+        let worst = play(&plan, Without::Nothing);
+        prop_assert!(worst.excess() <= ROUNDING, "{worst:?}");
+    }
+}
+
+#[test]
+fn tokens_that_are_good_for_ever_show() {
+    assert!(plans_over_bound(Without::TokenLife) > 0);
+}
+
+#[test]
+fn a_replica_that_starts_full_shows() {
+    assert!(plans_over_bound(Without::EmptyStart) > 0);
+}
+
+#[test]
+fn a_lower_limit_that_does_not_bind_shows() {
+    assert!(plans_over_bound(Without::LowerLimit) > 0);
+}
+
+#[test]
+fn a_lender_that_keeps_what_it_lends_shows() {
+    assert!(plans_over_bound(Without::LoanDeduction) > 0);
+}
+
+#[test]
+fn the_same_plans_stay_under_their_bound_when_nothing_is_broken() {
+    assert_eq!(plans_over_bound(Without::Nothing), 0);
+}
