--- a/crates/sablehaven-quota/src/bucket.rs
+++ b/crates/sablehaven-quota/src/bucket.rs
@@ -89,6 +89,12 @@
         self.tokens.max(0.0)
     }
 
+    /// Whether a whole token is there.
+    pub(crate) fn has_token(&mut self, now: Duration) -> bool {
+        self.fill(now);
+        self.tokens + ROUNDING >= 1.0
+    }
+
     /// Tokens that come in a second.
     pub(crate) fn per_second(&self) -> f64 {
         self.allowance.per_second
--- a/crates/sablehaven-quota/src/lib.rs
+++ b/crates/sablehaven-quota/src/lib.rs
@@ -8,6 +8,7 @@
 mod allowance;
 mod bucket;
 mod demand;
+mod fair_share;
 mod loan;
 mod part;
 mod stock;
--- a/crates/sablehaven-quota/src/part.rs
+++ b/crates/sablehaven-quota/src/part.rs
@@ -9,7 +9,7 @@
     LoanRequest, QuotaTolerance, RequestQuota, TenantName, TokenLoan, TokenRequest, TokenVerdict,
 };
 
-use crate::tenant_part::TenantPart;
+use crate::{fair_share::FairShare, tenant_part::TenantPart};
 
 /// The most requests for loans in one call: a bound for the messages of a moment in which all tenants are short.
 const MOST_LOANS: usize = 64;
@@ -23,6 +23,7 @@
     tenants: HashMap<TenantName, TenantPart>,
     /// Tenants whose part is short, in the order in which loans are asked for.
     short: VecDeque<TenantName>,
+    fair_share: FairShare,
 }
 
 /// What a tenant has had of this replica since its start.
@@ -48,6 +49,7 @@
             parts: None,
             tenants: HashMap::new(),
             short: VecDeque::new(),
+            fair_share: FairShare::default(),
         }
     }
 
@@ -79,12 +81,38 @@
         }
     }
 
-    /// Decides on a request that waits for a token. `draw` is uniform, 0 to 1.
+    /// Decides on a request that waits for a token. `draw` is uniform, 0 to 1. No token is taken for a request that is refused.
     pub fn take(&mut self, now: Duration, request: &TokenRequest, draw: f64) -> TokenVerdict {
         let Some(part) = self.tenants.get_mut(&request.tenant) else {
             // The gateway has a newer configuration than this replica, or an older one.
             return TokenVerdict::NoPart;
         };
+        part.asked.count(now, request.wanted);
+        let is_pressed = request.shed_permille > 0 && part.has_token(now);
+        if is_pressed && !self.passes_fairly(now, request, draw) {
+            return TokenVerdict::OverFairShare;
+        }
+        self.take_token(now, request, draw)
+    }
+
+    fn passes_fairly(&mut self, now: Duration, request: &TokenRequest, draw: f64) -> bool {
+        if self.fair_share.is_old(now) {
+            let parts = self.tenants.values();
+            let loads = parts.map(|part| (&part.asked, part.quota_per_second()));
+            self.fair_share.refresh(now, loads);
+        }
+        let Some(part) = self.tenants.get(&request.tenant) else {
+            return true;
+        };
+        let shed = f64::from(request.shed_permille.min(1_000)) / 1_000.0;
+        let quota = part.quota_per_second();
+        draw < self.fair_share.chance(now, &part.asked, quota, shed)
+    }
+
+    fn take_token(&mut self, now: Duration, request: &TokenRequest, draw: f64) -> TokenVerdict {
+        let Some(part) = self.tenants.get_mut(&request.tenant) else {
+            return TokenVerdict::NoPart;
+        };
         let verdict = part.take(now, request.wanted, draw);
         if !part.is_queued && part.is_short(now) {
             part.is_queued = true;
--- a/crates/sablehaven-quota/src/tenant_part.rs
+++ b/crates/sablehaven-quota/src/tenant_part.rs
@@ -7,6 +7,7 @@
 use crate::{
     allowance::PartAllowance,
     bucket::TokenBucket,
+    fair_share::AskedDemand,
     loan::{LoanAsk, LoanNeed},
 };
 
@@ -16,6 +17,7 @@
     pub(crate) quota: Option<RequestQuota>,
     pub(crate) granted: u64,
     pub(crate) refused: u64,
+    pub(crate) asked: AskedDemand,
     bucket: Option<TokenBucket>,
     loan: LoanNeed,
     /// Whether the tenant stands in the queue of those that need a loan.
@@ -29,6 +31,7 @@
             quota: None,
             granted: 0,
             refused: 0,
+            asked: AskedDemand::new(now),
             bucket: None,
             loan: LoanNeed::new(now),
             is_queued: false,
@@ -95,6 +98,17 @@
         }
     }
 
+    /// Whether a request would get a token.
+    pub(crate) fn has_token(&mut self, now: Duration) -> bool {
+        let bucket = self.bucket.as_mut();
+        self.quota.is_none() || bucket.is_some_and(|bucket| bucket.has_token(now))
+    }
+
+    /// The quota's rate, in requests a second.
+    pub(crate) fn quota_per_second(&self) -> Option<f64> {
+        self.quota.map(|quota| quota.per_second)
+    }
+
     /// The tokens that are there.
     pub(crate) fn tokens(&mut self, now: Duration) -> f64 {
         let bucket = self.bucket.as_mut();
--- /dev/null
+++ b/crates/sablehaven-quota/tests/fair_room.rs
@@ -0,0 +1,207 @@
+//! Who passes when servers can bear a part of the requests only.
+
+use std::time::Duration;
+
+use sablehaven_quota::QuotaPart;
+use sablehaven_types::{QuotaTolerance, RequestQuota, TenantName, TokenRequest, TokenVerdict};
+
+const TENANTS: usize = 75;
+const TOTAL_PER_SECOND: f64 = 120.0;
+/// What a tenant may ask for, beyond its usual.
+const QUOTA_FACTOR: f64 = 1.6;
+const HOT_FACTOR: f64 = 9.0;
+const WARM_UP: Duration = Duration::from_secs(10);
+const SECONDS: f64 = 60.0;
+const STEP: Duration = Duration::from_millis(5);
+
+struct Draws(u64);
+
+impl Draws {
+    fn draw(&mut self) -> f64 {
+        self.0 = self
+            .0
+            .wrapping_mul(0x5851_f42d_4c95_7f2d)
+            .wrapping_add(0x1405_7b7e_f767_814f);
+        let mixed = (self.0 ^ (self.0 >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        (mixed >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    asked: f64,
+    passed: f64,
+    unfair: f64,
+    over_quota: f64,
+}
+
+impl Served {
+    fn lost(&self) -> f64 {
+        self.unfair / self.asked
+    }
+}
+
+/// Usual rates, as 1 / k^1.2.
+fn usual_rates() -> Vec<f64> {
+    let sizes: Vec<_> = (1..=TENANTS).map(|rank| (rank as f64).powf(-1.2)).collect();
+    let sum: f64 = sizes.iter().sum();
+    sizes
+        .iter()
+        .map(|size| size / sum * TOTAL_PER_SECOND)
+        .collect()
+}
+
+/// Asks at random times while a gateway adapts what it refuses to the room; returns what became of each tenant.
+fn play(rates: &[f64], usual: &[f64], room_per_second: f64, seed: u64) -> Vec<Served> {
+    let tolerance = QuotaTolerance {
+        window_ms: 5_000,
+        excess_permille: 100,
+        slack: 20,
+    };
+    let names: Vec<_> = (0..rates.len())
+        .map(|rank| TenantName(format!("tenant-{rank}")))
+        .collect();
+    let quotas: Vec<_> = usual
+        .iter()
+        .map(|rate| RequestQuota {
+            per_second: rate * QUOTA_FACTOR,
+            burst: rate * QUOTA_FACTOR,
+        })
+        .collect();
+    let mut part = QuotaPart::new(tolerance);
+    let start = Duration::from_secs(100);
+    part.set_parts(start, Some(1));
+    part.set_tenants(
+        start,
+        names.iter().zip(quotas.iter().map(|quota| Some(*quota))),
+    );
+    let mut draws = Draws(seed);
+    let mut served = vec![Served::default(); rates.len()];
+    let mut shed: f64 = 0.0;
+    let mut passed_lately = 0.0;
+    let mut now = start;
+    let end = start + WARM_UP + Duration::from_secs_f64(SECONDS);
+    while now < end {
+        now += STEP;
+        // What is over the room for the last second makes the gateway refuse more, and the reverse.
+        passed_lately *= 1.0 - STEP.as_secs_f64();
+        let over = passed_lately / room_per_second - 1.0;
+        shed = (shed + over * 0.2 * STEP.as_secs_f64()).clamp(0.0, 0.9);
+        for (rank, rate) in rates.iter().enumerate() {
+            if draws.draw() >= rate * STEP.as_secs_f64() {
+                continue;
+            }
+            let request = TokenRequest {
+                number: 0,
+                tenant: names[rank].clone(),
+                wanted: 1,
+                shed_permille: (shed * 1_000.0) as u16,
+            };
+            let verdict = part.take(now, &request, draws.draw());
+            let is_passed = verdict == TokenVerdict::Granted(1);
+            passed_lately += f64::from(u8::from(is_passed));
+            if now < start + WARM_UP {
+                continue;
+            }
+            let tenant = &mut served[rank];
+            tenant.asked += 1.0;
+            match verdict {
+                TokenVerdict::Granted(_) => tenant.passed += 1.0,
+                TokenVerdict::OverFairShare => tenant.unfair += 1.0,
+                TokenVerdict::OverQuota { .. } => tenant.over_quota += 1.0,
+                TokenVerdict::NoPart => panic!("the replica has its part"),
+            }
+        }
+    }
+    served
+}
+
+fn sum(served: &[Served]) -> Served {
+    served.iter().fold(Served::default(), |sum, tenant| Served {
+        asked: sum.asked + tenant.asked,
+        passed: sum.passed + tenant.passed,
+        unfair: sum.unfair + tenant.unfair,
+        over_quota: sum.over_quota + tenant.over_quota,
+    })
+}
+
+/// Twice the usual fitted before half of the room went.
+#[test]
+fn tenants_at_their_usual_lose_nothing_beside_one_above_its_share() {
+    let usual = usual_rates();
+    for (hot, seed) in [(0, 1), (0, 2), (3, 3), (10, 4)] {
+        let mut rates = usual.clone();
+        rates[hot] *= HOT_FACTOR;
+        let served = play(&rates, &usual, TOTAL_PER_SECOND, seed);
+        let (before, after) = (sum(&served[..hot]), sum(&served[hot + 1..]));
+        let others = sum(&[before, after]);
+        println!(
+            "hot {hot}: {:?} others {others:?} {:.4}",
+            served[hot],
+            others.lost()
+        );
+        assert!(others.lost() < 0.01, "{others:?}");
+        let hot_passed = served[hot].passed / SECONDS;
+        assert!(hot_passed < usual[hot] * QUOTA_FACTOR * 1.1, "{hot_passed}");
+        assert!(hot_passed > usual[hot] * 0.7, "{hot_passed}");
+    }
+}
+
+#[test]
+fn all_at_their_usual_lose_alike() {
+    let usual = usual_rates();
+    let served = play(&usual, &usual, TOTAL_PER_SECOND / 2.0, 5);
+    let all = sum(&served);
+    let groups = [0..1, 1..3, 3..10, 10..30, 30..75];
+    println!("all {:.3}", all.lost());
+    for group in groups {
+        let lost = sum(&served[group.clone()]).lost();
+        println!("{group:?} {lost:.3}");
+        assert!(
+            (lost - all.lost()).abs() < 0.1,
+            "{group:?} lost {lost} of {all:?}"
+        );
+    }
+}
+
+#[test]
+fn no_tenant_starves() {
+    let usual = usual_rates();
+    let mut rates = usual.clone();
+    rates[0] *= HOT_FACTOR;
+    let served = play(&rates, &usual, TOTAL_PER_SECOND / 2.0, 6);
+    let share = |tenant: &Served| tenant.passed / tenant.asked;
+    let others = served[1..].iter().filter(|tenant| tenant.asked >= 20.0);
+    let mean = others.clone().map(share).sum::<f64>() / others.clone().count() as f64;
+    for tenant in others {
+        assert!(share(tenant) >= mean / 4.0, "{tenant:?}, mean {mean}");
+    }
+}
+
+#[test]
+fn no_token_is_taken_for_what_is_refused() {
+    let tenant = TenantName::from("tenant");
+    let quota = RequestQuota {
+        per_second: 10.0,
+        burst: 10.0,
+    };
+    let tolerance = QuotaTolerance {
+        window_ms: 5_000,
+        excess_permille: 100,
+        slack: 20,
+    };
+    let mut part = QuotaPart::new(tolerance);
+    part.set_parts(Duration::ZERO, Some(4));
+    part.set_tenants(Duration::ZERO, [(&tenant, Some(quota))].into_iter());
+    let now = Duration::from_secs(60);
+    let before = part.usage(now)[0].tokens;
+    let request = TokenRequest {
+        number: 0,
+        tenant,
+        wanted: 3,
+        shed_permille: 500,
+    };
+    assert_eq!(part.take(now, &request, 0.999), TokenVerdict::OverFairShare);
+    assert_eq!(part.usage(now)[0].tokens, before);
+    assert_eq!(part.usage(now)[0].refused, 0);
+}
