--- a/crates/sablehaven-gateway/src/servers/service_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/service_pool.rs
@@ -170,7 +170,7 @@
     }
 
     /// Whether a server beside those of `tried` may take the request.
-    pub(crate) fn has_other(&self, allowed: &AllowedRegions, tried: &[BackendId]) -> bool {
+    pub(crate) fn has_other(&self, allowed: &ServingRegions, tried: &[BackendId]) -> bool {
         let servers = self.servers.borrow();
         let mut open = servers.iter().filter(|server| server.may_serve(allowed));
         open.any(|server| !tried.contains(&server.id))
