Control: requests for tokens wait for loans that are on their way

Cause: a tenant's callers mostly come from one zone, and the replica near them holds one part of many; loans bring the others' tokens within a round trip, but a request was refused before. Change: a request for which a loan may come waits at the replica, 200 ms at the most, and none while the others had nothing to lend lately, no other replica is connected, or its gateway is gone. Loans are asked for in turn by the requests' numbers, every 5 ms while gateways ask. Tests: three of waiting; three others wait out the 100 ms in which a new part gains nothing (bounds otherwise as before).

--- a/crates/sablehaven-control/src/gateways/session.rs
+++ b/crates/sablehaven-control/src/gateways/session.rs
@@ -14,7 +14,7 @@
     time::{MissedTickBehavior, interval, timeout},
 };
 
-use crate::{driver::read, server::Context};
+use crate::{driver::read, quotas::ReplySender, server::Context};
 
 /// Time between two signs of life towards a gateway.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
@@ -138,7 +138,7 @@
                 "fetch_listing"
             }
             GatewayToControl::TakeTokens(requests) => {
-                let replies = context.quotas.take(&requests);
+                let replies = context.quotas.take(&requests, &answers.replying);
                 answers.reply(context, replies);
                 "take_tokens"
             }
@@ -158,7 +158,7 @@
 /// The way from what a gateway asks to the connection's writer.
 struct GatewayAnswers {
     asked: mpsc::Sender<GatewayRequest>,
-    replying: mpsc::Sender<Vec<TokenReply>>,
+    replying: ReplySender,
 }
 
 impl GatewayAnswers {
@@ -169,6 +169,9 @@
 
     /// Never waits: others' requests for tokens are behind this one.
     fn reply(&self, context: &Context, replies: Vec<TokenReply>) {
+        if replies.is_empty() {
+            return;
+        }
         if self.replying.try_send(replies).is_err() {
             context.metrics.token_replies_dropped.inc();
         }
--- a/crates/sablehaven-control/src/quotas/desk.rs
+++ b/crates/sablehaven-control/src/quotas/desk.rs
@@ -1,7 +1,10 @@
 //! This replica's part of the quotas, shared by the connections of gateways and of other replicas.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -12,7 +15,10 @@
 };
 use tokio::sync::{Notify, watch};
 
-use super::parts::parts;
+use super::{
+    parts::parts,
+    waiting::{ReplySender, WaitingRequests},
+};
 use crate::{
     driver::{Published, SharedHandle, read},
     metrics::Metrics,
@@ -28,6 +34,8 @@
     held: Mutex<HeldPart>,
     /// Told when gateways ask while there are tenants.
     asked: Notify,
+    /// Whether there is any replica that may lend tokens.
+    has_lenders: AtomicBool,
 }
 
 /// The part, and the version of the routes whose tenants it knows.
@@ -35,6 +43,7 @@
     part: QuotaPart,
     routes_version: u64,
     has_tenants: bool,
+    waiting: WaitingRequests,
 }
 
 impl QuotaDesk {
@@ -54,18 +63,31 @@
                 part: QuotaPart::new(tolerance),
                 routes_version: 0,
                 has_tenants: false,
+                waiting: WaitingRequests::default(),
             }),
             asked: Notify::new(),
+            has_lenders: AtomicBool::new(false),
         }
     }
 
-    /// Decides on requests for tokens; one reply for each.
-    pub(crate) fn take(&self, requests: &[TokenRequest]) -> Vec<TokenReply> {
+    /// Decides on requests for tokens, those that can be decided on now. The answers to the others follow to `replying`, within
+    /// the time in which other replicas lend.
+    pub(crate) fn take(
+        &self,
+        requests: &[TokenRequest],
+        replying: &ReplySender,
+    ) -> Vec<TokenReply> {
         let now = self.now();
+        let may_wait = self.has_lenders.load(Ordering::Relaxed);
         let mut held = self.current(now);
-        let replies = requests.iter().map(|request| TokenReply {
-            number: request.number,
-            verdict: held.part.take(now, request, rand::random()),
+        let HeldPart { part, waiting, .. } = &mut *held;
+        let replies = requests.iter().filter_map(|request| {
+            if may_wait {
+                return waiting.take(part, now, request, replying);
+            }
+            let verdict = part.take(now, request, rand::random());
+            let number = request.number;
+            Some(TokenReply { number, verdict })
         });
         let replies: Vec<TokenReply> = replies.collect();
         let has_tenants = held.has_tenants;
@@ -79,6 +101,30 @@
         replies
     }
 
+    /// Answers the requests that wait for loans, as far as they can be decided on now.
+    pub(super) fn settle(&self) {
+        let now = self.now();
+        let mut held = self.current(now);
+        let HeldPart { part, waiting, .. } = &mut *held;
+        let settled = waiting.settle(part, now);
+        let is_settled = waiting.is_empty();
+        drop(held);
+        for (reply, replying) in settled {
+            self.count(reply.verdict);
+            if replying.try_send(vec![reply]).is_err() {
+                self.metrics.token_replies_dropped.inc();
+            }
+        }
+        if !is_settled {
+            self.asked.notify_one();
+        }
+    }
+
+    /// Notes whether any replica may lend tokens; without one, no request waits for a loan.
+    pub(super) fn note_lenders(&self, has_lenders: bool) {
+        self.has_lenders.store(has_lenders, Ordering::Relaxed);
+    }
+
     /// Waits until gateways ask for tokens.
     pub(super) async fn asked(&self) {
         self.asked.notified().await;
@@ -103,6 +149,7 @@
         let now = self.now();
         self.current(now).part.receive(now, loan);
         self.metrics.tokens_borrowed.inc_by(loan.tokens.into());
+        self.settle();
     }
 
     /// What each tenant has had of this replica.
--- a/crates/sablehaven-control/src/quotas/desk/tests.rs
+++ b/crates/sablehaven-control/src/quotas/desk/tests.rs
@@ -2,6 +2,7 @@
 
 use sablehaven_consensus::ReplicaId;
 use sablehaven_types::{AllowedRegions, CallerLimits, Tenant};
+use tokio::sync::mpsc;
 
 use super::*;
 use crate::{
@@ -9,6 +10,8 @@
     shared::{SharedCommand, SharedState},
 };
 
+/// A part gains nothing for 100 ms after its start, while loans to its former start may come; some tokens have come then.
+const FIRST_TOKENS: Duration = Duration::from_millis(200);
 /// Leaves room for tokens to be kept.
 const WITH_SLACK: QuotaTolerance = QuotaTolerance {
     window_ms: 1_000,
@@ -21,6 +24,8 @@
     desk: QuotaDesk,
     published: watch::Sender<Published>,
     state: SharedHandle,
+    replying: ReplySender,
+    replies: mpsc::Receiver<Vec<TokenReply>>,
 }
 
 impl Counter {
@@ -36,10 +41,13 @@
         let state = SharedHandle::default();
         let metrics = Metrics::default();
         let desk = QuotaDesk::new(tolerance, receiver, Arc::clone(&state), metrics);
+        let (replying, replies) = mpsc::channel(8);
         Self {
             desk,
             published,
             state,
+            replying,
+            replies,
         }
     }
 
@@ -84,7 +92,7 @@
             wanted,
             shed_permille: 0,
         };
-        let replies = self.desk.take(&[request]);
+        let replies = self.desk.take(&[request], &self.replying);
         assert_eq!(replies.len(), 1);
         assert_eq!(replies[0].number, number);
         replies[0].verdict
@@ -95,20 +103,20 @@
 fn a_replica_grants_what_has_come_into_its_part() {
     let counter = Counter::new(WITH_SLACK);
     counter.apply(1, 1_000.0);
-    sleep(Duration::from_millis(50));
+    sleep(FIRST_TOKENS);
     assert_eq!(counter.take(7, 3), TokenVerdict::Granted(3));
 }
 
 #[test]
 fn a_replica_that_has_just_started_refuses_and_says_when_a_token_is_there() {
     let counter = Counter::new(QuotaTolerance::default());
-    // One of two parts: a token in 10 s, of which some has passed.
+    // One of two parts: a token in 10 s, of which some has passed, after the pause of a start.
     counter.apply(1, 0.2);
     let TokenVerdict::OverQuota { retry_after_ms } = counter.take(1, 1) else {
         panic!("granted from an empty part");
     };
     assert!(
-        (1_000..=10_000).contains(&retry_after_ms),
+        (1_000..=10_100).contains(&retry_after_ms),
         "{retry_after_ms}"
     );
 }
@@ -123,7 +131,7 @@
 fn a_replica_that_knows_no_leader_any_more_has_no_part_at_once() {
     let counter = Counter::new(WITH_SLACK);
     counter.apply(1, 1_000.0);
-    sleep(Duration::from_millis(50));
+    sleep(FIRST_TOKENS);
     counter
         .published
         .send_modify(|published| published.leader = None);
@@ -144,7 +152,7 @@
 fn a_lower_limit_binds_with_its_version() {
     let counter = Counter::new(WITH_SLACK);
     counter.apply(1, 10_000.0);
-    sleep(Duration::from_millis(50));
+    sleep(FIRST_TOKENS);
     // What the part may hold is the slack's half whatever the rate; the rate is the lower one from here on.
     counter.apply(2, 0.1);
     assert!(matches!(counter.take(1, 100), TokenVerdict::Granted(granted) if granted <= 10));
@@ -163,7 +171,9 @@
         wanted: 1,
         shed_permille: 0,
     };
-    let replies = counter.desk.take(&[request(5), request(3)]);
+    let replies = counter
+        .desk
+        .take(&[request(5), request(3)], &counter.replying);
     let numbers: Vec<u64> = replies.iter().map(|reply| reply.number).collect();
     assert_eq!(numbers, [5, 3]);
 }
@@ -205,3 +215,69 @@
     counter.take(2, 1);
     counter.desk.asked().await;
 }
+
+fn waiting_request(number: u64) -> TokenRequest {
+    TokenRequest {
+        number,
+        tenant: "desk".into(),
+        wanted: 1,
+        shed_permille: 0,
+    }
+}
+
+/// A desk whose part is empty, beside replicas that may lend.
+fn beside_lenders() -> Counter {
+    let counter = Counter::new(WITH_SLACK);
+    counter.apply(1, 0.5);
+    counter.desk.note_lenders(true);
+    counter
+}
+
+#[test]
+fn a_request_waits_for_a_loan_and_is_answered_when_it_comes() {
+    let mut counter = beside_lenders();
+    let now = counter.desk.take(&[waiting_request(5)], &counter.replying);
+    assert!(now.is_empty(), "it waits");
+    let asked = counter.desk.loans_wanted();
+    let loan = TokenLoan {
+        number: asked[0].number,
+        tenant: "desk".into(),
+        tokens: 1,
+    };
+    counter.desk.receive(&loan);
+    let replies = counter.replies.try_recv().expect("an answer");
+    assert_eq!(replies[0].number, 5);
+    assert_eq!(replies[0].verdict, TokenVerdict::Granted(1));
+    counter.desk.receive(&loan);
+    assert!(counter.replies.try_recv().is_err(), "it is answered once");
+}
+
+#[test]
+fn a_request_that_no_loan_comes_for_is_refused_in_the_end() {
+    let mut counter = beside_lenders();
+    let now = counter.desk.take(&[waiting_request(5)], &counter.replying);
+    assert!(now.is_empty(), "it waits");
+    sleep(Duration::from_millis(250));
+    counter.desk.settle();
+    let replies = counter.replies.try_recv().expect("an answer");
+    let verdict = replies[0].verdict;
+    assert!(
+        matches!(verdict, TokenVerdict::OverQuota { .. }),
+        "{verdict:?}"
+    );
+}
+
+#[test]
+fn a_request_whose_gateway_has_gone_takes_no_token() {
+    let counter = beside_lenders();
+    let (gone, closed) = mpsc::channel(8);
+    assert!(counter.desk.take(&[waiting_request(5)], &gone).is_empty());
+    drop(closed);
+    let asked = counter.desk.loans_wanted();
+    counter.desk.receive(&TokenLoan {
+        number: asked[0].number,
+        tenant: "desk".into(),
+        tokens: 1,
+    });
+    assert_eq!(counter.take(6, 1), TokenVerdict::Granted(1));
+}
--- a/crates/sablehaven-control/src/quotas/loans.rs
+++ b/crates/sablehaven-control/src/quotas/loans.rs
@@ -9,32 +9,31 @@
 use super::desk::QuotaDesk;
 use crate::peers::{Links, PeerPayload};
 
-/// Time between two looks at what is wanted: a loan of another region has mostly come by then, and a caller that is
-/// refused meanwhile comes back later than that.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two looks at what is wanted while gateways ask: short against the way between two replicas.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Asks other replicas for what gateways want and this one lacks, until it is dropped. While no gateway asks for tokens
 /// it rests.
 pub(crate) async fn ask_for_loans(desk: Arc<QuotaDesk>, links: Arc<Links>) {
-    let mut turn: usize = rand::random_range(0..1_024);
     loop {
         desk.asked().await;
         let lenders = links.connected();
+        desk.note_lenders(!lenders.is_empty());
         for request in desk.loans_wanted() {
-            let Some(lender) = lender(&lenders, turn) else {
+            let Some(lender) = lender(&lenders, request.number) else {
                 break;
             };
-            turn = turn.wrapping_add(1);
             links.send_payload(lender, PeerPayload::LoanRequest(request));
         }
+        desk.settle();
         sleep(LOOK_INTERVAL).await;
     }
 }
 
-/// The replica whose turn it is.
-fn lender(lenders: &[ReplicaId], turn: usize) -> Option<ReplicaId> {
-    let position = turn.checked_rem(lenders.len())?;
-    Some(lenders[position])
+/// The replica that a request goes to: the numbers of a tenant's requests are consecutive, so each is asked in turn.
+fn lender(lenders: &[ReplicaId], number: u64) -> Option<ReplicaId> {
+    let position = number.checked_rem(lenders.len() as u64)?;
+    lenders.get(position as usize).copied()
 }
 
 /// Answers other replicas' requests for loans, and takes what they lend.
