Gateway: a test of a key that goes while its request waits for a connection; one place writes the tenant

Trials with one mechanism off at a time showed two that no test needed: the look-up before an attempt leaves, and the second of two places that took a claimed tenant out of the headers.

A test with all connections of a server in use brings the first about. `Caller::mark` alone takes the claimed tenant out.

--- a/crates/sablehaven-gateway/src/request/headers.rs
+++ b/crates/sablehaven-gateway/src/request/headers.rs
@@ -18,7 +18,7 @@
     "upgrade",
 ];
 
-/// A caller's headers as servers get them; the gateway's own are set for each attempt.
+/// A caller's headers as servers get them, but for what tells them of tenants; the gateway's own are set for each attempt.
 pub(super) fn passed_on(headers: &HeaderMap, names: &HeaderNames) -> HeaderMap {
     let mut kept = without_connection_headers(headers);
     kept.remove(EXPECT);
@@ -26,7 +26,6 @@
         &names.request_id,
         &names.deadline_ms,
         &names.expect_instance,
-        &names.tenant,
     ] {
         kept.remove(own);
     }
--- a/crates/sablehaven-gateway/tests/gateway/tenant_keys.rs
+++ b/crates/sablehaven-gateway/tests/gateway/tenant_keys.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use futures::future::join_all;
 use hyper::StatusCode;
 use log::kv::{Key, Value, VisitSource};
 use sablehaven_standins::routed::Behaviour;
@@ -126,6 +127,44 @@
     });
 }
 
+#[test]
+fn a_key_that_goes_while_its_request_waits_for_a_connection_is_refused() {
+    run(async {
+        // The server takes as many connections from this gateway as it has slots, and all are in use.
+        const CONNECTIONS: usize = 8;
+        let work = Duration::from_millis(1_500);
+        let mut bed = bed(Behaviour::after(work, "ok")).await;
+        bed.tenants.push(tenant("portal", &["portal-1"]));
+        bed.route(2, routes()).await;
+        let address = bed.address;
+        let ask = async |key: &str| {
+            let key = format!("Bearer {key}");
+            let headers = [("authorization", key.as_str())];
+            call(address, Some("1"), "POST", "/once/x", &headers, "").await
+        };
+        let others = join_all((0..CONNECTIONS).map(|_| ask("portal-1")));
+        let waiting = async {
+            while bed.arrivals("search") < CONNECTIONS {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let taking = async {
+                // The request is at the gateway by then; without that the test would show less.
+                sleep(Duration::from_millis(200)).await;
+                bed.tenants.remove(0);
+                bed.route(3, routes()).await;
+            };
+            let (answer, ()) = tokio::join!(ask("desk-1"), taking);
+            answer
+        };
+        let (others, answer) = tokio::join!(others, waiting);
+        assert!(others.iter().all(|answer| answer.status == StatusCode::OK));
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+        // It waited for a connection, or it would have been refused long before one was free.
+        assert!(answer.taken > work / 2, "{:?}", answer.taken);
+        assert_eq!(bed.arrivals("search"), CONNECTIONS);
+    });
+}
+
 #[test]
 fn between_two_attempts_a_key_that_goes_ends_the_request() {
     run(async {
