Gateway: 401 says which scheme is wanted

RFC 9110 (section 11.6.1) asks for WWW-Authenticate in each 401.

It is Bearer. Ruled out: a realm, which would tell strangers a name.

--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
-    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
 };
 use sablehaven_http::WholeBody;
 use sablehaven_routing::crash_table::Standing;
@@ -132,6 +132,10 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if *self == Self::UnknownKey {
+            // A 401 must say how to do better (RFC 9110, section 11.6.1).
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if let Some(pause) = self.retry_after() {
             // Spread, so that callers that were refused together do not come back together.
             let spread = 0.75 + 0.5 * rand::random::<f64>();
--- a/crates/sablehaven-gateway/tests/gateway/tenants.rs
+++ b/crates/sablehaven-gateway/tests/gateway/tenants.rs
@@ -93,6 +93,7 @@
             let answer = bed.send("1", "GET", "/q/x", headers, "").await;
             assert_eq!(answer.status, StatusCode::UNAUTHORIZED, "{headers:?}");
             assert_eq!(answer.header("retry-after"), None);
+            assert_eq!(answer.header("www-authenticate"), Some("Bearer"));
         }
         // A route that nobody has is none for anybody.
         assert_eq!(bed.get("2", "/none/x").await.status, StatusCode::NOT_FOUND);
