--- a/crates/sablehaven-gateway/src/request/attempt_plan/replay.rs
+++ b/crates/sablehaven-gateway/src/request/attempt_plan/replay.rs
@@ -63,6 +63,8 @@
     parts: Vec<PartState>,
     tried: Vec<Vec<usize>>,
     is_open: bool,
+    /// Whether its failed parts are looked at again.
+    is_settle_due: bool,
 }
 
 impl Query {
@@ -137,7 +139,10 @@
             Event::Arrival => self.arrive(now),
             Event::Ended(query, part, is_answered) => self.end(now, query, part, is_answered),
             Event::HedgeDue(query, part) => self.hedge(now, query, part),
-            Event::Settle(query) => self.settle(now, query),
+            Event::Settle(query) => {
+                self.queries[query].is_settle_due = false;
+                self.settle(now, query);
+            }
             Event::Due(query) => self.finish(query, true),
         }
     }
@@ -157,6 +162,7 @@
             parts: vec![PartState::Running { attempts: 0 }; SHARDS],
             tried: vec![Vec::new(); SHARDS],
             is_open: true,
+            is_settle_due: false,
         });
         for part in 0..SHARDS {
             self.budgets[part].need(Duration::from_millis(now));
@@ -262,13 +268,20 @@
                     assert!(self.pay(now, part, AttemptPurpose::Decides));
                     self.send(now, query, part);
                 }
-                PartVerdict::Wait => self.push(now + PAUSE_MS, Event::Settle(query)),
+                PartVerdict::Wait => self.settle_later(now, query),
                 PartVerdict::GiveUp => self.queries[query].parts[part] = PartState::Lost,
             }
         }
         self.finish(query, false);
     }
 
+    fn settle_later(&mut self, now: u64, query: usize) {
+        if !self.queries[query].is_settle_due {
+            self.queries[query].is_settle_due = true;
+            self.push(now + PAUSE_MS, Event::Settle(query));
+        }
+    }
+
     /// Ends a query that is settled or, when it is due, that has enough. One that lacks parts when it is due counts
     /// as not answered, for it would be late.
     fn finish(&mut self, number: usize, is_due: bool) {
