--- a/crates/sablehaven-quota/tests/fair_room.rs
+++ b/crates/sablehaven-quota/tests/fair_room.rs
@@ -36,6 +36,16 @@
 }
 
 impl Served {
+    fn count(&mut self, verdict: TokenVerdict) {
+        self.asked += 1.0;
+        match verdict {
+            TokenVerdict::Granted(_) => self.passed += 1.0,
+            TokenVerdict::OverFairShare => self.unfair += 1.0,
+            TokenVerdict::OverQuota { .. } => self.over_quota += 1.0,
+            TokenVerdict::NoPart => panic!("the replica has its part"),
+        }
+    }
+
     fn lost(&self) -> f64 {
         self.unfair / self.asked
     }
@@ -51,8 +61,23 @@
         .collect()
 }
 
-/// Asks at random times while a gateway adapts what it refuses to the room; returns what became of each tenant.
+/// What became of each tenant.
 fn play(rates: &[f64], usual: &[f64], room_per_second: f64, seed: u64) -> Vec<Served> {
+    let mut served = vec![Served::default(); rates.len()];
+    for outcome in outcomes(rates, usual, room_per_second, seed) {
+        served[outcome.rank].count(outcome.verdict);
+    }
+    served
+}
+
+struct Outcome {
+    at: Duration,
+    rank: usize,
+    verdict: TokenVerdict,
+}
+
+/// Asks at random times while a gateway adapts what it refuses to the room.
+fn outcomes(rates: &[f64], usual: &[f64], room_per_second: f64, seed: u64) -> Vec<Outcome> {
     let tolerance = QuotaTolerance {
         window_ms: 5_000,
         excess_permille: 100,
@@ -76,7 +101,7 @@
         names.iter().zip(quotas.iter().map(|quota| Some(*quota))),
     );
     let mut draws = Draws(seed);
-    let mut served = vec![Served::default(); rates.len()];
+    let mut outcomes = Vec::new();
     let mut shed: f64 = 0.0;
     let mut passed_lately = 0.0;
     let mut now = start;
@@ -100,20 +125,16 @@
             let verdict = part.take(now, &request, draws.draw());
             let is_passed = verdict == TokenVerdict::Granted(1);
             passed_lately += f64::from(u8::from(is_passed));
-            if now < start + WARM_UP {
-                continue;
-            }
-            let tenant = &mut served[rank];
-            tenant.asked += 1.0;
-            match verdict {
-                TokenVerdict::Granted(_) => tenant.passed += 1.0,
-                TokenVerdict::OverFairShare => tenant.unfair += 1.0,
-                TokenVerdict::OverQuota { .. } => tenant.over_quota += 1.0,
-                TokenVerdict::NoPart => panic!("the replica has its part"),
+            if now >= start + WARM_UP {
+                outcomes.push(Outcome {
+                    at: now - start - WARM_UP,
+                    rank,
+                    verdict,
+                });
             }
         }
     }
-    served
+    outcomes
 }
 
 fn sum(served: &[Served]) -> Served {
@@ -164,18 +185,61 @@
     }
 }
 
+/// In any five seconds; tenants with too few requests in these to tell are looked at together, by size.
 #[test]
 fn no_tenant_starves() {
     let usual = usual_rates();
     let mut rates = usual.clone();
     rates[0] *= HOT_FACTOR;
-    let served = play(&rates, &usual, TOTAL_PER_SECOND / 2.0, 6);
-    let share = |tenant: &Served| tenant.passed / tenant.asked;
-    let others = served[1..].iter().filter(|tenant| tenant.asked >= 20.0);
-    let mean = others.clone().map(share).sum::<f64>() / others.clone().count() as f64;
-    for tenant in others {
-        assert!(share(tenant) >= mean / 4.0, "{tenant:?}, mean {mean}");
+    let mut spans = vec![vec![Served::default(); TENANTS]; (SECONDS / 5.0) as usize + 1];
+    for outcome in outcomes(&rates, &usual, TOTAL_PER_SECOND / 2.0, 6) {
+        let span = outcome.at.as_secs() as usize / 5;
+        spans[span][outcome.rank].count(outcome.verdict);
+    }
+    let share = |tenants: &[Served]| sum(tenants).passed / sum(tenants).asked;
+    for span in &spans[..spans.len() - 1] {
+        let mean = share(&span[1..]);
+        for group in [1..2, 2..3, 3..5, 5..9, 9..20, 20..40, 40..75] {
+            let got = share(&span[group.clone()]);
+            assert!(got >= mean / 4.0, "{group:?} got {got}, the mean {mean}");
+        }
+    }
+}
+
+/// Two gateways ask the same replica, one that is not pressed and one that refuses three in five.
+#[test]
+fn a_gateway_with_room_refuses_none_beside_one_without() {
+    let names: Vec<_> = (0..10)
+        .map(|rank| TenantName(format!("tenant-{rank}")))
+        .collect();
+    let quota = RequestQuota {
+        per_second: 100.0,
+        burst: 100.0,
+    };
+    let mut part = QuotaPart::new(QuotaTolerance {
+        window_ms: 5_000,
+        excess_permille: 100,
+        slack: 20,
+    });
+    part.set_parts(Duration::ZERO, Some(1));
+    part.set_tenants(Duration::ZERO, names.iter().map(|name| (name, Some(quota))));
+    let mut draws = Draws(9);
+    let mut lost = [0.0; 2];
+    let asked = 10_000;
+    for index in 0..2 * asked {
+        let request = TokenRequest {
+            number: 0,
+            tenant: names[index / 2 % names.len()].clone(),
+            wanted: 1,
+            shed_permille: if index % 2 == 0 { 0 } else { 600 },
+        };
+        let now = Duration::from_secs(60) + Duration::from_millis(2 * index as u64);
+        let verdict = part.take(now, &request, draws.draw());
+        lost[index % 2] += f64::from(u8::from(verdict == TokenVerdict::OverFairShare));
     }
+    let lost = lost.map(|lost| lost / asked as f64);
+    assert_eq!(lost[0], 0.0);
+    assert!((0.4..0.7).contains(&lost[1]), "{lost:?}");
 }
 
 #[test]
