Quotas: requests wait for loans no longer than an eighth of their aim, and first ones go before those refused before

Cause: a request that found no token waited up to 200 ms at the replica and was refused then, twice the aim of the shortest kind; and while a tenant asked for more than its quota, callers that came back took tokens late that others could have used in time. Ruled out: waiting a part of the deadline (the same, longer), promising tokens to those refused (all are late then). Change: a gateway says how long its request may wait, an eighth of its aim, and whether its caller was refused before; such a caller passes only where more than the next token is there, while more is asked for than the part refills. Where all replicas have said lately that they have no part, only one is asked again.

--- a/crates/sablehaven-control/tests/support/gateway.rs
+++ b/crates/sablehaven-control/tests/support/gateway.rs
@@ -92,6 +92,8 @@
             tenant: tenant.into(),
             wanted: 1,
             shed_permille: 0,
+            patience_ms: 0,
+            is_resend: false,
         };
         self.send(GatewayToControl::TakeTokens(vec![request])).await;
         self.receive_some(|message| match message {
--- a/crates/sablehaven-gateway/src/quotas/client.rs
+++ b/crates/sablehaven-gateway/src/quotas/client.rs
@@ -34,6 +34,20 @@
     fn send(&self, replica: SocketAddr, request: TokenRequest) -> bool;
 }
 
+/// What a request that needs a token asks for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TokenAsk<'a> {
+    pub(crate) tenant: &'a TenantName,
+    /// Part of such requests that this gateway refuses lately, in thousandths. Above 0 it asks for this request alone.
+    pub(crate) shed_permille: u16,
+    /// How long a replica may keep it waiting for tokens of others.
+    pub(crate) patience: Duration,
+    /// Whether its caller was refused before.
+    pub(crate) is_resend: bool,
+    /// How long it may wait in all.
+    pub(crate) limit: Duration,
+}
+
 /// What a request for a token came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Waited {
@@ -98,22 +112,19 @@
         self.held.borrow_mut().stock.spend(now, tenant)
     }
 
-    /// Asks for a token, one replica after the other, for `limit` at the most. `shed_permille` above 0 says that the
-    /// gateway is pressed; it asks for this request alone then. When the future is dropped, what is granted later goes
-    /// into the stock.
+    /// Asks for a token, one replica after the other. Where all have said lately that they have no part, only the first
+    /// is asked again. When the future is dropped, what is granted later goes into the stock.
     pub(crate) async fn ask<Requester: TokenRequester>(
         &self,
         requester: &Requester,
-        tenant: &TenantName,
-        shed_permille: u16,
-        limit: Duration,
+        ask: TokenAsk<'_>,
     ) -> Waited {
-        let limit = limit.min(LONGEST_WAIT);
+        let limit = ask.limit.min(LONGEST_WAIT);
         let started = Instant::now();
         let (waiter, decisions) = unbounded_channel();
         let mut waiting = WaitingRequest {
             client: self,
-            tenant,
+            tenant: ask.tenant,
             decisions,
         };
         let connected = requester.connected();
@@ -126,7 +137,7 @@
             if left.is_zero() {
                 break;
             }
-            let request = self.open(*replica, tenant, shed_permille, &waiter);
+            let request = self.open(*replica, &ask, &waiter);
             let number = request.number;
             if !requester.send(*replica, request) {
                 self.held.borrow_mut().asked.remove(&number);
@@ -178,10 +189,10 @@
     fn open(
         &self,
         replica: SocketAddr,
-        tenant: &TenantName,
-        shed_permille: u16,
+        ask: &TokenAsk<'_>,
         waiter: &UnboundedSender<Decision>,
     ) -> TokenRequest {
+        let tenant = ask.tenant;
         let now = self.clock.now();
         let mut held = self.held.borrow_mut();
         let held = &mut *held;
@@ -189,7 +200,7 @@
             .retain(|_, asked| now.saturating_sub(asked.asked_at) < FORGET_AFTER);
         // The others that wait have asked for what is needed beyond them.
         let is_asked = held.asked.values().any(|asked| asked.tenant == *tenant);
-        let wanted = if is_asked || shed_permille > 0 {
+        let wanted = if is_asked || ask.shed_permille > 0 {
             1
         } else {
             held.stock.wanted(now, tenant)
@@ -207,7 +218,9 @@
             number,
             tenant: tenant.clone(),
             wanted,
-            shed_permille,
+            shed_permille: ask.shed_permille,
+            patience_ms: u16::try_from(ask.patience.as_millis()).unwrap_or(u16::MAX),
+            is_resend: ask.is_resend,
         }
     }
 }
--- a/crates/sablehaven-gateway/src/quotas/client/tests.rs
+++ b/crates/sablehaven-gateway/src/quotas/client/tests.rs
@@ -100,9 +100,8 @@
         let client = Rc::clone(&self.client);
         let requests = Rc::clone(&self.requests);
         spawn_local(async move {
-            client
-                .ask(&*requests, &tenant(), shed_permille, LIMIT)
-                .await
+            let tenant = tenant();
+            client.ask(&*requests, ask(&tenant, shed_permille)).await
         })
     }
 
@@ -119,6 +118,16 @@
     }
 }
 
+fn ask(tenant: &TenantName, shed_permille: u16) -> TokenAsk<'_> {
+    TokenAsk {
+        tenant,
+        shed_permille,
+        patience: Duration::from_millis(10),
+        is_resend: false,
+        limit: LIMIT,
+    }
+}
+
 fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -147,7 +156,7 @@
     run(async {
         let trial = Trial::new(&[]);
         let tenant = tenant();
-        let asking = trial.client.ask(&*trial.requests, &tenant, 0, LIMIT);
+        let asking = trial.client.ask(&*trial.requests, ask(&tenant, 0));
         assert_eq!(asking.now_or_never(), Some(Waited::Undecided));
     });
 }
--- a/crates/sablehaven-gateway/src/quotas/mod.rs
+++ b/crates/sablehaven-gateway/src/quotas/mod.rs
@@ -4,5 +4,5 @@
 mod clock;
 mod replicas;
 
-pub(crate) use client::{TokenClient, TokenRequester, Waited};
+pub(crate) use client::{TokenAsk, TokenClient, TokenRequester, Waited};
 pub(crate) use clock::SuspensionClock;
--- a/crates/sablehaven-gateway/src/quotas/replicas.rs
+++ b/crates/sablehaven-gateway/src/quotas/replicas.rs
@@ -28,7 +28,7 @@
 
 impl TokenReplicas {
     /// The replicas in the order in which they are asked: the nearest first, of equally near ones as they are given;
-    /// those that are silent or have no part after all others.
+    /// those that are silent or have no part after all others. Where none has a part, only the first.
     pub(super) fn in_order(
         &self,
         now: Duration,
@@ -39,9 +39,22 @@
             let record = self.known.get(replica).copied().unwrap_or_default();
             (record.is_silent, record.no_part_until > now, *distance)
         });
+        if connected
+            .iter()
+            .all(|(replica, _)| self.lacks_part(now, *replica))
+        {
+            // One is enough to see when that changes; the request is refused sooner.
+            ordered.truncate(1);
+        }
         ordered
     }
 
+    /// Whether a replica has said lately that it has no part.
+    fn lacks_part(&self, now: Duration, replica: SocketAddr) -> bool {
+        let record = self.known.get(&replica);
+        record.is_some_and(|record| record.no_part_until > now)
+    }
+
     /// How long an answer is waited for before the next replica is asked too.
     pub(super) fn patience(&self, replica: SocketAddr, distance: Distance) -> Duration {
         let least = least_patience(distance);
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -120,7 +120,7 @@
     }
     if let Some(tenant) = caller.tenant() {
         let shed_share = shed_share(gateway, class, throttling);
-        let tokened = take_token(gateway, tenant, route, &request_id, shed_share).await;
+        let tokened = take_token(gateway, tenant, route, &request_id, shed_share, caller_try).await;
         if tokened.is_err() {
             accepted_metrics(gateway, &planned, Outcome::Refused, arrived);
         }
--- a/crates/sablehaven-gateway/src/request/tokens.rs
+++ b/crates/sablehaven-gateway/src/request/tokens.rs
@@ -12,11 +12,15 @@
 use crate::{
     control_links::ControlLinks,
     gateway::Gateway,
-    quotas::{TokenRequester, Waited},
+    quotas::{TokenAsk, TokenRequester, Waited},
+    resends::CallerTry,
 };
 
 /// Part of the aim for which a request waits for a token: servers need the rest.
 const WAIT_PART_OF_AIM: f64 = 0.5;
+/// Part of the aim for which a replica may keep a request waiting for tokens that may not come: a caller that is refused then
+/// has lost little.
+const PATIENCE_PART_OF_AIM: f64 = 0.125;
 
 impl TokenRequester for ControlLinks {
     fn connected(&self) -> Vec<(SocketAddr, Distance)> {
@@ -40,6 +44,7 @@
     route: &Route,
     request_id: &HeaderValue,
     shed_share: f64,
+    caller_try: CallerTry,
 ) -> Result<(), Refusal> {
     let shed_permille = (shed_share * 1_000.0).round() as u16;
     let is_pressed = shed_permille > 0;
@@ -53,11 +58,14 @@
     }
     let started = Instant::now();
     let aim = Duration::from_millis(route.aim_ms);
-    let limit = aim.mul_f64(WAIT_PART_OF_AIM);
-    let waited = gateway
-        .tokens
-        .ask(&gateway.control_links, &tenant.name, shed_permille, limit)
-        .await;
+    let ask = TokenAsk {
+        tenant: &tenant.name,
+        shed_permille,
+        patience: aim.mul_f64(PATIENCE_PART_OF_AIM),
+        is_resend: caller_try == CallerTry::Resend,
+        limit: aim.mul_f64(WAIT_PART_OF_AIM),
+    };
+    let waited = gateway.tokens.ask(&gateway.control_links, ask).await;
     let seconds = started.elapsed().as_secs_f64();
     gateway.metrics.token_wait_seconds.observe(seconds);
     let decided = decide(waited, tenant, shed_share, rand::random());
--- a/crates/sablehaven-quota/examples/quota_model/equal_parts.rs
+++ b/crates/sablehaven-quota/examples/quota_model/equal_parts.rs
@@ -116,6 +116,8 @@
             tenant: name.clone(),
             wanted: stock.wanted(request.now, name),
             shed_permille: 0,
+            patience_ms: 200,
+            is_resend: false,
         };
         self.messages.at_gateways += 2;
         self.messages.bytes += token_bytes(name);
--- a/crates/sablehaven-quota/src/bucket.rs
+++ b/crates/sablehaven-quota/src/bucket.rs
@@ -54,6 +54,12 @@
         self.take_above(now, wanted, 0.0)
     }
 
+    /// Takes tokens beyond the next one that others will ask for, as far as the part can hold more than that.
+    pub(crate) fn take_spare(&mut self, now: Duration, wanted: u32) -> u32 {
+        let kept = (self.allowance.depth - 1.0).clamp(0.0, 1.0);
+        self.take_above(now, wanted, kept)
+    }
+
     /// Takes as many whole tokens as there are beyond those that are kept, `wanted` at the most.
     fn take_above(&mut self, now: Duration, wanted: u32, kept: f64) -> u32 {
         self.fill(now);
--- a/crates/sablehaven-quota/src/loan.rs
+++ b/crates/sablehaven-quota/src/loan.rs
@@ -128,7 +128,8 @@
         often.max(rarely).max(1.0)
     }
 
-    fn is_above_refill(&self, now: Duration, bucket: &TokenBucket) -> bool {
+    /// Whether more is asked for than this part refills.
+    pub(crate) fn is_above_refill(&self, now: Duration, bucket: &TokenBucket) -> bool {
         let often = self.demand.per_second(now);
         let is_often = often * ASK_BELOW.as_secs_f64() >= 1.0;
         let rarely = self.rare_demand.per_second(now);
--- a/crates/sablehaven-quota/src/part.rs
+++ b/crates/sablehaven-quota/src/part.rs
@@ -90,8 +90,8 @@
     }
 
     /// The same, but `None` where the request is to be held, since tokens may come from other replicas within one round trip: the caller
-    /// asks again a few milliseconds later with the time that it was held, 0 at first. None is held longer than 200 ms, and none
-    /// while the others had nothing to lend lately.
+    /// asks again a few milliseconds later with the time that it was held, 0 at first. None is held longer than its gateway lets it
+    /// or than 200 ms, and none while the others had nothing to lend lately.
     pub fn take_or_hold(
         &mut self,
         now: Duration,
@@ -102,8 +102,10 @@
         if held.is_zero() {
             self.count(now, request, draw);
         }
+        let patience = Duration::from_millis(request.patience_ms.into());
+        let may_hold = held < patience.min(LONGEST_HOLD);
         let part = self.tenants.get_mut(&request.tenant);
-        let is_held = part.is_some_and(|part| held < LONGEST_HOLD && part.awaits_loan(now));
+        let is_held = part.is_some_and(|part| may_hold && part.awaits_loan(now));
         if is_held {
             self.queue_if_short(now, &request.tenant);
             return None;
@@ -127,7 +129,7 @@
             return TokenVerdict::OverFairShare;
         }
         let part = self.tenants.get_mut(&request.tenant);
-        let verdict = part.map(|part| part.take(now, request.wanted));
+        let verdict = part.map(|part| part.take(now, request.wanted, request.is_resend));
         self.queue_if_short(now, &request.tenant);
         verdict.unwrap_or(TokenVerdict::NoPart)
     }
--- a/crates/sablehaven-quota/src/tenant_part.rs
+++ b/crates/sablehaven-quota/src/tenant_part.rs
@@ -69,15 +69,20 @@
         is_used_up && self.loan.may_come(now)
     }
 
-    /// Decides on a request that waits for a token.
-    pub(crate) fn take(&mut self, now: Duration, wanted: u32) -> TokenVerdict {
+    /// Decides on a request that waits for a token. While the tenant asks for more than it may, the next token is for a
+    /// request that can still be answered in time, and not for one whose caller was refused before.
+    pub(crate) fn take(&mut self, now: Duration, wanted: u32, is_resend: bool) -> TokenVerdict {
         if self.quota.is_none() {
             return TokenVerdict::Granted(wanted);
         }
         let Some(bucket) = &mut self.bucket else {
             return TokenVerdict::NoPart;
         };
-        let granted = bucket.take(now, wanted);
+        let is_late = is_resend && self.loan.is_above_refill(now, bucket);
+        let granted = match is_late {
+            true => bucket.take_spare(now, wanted),
+            false => bucket.take(now, wanted),
+        };
         self.loan.note_refused(granted == 0);
         if granted == 0 {
             self.refused += 1;
--- a/crates/sablehaven-quota/tests/fair_room.rs
+++ b/crates/sablehaven-quota/tests/fair_room.rs
@@ -121,6 +121,8 @@
                 tenant: names[rank].clone(),
                 wanted: 1,
                 shed_permille: (shed * 1_000.0) as u16,
+                patience_ms: 0,
+                is_resend: false,
             };
             let verdict = part.take(now, &request, draws.draw());
             let is_passed = verdict == TokenVerdict::Granted(1);
@@ -232,6 +234,8 @@
             tenant: names[index / 2 % names.len()].clone(),
             wanted: 1,
             shed_permille: if index % 2 == 0 { 0 } else { 600 },
+            patience_ms: 0,
+            is_resend: false,
         };
         let now = Duration::from_secs(60) + Duration::from_millis(2 * index as u64);
         let verdict = part.take(now, &request, draws.draw());
@@ -264,6 +268,8 @@
         tenant,
         wanted: 3,
         shed_permille: 500,
+        patience_ms: 0,
+        is_resend: false,
     };
     assert_eq!(part.take(now, &request, 0.999), TokenVerdict::OverFairShare);
     assert_eq!(part.usage(now)[0].tokens, before);
--- a/crates/sablehaven-quota/tests/refusal_wait.rs
+++ b/crates/sablehaven-quota/tests/refusal_wait.rs
@@ -42,6 +42,8 @@
             tenant: self.tenant.clone(),
             wanted: 1,
             shed_permille: 0,
+            patience_ms: 0,
+            is_resend: false,
         };
         self.part.take(now, &request, 0.5)
     }
--- a/crates/sablehaven-quota/tests/support/steady.rs
+++ b/crates/sablehaven-quota/tests/support/steady.rs
@@ -108,6 +108,8 @@
             tenant: tenant.clone(),
             wanted: 1,
             shed_permille: 0,
+            patience_ms: 0,
+            is_resend: false,
         };
         part.take(now, &request, lottery.draw()) != TokenVerdict::Granted(1)
     }
--- a/crates/sablehaven-quota/tests/support/world.rs
+++ b/crates/sablehaven-quota/tests/support/world.rs
@@ -256,6 +256,8 @@
                     tenant: self.tenant.clone(),
                     wanted: *wanted,
                     shed_permille: 0,
+                    patience_ms: 0,
+                    is_resend: false,
                 };
                 let verdict = replica.part.take(now, &request, draw);
                 let reply = Message::Reply {
--- a/crates/sablehaven-types/src/tokens.rs
+++ b/crates/sablehaven-types/src/tokens.rs
@@ -19,6 +19,10 @@
     /// Part of the requests of this kind that the gateway refuses lately since its servers cannot bear them, in
     /// thousandths; 0 where it is not pressed.
     pub shed_permille: u16,
+    /// How long the request may wait for tokens of other replicas, in milliseconds.
+    pub patience_ms: u16,
+    /// Whether its caller was refused before.
+    pub is_resend: bool,
 }
 
 /// The answer to a [`TokenRequest`].
