Agent test: the port on which nobody listens is held for the test

Cause: the test freed a port and took it for one on which nobody listens; another test of the same process may get it meanwhile. Seen once, in a run of the whole workspace: (504, Unknown) in place of (503, NotRun); keeping a listener on the port gives just that. Change: a socket is bound to the port for the whole test and never listens. The expectation is as before.

--- a/crates/sablehaven-agent/tests/agent/once_outcomes.rs
+++ b/crates/sablehaven-agent/tests/agent/once_outcomes.rs
@@ -110,12 +110,11 @@
 #[tokio::test]
 async fn where_no_connection_can_be_opened_it_did_not_run() {
     let bed = Bed::start(1, 1).await;
-    // A port that was free a moment ago and that nobody listens on.
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port");
-    let address = listener.local_addr().expect("bound");
-    drop(listener);
+    // A port that is taken, so that no other test gets it, and on which nobody listens.
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    let any_port = ([127, 0, 0, 1], 0).into();
+    socket.bind(any_port).expect("a port");
+    let address = socket.local_addr().expect("bound");
     let mut record = bed.record(0);
     record.address = address;
     bed.relay.publish(|state| {
