Control: a part of the quotas is held by proof, so it outlasts a leader and a split without a quorum

A replica had its part while it knew a leader. When six were cut three from three, no half had a quorum, all knew no leader after their election time and every part was out of use.

Now a replica asks the leader, which grants after a quorum has confirmed that it leads; the part is held for the repair patience (less a hundredth) from when the question was asked, on a clock that counts suspension. Where no leader answers, n - q + 1 members that have each heard none for an election timeout, answer within a quarter of it, and know of no change of the members prolong a hold that still lasts. For this a leader counts a member's silence anew when two of its proofs are further apart than 5/8 of an election timeout and in each term, and a change that takes out a member which may hold its part stays under way for the patience (not for one that was silent for it, nor for a replacement at the same address). Consensus gains one number in its status and decides nothing by it. The clock that counts suspension moves from the gateway to sablehaven-wire. The protocol version is 8.

Ruled out: counting from when a leader was heard (a leader's messages still come while the replica's answers are lost, and from a buffer after a freeze); taking 'knows no leader' as an answer (true at once after a vote); asking only for an applied log (any entry of the last heartbeat before the cut would end the proof).

The test that a replica without a leader has no part at once is replaced by: whose hold is over has none at once.

--- a/crates/sablehaven-consensus/src/replica.rs
+++ b/crates/sablehaven-consensus/src/replica.rs
@@ -36,6 +36,8 @@
     pub(crate) saved_hard_state: HardState,
     pub(crate) role: RoleState,
     pub(crate) leader: Option<ReplicaId>,
+    /// Ticks since a message of another replica that led, or since the start. Decides nothing here.
+    pub(crate) leader_silent_ticks: u32,
     pub(crate) clock: ElectionClock,
     pub(crate) log: Log,
     pub(crate) memberships: MembershipHistory,
@@ -76,6 +78,7 @@
             saved_hard_state: restored.hard_state,
             role: RoleState::Follower,
             leader: None,
+            leader_silent_ticks: 0,
             log: Log::restored(base, restored.entries),
             memberships,
             incoming_snapshot: None,
@@ -100,6 +103,7 @@
         if self.fault.is_some() {
             return;
         }
+        self.leader_silent_ticks = self.leader_silent_ticks.saturating_add(1);
         match self.role {
             RoleState::Leader(_) => self.tick_leader(),
             _ => self.tick_election(),
@@ -213,6 +217,7 @@
             self.become_follower(self.hard_state.term, None);
         }
         self.leader = Some(leader);
+        self.leader_silent_ticks = 0;
         self.clock.heard();
         true
     }
@@ -274,6 +279,7 @@
             role,
             term: self.hard_state.term,
             leader: self.leader,
+            leader_silent_ticks: self.leader_silent_ticks,
             commit: self.log.commit(),
             handed_out: self.log.handed_out(),
             last_index: self.log.last().index,
--- a/crates/sablehaven-consensus/src/status.rs
+++ b/crates/sablehaven-consensus/src/status.rs
@@ -52,6 +52,8 @@
     pub term: u64,
     /// The leader, where known.
     pub leader: Option<ReplicaId>,
+    /// Ticks since a message of another replica that led, or since this one's start.
+    pub leader_silent_ticks: u32,
     /// The last entry that is known to be committed.
     pub commit: u64,
     /// The last entry handed out in [`crate::Ready::committed`].
--- a/crates/sablehaven-consensus/tests/election.rs
+++ b/crates/sablehaven-consensus/tests/election.rs
@@ -327,3 +327,20 @@
     };
     assert_eq!([1, 2, 3].map(stands_at), [Some(4), Some(10), Some(16)]);
 }
+
+#[test]
+fn replicas_know_for_how_long_no_other_has_led() {
+    let mut cluster = Cluster::new(&[1, 2, 3]);
+    cluster.elect(1);
+    let election = cluster.config.election_timeout_ticks;
+    let heartbeat = cluster.config.heartbeat_ticks;
+    cluster.ticks(election);
+    let follower = cluster.replica(3).status().leader_silent_ticks;
+    assert!(follower <= heartbeat, "{follower}");
+    // Its own leading is not another's.
+    assert!(cluster.replica(1).status().leader_silent_ticks >= election);
+    cluster.cut_off(3);
+    cluster.ticks(5 * election);
+    let silent = cluster.replica(3).status().leader_silent_ticks;
+    assert!(silent >= 5 * election, "{silent}");
+}
--- a/crates/sablehaven-control/src/driver/group.rs
+++ b/crates/sablehaven-control/src/driver/group.rs
@@ -18,6 +18,7 @@
     clock,
     codec::{self, CodecError},
     ledger::{LedgerCommand, LedgerLimits},
+    replicas::ReplicasCommand,
     shared::SharedCommand,
 };
 
@@ -40,6 +41,8 @@
     /// As of the latest tick.
     pub(crate) is_leader: bool,
     pub(crate) last_transfer: Option<Instant>,
+    /// The last entry of the log that may begin a change of the members.
+    last_change: u64,
 }
 
 /// When the next snapshot of a group is due.
@@ -84,6 +87,11 @@
             queued_calls: Vec::new(),
             is_leader: false,
             last_transfer: None,
+            last_change: stored
+                .restored
+                .entries
+                .last()
+                .map_or(0, |entry| entry.index),
         })
     }
 
@@ -244,8 +252,17 @@
         status.last_index == 0 && status.term == 0 && status.membership.voters.is_empty()
     }
 
+    /// Notes which entries that come into the log may begin a change of the members.
+    pub(crate) fn note_changes(&mut self, entries: &[Entry]) {
+        let mut latest = entries.iter().rev();
+        if let Some(last) = latest.find(|entry| may_begin_change(entry)) {
+            self.last_change = last.index;
+        }
+    }
+
     pub(crate) fn state(&self) -> GroupState {
         GroupState {
+            has_unapplied_change: self.last_change > self.applied,
             group: self.number,
             replica: self.replica.status(),
             applied: self.applied,
@@ -256,3 +273,26 @@
         self.replica.status().role == Role::Leader
     }
 }
+
+/// Longest command that begins a change of the members: it names a few replicas and addresses. Longer ones are not read
+/// for it twice.
+const LONGEST_CHANGE_BYTES: usize = 1_024;
+
+/// Whether an entry begins a change of the members, or cannot be read.
+fn may_begin_change(entry: &Entry) -> bool {
+    let EntryPayload::Command(command) = &entry.payload else {
+        return false;
+    };
+    if command.len() > LONGEST_CHANGE_BYTES {
+        return false;
+    }
+    let begins = |command: &SharedCommand| {
+        matches!(
+            command,
+            SharedCommand::Replicas(ReplicasCommand::Begin { .. })
+        )
+    };
+    codec::decode("decode stored command", command)
+        .as_ref()
+        .map_or(true, begins)
+}
--- a/crates/sablehaven-control/src/driver/members.rs
+++ b/crates/sablehaven-control/src/driver/members.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use sablehaven_consensus::{MembershipChange, ReplicaId, Status};
+use sablehaven_wire::AgeClock;
 
 use tokio::sync::oneshot;
 
@@ -45,7 +46,7 @@
         let command = if replicas.replicas().is_empty() {
             self.first_members()
         } else if let Some(change) = replicas.change() {
-            self.is_phase_done(change)
+            self.is_phase_done(change, replicas)
                 .then_some(ReplicasCommand::Advance {
                     change: change.number,
                     phase: change.phase,
@@ -81,7 +82,7 @@
         })
     }
 
-    fn is_phase_done(&self, change: &ReplicaChange) -> bool {
+    fn is_phase_done(&mut self, change: &ReplicaChange, replicas: &ReplicasState) -> bool {
         let kind = change.kind;
         match change.phase {
             ChangePhase::Learning => kind.added().is_some_and(|learner| {
@@ -94,7 +95,10 @@
             }),
             ChangePhase::Removing => kind.removed().is_some_and(|removed| {
                 let mut groups = self.groups.iter();
-                groups.all(|group| !group.applied_membership.contains(removed))
+                let now = self.age_clock.now();
+                let is_out = groups.all(|group| !group.applied_membership.contains(removed));
+                let term = self.groups[0].replica.term();
+                is_out && self.removal.is_over(now, term, change, replicas)
             }),
         }
     }
--- a/crates/sablehaven-control/src/driver/mod.rs
+++ b/crates/sablehaven-control/src/driver/mod.rs
@@ -8,6 +8,7 @@
 mod pending;
 mod publish;
 mod reads;
+mod removal;
 mod restore;
 mod run;
 mod snapshots;
--- /dev/null
+++ b/crates/sablehaven-control/src/driver/removal/tests.rs
@@ -0,0 +1,88 @@
+use std::collections::BTreeMap;
+
+use sablehaven_consensus::ReplicaId;
+
+use super::*;
+use crate::replicas::{ReplacementOrder, ReplicaAddresses, ReplicasCommand};
+
+const PATIENCE: Duration = Duration::from_secs(3);
+const TERM: u64 = 7;
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn addresses(port: u16) -> ReplicaAddresses {
+    ReplicaAddresses {
+        internal: ([127, 0, 0, 1], port).into(),
+        http: ([127, 0, 0, 1], port + 1).into(),
+    }
+}
+
+/// Replicas 1 to 3, with this change under way.
+fn with_change(kind: ChangeKind, joining: Option<ReplicaAddresses>) -> ReplicasState {
+    let mut replicas = ReplicasState::default();
+    let members = [1, 2, 3].map(|number| (ReplicaId(number), addresses(10 * number as u16)));
+    replicas.apply(ReplicasCommand::Form(BTreeMap::from(members)));
+    let addresses = joining;
+    replicas.apply(ReplicasCommand::Begin { kind, addresses });
+    replicas
+}
+
+/// A watch of a leader that has led for long, and what it knows of grants.
+fn watch() -> (RemovalWatch, Arc<Mutex<PartGrants>>) {
+    let grants: Arc<Mutex<PartGrants>> = Arc::default();
+    grants.lock().expect("grants").leads(at(0), TERM);
+    (RemovalWatch::new(Arc::clone(&grants), PATIENCE), grants)
+}
+
+fn is_over(watch: &mut RemovalWatch, now: Duration, term: u64, replicas: &ReplicasState) -> bool {
+    let change = replicas.change().expect("a change");
+    watch.is_over(now, term, change, replicas)
+}
+
+const REMOVED: ReplicaId = ReplicaId(3);
+
+#[test]
+fn a_member_that_was_silent_for_the_patience_has_no_part_to_wait_for() {
+    let replicas = with_change(ChangeKind::Remove { replica: REMOVED }, None);
+    let (mut watch, grants) = watch();
+    grants.lock().expect("grants").asked(at(1_000), REMOVED);
+    assert!(is_over(&mut watch, at(9_000), TERM, &replicas));
+}
+
+#[test]
+fn an_operators_removal_of_a_member_that_answers_lasts_until_its_hold_is_over() {
+    let replicas = with_change(ChangeKind::Remove { replica: REMOVED }, None);
+    let (mut watch, grants) = watch();
+    grants.lock().expect("grants").asked(at(9_000), REMOVED);
+    assert!(!is_over(&mut watch, at(9_100), TERM, &replicas));
+    assert!(!is_over(&mut watch, at(11_999), TERM, &replicas));
+    assert!(is_over(&mut watch, at(12_000), TERM, &replicas));
+}
+
+#[test]
+fn a_new_leader_waits_from_when_it_knows() {
+    let replicas = with_change(ChangeKind::Remove { replica: REMOVED }, None);
+    let (mut watch, grants) = watch();
+    grants.lock().expect("grants").asked(at(9_000), REMOVED);
+    assert!(!is_over(&mut watch, at(9_100), TERM, &replicas));
+    assert!(!is_over(&mut watch, at(12_000), TERM + 1, &replicas));
+    assert!(!is_over(&mut watch, at(14_999), TERM + 1, &replicas));
+    assert!(is_over(&mut watch, at(15_000), TERM + 1, &replicas));
+}
+
+#[test]
+fn a_replacement_at_the_same_address_waits_for_nothing() {
+    let kind = ChangeKind::Replace {
+        old: REMOVED,
+        new: ReplicaId(4),
+        order: ReplacementOrder::RemoveFirst,
+    };
+    let (mut watch, grants) = watch();
+    grants.lock().expect("grants").asked(at(9_000), REMOVED);
+    let in_place = with_change(kind, Some(addresses(30)));
+    assert!(is_over(&mut watch, at(9_100), TERM, &in_place));
+    let elsewhere = with_change(kind, Some(addresses(40)));
+    assert!(!is_over(&mut watch, at(9_100), TERM, &elsewhere));
+}
--- a/crates/sablehaven-control/src/driver/run.rs
+++ b/crates/sablehaven-control/src/driver/run.rs
@@ -2,12 +2,13 @@
 
 use std::{
     collections::BTreeSet,
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use sablehaven_consensus::{Ready, Replica, ReplicaId, Restored};
 use sablehaven_storage::{GroupWrite, Opened, SnapshotWriter};
+use sablehaven_wire::SuspensionClock;
 use tokio::{
     sync::{mpsc, watch},
     time::MissedTickBehavior,
@@ -21,6 +22,7 @@
     members::HandOver,
     pending::{LedgerCall, refuse_calls},
     reads::ProofQueue,
+    removal::RemovalWatch,
     restore::restore_groups,
     status::{DriverStatus, Published},
     storage_thread::{StorageDone, StorageJob, StorageStep, StorageThread},
@@ -31,6 +33,7 @@
     ledger::group_of_key,
     metrics::Metrics,
     peers::{Directory, Links},
+    quotas::PartGrants,
 };
 
 /// Inputs that are taken in before their effects are carried out together.
@@ -46,6 +49,7 @@
     pub(crate) links: Arc<Links>,
     pub(crate) directory: Directory,
     pub(crate) published: watch::Sender<Published>,
+    pub(crate) grants: Arc<Mutex<PartGrants>>,
     pub(crate) metrics: Metrics,
 }
 
@@ -63,6 +67,8 @@
     /// Set for good by a planned stop: this replica gives leadership away.
     pub(super) is_handing_over: bool,
     pub(super) published: watch::Sender<Published>,
+    pub(super) removal: RemovalWatch,
+    pub(super) age_clock: SuspensionClock,
     pub(super) metrics: Metrics,
     inputs: mpsc::Receiver<Input>,
     links: Arc<Links>,
@@ -86,10 +92,13 @@
             links,
             directory,
             published,
+            grants,
             metrics,
         } = parts;
         let id = opened.identity.replica;
         let groups = restore_groups(&config, id, &state, opened.groups)?;
+        let patience = Duration::from_millis(config.repair_patience_ms);
+        let removal = RemovalWatch::new(grants, patience);
         let snapshot_writer = opened.storage.snapshot_writer();
         let (storage, finished) = StorageThread::start(opened.storage)
             .map_err(|source| StartError::StorageThread { source })?;
@@ -105,6 +114,8 @@
             hand_over: None,
             is_handing_over: false,
             published,
+            removal,
+            age_clock: SuspensionClock::default(),
             metrics,
             inputs,
             links,
@@ -270,6 +281,9 @@
             self.links.send(to, number, message);
         }
         let group = &mut self.groups[position];
+        if number == 0 {
+            group.note_changes(&ready.entries);
+        }
         let applied_before = group.applied;
         let applied = group.apply(&mut ready);
         applied.map_err(|error| format!("apply entry to group {number}: {error}"))?;
--- a/crates/sablehaven-control/src/driver/status.rs
+++ b/crates/sablehaven-control/src/driver/status.rs
@@ -47,4 +47,6 @@
     pub(crate) group: u32,
     pub(crate) replica: Status,
     pub(crate) applied: u64,
+    /// Whether the log holds what may begin a change of the members and is not applied yet. Of group 0 only.
+    pub(crate) has_unapplied_change: bool,
 }
--- a/crates/sablehaven-control/src/leader/mod.rs
+++ b/crates/sablehaven-control/src/leader/mod.rs
@@ -5,11 +5,12 @@
 mod observations;
 mod platform;
 mod repair;
+mod silence;
 mod watchers;
 
 pub(crate) use listing::read_listing;
 pub use listing::{ServerReading, ServerSource, ServerSourceError};
 pub(crate) use observations::{OBSERVATION_QUEUE, propose_observations};
 pub(crate) use platform::poll_platform;
-pub(crate) use repair::repair_members;
+pub(crate) use repair::watch_members;
 pub(crate) use watchers::propose_watchers;
--- a/crates/sablehaven-control/src/leader/repair.rs
+++ b/crates/sablehaven-control/src/leader/repair.rs
@@ -1,45 +1,61 @@
-//! The leader's own changes of the control replicas.
+//! The leader's own changes of the control replicas, and its answers to members that ask for their parts of the quotas:
+//! both stand on the same proofs that it leads.
 
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use sablehaven_consensus::{ReplicaId, Status};
+use sablehaven_consensus::{ReplicaId, Role, Status};
+use sablehaven_wire::AgeClock;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::silence::{LeadingProof, Silence};
 use crate::{
     driver::read,
+    peers::{PartAnswer, PeerPayload},
+    quotas::ProbeNumber,
     repair::{MemberView, NewcomerView, RepairPolicy, next_change},
     replicas::{ReplicasCommand, ReplicasState},
     server::Context,
     shared::SharedCommand,
 };
 
-/// Time between two looks.
+/// Longest time between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 /// Members beyond which nobody is added: larger groups sync and vote more slowly.
 const MAXIMUM_MEMBERS: usize = 9;
 
-/// Brings the members back to strength while this replica leads, until it stops.
-pub(crate) async fn repair_members(context: Arc<Context>, minimum_members: usize) {
-    let policy = RepairPolicy {
+/// Brings the members back to strength while this replica leads, unless `minimum_members` is 0, and answers those that
+/// ask for their parts of the quotas, until it stops.
+pub(crate) async fn watch_members(context: Arc<Context>, minimum_members: usize) {
+    let policy = (minimum_members > 0).then(|| RepairPolicy {
         patience: Duration::from_millis(context.config.repair_patience_ms),
         minimum_members,
         maximum_members: MAXIMUM_MEMBERS,
-    };
-    let mut ticker = interval(LOOK_INTERVAL);
+    });
+    let election_timeout = context.config.election_timeout();
+    let mut ticker = interval(LOOK_INTERVAL.min(election_timeout / 5));
     ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut silence = Silence::default();
+    let mut silence = Silence::new(election_timeout);
     loop {
-        ticker.tick().await;
-        publish_controls(&context);
+        tokio::select! {
+            _ = ticker.tick() => {}
+            () = context.probes.urgent() => {}
+        }
+        if policy.is_some() {
+            publish_controls(&context);
+        }
+        let probes = context.probes.take();
         if !context.is_leader() {
-            silence = Silence::default();
+            silence.reset();
+            continue;
+        }
+        let looked = look(&context, &mut silence, &probes).await;
+        let Some(status) = looked else {
+            silence.reset();
             continue;
+        };
+        if let Some(policy) = &policy {
+            repair(&context, policy, &silence, &status).await;
         }
-        look(&context, &policy, &mut silence).await;
     }
 }
 
@@ -49,24 +65,78 @@
         let replicas = state.replicas().replicas().values();
         replicas
             .map(|addresses| addresses.internal)
-            .collect::<std::collections::BTreeSet<_>>()
+            .collect::<BTreeSet<_>>()
     });
     controls.insert(context.peers.addresses.internal);
     context.gateways.set_controls(controls);
 }
 
-async fn look(context: &Context, policy: &RepairPolicy, silence: &mut Silence) {
-    let Some(status) = context.driver.status().await else {
-        return;
-    };
-    let Some(group) = status.groups.first() else {
-        return;
+/// Has a quorum confirm that this replica leads, and answers the members that asked before. `None` if it does not lead.
+async fn look(
+    context: &Context,
+    silence: &mut Silence,
+    probes: &[(ReplicaId, ProbeNumber)],
+) -> Option<Status> {
+    let term = context.published.borrow().term;
+    let asked_at = context.age_clock.now();
+    for (member, _) in probes {
+        // Before the members are looked at: one that is taken out after that look is known to have asked.
+        context.quotas.grants().asked(asked_at, *member);
+    }
+    context.driver.prove_leadership().await?;
+    let proven_at = context.age_clock.now();
+    let status = context.driver.status().await?;
+    let status = status.groups.into_iter().next()?.replica;
+    if status.role != Role::Leader || status.term != term {
+        return None;
+    }
+    let answering = answering(&status);
+    let proof = LeadingProof {
+        term,
+        asked_at,
+        proven_at,
     };
+    let members = read(&context.state, |state| state.replicas().clone());
+    let members = members.replicas().keys().copied();
+    let voters = status.membership.voters.iter().copied();
+    silence.proven(proof, members.chain(voters), &answering);
+    context.quotas.grants().leads(proven_at, term);
+    grant(context, &status, &answering, probes);
+    Some(status)
+}
+
+fn answering(status: &Status) -> BTreeSet<ReplicaId> {
+    let active = status.peers.iter().filter(|(_, peer)| peer.active);
+    let mut answering: BTreeSet<ReplicaId> = active.map(|(replica, _)| *replica).collect();
+    answering.insert(status.id);
+    answering
+}
+
+/// Grants the members that answer their parts: the others count as silent.
+fn grant(
+    context: &Context,
+    status: &Status,
+    answering: &BTreeSet<ReplicaId>,
+    probes: &[(ReplicaId, ProbeNumber)],
+) {
+    let voters = &status.membership.voters;
+    let is_granted = |member: &ReplicaId| voters.contains(member) && answering.contains(member);
+    for (member, number) in probes.iter().filter(|(member, _)| is_granted(member)) {
+        if *member == context.replica {
+            context.quotas.granted(*number);
+            continue;
+        }
+        let payload = PeerPayload::PartAnswer(PartAnswer::Granted { number: *number });
+        context.links.send_payload(*member, payload);
+    }
+}
+
+async fn repair(context: &Context, policy: &RepairPolicy, silence: &Silence, status: &Status) {
     let replicas = read(&context.state, |state| state.replicas().clone());
     if replicas.replicas().is_empty() {
         return;
     }
-    let members = silence.members(&replicas, &group.replica, Instant::now());
+    let members = members(&replicas, silence, status);
     let newcomers = newcomers(context, &replicas);
     let Some(planned) = next_change(&members, &newcomers, replicas.change(), policy) else {
         return;
@@ -82,6 +152,21 @@
     }
 }
 
+fn members(replicas: &ReplicasState, silence: &Silence, status: &Status) -> Vec<MemberView> {
+    let members = replicas.replicas().iter();
+    members
+        .map(|(replica, addresses)| {
+            let silent_for = silence.of(*replica);
+            let is_self = *replica == status.id;
+            MemberView {
+                replica: *replica,
+                internal: addresses.internal,
+                silent_for: if is_self { Duration::ZERO } else { silent_for },
+            }
+        })
+        .collect()
+}
+
 /// Connected replicas that are no members.
 fn newcomers(context: &Context, replicas: &ReplicasState) -> Vec<NewcomerView> {
     let heard = context.peers.directory.others();
@@ -92,35 +177,3 @@
         .map(|(replica, addresses)| NewcomerView { replica, addresses })
         .collect()
 }
-
-/// Since when each member has been silent.
-#[derive(Default)]
-struct Silence {
-    last_answers: BTreeMap<ReplicaId, Instant>,
-}
-
-impl Silence {
-    fn members(
-        &mut self,
-        replicas: &ReplicasState,
-        status: &Status,
-        now: Instant,
-    ) -> Vec<MemberView> {
-        let members = replicas.replicas().iter();
-        members
-            .map(|(replica, addresses)| {
-                let is_answering = *replica == status.id
-                    || status.peers.get(replica).is_some_and(|peer| peer.active);
-                let last = self.last_answers.entry(*replica).or_insert(now);
-                if is_answering {
-                    *last = now;
-                }
-                MemberView {
-                    replica: *replica,
-                    internal: addresses.internal,
-                    silent_for: now.duration_since(*last),
-                }
-            })
-            .collect()
-    }
-}
--- a/crates/sablehaven-control/src/peers/incoming.rs
+++ b/crates/sablehaven-control/src/peers/incoming.rs
@@ -1,21 +1,29 @@
 //! Connections that other replicas dialled: their messages go to the driver.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use tokio::time::timeout;
 
-use super::introduction::{PeerConnection, PeerContext, PeerError, PeerPayload, alive, decode};
-use crate::{driver::Input, quotas::LoanCounter};
+use super::introduction::{PeerConnection, PeerError, PeerPayload, alive, decode};
+use crate::{
+    driver::Input,
+    quotas::{LoanCounter, answer_probe, take_answer},
+    server::Context,
+};
 
 /// Time without any message after which a dialler is given up; it sends signs of life meanwhile.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 
 /// Receives from another replica until the connection ends.
 pub(crate) async fn receive_from_peer(
-    context: &PeerContext,
-    loans: &LoanCounter,
+    server: &Context,
     mut connection: PeerConnection,
 ) -> Result<(), PeerError> {
+    let context = &server.peers;
+    let loans = LoanCounter {
+        desk: Arc::clone(&server.quotas),
+        links: Arc::clone(&server.links),
+    };
     let peer = connection.peer_address.to_string();
     let theirs = context.introduce(&mut connection).await?;
     loop {
@@ -46,6 +54,12 @@
             }
             PeerPayload::LoanRequest(request) => loans.answer(theirs.replica, &request),
             PeerPayload::TokenLoan(loan) => loans.receive(&loan),
+            PeerPayload::PartProbe(probe) => {
+                answer_probe(server, theirs.replica, probe).await;
+            }
+            PeerPayload::PartAnswer(answer) => {
+                take_answer(server, theirs.replica, answer).await;
+            }
             PeerPayload::Introduction(_) => {}
         }
     }
--- a/crates/sablehaven-control/src/peers/introduction.rs
+++ b/crates/sablehaven-control/src/peers/introduction.rs
@@ -20,6 +20,7 @@
     Config,
     codec::{self, CodecError},
     driver::{DriverHandle, SharedHandle, StoredAddresses, read},
+    quotas::ProbeNumber,
     replicas::ReplicaAddresses,
 };
 
@@ -87,6 +88,31 @@
     LoanRequest(LoanRequest),
     /// Tokens of the sender's part, for the receiver's.
     TokenLoan(TokenLoan),
+    /// The sender asks whether it may keep its part of the quotas.
+    PartProbe(PartProbe),
+    /// Answers [`PeerPayload::PartProbe`].
+    PartAnswer(PartAnswer),
+}
+
+/// A replica asks whether it may keep its part of the quotas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PartProbe {
+    pub(crate) number: ProbeNumber,
+    /// Whether it holds none now.
+    pub(crate) is_urgent: bool,
+}
+
+/// An answer to [`PartProbe`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PartAnswer {
+    /// The sender has proven since the question came that it leads.
+    Granted { number: ProbeNumber },
+    /// The sender hears no leader.
+    Leaderless {
+        number: ProbeNumber,
+        /// Where the members of which it speaks stand in the log.
+        membership_index: u64,
+    },
 }
 
 /// Who a replica is.
--- a/crates/sablehaven-control/src/peers/mod.rs
+++ b/crates/sablehaven-control/src/peers/mod.rs
@@ -12,6 +12,8 @@
 
 pub(crate) use formation::form_or_join;
 pub(crate) use incoming::receive_from_peer;
-pub(crate) use introduction::{Directory, Introduction, PeerContext, PeerPayload, probe};
+pub(crate) use introduction::{
+    Directory, Introduction, PartAnswer, PartProbe, PeerContext, PeerPayload, probe,
+};
 pub(crate) use links::{Links, keep_links};
 pub(crate) use listing::PeerListing;
--- a/crates/sablehaven-control/src/quotas/desk.rs
+++ b/crates/sablehaven-control/src/quotas/desk.rs
@@ -8,14 +8,18 @@
     time::{Duration, Instant},
 };
 
+use sablehaven_consensus::ReplicaId;
 use sablehaven_quota::{QuotaPart, TenantUsage};
 use sablehaven_types::{
     LoanRequest, QuotaTolerance, RequestQuota, RouteDocument, TenantName, TokenLoan, TokenReply,
     TokenRequest, TokenVerdict,
 };
+use sablehaven_wire::{AgeClock, SuspensionClock};
 use tokio::sync::{Notify, watch};
 
 use super::{
+    grants::PartGrants,
+    hold::{MemberContact, PartHold, ProbeNumber},
     parts::parts,
     waiting::{ReplySender, WaitingRequests},
 };
@@ -31,6 +35,9 @@
     metrics: Metrics,
     /// Times are counted from here.
     started_at: Instant,
+    hold_clock: SuspensionClock,
+    hold: Mutex<PartHold>,
+    grants: Arc<Mutex<PartGrants>>,
     held: Mutex<HeldPart>,
     /// Told when gateways ask while there are tenants.
     asked: Notify,
@@ -50,6 +57,8 @@
     /// A desk that follows what the driver publishes.
     pub(crate) fn new(
         tolerance: QuotaTolerance,
+        hold: PartHold,
+        grants: Arc<Mutex<PartGrants>>,
         published: watch::Receiver<Published>,
         state: SharedHandle,
         metrics: Metrics,
@@ -59,6 +68,9 @@
             state,
             metrics,
             started_at: Instant::now(),
+            hold_clock: SuspensionClock::default(),
+            hold: Mutex::new(hold),
+            grants,
             held: Mutex::new(HeldPart {
                 part: QuotaPart::new(tolerance),
                 routes_version: 0,
@@ -158,15 +170,68 @@
         self.current(now).part.usage(now)
     }
 
+    /// Whether the tenants are known and there are any.
+    pub(super) fn has_tenants(&self) -> bool {
+        let held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        held.has_tenants
+    }
+
+    /// Whether the hold on the part lasts.
+    pub(super) fn holds(&self) -> bool {
+        let now = self.hold_clock.now();
+        self.hold().holds(now)
+    }
+
+    /// The time since the latest question that proves the hold.
+    pub(super) fn hold_age(&self) -> Option<Duration> {
+        let now = self.hold_clock.now();
+        self.hold().age(now)
+    }
+
+    /// Notes a question whether the part may be kept; it is sent after this call.
+    pub(super) fn ask(&self) -> ProbeNumber {
+        let now = self.hold_clock.now();
+        self.hold().ask(now)
+    }
+
+    /// A leader has granted the part.
+    pub(crate) fn granted(&self, number: ProbeNumber) {
+        self.hold().granted(number);
+    }
+
+    /// A member hears no leader.
+    pub(super) fn leaderless(
+        &self,
+        number: ProbeNumber,
+        member: ReplicaId,
+        membership_index: u64,
+        contact: &MemberContact,
+    ) {
+        let now = self.hold_clock.now();
+        self.hold()
+            .leaderless(now, number, member, membership_index, contact);
+    }
+
+    /// What this replica as a leader knows of the parts of others.
+    pub(crate) fn grants(&self) -> MutexGuard<'_, PartGrants> {
+        self.grants.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn hold(&self) -> MutexGuard<'_, PartHold> {
+        self.hold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn now(&self) -> Duration {
         self.started_at.elapsed()
     }
 
-    /// The part by the latest word of the driver, so that one that is lost or made smaller is not spent any more.
+    /// The part by the hold and the latest word of the driver, so that one that is lost or made smaller is not spent any
+    /// more.
     fn current(&self, now: Duration) -> MutexGuard<'_, HeldPart> {
+        let holds = self.holds();
         let (parts, routes_version) = {
             let published = self.published.borrow();
-            (parts(&published), published.routes_version)
+            (parts(&published, holds), published.routes_version)
         };
         let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         held.part.set_parts(now, parts);
--- a/crates/sablehaven-control/src/quotas/desk/tests.rs
+++ b/crates/sablehaven-control/src/quotas/desk/tests.rs
@@ -6,6 +6,7 @@
 
 use super::*;
 use crate::{
+    quotas::HoldLimits,
     routes::PutRoutes,
     shared::{SharedCommand, SharedState},
 };
@@ -19,6 +20,9 @@
     slack: 20,
 };
 
+/// A hold that outlasts a test that does not wait for its end.
+const HOLD: Duration = Duration::from_secs(600);
+
 /// A desk, and what its driver publishes.
 struct Counter {
     desk: QuotaDesk,
@@ -31,6 +35,11 @@
 impl Counter {
     /// A desk of a member of a group of one, which leads.
     fn new(tolerance: QuotaTolerance) -> Self {
+        Self::holding(tolerance, HOLD)
+    }
+
+    /// The same with another time for which it holds its part from now on.
+    fn holding(tolerance: QuotaTolerance, hold: Duration) -> Self {
         let published = Published {
             leader: Some(ReplicaId(1)),
             members: 1,
@@ -40,7 +49,18 @@
         let (published, receiver) = watch::channel(published);
         let state = SharedHandle::default();
         let metrics = Metrics::default();
-        let desk = QuotaDesk::new(tolerance, receiver, Arc::clone(&state), metrics);
+        let limits = HoldLimits::new(hold, hold);
+        let hold = PartHold::new(ReplicaId(1), limits, 0);
+        let grants = Arc::default();
+        let desk = QuotaDesk::new(
+            tolerance,
+            hold,
+            grants,
+            receiver,
+            Arc::clone(&state),
+            metrics,
+        );
+        desk.granted(desk.ask());
         let (replying, replies) = mpsc::channel(8);
         Self {
             desk,
@@ -130,18 +150,18 @@
 }
 
 #[test]
-fn a_replica_that_knows_no_leader_any_more_has_no_part_at_once() {
-    let counter = Counter::new(WITH_SLACK);
+fn a_replica_whose_hold_is_over_has_no_part_at_once() {
+    let hold = Duration::from_millis(200);
+    let counter = Counter::holding(WITH_SLACK, hold);
     counter.apply(1, 1_000.0);
     sleep(FIRST_TOKENS);
     counter
         .published
         .send_modify(|published| published.leader = None);
+    sleep(hold);
     assert_eq!(counter.take(1, 1), TokenVerdict::NoPart);
     // Its part is empty when it has one again: what it held may have been granted elsewhere by then.
-    counter
-        .published
-        .send_modify(|published| published.leader = Some(ReplicaId(2)));
+    counter.desk.granted(counter.desk.ask());
     counter.apply(2, 0.1);
     let verdict = counter.take(2, 1);
     assert!(
@@ -150,6 +170,26 @@
     );
 }
 
+#[test]
+fn a_replica_that_knows_no_leader_keeps_its_part_while_its_hold_lasts() {
+    let counter = Counter::new(WITH_SLACK);
+    counter.apply(1, 1_000.0);
+    counter
+        .published
+        .send_modify(|published| published.leader = None);
+    sleep(FIRST_TOKENS);
+    assert_eq!(counter.take(1, 1), TokenVerdict::Granted(1));
+}
+
+#[test]
+fn a_replica_that_has_just_started_has_no_part_until_a_leader_grants_it() {
+    let counter = Counter::new(WITH_SLACK);
+    *counter.desk.hold() = PartHold::new(ReplicaId(1), HoldLimits::new(HOLD, HOLD), 0);
+    counter.apply(1, 1_000.0);
+    sleep(Duration::from_millis(50));
+    assert_eq!(counter.take(1, 1), TokenVerdict::NoPart);
+}
+
 #[test]
 fn a_lower_limit_binds_with_its_version() {
     let counter = Counter::new(WITH_SLACK);
@@ -187,29 +227,25 @@
 }
 
 #[test]
-fn parts_are_one_more_than_members_and_none_without_a_leader_a_vote_or_a_driver() {
+fn parts_are_one_more_than_members_and_none_without_a_hold_a_vote_or_a_driver() {
     let member = Published {
         leader: Some(ReplicaId(1)),
         members: 9,
         is_member: true,
         ..Published::default()
     };
-    assert_eq!(parts(&member), Some(10));
-    let leaderless = Published {
-        leader: None,
-        ..member.clone()
-    };
-    assert_eq!(parts(&leaderless), None);
+    assert_eq!(parts(&member, true), Some(10));
+    assert_eq!(parts(&member, false), None);
     let failed = Published {
         failure: Some("store: no space".to_owned()),
         ..member.clone()
     };
-    assert_eq!(parts(&failed), None);
+    assert_eq!(parts(&failed, true), None);
     let replaced = Published {
         is_member: false,
         ..member
     };
-    assert_eq!(parts(&replaced), None);
+    assert_eq!(parts(&replaced, true), None);
 }
 
 #[tokio::test]
@@ -267,7 +303,7 @@
     let mut counter = beside_lenders();
     let now = counter.desk.take(&[waiting_request(5)], &counter.replying);
     assert!(now.is_empty(), "it waits");
-    sleep(Duration::from_millis(250));
+    sleep(FIRST_TOKENS);
     counter.desk.settle();
     let replies = counter.replies.try_recv().expect("an answer");
     let verdict = replies[0].verdict;
--- a/crates/sablehaven-control/src/quotas/parts.rs
+++ b/crates/sablehaven-control/src/quotas/parts.rs
@@ -2,14 +2,13 @@
 
 use crate::driver::Published;
 
-/// Parts beyond the members of group 0: a replica that was replaced, or that wakes after a freeze and has not noticed yet
-/// what became of the group meanwhile, may spend its former part for a moment, beside all the others.
+/// Parts beyond the members of group 0: a replica that an operator has taken out, and that has not noticed yet, may spend
+/// its former part until its hold is over. The next change of the members waits for that.
 const SPARE_PARTS: u32 = 1;
 
-/// The number of equal parts of which this replica holds one; `None` while it may not spend any: it is no member, knows
-/// no leader, or its driver has failed. A leader without a quorum steps down, and a follower without a leader knows none after its election time.
-pub(super) fn parts(published: &Published) -> Option<u32> {
-    published.leader?;
-    let may_spend = published.is_member && published.failure.is_none();
+/// The number of equal parts of which this replica holds one; `None` while it may not spend any: it is no member, its
+/// hold is over ([`super::hold`]), or its driver has failed.
+pub(super) fn parts(published: &Published, holds: bool) -> Option<u32> {
+    let may_spend = holds && published.is_member && published.failure.is_none();
     may_spend.then_some(published.members + SPARE_PARTS)
 }
--- a/crates/sablehaven-control/src/server/accept.rs
+++ b/crates/sablehaven-control/src/server/accept.rs
@@ -9,9 +9,7 @@
 };
 
 use super::{context::Context, tasks::Tasks};
-use crate::{
-    gateways::serve_gateway, peers::receive_from_peer, quotas::LoanCounter, relays::serve_relay,
-};
+use crate::{gateways::serve_gateway, peers::receive_from_peer, relays::serve_relay};
 
 /// Pause after a failed accept (out of file descriptors), so that the loop does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -61,11 +59,7 @@
     match connection.hello.role {
         Role::Control => background.spawn(async move {
             // A connection that ends is routine: the other replica dials again.
-            let loans = LoanCounter {
-                desk: Arc::clone(&context.quotas),
-                links: Arc::clone(&context.links),
-            };
-            let _ = receive_from_peer(&context.peers, &loans, connection.retype()).await;
+            let _ = receive_from_peer(&context, connection.retype()).await;
         }),
         Role::Relay if context.stopping.is_cancelled() => {}
         Role::Relay => relays.spawn(serve_relay(context, connection.retype())),
--- a/crates/sablehaven-control/src/server/context.rs
+++ b/crates/sablehaven-control/src/server/context.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use sablehaven_consensus::ReplicaId;
-use sablehaven_wire::ControlToRelay;
+use sablehaven_wire::{ControlToRelay, SuspensionClock};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -15,7 +15,7 @@
     metrics::Metrics,
     operator::CallError,
     peers::{Links, PeerContext},
-    quotas::QuotaDesk,
+    quotas::{ProbeQueue, QuotaDesk},
     relays::Registry,
     replicas::ReplicaAddresses,
 };
@@ -33,6 +33,8 @@
     pub(crate) peers: Arc<PeerContext>,
     pub(crate) links: Arc<Links>,
     pub(crate) quotas: Arc<QuotaDesk>,
+    pub(crate) probes: ProbeQueue,
+    pub(crate) age_clock: SuspensionClock,
     pub(crate) metrics: Metrics,
     /// Cancelled when the replica takes no new work.
     pub(crate) stopping: CancellationToken,
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -1,10 +1,15 @@
 //! The start of a control replica.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use sablehaven_storage::{Disk, Opened, RealDisk, Storage};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::BoundAddresses;
+use sablehaven_wire::SuspensionClock;
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use tokio::{
     net::TcpListener,
@@ -26,7 +31,10 @@
     metrics::Metrics,
     operator,
     peers::{Directory, Links, PeerContext, PeerListing, form_or_join, keep_links},
-    quotas::{QuotaDesk, ask_for_loans, follow_configuration},
+    quotas::{
+        HoldLimits, PartGrants, PartHold, ProbeQueue, QuotaDesk, ask_for_loans,
+        follow_configuration, keep_part,
+    },
     relays::Registry,
     replicas::ReplicaAddresses,
 };
@@ -186,6 +194,7 @@
         StoredAddresses::read(&group.restored.entries)
     });
     let directory = Directory::new(replica, own, stored);
+    let grants = Arc::new(Mutex::new(PartGrants::default()));
     let driver = Driver::new(DriverParts {
         config: Arc::clone(&config),
         opened,
@@ -195,6 +204,7 @@
         links: Arc::clone(&links),
         directory: directory.clone(),
         published,
+        grants: Arc::clone(&grants),
         metrics: metrics.clone(),
     })?;
     let gateways = Arc::new(Gateways::new());
@@ -210,8 +220,12 @@
             published: published_receiver.clone(),
         },
     ));
+    let patience = Duration::from_millis(config.repair_patience_ms);
+    let hold_limits = HoldLimits::new(patience, config.election_timeout());
     let quotas = Arc::new(QuotaDesk::new(
         config.quotas,
+        PartHold::new(replica, hold_limits, rand::random()),
+        grants,
         published_receiver.clone(),
         Arc::clone(&state),
         metrics.clone(),
@@ -229,6 +243,8 @@
         peers,
         links,
         quotas,
+        probes: ProbeQueue::default(),
+        age_clock: SuspensionClock::default(),
         metrics,
         stopping: CancellationToken::new(),
     });
@@ -271,10 +287,9 @@
         Arc::clone(&context.quotas),
         Arc::clone(&context.links),
     ));
+    background.spawn(keep_part(Arc::clone(context)));
     let minimum = context.config.repair_minimum_members;
-    if minimum > 0 {
-        background.spawn(leader::repair_members(Arc::clone(context), minimum));
-    }
+    background.spawn(leader::watch_members(Arc::clone(context), minimum));
     if let Some(platform) = context.config.platform.clone() {
         background.spawn(leader::poll_platform(Arc::clone(context), platform));
     }
--- a/crates/sablehaven-control/tests/quotas.rs
+++ b/crates/sablehaven-control/tests/quotas.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use sablehaven_types::{
     AllowedRegions, CallerLimits, KeyDigest, QuotaTolerance, RequestQuota, RouteDocument, Tenant,
@@ -147,3 +150,50 @@
     let mut gateway = Gateway::connect(cluster.machines[0].internal()).await;
     assert_eq!(gateway.take_token(TENANT).await, TokenVerdict::NoPart);
 }
+
+#[tokio::test]
+async fn half_of_the_replicas_keep_their_parts_without_a_leader() {
+    let mut cluster = cluster(4).await;
+    put(&cluster, 1, 100.0).await;
+    let patience = Duration::from_millis(cluster.machines[0].config.repair_patience_ms);
+    let leader = cluster.leader().await;
+    let others = [(leader + 2) % 4, (leader + 3) % 4];
+    for machine in others {
+        let mut gateway = Gateway::connect(cluster.machines[machine].internal()).await;
+        until_verdict("a token", &mut gateway, is_granted).await;
+    }
+    for machine in [leader, (leader + 1) % 4] {
+        cluster.machines[machine].kill().await;
+    }
+    let killed_at = Instant::now();
+    sleep(2 * patience).await;
+    for machine in others {
+        let mut gateway = Gateway::connect(cluster.machines[machine].internal()).await;
+        until_verdict("a token", &mut gateway, is_granted).await;
+    }
+    assert!(killed_at.elapsed() >= 2 * patience);
+    cluster.machines[others[0]].kill().await;
+    let mut gateway = Gateway::connect(cluster.machines[others[1]].internal()).await;
+    let is_without = |verdict| verdict == TokenVerdict::NoPart;
+    until_verdict("no part", &mut gateway, is_without).await;
+}
+
+#[tokio::test]
+async fn a_replica_keeps_its_part_for_a_while_after_its_leader() {
+    let mut cluster = cluster(3).await;
+    put(&cluster, 1, 100.0).await;
+    let leader = cluster.leader().await;
+    let follower = cluster.follower().await;
+    let mut gateway = Gateway::connect(cluster.machines[follower].internal()).await;
+    until_verdict("a token", &mut gateway, is_granted).await;
+    for machine in 0..3 {
+        if machine != follower {
+            cluster.machines[machine].kill().await;
+        }
+    }
+    // Longer than an election timeout, after which it knows no leader, and shorter than the repair patience.
+    let config = &cluster.machines[leader].config;
+    sleep(2 * Duration::from_millis(config.election_timeout_ms)).await;
+    let verdict = gateway.take_token(TENANT).await;
+    assert!(is_granted(verdict), "{verdict:?}");
+}
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
     CallerLimits, CrashReport, EvacuatedZones, ListingChange, ListingNumber, RequestFingerprint,
     RouteDocument, RoutesChange, ServerListing, ZoneName,
 };
-use sablehaven_wire::{DeploymentMembers, GatewayStatus, StateVersions};
+use sablehaven_wire::{DeploymentMembers, GatewayStatus, StateVersions, SuspensionClock};
 use tokio::sync::{broadcast, watch};
 
 use crate::{
@@ -27,7 +27,7 @@
     load::LoadMeter,
     metrics::Metrics,
     names::HeaderNames,
-    quotas::{SuspensionClock, TokenClient},
+    quotas::TokenClient,
     resends::ResendDetector,
     route_table::RouteTable,
     servers::Registry,
--- a/crates/sablehaven-gateway/src/quotas/client.rs
+++ b/crates/sablehaven-gateway/src/quotas/client.rs
@@ -12,12 +12,13 @@
     Distance, QuotaTolerance, TenantName, TokenReply, TokenRequest, TokenRequestNumber,
     TokenVerdict,
 };
+use sablehaven_wire::AgeClock;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
     time::timeout_at,
 };
 
-use super::{clock::AgeClock, replicas::TokenReplicas};
+use super::replicas::TokenReplicas;
 
 /// The longest time for which a request waits for a token, whatever its route: a token that comes later may be of a
 /// window that is over.
--- a/crates/sablehaven-gateway/src/quotas/mod.rs
+++ b/crates/sablehaven-gateway/src/quotas/mod.rs
@@ -1,8 +1,6 @@
 //! Tokens of tenants' quotas: what this gateway holds, and asking control replicas for more.
 
 mod client;
-mod clock;
 mod replicas;
 
 pub(crate) use client::{TokenAsk, TokenClient, TokenRequester, Waited};
-pub(crate) use clock::SuspensionClock;
--- a/crates/sablehaven-wire/src/connection.rs
+++ b/crates/sablehaven-wire/src/connection.rs
@@ -21,7 +21,7 @@
 };
 
 /// The version of the internal protocol.
-pub const PROTOCOL_VERSION: u32 = 7;
+pub const PROTOCOL_VERSION: u32 = 8;
 
 /// The largest frame that is accepted, in bytes.
 pub const MAXIMUM_FRAME_BYTES: usize = 32 * 1024 * 1024;
--- a/crates/sablehaven-wire/src/lib.rs
+++ b/crates/sablehaven-wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod message;
 mod patience;
+mod suspension_clock;
 
 pub use clock::MonotonicClock;
 pub use connection::{
@@ -24,3 +25,4 @@
     Role, StateUpdate, StateVersions, UpdateFit,
 };
 pub use patience::DialPatience;
+pub use suspension_clock::{AgeClock, SuspensionClock};
--- a/crates/sablehaven-gateway/src/quotas/clock.rs
+++ b/crates/sablehaven-wire/src/suspension_clock.rs
@@ -1,14 +1,14 @@
-//! The clock by which tokens age.
+//! A steady clock that goes on while the machine is suspended.
 
 use std::{
-    cell::Cell,
+    sync::atomic::{AtomicBool, Ordering},
     time::{Duration, Instant},
 };
 
 use nix::time::{ClockId, clock_gettime};
 
-/// A steady clock that goes on while the machine is suspended, so that tokens from before are not spent after.
-pub(crate) trait AgeClock {
+/// A steady clock that goes on while the machine is suspended, so that what held before is not taken to hold after.
+pub trait AgeClock {
     /// The time since any fixed point.
     fn now(&self) -> Duration;
 }
@@ -16,30 +16,30 @@
 /// The system's clock of the time since its start, suspension included. Where the system has none, the steady time since
 /// the start of the process.
 #[derive(Debug)]
-pub(crate) struct SuspensionClock {
+pub struct SuspensionClock {
     started_at: Instant,
-    is_refused: Cell<bool>,
+    is_refused: AtomicBool,
 }
 
 impl Default for SuspensionClock {
     fn default() -> Self {
         Self {
             started_at: Instant::now(),
-            is_refused: Cell::new(false),
+            is_refused: AtomicBool::new(false),
         }
     }
 }
 
 impl AgeClock for SuspensionClock {
     fn now(&self) -> Duration {
-        if !self.is_refused.get() {
+        if !self.is_refused.load(Ordering::Relaxed) {
             match clock_gettime(ClockId::CLOCK_BOOTTIME) {
                 Ok(time) => return time.into(),
                 Err(error) => {
-                    self.is_refused.set(true);
+                    self.is_refused.store(true, Ordering::Relaxed);
                     log::warn!(
                         event = "no_suspension_clock", reason:% = error;
-                        "read clock that counts suspension: tokens age by steady time instead"
+                        "read clock that counts suspension: ages are counted by steady time instead"
                     );
                 }
             }
