Control: the holds of parts under cuts, freezes, restarts and changes of the members, simulated

Real consensus replicas with holds, silence, grants, removals and repair over a network that delays, cuts one way or both, with freezes, restarts, and removals by operators. The simulation notices a hold without its limit, answers that count from when they are read, and leaders that count silence over gaps in their proofs.

--- a/crates/sablehaven-control/src/driver/mod.rs
+++ b/crates/sablehaven-control/src/driver/mod.rs
@@ -20,6 +20,8 @@
 pub(crate) use input::{DriverHandle, Input, LeaderProof, LedgerReplies, channel};
 pub use input::{HandOverError, ProposeError};
 pub(crate) use machine::{SharedHandle, read};
+#[cfg(test)]
+pub(crate) use removal::RemovalWatch;
 pub(crate) use run::{Driver, DriverParts};
 pub(crate) use status::{DriverStatus, GroupState, Published};
 pub(crate) use stored_addresses::StoredAddresses;
--- a/crates/sablehaven-control/src/driver/removal.rs
+++ b/crates/sablehaven-control/src/driver/removal.rs
@@ -21,7 +21,7 @@
 }
 
 impl RemovalWatch {
-    pub(super) fn new(grants: Arc<Mutex<PartGrants>>, patience: Duration) -> Self {
+    pub(crate) fn new(grants: Arc<Mutex<PartGrants>>, patience: Duration) -> Self {
         Self {
             grants,
             patience,
@@ -31,7 +31,7 @@
 
     /// Whether the member that a change takes out, and that is out of every group, no longer has its part. Asked at each
     /// tick of the leader of this term. `now` is a steady time that counts suspension.
-    pub(super) fn is_over(
+    pub(crate) fn is_over(
         &mut self,
         now: Duration,
         term: u64,
--- a/crates/sablehaven-control/src/leader/mod.rs
+++ b/crates/sablehaven-control/src/leader/mod.rs
@@ -13,4 +13,6 @@
 pub(crate) use observations::{OBSERVATION_QUEUE, propose_observations};
 pub(crate) use platform::poll_platform;
 pub(crate) use repair::watch_members;
+#[cfg(test)]
+pub(crate) use silence::{LeadingProof, Silence};
 pub(crate) use watchers::propose_watchers;
--- a/crates/sablehaven-control/src/quotas/hold/tests.rs
+++ b/crates/sablehaven-control/src/quotas/hold/tests.rs
@@ -1,3 +1,7 @@
+mod simulation;
+
+use simulation::{Broken, ONE_BUCKET, seen};
+
 use super::*;
 
 const PATIENCE: Duration = Duration::from_millis(4_000);
@@ -155,3 +159,37 @@
         assert!(!hold.holds(at(HELD)), "{contact:?}");
     }
 }
+
+#[test]
+fn no_more_than_one_bucket_is_held_whatever_is_cut_frozen_restarted_or_changed() {
+    let seen = seen(160..220, Broken::Nothing, true);
+    assert!(seen.most <= ONE_BUCKET, "{seen:?}");
+    assert_eq!(seen.outsiders, 0, "{seen:?}");
+    // It is no wonder that nothing is held twice where nothing is held.
+    assert!(seen.leaderless > PATIENCE.as_millis() as u64, "{seen:?}");
+}
+
+#[test]
+fn nobody_holds_a_part_after_the_change_that_took_it_out() {
+    let seen = seen(100..160, Broken::Nothing, false);
+    assert_eq!(seen.outsiders, 0, "{seen:?}");
+    assert!(seen.leaderless > PATIENCE.as_millis() as u64, "{seen:?}");
+}
+
+#[test]
+fn the_simulation_notices_holds_without_a_limit() {
+    let seen = seen(0..40, Broken::Limit, true);
+    assert!(seen.most > ONE_BUCKET, "{seen:?}");
+}
+
+#[test]
+fn the_simulation_notices_answers_of_any_age() {
+    let seen = seen(0..40, Broken::Freshness, true);
+    assert!(seen.outsiders > 0, "{seen:?}");
+}
+
+#[test]
+fn the_simulation_notices_leaders_that_count_silence_over_gaps() {
+    let seen = seen(180..200, Broken::Gaps, true);
+    assert!(seen.most > ONE_BUCKET, "{seen:?}");
+}
--- /dev/null
+++ b/crates/sablehaven-control/src/quotas/hold/tests/simulation/node.rs
@@ -0,0 +1,342 @@
+//! One replica of the simulation: its consensus, its hold, and its duties while it leads.
+
+use std::sync::{Arc, Mutex};
+
+use sablehaven_consensus::{
+    Config, Entry, EntryPayload, MembershipChange, Message, Ready, Replica, Restored, Role,
+};
+
+use super::super::*;
+use super::*;
+use crate::{
+    codec,
+    driver::RemovalWatch,
+    leader::{LeadingProof, Silence},
+    quotas::PartGrants,
+    repair::{MemberView, NewcomerView, RepairPolicy, next_change},
+    replicas::{ChangePhase, ReplicaAddresses, ReplicasCommand, ReplicasState},
+};
+
+pub(super) const TICK: u64 = 25;
+pub(super) const ELECTION: u64 = 500;
+pub(super) const PATIENCE: u64 = 2_500;
+pub(super) const LOOK: u64 = 100;
+/// The first members, and those that stand by.
+pub(super) const MEMBERS: u64 = 6;
+pub(super) const NODES: u64 = 8;
+pub(super) const LENGTH: u64 = 40_000;
+/// The whole bucket, with room for rounding.
+pub(in super::super) const ONE_BUCKET: f64 = 1.0 + 1e-9;
+
+/// A rule that is broken to see that the test would notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in super::super) enum Broken {
+    Nothing,
+    /// Answers of any age count together, and grants from when they are read.
+    Freshness,
+    /// The hold lasts whatever happens.
+    Limit,
+    /// Leaders count silence on over gaps in their proofs.
+    Gaps,
+}
+
+pub(super) enum Mail {
+    Consensus(Message),
+    Probe(ProbeNumber),
+    Granted(ProbeNumber),
+    Leaderless(ProbeNumber, u64),
+}
+
+/// A proof of leading that is under way.
+pub(super) struct OpenProof {
+    pub(super) token: u64,
+    pub(super) asked_at: u64,
+    pub(super) term: u64,
+    /// Who asked before it.
+    pub(super) probes: Vec<(ReplicaId, ProbeNumber)>,
+}
+
+pub(super) struct Node {
+    pub(super) id: ReplicaId,
+    pub(super) replica: Replica,
+    pub(super) disk: Restored,
+    pub(super) state: ReplicasState,
+    pub(super) applied: u64,
+    pub(super) last_change: u64,
+    pub(super) frozen_until: u64,
+    pub(super) inbox: Vec<(ReplicaId, Mail)>,
+    pub(super) hold: PartHold,
+    pub(super) silence: Silence,
+    pub(super) grants: Arc<Mutex<PartGrants>>,
+    pub(super) removal: RemovalWatch,
+    pub(super) probes: Vec<(ReplicaId, ProbeNumber)>,
+    pub(super) proof: Option<OpenProof>,
+    pub(super) last_token: u64,
+    pub(super) last_proposed: u64,
+}
+
+pub(super) fn addresses(id: ReplicaId) -> ReplicaAddresses {
+    let port = 10 * id.0 as u16;
+    ReplicaAddresses {
+        internal: ([127, 0, 0, 1], port).into(),
+        http: ([127, 0, 0, 1], port + 1).into(),
+    }
+}
+
+pub(super) fn encode(command: &ReplicasCommand) -> Vec<u8> {
+    codec::encode("encode", command).expect("encode")
+}
+
+pub(super) fn decode(command: &[u8]) -> ReplicasCommand {
+    codec::decode("decode", command).expect("decode")
+}
+
+pub(super) fn begins_change(entry: &Entry) -> bool {
+    let EntryPayload::Command(command) = &entry.payload else {
+        return false;
+    };
+    matches!(decode(command), ReplicasCommand::Begin { .. })
+}
+
+pub(super) fn write(disk: &mut Restored, ready: &Ready) {
+    if let Some(hard_state) = ready.hard_state {
+        disk.hard_state = hard_state;
+    }
+    if let Some(first) = ready.entries.first() {
+        disk.entries.retain(|entry| entry.index < first.index);
+        disk.entries.extend(ready.entries.iter().cloned());
+    }
+}
+
+pub(super) fn consensus() -> Config {
+    Config {
+        election_timeout_ticks: (ELECTION / TICK) as u32,
+        first_election_timeout_ticks: (ELECTION / TICK) as u32,
+        heartbeat_ticks: 4,
+        ..Config::default()
+    }
+}
+
+impl Node {
+    pub(super) fn new(id: ReplicaId, disk: Restored, broken: Broken, random: u64) -> Self {
+        let mut limits = HoldLimits::new(at(PATIENCE), at(ELECTION));
+        let mut silence = Silence::new(at(ELECTION));
+        match broken {
+            Broken::Freshness => limits.window = limits.duration,
+            Broken::Limit => limits.duration = at(LENGTH),
+            Broken::Gaps => silence = Silence::new(at(LENGTH)),
+            Broken::Nothing => {}
+        }
+        let grants: Arc<Mutex<PartGrants>> = Arc::default();
+        Self {
+            id,
+            replica: Replica::new(consensus(), id, disk.clone()),
+            state: ReplicasState::default(),
+            applied: 0,
+            last_change: disk.entries.last().map_or(0, |entry| entry.index),
+            disk,
+            frozen_until: 0,
+            inbox: Vec::new(),
+            hold: PartHold::new(id, limits, random),
+            silence,
+            removal: RemovalWatch::new(Arc::clone(&grants), at(PATIENCE)),
+            grants,
+            probes: Vec::new(),
+            proof: None,
+            last_token: 0,
+            last_proposed: 0,
+        }
+    }
+
+    pub(super) fn contact(&self) -> MemberContact {
+        let status = self.replica.status();
+        let is_silent = u64::from(status.leader_silent_ticks) * TICK >= ELECTION;
+        MemberContact {
+            is_leaderless: is_silent && status.role != Role::Leader,
+            is_settled: self.last_change <= self.applied && self.state.change().is_none(),
+            membership: status.membership,
+            membership_index: status.membership_index,
+        }
+    }
+
+    pub(super) fn propose(&mut self, command: &ReplicasCommand) {
+        if let Ok(position) = self.replica.propose(vec![encode(command)]) {
+            self.last_proposed = position.index;
+        }
+    }
+
+    /// The duties of a leader at a tick.
+    pub(super) fn lead(&mut self, now: u64, directory: &[ReplicaId]) {
+        let status = self.replica.status();
+        if status.role != Role::Leader {
+            return;
+        }
+        if self.last_proposed <= self.applied {
+            if self.state.replicas().is_empty() {
+                let voters = status.membership.voters.iter();
+                let first = voters.map(|voter| (*voter, addresses(*voter))).collect();
+                self.propose(&ReplicasCommand::Form(first));
+            } else if let Some(change) = self.state.change().cloned()
+                && self.is_phase_done(now, &change)
+            {
+                let (change, phase) = (change.number, change.phase);
+                self.propose(&ReplicasCommand::Advance { change, phase });
+            }
+        }
+        if self.state.replicas().is_empty() {
+            return;
+        }
+        let target = self.state.target();
+        let wanted: BTreeSet<ReplicaId> = target.voters.union(&target.learners).copied().collect();
+        let membership = &status.membership;
+        let missing = wanted.iter().find(|each| !membership.contains(**each));
+        let mut learners = membership.learners.iter();
+        let ready = learners.find(|each| target.voters.contains(each));
+        let surplus = directory
+            .iter()
+            .find(|each| membership.contains(**each) && !wanted.contains(each));
+        let change = missing
+            .map(|each| MembershipChange::AddLearner(*each))
+            .or(ready.map(|each| MembershipChange::Promote(*each)))
+            .or(surplus.map(|each| MembershipChange::Remove(*each)));
+        if let Some(change) = change {
+            // Refused while an earlier change is not committed or a learner has not caught up.
+            let _ = self.replica.change_membership(change);
+        }
+    }
+
+    pub(super) fn is_phase_done(
+        &mut self,
+        now: u64,
+        change: &crate::replicas::ReplicaChange,
+    ) -> bool {
+        let status = self.replica.status();
+        let is_committed = status.membership_index <= status.commit;
+        let membership = &status.membership;
+        let added = change.kind.added();
+        match change.phase {
+            ChangePhase::Learning => added.is_some_and(|learner| {
+                let peer = status.peers.get(&learner);
+                peer.is_some_and(|peer| peer.active && peer.match_index > 0)
+            }),
+            ChangePhase::Promoting => {
+                is_committed && added.is_some_and(|each| membership.voters.contains(&each))
+            }
+            ChangePhase::Removing => {
+                let removed = change.kind.removed().expect("one that goes");
+                let is_out = is_committed && !membership.contains(removed);
+                let term = status.term;
+                is_out && self.removal.is_over(at(now), term, change, &self.state)
+            }
+        }
+    }
+
+    /// Begins a proof that this node leads.
+    pub(super) fn look(&mut self, now: u64) {
+        let probes = std::mem::take(&mut self.probes);
+        if !self.replica.is_leader() {
+            self.silence.reset();
+            self.proof = None;
+            return;
+        }
+        if self.proof.is_some() {
+            self.probes = probes;
+            return;
+        }
+        for (member, _) in &probes {
+            let mut grants = self.grants.lock().expect("grants");
+            grants.asked(at(now), *member);
+        }
+        self.last_token += 1;
+        if self.replica.read_index(self.last_token).is_ok() {
+            self.proof = Some(OpenProof {
+                token: self.last_token,
+                asked_at: now,
+                term: self.replica.term(),
+                probes,
+            });
+        }
+    }
+
+    /// A proof is there: what the leader grants, and the change that it begins.
+    pub(super) fn proven(
+        &mut self,
+        now: u64,
+        newcomers: &[ReplicaId],
+    ) -> Vec<(ReplicaId, ProbeNumber)> {
+        let Some(proof) = self.proof.take() else {
+            return Vec::new();
+        };
+        let OpenProof {
+            asked_at,
+            term,
+            probes,
+            ..
+        } = proof;
+        let status = self.replica.status();
+        if status.role != Role::Leader || status.term != term {
+            self.silence.reset();
+            return Vec::new();
+        }
+        let active = status.peers.iter().filter(|(_, peer)| peer.active);
+        let mut answering: BTreeSet<ReplicaId> = active.map(|(peer, _)| *peer).collect();
+        answering.insert(self.id);
+        let members: Vec<ReplicaId> = self.state.replicas().keys().copied().collect();
+        let proof = LeadingProof {
+            term,
+            asked_at: at(asked_at),
+            proven_at: at(now),
+        };
+        let voters = status.membership.voters.iter().copied();
+        self.silence
+            .proven(proof, members.iter().copied().chain(voters), &answering);
+        self.grants.lock().expect("grants").leads(at(now), term);
+        self.repair(&members, newcomers);
+        let voters = status.membership.voters;
+        let is_granted = |member: &ReplicaId| voters.contains(member) && answering.contains(member);
+        let granted = probes.into_iter();
+        granted.filter(|(member, _)| is_granted(member)).collect()
+    }
+
+    pub(super) fn repair(&mut self, members: &[ReplicaId], newcomers: &[ReplicaId]) {
+        let policy = RepairPolicy {
+            patience: at(PATIENCE),
+            minimum_members: 5,
+            maximum_members: 7,
+        };
+        let views: Vec<MemberView> = members
+            .iter()
+            .map(|replica| MemberView {
+                replica: *replica,
+                internal: addresses(*replica).internal,
+                silent_for: self.silence.of(*replica),
+            })
+            .collect();
+        let newcomers: Vec<NewcomerView> = newcomers
+            .iter()
+            .filter(|each| !members.contains(each))
+            .map(|replica| NewcomerView {
+                replica: *replica,
+                addresses: addresses(*replica),
+            })
+            .collect();
+        let planned = next_change(&views, &newcomers, self.state.change(), &policy);
+        if let Some(planned) = planned
+            && !members.is_empty()
+        {
+            self.propose(&ReplicasCommand::Begin {
+                kind: planned.kind,
+                addresses: planned.addresses,
+            });
+        }
+    }
+
+    /// The share of a quota that this node may spend.
+    pub(super) fn share(&self, now: u64) -> f64 {
+        let voters = self.replica.status().membership.voters;
+        if !self.hold.holds(at(now)) || !voters.contains(&self.id) {
+            return 0.0;
+        }
+        1.0 / (voters.len() + 1) as f64
+    }
+}
