Gateway: a second try waits for a token while no control replica has a part

With all of control killed for a second every request of a tenant with a quota was refused at once, also a caller's last try. A second try now asks again for two fifths of its caller's time, after 50, 100 and then every 200 ms; a first try is still told at once, since it may go to another gateway.

--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod refusal;
 mod single;
 mod sub_request;
+mod token_wait;
 mod tokens;
 mod wait;
 
@@ -38,6 +39,7 @@
     first_routes::find_route_or_wait,
     lateness::AnswerBody,
     refusal::Refusal,
+    token_wait::TokenWait,
     tokens::take_token,
 };
 use crate::{
@@ -120,7 +122,17 @@
     }
     if let Some(tenant) = caller.tenant() {
         let shed_share = shed_share(gateway, class, throttling);
-        let tokened = take_token(gateway, tenant, route, &request_id, shed_share, caller_try).await;
+        let wait = TokenWait::new(caller_try, caller_time(gateway, &head));
+        let tokened = take_token(
+            gateway,
+            tenant,
+            route,
+            &request_id,
+            shed_share,
+            caller_try,
+            wait,
+        )
+        .await;
         if tokened.is_err() {
             accepted_metrics(gateway, &planned, Outcome::Refused, arrived);
         }
--- a/crates/sablehaven-gateway/src/request/tokens.rs
+++ b/crates/sablehaven-gateway/src/request/tokens.rs
@@ -7,8 +7,9 @@
 
 use hyper::header::HeaderValue;
 use sablehaven_types::{Distance, Route, Tenant, TokenRequest};
+use tokio::time::sleep;
 
-use super::{id_text, refusal::Refusal};
+use super::{id_text, refusal::Refusal, token_wait::TokenWait};
 use crate::{
     control_links::ControlLinks,
     gateway::Gateway,
@@ -33,7 +34,7 @@
 }
 
 /// Takes a token for a request of the tenant. `shed_share` is the part of such requests that this gateway refuses lately
-/// for want of room, 0 to 1.
+/// for want of room, 0 to 1; `wait` says for how long replicas are asked again while none has a part.
 ///
 /// # Errors
 /// [`Refusal::OverQuota`] where the tenant's quota is used up, [`Refusal::TooMany`] where there is too little room and it
@@ -45,6 +46,7 @@
     request_id: &HeaderValue,
     shed_share: f64,
     caller_try: CallerTry,
+    wait: TokenWait,
 ) -> Result<(), Refusal> {
     let shed_permille = (shed_share * 1_000.0).round() as u16;
     let is_pressed = shed_permille > 0;
@@ -58,14 +60,21 @@
     }
     let started = Instant::now();
     let aim = Duration::from_millis(route.aim_ms);
-    let ask = TokenAsk {
-        tenant: &tenant.name,
-        shed_permille,
-        patience: aim.mul_f64(PATIENCE_PART_OF_AIM),
-        is_resend: caller_try == CallerTry::Resend,
-        limit: aim.mul_f64(WAIT_PART_OF_AIM),
+    let ask = || {
+        let ask = TokenAsk {
+            tenant: &tenant.name,
+            shed_permille,
+            patience: aim.mul_f64(PATIENCE_PART_OF_AIM),
+            is_resend: caller_try == CallerTry::Resend,
+            limit: aim.mul_f64(WAIT_PART_OF_AIM),
+        };
+        gateway.tokens.ask(&gateway.control_links, ask)
+    };
+    let waited = if tenant.quota.is_some() {
+        ask_again(wait, ask).await
+    } else {
+        ask().await
     };
-    let waited = gateway.tokens.ask(&gateway.control_links, ask).await;
     let seconds = started.elapsed().as_secs_f64();
     gateway.metrics.token_wait_seconds.observe(seconds);
     let decided = decide(waited, tenant, shed_share, rand::random());
@@ -76,6 +85,24 @@
     decided
 }
 
+/// Asks until some replica decides or the wait is over.
+async fn ask_again<Asked: Future<Output = Waited>>(
+    mut wait: TokenWait,
+    ask: impl Fn() -> Asked,
+) -> Waited {
+    let started = Instant::now();
+    loop {
+        let waited = ask().await;
+        if waited != Waited::Undecided {
+            return waited;
+        }
+        let Some(pause) = wait.next_pause(started.elapsed()) else {
+            return waited;
+        };
+        sleep(pause).await;
+    }
+}
+
 /// What becomes of a request by what replicas said. Where none did, the gateway refuses by lot as it does without
 /// tenants, and whatever needs a token of a quota. `draw` is uniform, 0 to 1.
 fn decide(waited: Waited, tenant: &Tenant, shed_share: f64, draw: f64) -> Result<(), Refusal> {
--- a/crates/sablehaven-gateway/src/request/tokens/tests.rs
+++ b/crates/sablehaven-gateway/src/request/tokens/tests.rs
@@ -1,6 +1,9 @@
+use std::{cell::Cell, future::ready};
+
 use sablehaven_types::{AllowedRegions, RequestQuota};
 
 use super::*;
+use crate::resends::CallerTry;
 
 fn tenant(quota: Option<RequestQuota>) -> Tenant {
     Tenant {
@@ -39,3 +42,33 @@
     let refused = decide(Waited::Undecided, &unlimited, 0.7, 0.5);
     assert_eq!(refused, Err(Refusal::TooMany));
 }
+
+/// Asks replicas that have no part the first `without` times.
+async fn asked_times(caller_try: CallerTry, without: u32) -> (Waited, u32) {
+    let asked = Cell::new(0);
+    let wait = TokenWait::new(caller_try, Some(Duration::from_secs(1)));
+    let waited = ask_again(wait, || {
+        asked.set(asked.get() + 1);
+        ready(if asked.get() > without {
+            Waited::Granted
+        } else {
+            Waited::Undecided
+        })
+    });
+    (waited.await, asked.get())
+}
+
+#[tokio::test]
+async fn a_second_try_asks_until_a_replica_has_a_part_again() {
+    let waited = asked_times(CallerTry::Resend, 2).await;
+    assert_eq!(waited, (Waited::Granted, 3));
+}
+
+#[tokio::test]
+async fn a_first_try_asks_once_and_a_second_one_not_for_ever() {
+    let waited = asked_times(CallerTry::First, 1).await;
+    assert_eq!(waited, (Waited::Undecided, 1));
+    let (waited, asked) = asked_times(CallerTry::Resend, 1_000).await;
+    assert_eq!(waited, Waited::Undecided);
+    assert!((2..=4).contains(&asked), "{asked}");
+}
