--- a/crates/sablehaven-gateway/src/request/attempt_plan.rs
+++ b/crates/sablehaven-gateway/src/request/attempt_plan.rs
@@ -6,12 +6,9 @@
 
 use crate::servers::budget::BudgetLevel;
 
-/// Share of a budget that hedges leave: a hedge saves time, a retry saves the answer. Half, so that hedges never
-/// take more than retries can.
-const HEDGE_RESERVE: f64 = 0.5;
-/// Share of a budget that is left by attempts that only complete an answer which could do without them. Less than
-/// hedges leave, for a part that failed does not come by itself.
-const COMPLETION_RESERVE: f64 = 0.25;
+/// Share of a budget that is left by attempts without which the query is answered too: those that hasten it, and those
+/// that only complete it. Where nothing fails, most of the budget is still theirs.
+const DECIDING_RESERVE: f64 = 0.25;
 
 /// What an extra attempt is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,8 +26,7 @@
     pub(super) fn reserve(self) -> f64 {
         match self {
             Self::Decides => 0.0,
-            Self::Completes => COMPLETION_RESERVE,
-            Self::Hastens => HEDGE_RESERVE,
+            Self::Completes | Self::Hastens => DECIDING_RESERVE,
         }
     }
 }
