Stand-in servers: one that a request ends refuses connections before it closes those that are open

The stand-in closed the connection of the deadly request first and its listener when that task ran next, so the gateway's look found the address still accepting. A process that ends closes all of its sockets. Change: open connections of a stand-in that crashes close when its listener has. No test or check is changed.

--- a/testing/sablehaven-standins/src/routed/server.rs
+++ b/testing/sablehaven-standins/src/routed/server.rs
@@ -55,6 +55,9 @@
     /// The request that it does not survive.
     deadly: Mutex<Option<DeadlyRequest>>,
     crashed: CancellationToken,
+    /// It has crashed and refuses connections. Open ones close only then: when a process ends, all of its sockets close, and
+    /// nobody who sees one closed finds another one open.
+    refuses: CancellationToken,
     seen: Mutex<Vec<SeenRequest>>,
     /// Connections that the other side closed while a request was being worked on.
     abandoned: AtomicU64,
@@ -89,6 +92,7 @@
             behaviour: Mutex::new(behaviour),
             deadly: Mutex::default(),
             crashed: CancellationToken::new(),
+            refuses: CancellationToken::new(),
             seen: Mutex::default(),
             abandoned: AtomicU64::new(0),
             connections: AtomicU64::new(0),
@@ -153,7 +157,11 @@
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         let accepted = tokio::select! {
-            () = shared.crashed.cancelled() => return,
+            () = shared.crashed.cancelled() => {
+                drop(listener);
+                shared.refuses.cancel();
+                return;
+            }
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
@@ -164,7 +172,7 @@
         tokio::spawn(async move {
             shared.open_connections.fetch_add(1, Ordering::SeqCst);
             tokio::select! {
-                () = shared.crashed.cancelled() => {}
+                () = shared.refuses.cancelled() => {}
                 () = serve(stream, number, Arc::clone(&shared)) => {}
             }
             shared.open_connections.fetch_sub(1, Ordering::SeqCst);
@@ -189,6 +197,7 @@
         if let Some(deadly) = deadly {
             sleep(deadly.work).await;
             shared.crashed.cancel();
+            shared.refuses.cancelled().await;
             return;
         }
         if let Behaviour::Answer { work, .. } = &behaviour
