Gateway: a request is received, admitted, accepted and answered in steps of their own

It now calls `receive`, `refuse_quarantined`, `admit`, `accept` and `ask_servers` in the order in which their parts stood there. Admission and throttling move to `request/admit.rs`, what a request's head says of its caller to `request/head.rs`, the look-up of a route to `first_routes.rs`. `take_token` takes one `TokenNeed` in place of seven arguments. The part of its caller's time for which a second try waits stood twice and stands once. A place is free again after the request's other state is dropped, as before.

--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -1,9 +1,11 @@
 //! The way of one request: route, admission, servers, answer.
 
+mod admit;
 mod attempt_plan;
 mod authorize;
 mod first_routes;
 mod gather;
+mod head;
 mod headers;
 mod hedge_timer;
 mod in_flight;
@@ -24,41 +26,44 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{
-    Request, Response,
-    body::Incoming,
-    header::{HOST, HeaderValue},
-    http::request::Parts,
-};
+use hyper::{Request, Response, body::Incoming, header::HeaderValue, http::request::Parts};
 use sablehaven_http::WholeBody;
-use sablehaven_routing::crash_table::Standing;
-use sablehaven_types::{Route, RouteTarget, ServiceName, Tenant, WeightedService};
+use sablehaven_types::{RouteTarget, ServiceName, Tenant, WeightedService};
 
 use self::{
+    admit::{admit, note_answer, refuse_quarantined},
     authorize::{find_again, find_caller},
     first_routes::find_route_or_wait,
+    head::{caller_try, host, time_left},
     lateness::AnswerBody,
     refusal::Refusal,
-    token_wait::TokenWait,
-    tokens::take_token,
 };
 use crate::{
-    admission::{AdmissionClass, Admitted, NotAdmitted},
-    caller::CallerStanding,
+    caller::{Caller, CallerStanding},
     crashes::{CrashWatch, fingerprint},
     gateway::Gateway,
     metrics::Outcome,
     pace::Pace,
     resends::CallerTry,
     route_table::PlannedRoute,
-    servers::{KindOfRequest, OutgoingRequest},
+    servers::OutgoingRequest,
     serving_regions::ServingRegions,
-    throttle::ThrottleClass,
-    urgency::Urgency,
 };
 
-/// Time before the caller's own deadline at which it is told that there is no answer.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
+/// A request that was read whole, before it is admitted.
+struct ReceivedRequest {
+    arrived: Instant,
+    head: Parts,
+    body: Bytes,
+    request_id: HeaderValue,
+    planned: Rc<PlannedRoute>,
+    /// Its caller when the request came.
+    caller: Caller,
+    caller_try: CallerTry,
+    /// See [`Accepted::spent`].
+    spent: Duration,
+    crash_watch: Rc<CrashWatch>,
+}
 
 /// A request of a caller that has a route; the version of the routes stays as it was when it came.
 pub(crate) struct Accepted {
@@ -88,6 +93,26 @@
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    let received = receive(gateway, request).await?;
+    refuse_quarantined(gateway, &received)?;
+    // Its place is free again once the request is answered or its caller has left.
+    let _admitted = admit(gateway, &received).await?;
+    let accepted = accept(gateway, received)?;
+    let answer = ask_servers(&accepted).await;
+    let answer = answer.map_err(|refusal| accepted.explain(refusal));
+    let outcome = answer
+        .as_ref()
+        .map_or(Outcome::Failed, |(_, outcome)| *outcome);
+    note_answer(&accepted, outcome);
+    record_outcome(gateway, &accepted.planned, outcome, accepted.arrived);
+    answer.map(|(response, _)| response)
+}
+
+/// Finds a request's route and its caller, and reads its body.
+async fn receive(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+) -> Result<ReceivedRequest, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     // Only a gateway that has yet to start needs to know before the caller is known: what callers without a key send says
@@ -104,77 +129,55 @@
         fingerprint(&head, host(&head).unwrap_or_default(), &body),
         Rc::clone(&gateway.crashes),
     );
-    refuse_quarantined(gateway, &crash_watch, &request_id)?;
-    let route = planned.route();
-    let kind = planned.profile.kind();
-    let urgency = urgency(route, caller.tenant());
-    let throttling = throttling(caller.tenant(), caller_try);
-    let class = throttle_class(route, kind, urgency);
-    let admitted = admit(gateway, route, class, throttling, caller_try);
-    if let Err(reason) = &admitted {
-        log::warn!(
-            event = "refused", request:% = id_text(&request_id), reason:% = reason,
-            open = gateway.admission.open(), route = route.name.as_str();
-            "request"
-        );
-        accepted_metrics(gateway, &planned, Outcome::Refused, arrived);
-        return Err(Refusal::TooMany);
-    }
-    if let Some(tenant) = caller.tenant() {
-        let shed_share = shed_share(gateway, class, throttling);
-        let wait = TokenWait::new(caller_try, caller_time(gateway, &head));
-        let tokened = take_token(
-            gateway,
-            tenant,
-            route,
-            &request_id,
-            shed_share,
-            caller_try,
-            wait,
-        )
-        .await;
-        if tokened.is_err() {
-            accepted_metrics(gateway, &planned, Outcome::Refused, arrived);
-        }
-        tokened?;
-    }
-    let caller = find_again(gateway, &planned, &head, caller)?;
+    Ok(ReceivedRequest {
+        arrived,
+        head,
+        body,
+        request_id,
+        planned,
+        caller,
+        caller_try,
+        spent,
+        crash_watch,
+    })
+}
+
+/// Makes a request ready to be sent to servers, for its caller as it stands now.
+fn accept(gateway: &Rc<Gateway>, received: ReceivedRequest) -> Result<Accepted, Refusal> {
+    let ReceivedRequest { head, planned, .. } = received;
+    let caller = find_again(gateway, &planned, &head, received.caller)?;
     let regions = regions(&planned, caller.tenant());
     let mut headers = headers::passed_on(&head.headers, &gateway.names);
     caller.mark(&mut headers, &gateway.names);
-    let deadline = arrived + time_left(gateway, &planned, &head);
+    let deadline = received.arrived + time_left(gateway, &planned, &head);
     let outgoing = Rc::new(OutgoingRequest {
         caller,
         method: head.method,
         target: head.uri,
         headers,
-        request_id,
-        body,
+        request_id: received.request_id,
+        body: received.body,
         deadline,
         profile: Rc::clone(&planned.profile),
-        pace: Pace::new(parts(&route.target)),
-        crash_watch,
+        pace: Pace::new(parts(&planned.route().target)),
+        crash_watch: received.crash_watch,
     });
-    let accepted = Accepted {
+    Ok(Accepted {
         gateway: Rc::clone(gateway),
-        planned: Rc::clone(&planned),
+        planned,
         regions,
         outgoing,
-        arrived,
-        spent,
-    };
-    let answer = match &route.target {
-        RouteTarget::Service(service) => answer_single(&accepted, service).await,
-        RouteTarget::Split(parts) => answer_single(&accepted, draw(parts, rand::random())).await,
-        RouteTarget::Gather(gather) => gather::answer(&accepted, gather).await,
-    };
-    let answer = answer.map_err(|refusal| accepted.explain(refusal));
-    let outcome = answer
-        .as_ref()
-        .map_or(Outcome::Failed, |(_, outcome)| *outcome);
-    note_answer(&accepted, outcome);
-    accepted_metrics(gateway, &planned, outcome, arrived);
-    answer.map(|(response, _)| response)
+        arrived: received.arrived,
+        spent: received.spent,
+    })
+}
+
+async fn ask_servers(accepted: &Accepted) -> Result<(Response<AnswerBody>, Outcome), Refusal> {
+    match &accepted.planned.route().target {
+        RouteTarget::Service(service) => answer_single(accepted, service).await,
+        RouteTarget::Split(parts) => answer_single(accepted, draw(parts, rand::random())).await,
+        RouteTarget::Gather(gather) => gather::answer(accepted, gather).await,
+    }
 }
 
 async fn answer_single(
@@ -190,110 +193,6 @@
     response.map(|body| AnswerBody::new(body, None))
 }
 
-/// Refuses a request that is known to crash servers, before it takes anybody's place.
-fn refuse_quarantined(
-    gateway: &Gateway,
-    watch: &CrashWatch,
-    request_id: &HeaderValue,
-) -> Result<(), Refusal> {
-    let Standing::Quarantined { left } = watch.standing(gateway.clock.now()) else {
-        return Ok(());
-    };
-    gateway.metrics.quarantined_requests.inc();
-    log::warn!(
-        event = "refused", request:% = id_text(request_id), reason = "it has crashed servers",
-        target = watch.fingerprint_text().as_str(), left_ms = left.as_millis() as u64;
-        "request"
-    );
-    Err(Refusal::Quarantined { left })
-}
-
-/// Who decides which requests are refused while most of their kind come to nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Throttling {
-    /// A request that was refused already passes.
-    Nobody,
-    /// Where nobody knows whose it is, this gateway by lot.
-    Lot,
-    /// The control replica that is asked for a token, by what the tenant has had.
-    Replica,
-}
-
-fn throttling(tenant: Option<&Tenant>, caller_try: CallerTry) -> Throttling {
-    match (caller_try, tenant) {
-        (CallerTry::First, None) => Throttling::Lot,
-        (CallerTry::First, Some(_)) => Throttling::Replica,
-        _ => Throttling::Nobody,
-    }
-}
-
-/// The share of such requests of tenants that is to be refused.
-fn shed_share(gateway: &Gateway, class: ThrottleClass<'_>, throttling: Throttling) -> f64 {
-    if throttling != Throttling::Replica {
-        return 0.0;
-    }
-    let throttle = gateway.throttle.borrow();
-    throttle.share(gateway.clock.now(), class)
-}
-
-/// A place for a request, unless there are too many or most of its kind come to nothing.
-fn admit(
-    gateway: &Gateway,
-    route: &Route,
-    class: ThrottleClass<'_>,
-    throttling: Throttling,
-    caller_try: CallerTry,
-) -> Result<Admitted, NotAdmitted> {
-    let now = gateway.clock.now();
-    if throttling == Throttling::Lot {
-        let throttle = gateway.throttle.borrow();
-        if !throttle.may_pass(now, class, rand::random()) {
-            return Err(NotAdmitted::Throttled);
-        }
-    }
-    let class = AdmissionClass {
-        urgency: class.urgency,
-        kind: class.kind,
-        due: now + Duration::from_millis(route.aim_ms),
-        caller_try,
-    };
-    gateway.admission.admit(now, class)
-}
-
-/// Whether the caller asks for the first time, by the time that it says it has left, and what it spent before
-/// if so. The aim of a second try has passed or nearly so; it is answered as if it were a first.
-fn caller_try(gateway: &Gateway, head: &Parts) -> (CallerTry, Duration) {
-    let Some(left) = caller_time(gateway, head) else {
-        return (CallerTry::First, Duration::ZERO);
-    };
-    let path = head.uri.path();
-    let folder = path.rsplit_once('/').map_or("", |(folder, _)| folder);
-    let place = format!("{}{folder}", host(head).unwrap_or_default());
-    let now = gateway.clock.now();
-    let mut resends = gateway.resends.borrow_mut();
-    match resends.observe(now, &place, left) {
-        CallerTry::First => (CallerTry::First, resends.spent(&place, left)),
-        CallerTry::Resend => (CallerTry::Resend, Duration::ZERO),
-    }
-}
-
-/// The time for which the caller waits, where it says so.
-fn caller_time(gateway: &Gateway, head: &Parts) -> Option<Duration> {
-    let value = head.headers.get(&gateway.names.deadline_ms)?;
-    let text = value.to_str().ok()?;
-    text.trim().parse().ok().map(Duration::from_millis)
-}
-
-fn host(head: &Parts) -> Option<&str> {
-    let header = head.headers.get(HOST);
-    let named = header.and_then(|host| host.to_str().ok());
-    named.or_else(|| head.uri.host())
-}
-
-fn urgency(route: &Route, tenant: Option<&Tenant>) -> Urgency {
-    Urgency::new(tenant.map(|tenant| tenant.priority), route.priority)
-}
-
 /// Where a request may be served: where both its route and its tenant allow.
 fn regions(planned: &PlannedRoute, tenant: Option<&Tenant>) -> ServingRegions {
     match tenant {
@@ -302,39 +201,8 @@
     }
 }
 
-fn throttle_class(route: &Route, kind: KindOfRequest, urgency: Urgency) -> ThrottleClass<'_> {
-    ThrottleClass {
-        kind,
-        urgency,
-        service: route.first_service(),
-    }
-}
-
-/// Tells the throttle of an answer, and whether it came in time. One whose request is known to crash servers says
-/// nothing of how pressed they are, and must not have the others of its kind refused.
-fn note_answer(accepted: &Accepted, outcome: Outcome) {
-    let Accepted {
-        gateway,
-        planned,
-        outgoing,
-        arrived,
-        ..
-    } = accepted;
-    let now = gateway.clock.now();
-    if outgoing.crash_watch.has_crashed_servers(now) {
-        return;
-    }
-    let route = planned.route();
-    let aim = Duration::from_millis(route.aim_ms);
-    let is_served = matches!(outcome, Outcome::Whole | Outcome::Partial);
-    let is_useful = is_served && arrived.elapsed() <= aim;
-    let urgency = urgency(route, outgoing.caller.tenant());
-    let class = throttle_class(route, planned.profile.kind(), urgency);
-    let mut throttle = gateway.throttle.borrow_mut();
-    throttle.answered(now, class, is_useful);
-}
-
-fn accepted_metrics(gateway: &Gateway, planned: &PlannedRoute, outcome: Outcome, arrived: Instant) {
+/// Counts a request that has ended, and the time that it took.
+fn record_outcome(gateway: &Gateway, planned: &PlannedRoute, outcome: Outcome, arrived: Instant) {
     let is_gather = matches!(planned.route().target, RouteTarget::Gather(_));
     let seconds = arrived.elapsed().as_secs_f64();
     gateway.metrics.request_ended(is_gather, outcome, seconds);
@@ -348,17 +216,6 @@
     }
 }
 
-fn find_route(gateway: &Gateway, head: &Parts) -> Result<Rc<PlannedRoute>, Refusal> {
-    let table = gateway.routes().filter(|_| gateway.has_routes());
-    let Some(table) = table else {
-        let age = gateway.clock.now();
-        return Err(Refusal::NoRoutes { age });
-    };
-    let host = host(head).ok_or(Refusal::NoHost)?;
-    let found = table.find(host, head.uri.path());
-    found.cloned().ok_or(Refusal::UnknownRoute)
-}
-
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
@@ -367,15 +224,6 @@
     }
 }
 
-/// The time for which a request is held: the route's, or the caller's own where it is shorter.
-fn time_left(gateway: &Gateway, planned: &PlannedRoute, head: &Parts) -> Duration {
-    let held = Duration::from_millis(planned.route().timeout_ms);
-    match caller_time(gateway, head) {
-        Some(caller) => held.min(caller.saturating_sub(DEADLINE_MARGIN)),
-        None => held,
-    }
-}
-
 /// The part of a split that a draw (0 to 1) falls on.
 fn draw(parts: &[WeightedService], draw: f64) -> &ServiceName {
     let sum: f64 = parts.iter().map(|part| part.weight).sum();
--- a/crates/sablehaven-gateway/src/request/token_wait.rs
+++ b/crates/sablehaven-gateway/src/request/token_wait.rs
@@ -6,10 +6,9 @@
 
 use std::time::Duration;
 
+use super::head::RESEND_WAIT_SHARE;
 use crate::resends::CallerTry;
 
-/// Part of its caller's time for which a second try waits.
-const WAITED_SHARE: f64 = 0.4;
 /// Time before replicas are asked again for the first time; doubled each time, so that many requests that wait do not
 /// press replicas that have just started.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -27,7 +26,7 @@
     /// The wait of a request whose caller has `left`, where it says so.
     pub(super) fn new(caller_try: CallerTry, left: Option<Duration>) -> Self {
         let limit = match (caller_try, left) {
-            (CallerTry::Resend, Some(left)) => left.mul_f64(WAITED_SHARE),
+            (CallerTry::Resend, Some(left)) => left.mul_f64(RESEND_WAIT_SHARE),
             _ => Duration::ZERO,
         };
         Self {
--- a/crates/sablehaven-gateway/src/request/tokens.rs
+++ b/crates/sablehaven-gateway/src/request/tokens.rs
@@ -33,21 +33,27 @@
     }
 }
 
-/// Takes a token for a request of the tenant. `shed_share` is the part of such requests that this gateway refuses lately
-/// for want of room, 0 to 1; `wait` says for how long replicas are asked again while none has a part.
+/// A request that needs a token of its tenant's quota.
+pub(super) struct TokenNeed<'a> {
+    pub(super) tenant: &'a Tenant,
+    pub(super) route: &'a Route,
+    pub(super) request_id: &'a HeaderValue,
+    /// Share of such requests that this gateway refuses lately for want of room, 0 to 1.
+    pub(super) shed_share: f64,
+    pub(super) caller_try: CallerTry,
+    /// How long replicas are asked again while none has a part of the quotas.
+    pub(super) wait: TokenWait,
+}
+
+/// Takes a token for a request.
 ///
 /// # Errors
 /// [`Refusal::OverQuota`] where the tenant's quota is used up, [`Refusal::TooMany`] where there is too little room and it
 /// has had its fair share, [`Refusal::NoTokens`] where no control replica says so in time.
-pub(super) async fn take_token(
-    gateway: &Gateway,
-    tenant: &Tenant,
-    route: &Route,
-    request_id: &HeaderValue,
-    shed_share: f64,
-    caller_try: CallerTry,
-    wait: TokenWait,
-) -> Result<(), Refusal> {
+pub(super) async fn take_token(gateway: &Gateway, need: TokenNeed<'_>) -> Result<(), Refusal> {
+    let TokenNeed {
+        tenant, shed_share, ..
+    } = need;
     let shed_permille = (shed_share * 1_000.0).round() as u16;
     let is_pressed = shed_permille > 0;
     if tenant.quota.is_none() && !is_pressed {
@@ -59,19 +65,19 @@
         return Ok(());
     }
     let started = Instant::now();
-    let aim = Duration::from_millis(route.aim_ms);
+    let aim = Duration::from_millis(need.route.aim_ms);
     let ask = || {
         let ask = TokenAsk {
             tenant: &tenant.name,
             shed_permille,
             patience: aim.mul_f64(PATIENCE_PART_OF_AIM),
-            is_resend: caller_try == CallerTry::Resend,
+            is_resend: need.caller_try == CallerTry::Resend,
             limit: aim.mul_f64(WAIT_PART_OF_AIM),
         };
         gateway.tokens.ask(&gateway.control_links, ask)
     };
     let waited = if tenant.quota.is_some() {
-        ask_again(wait, ask).await
+        ask_again(need.wait, ask).await
     } else {
         ask().await
     };
@@ -80,7 +86,7 @@
     let decided = decide(waited, tenant, shed_share, rand::random());
     match &decided {
         Ok(()) => gateway.metrics.tokens_spent("asked"),
-        Err(refusal) => refused(gateway, tenant, route, request_id, refusal),
+        Err(refusal) => note_refusal(gateway, &need, refusal),
     }
     decided
 }
@@ -116,13 +122,8 @@
     }
 }
 
-fn refused(
-    gateway: &Gateway,
-    tenant: &Tenant,
-    route: &Route,
-    request_id: &HeaderValue,
-    refusal: &Refusal,
-) {
+/// Counts and logs a refusal.
+fn note_refusal(gateway: &Gateway, need: &TokenNeed<'_>, refusal: &Refusal) {
     let reason = match refusal {
         Refusal::OverQuota { .. } => "over_quota",
         Refusal::NoTokens => "no_tokens",
@@ -130,8 +131,8 @@
     };
     gateway.metrics.tokens_refused(reason);
     log::warn!(
-        event = "refused", request:% = id_text(request_id), tenant = tenant.name.as_str(),
-        reason:% = refusal, route = route.name.as_str();
+        event = "refused", request:% = id_text(need.request_id), tenant = need.tenant.name.as_str(),
+        reason:% = refusal, route = need.route.name.as_str();
         "request"
     );
 }
