--- a/crates/sablehaven-quota/src/allowance.rs
+++ b/crates/sablehaven-quota/src/allowance.rs
@@ -2,25 +2,28 @@
 //!
 //! # Why no window goes over the bound
 //!
-//! A request counts in a window where it was sent by its caller and arrived at a server within it. Its token is spent between the two
-//! and is never older than `token_life` since it was asked for, so it was granted in the window or in that life before it: within a
-//! *span* of window plus life. What all parts grant in a span is what they held at its start, what refilled, and
-//! what they received on loan, less what they lent.
+//! A request counts in a window where it was sent by its caller and arrived at a server within it. Its token is spent
+//! between the two and is never older than `token_life` since it was asked for, so it was granted in the window or in that
+//! life before it: within a *span* of window plus life. What all parts grant in a span is what they held at its start,
+//! what refilled, and what they received on loan, less what they lent.
 //!
-//! - A part that lends keeps the room of what it lent blocked for the life of a loan: its tokens and that room never exceed its depth.
-//! - A loan is received once, where it answers an open request that is no older than the life of a loan. It was lent after that
-//!   request, so the lender's room is still blocked. A lender that was restarted meanwhile gains nothing for that time.
+//! - A part that lends keeps the room of what it lent blocked for the life of a loan: its tokens and that room never
+//!   exceed its depth.
+//! - A loan is received once, where it answers an open request that is no older than the life of a loan. It was lent after
+//!   that request, so the lender's room is still blocked. A lender that was restarted meanwhile gains nothing for that
+//!   time.
 //!
 //! At any time, therefore, all tokens that are held or may still be received are no more than the sum of the depths.
 //! The parts grant at most that sum and what refills over a span, however late, lost or doubled loans are. Each part keeps
 //! `depth + rate * span <= bound / parts`, whatever number of parts and quota it knows of; where replicas differ in these,
 //! the greater bound holds while the group changes by one member at a time.
 //!
-//! A part whose depth is below one token grants none. That is where the bound leaves fewer tokens beyond the rate than there are
-//! parts: the tolerance's slack has to be at least the number of parts for quotas without a burst.
+//! A part whose depth is below one token grants none. That is where the bound leaves fewer tokens beyond the rate than
+//! there are parts: the tolerance's slack has to be at least the number of parts for quotas without a burst.
 //!
-//! When a part gets less depth, what it lacks to be full stays lacking: otherwise it could grant its former depth just before
-//! and refill at a higher rate just after. After a start, nothing is held: what was granted before counts in the same span.
+//! When a part gets less depth, what it lacks to be full stays lacking: otherwise it could grant its former depth just
+//! before and refill at a higher rate just after. After a start, nothing is held: what was granted before counts in the
+//! same span.
 
 use std::time::Duration;
 
@@ -33,8 +36,8 @@
 /// The depth of each part covers the whole quota's demand in this time, a message and its answer between replicas: all
 /// of it can then come to one replica as loans.
 const DEPTH_FOR: Duration = Duration::from_millis(36);
-/// Least part of what the bound leaves beyond the quota's rate that goes into the depth. Demand comes in bunches, and a shallow part has
-/// nothing to lend.
+/// Least part of what the bound leaves beyond the quota's rate that goes into the depth. Demand comes in bunches, and a
+/// shallow part has nothing to lend.
 const DEPTH_SHARE: f64 = 0.6;
 
 /// Time for which a granted token is good. A token that is spent late counts in a window that began after it was
--- a/crates/sablehaven-quota/src/bucket.rs
+++ b/crates/sablehaven-quota/src/bucket.rs
@@ -141,6 +141,7 @@
         promised - now
     }
 
+    /// Time in which so many tokens come; twice the longest wait at the most.
     fn time_for(&self, tokens: f64) -> Duration {
         let seconds = tokens / self.allowance.per_second;
         Duration::try_from_secs_f64(seconds)
@@ -148,6 +149,7 @@
             .min(LONGEST_WAIT * 2)
     }
 
+    /// Adds what refilled until now. The room of a loan refills from when the loan can no longer arrive.
     fn fill(&mut self, now: Duration) {
         while let Some((until, _)) = self.lent.front().copied() {
             if until > now {
@@ -167,6 +169,7 @@
         self.filled_at = self.filled_at.max(time);
     }
 
+    /// Room of tokens that were lent and may still be on their way.
     fn blocked(&self) -> f64 {
         let lent: u32 = self.lent.iter().map(|(_, tokens)| tokens).sum();
         f64::from(lent)
--- a/crates/sablehaven-quota/src/fair_share.rs
+++ b/crates/sablehaven-quota/src/fair_share.rs
@@ -1,9 +1,9 @@
 //! Who passes when there is room for a part of the requests only.
 //!
-//! The load is too little room at servers while tenants ask unequally. Each tenant passes up to one level of demand relative to its
-//! weight (max-min fairness); the level is where the part that the gateway can bear passes. Since that level is at least
-//! the bearable part of the mean load, a tenant at up to four times the mean load has at least a quarter of what the mean tenant
-//! has of its demand.
+//! The load is too little room at servers while tenants ask unequally. Each tenant passes up to one level of demand
+//! relative to its weight (max-min fairness); the level is where the part that the gateway can bear passes. Since that
+//! level is at least the bearable part of the mean load, a tenant at up to four times the mean load has at least a quarter
+//! of what the mean tenant has of its demand.
 //!
 //! A tenant's weight is its quota. One without a quota weighs as much as the mean of those that have one.
 
@@ -11,12 +11,14 @@
 
 use crate::demand::DemandRate;
 
-/// Memory of what a tenant asks for: some seconds, so that a tenant keeps its place through a pause and a burst is seen soon.
+/// Memory of what a tenant asks for: some seconds, so that a tenant keeps its place through a pause and a burst is seen
+/// soon.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(2);
-/// Requests that a tenant's estimate starts from, at the mean load. Without them, one request of a small tenant looks as a burst.
+/// Requests that a tenant's estimate starts from, at the mean load. Without them, one request of a small tenant looks
+/// like a burst.
 const PRIOR_REQUESTS: f64 = 10.0;
-/// Standard deviations by which a tenant has to be above the level before it is refused for it. What that lets pass beyond the room the
-/// gateways see, and refuse more; those that are surely above the level bear it.
+/// Standard deviations by which a tenant has to be above the level before it is refused for it. What passes beyond the
+/// room by this, gateways see, and refuse more; those that are surely above the level bear it.
 const SURE_DEVIATIONS: f64 = 2.5;
 /// The level is found anew after this time at the earliest, since that goes over all tenants.
 const LEVEL_LASTS: Duration = Duration::from_millis(200);
@@ -49,7 +51,8 @@
         (self.remembered(now) + PRIOR_REQUESTS) / weighed
     }
 
-    /// The load less what chance may have added: a tenant at its usual is not refused because some of its requests came close together.
+    /// The load less what chance may have added: a tenant at its usual is not refused because some of its requests came
+    /// close together.
     fn sure_load(&self, now: Duration, weight: f64, mean: f64) -> f64 {
         let asked = self.remembered(now);
         let by_chance = SURE_DEVIATIONS * asked.sqrt() / (asked + PRIOR_REQUESTS);
@@ -72,8 +75,9 @@
     found_at: Option<Duration>,
     mean_quota: f64,
     mean_load: f64,
-    /// Loads in ascending order, with the sums of demand up to there and of weight beyond.
+    /// In ascending order of the loads, with the sums of demand up to there and of weight beyond.
     steps: Vec<LoadStep>,
+    /// The demand of all tenants within their quotas, in requests a second.
     demand: f64,
 }
 
@@ -92,7 +96,7 @@
         found_at.is_none_or(|found_at| now.saturating_sub(found_at) >= LEVEL_LASTS)
     }
 
-    /// Takes the loads of all tenants: what each asked for and its quota.
+    /// Takes the loads of all tenants: what each asked for, and its quota in requests a second.
     pub(crate) fn refresh<'a>(
         &mut self,
         now: Duration,
@@ -116,7 +120,8 @@
         self.sum_up();
     }
 
-    /// The chance with which a request of this tenant passes when so large a part of all has to be refused.
+    /// The chance, 0 to 1, with which a request of a tenant passes while the part `shed` of all requests has to be refused,
+    /// 0 to 1 too. `quota` is the tenant's, in requests a second.
     pub(crate) fn chance(
         &self,
         now: Duration,
--- a/crates/sablehaven-quota/src/loan.rs
+++ b/crates/sablehaven-quota/src/loan.rs
@@ -1,7 +1,8 @@
 //! When a part of a tenant's quota asks another one for tokens, and what it lends.
 //!
-//! Demand is rarely spread as the parts are. A part asks ahead, before it is empty, and lends what its own demand does not need. It
-//! lends only from above the level at which it would ask itself, so that two parts never pass the same tokens back and forth.
+//! Demand is rarely spread as the parts are. A part asks ahead, before it is empty, and lends what its own demand does
+//! not need. It lends only from above the level at which it would ask itself, so that two parts never pass the same
+//! tokens back and forth.
 
 use std::time::Duration;
 
@@ -14,35 +15,37 @@
 const DEMAND_HALF_LIFE: Duration = Duration::from_millis(500);
 /// A part asks when it holds less than its demand over this time, a few round trips between distant replicas.
 const ASK_BELOW: Duration = Duration::from_millis(150);
-/// The same for demand that comes every now and then.
+/// The same for rare demand, whose requests come one by one.
 const ASK_RARELY_BELOW: Duration = Duration::from_millis(1_000);
 /// A part asks for what its demand will need in this time.
 const ASK_FOR: Duration = Duration::from_millis(250);
 /// A lender keeps what its demand needs beyond its own refill in this time, on top of the level at which it asks itself.
 const KEEP_FOR: Duration = Duration::from_millis(500);
-/// Memory of demand that comes every now and then, for asking: it has to follow demand that moves, too.
+/// Memory of rare demand, for asking: it has to follow demand that moves, too.
 const RARE_DEMAND_HALF_LIFE: Duration = Duration::from_secs(2);
-/// The estimate of rare demand, a second, that a single request does not reach.
+/// Rare demand, in requests a second, that the estimate after a single request does not reach.
 const NO_SINGLE_REQUEST: f64 = 0.45;
-/// The same for lending: a lender keeps a token for demand that it has not seen for some seconds.
+/// Memory of demand for lending: a lender keeps a token for demand that it has not seen for some seconds.
 const KEPT_DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
 /// Requests expected until the next token comes, below which a lender keeps nothing for itself.
 const NEGLIGIBLE_NEED: f64 = 0.1;
 /// A loan is expected after this time; room that demand will have made by then is counted on.
 const USUAL_ROUND_TRIP: Duration = Duration::from_millis(30);
-/// Open requests of a tenant: parts of small quotas have a token or two to lend, and one after the other they come too slowly.
+/// The most open requests of a tenant. Parts of small quotas have a token or two to lend, which come too slowly where
+/// one part is asked after the other.
 const MOST_OPEN: usize = 4;
-/// Time before the next request when a loan was empty or did not come; it doubles up to the longest.
+/// Time before the next request when a loan was empty or did not come; doubled each time.
 const EMPTY_PAUSE: Duration = Duration::from_millis(5);
+/// The longest time before the next request.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Requests in a row that brought nothing, after which no caller is kept waiting for a loan.
 const MOST_EMPTY: u32 = 10;
-/// So long they count.
+/// Time for which requests that brought nothing count.
 const EMPTY_LASTS: Duration = Duration::from_secs(1);
 /// A part without a request for this long has no need of loans.
 const NEED_LASTS: Duration = Duration::from_secs(2);
 
-/// Requests for loans are numbered in the low bits, from a salt in the others.
+/// Low bits of a number that count requests for loans; the others begin as a random salt.
 const NUMBER_BITS: u32 = 11;
 
 /// What is to be asked of another part.
@@ -97,8 +100,8 @@
         }
     }
 
-    /// Counts a request for tokens. The first `draw`, uniform from 0 to 1, decides where this replica's numbers begin, so that a
-    /// loan to the same replica before its restart answers none of its requests.
+    /// Counts a request for tokens. The first `draw`, uniform from 0 to 1, decides where this replica's numbers begin, so
+    /// that a loan to the same replica before its restart answers none of its requests.
     pub(crate) fn count(&mut self, now: Duration, wanted: u32, draw: f64) {
         if self.next_number == 0 {
             self.next_number = draw.to_bits() << NUMBER_BITS;
@@ -172,6 +175,7 @@
         (lacking / others).ceil().min(lacking).max(least) as u32
     }
 
+    /// Tokens that open requests may bring.
     fn coming(&self) -> f64 {
         self.open.iter().map(|open| f64::from(open.wanted)).sum()
     }
@@ -220,6 +224,7 @@
         bucket.lend(now, wanted, kept)
     }
 
+    /// Drops open requests whose loans would be refused by now.
     fn drop_late(&mut self, now: Duration, bucket: &TokenBucket) {
         let before = self.open.len();
         let is_late = |open: &OpenLoan| now.saturating_sub(open.asked_at) > LOAN_LIFE;
@@ -229,6 +234,7 @@
         }
     }
 
+    /// Notes a request that brought nothing, and puts off the next one.
     fn wait_longer(&mut self, now: Duration, bucket: &TokenBucket) {
         self.empty = self.empty.saturating_add(1);
         self.empty_at = now;
--- a/crates/sablehaven-quota/src/part.rs
+++ b/crates/sablehaven-quota/src/part.rs
@@ -13,7 +13,8 @@
 
 /// The most requests for loans in one call: a bound for the messages of a moment in which all tenants are short.
 const MOST_LOANS: usize = 64;
-/// The longest time for which a request is held while a loan may come: a few round trips between replicas, far below what callers wait.
+/// The longest time for which a request is held while a loan may come: a few round trips between replicas, far below
+/// what callers wait.
 const LONGEST_HOLD: Duration = Duration::from_millis(200);
 
 /// One control replica's part of all tenants' quotas. Times are any steady time of the replica.
@@ -83,15 +84,16 @@
         }
     }
 
-    /// Decides on a request that waits for a token. `draw` is uniform, 0 to 1. No token is taken for a request that is refused.
+    /// Decides on a request that waits for a token. `draw` is uniform, 0 to 1. No token is taken for a request that is
+    /// refused.
     pub fn take(&mut self, now: Duration, request: &TokenRequest, draw: f64) -> TokenVerdict {
         self.count(now, request, draw);
         self.decide(now, request, draw)
     }
 
-    /// The same, but `None` where the request is to be held, since tokens may come from other replicas within one round trip: the caller
-    /// asks again a few milliseconds later with the time that it was held, 0 at first. None is held longer than its gateway lets it
-    /// or than 200 ms, and none while the others had nothing to lend lately.
+    /// As [`QuotaPart::take`], but `None` where the request is to be held, since other replicas may lend tokens within one
+    /// round trip. The caller then asks again a few milliseconds later with the time `held` so far, 0 at first. None is
+    /// held for longer than its gateway allows or than 200 ms, and none while the others had nothing to lend lately.
     pub fn take_or_hold(
         &mut self,
         now: Duration,
@@ -158,9 +160,9 @@
         }
     }
 
-    /// What is to be asked of other replicas: tokens of the tenants whose part is used up, or soon will be, while requests come.
-    /// A request goes to one other replica; a tenant's numbers are consecutive, so that the number, modulo the others, takes
-    /// each in turn. To be called every few milliseconds.
+    /// What is to be asked of other replicas: tokens of the tenants whose part is used up, or soon will be, while requests
+    /// come. Each request goes to one other replica. A tenant's numbers are consecutive, so that the number modulo the
+    /// count of other replicas takes each in turn. To be called every few milliseconds.
     pub fn loans_wanted(&mut self, now: Duration) -> Vec<LoanRequest> {
         let mut requests = Vec::new();
         for _ in 0..self.short.len() {
@@ -188,8 +190,8 @@
         requests
     }
 
-    /// Lends what this part can spare. A loan of no tokens tells the other one to ask elsewhere; `None` while this replica has
-    /// no part.
+    /// Lends what this part can spare. A loan of no tokens tells the other one to ask elsewhere; `None` while this replica
+    /// has no part.
     pub fn lend(&mut self, now: Duration, request: &LoanRequest) -> Option<TokenLoan> {
         let part = self.tenants.get_mut(&request.tenant)?;
         let tokens = part.lend(now, request.wanted)?;
--- a/crates/sablehaven-quota/src/stock.rs
+++ b/crates/sablehaven-quota/src/stock.rs
@@ -65,7 +65,8 @@
         Some(asked_at)
     }
 
-    /// How many tokens to ask for, that of the request that waits included: what the tenant will need here within the tokens' life.
+    /// How many tokens to ask for, that of the request that waits included: what the tenant will need here within the
+    /// tokens' life.
     pub fn wanted(&mut self, now: Duration, tenant: &TenantName) -> u32 {
         if self.life.is_zero() {
             return 1;
@@ -110,7 +111,7 @@
         self.stock_of(now, tenant).hold(returned);
     }
 
-    /// Tenants that the stock knows of.
+    /// The number of tenants that the stock knows of.
     pub fn tenants(&self) -> usize {
         self.tenants.len()
     }
