Control: plainer names around the quotas

`LoanCounter`, which counts nothing, is `LoanHandler`; a removal that is known to be out is a `KnownRemoval` in place of a tuple of two numbers and a time; the two sends of a probe are one loop; `ask` says when it asks all others (half of an election timeout since the last proof, not a whole one).

--- a/crates/sablehaven-control/src/driver/removal.rs
+++ b/crates/sablehaven-control/src/driver/removal.rs
@@ -16,8 +16,17 @@
     grants: Arc<Mutex<PartGrants>>,
     /// Time for which a member may hold its part without a word of a leader.
     patience: Duration,
-    /// The term, the change whose member is out, and since when this leader knows.
-    known_out: Option<(u64, u64, Duration)>,
+    known_out: Option<KnownRemoval>,
+}
+
+/// A member that is known to be out of every group.
+struct KnownRemoval {
+    /// The term of the leader that knows.
+    term: u64,
+    /// The number of the change that takes the member out.
+    change: u64,
+    /// Since when the leader knows.
+    since: Duration,
 }
 
 impl RemovalWatch {
@@ -48,14 +57,16 @@
         if !grants.may_be_held(now, term, removed, self.patience) {
             return true;
         }
-        let since = match self.known_out {
-            Some((known_term, number, since)) if (known_term, number) == (term, change.number) => {
-                since
-            }
-            _ => now,
-        };
-        self.known_out = Some((term, change.number, since));
-        now.saturating_sub(since) >= self.patience
+        let known = self.known_out.take();
+        let known = known.filter(|known| known.term == term && known.change == change.number);
+        let known = known.unwrap_or(KnownRemoval {
+            term,
+            change: change.number,
+            since: now,
+        });
+        let waited = now.saturating_sub(known.since);
+        self.known_out = Some(known);
+        waited >= self.patience
     }
 }
 
--- a/crates/sablehaven-control/src/peers/incoming.rs
+++ b/crates/sablehaven-control/src/peers/incoming.rs
@@ -7,7 +7,7 @@
 use super::introduction::{PeerConnection, PeerError, PeerPayload, alive, decode};
 use crate::{
     driver::Input,
-    quotas::{LoanCounter, answer_probe, take_answer},
+    quotas::{LoanHandler, answer_probe, take_answer},
     server::Context,
 };
 
@@ -20,7 +20,7 @@
     mut connection: PeerConnection,
 ) -> Result<(), PeerError> {
     let context = &server.peers;
-    let loans = LoanCounter {
+    let loans = LoanHandler {
         desk: Arc::clone(&server.quotas),
         links: Arc::clone(&server.links),
     };
--- a/crates/sablehaven-control/src/quotas/desk.rs
+++ b/crates/sablehaven-control/src/quotas/desk.rs
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Decides on requests for tokens, those that can be decided on now. The answers to the others follow to `replying`, within
-    /// the time in which other replicas lend.
+    /// Answers the requests for tokens that can be decided on now. The answers to the others follow through `replying`,
+    /// within the time in which other replicas lend.
     pub(crate) fn take(
         &self,
         requests: &[TokenRequest],
--- a/crates/sablehaven-control/src/quotas/keeper.rs
+++ b/crates/sablehaven-control/src/quotas/keeper.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// Asks the leader; where it has not answered for an election timeout, all others too.
+/// Asks the leader; where a hold has not been renewed for half of an election timeout, all other replicas.
 fn ask(context: &Context, is_held: bool, election_timeout: Duration) {
     let leader = context.published.borrow().leader;
     let number = context.quotas.ask();
@@ -59,16 +59,14 @@
     };
     let age = context.quotas.hold_age();
     let is_overdue = is_held && age.is_some_and(|age| age >= election_timeout / 2);
-    if is_overdue {
-        for other in context.links.connected() {
-            context
-                .links
-                .send_payload(other, PeerPayload::PartProbe(probe));
-        }
-    } else if let Some(leader) = leader {
-        context
-            .links
-            .send_payload(leader, PeerPayload::PartProbe(probe));
+    let asked = if is_overdue {
+        context.links.connected()
+    } else {
+        leader.into_iter().collect()
+    };
+    for replica in asked {
+        let payload = PeerPayload::PartProbe(probe);
+        context.links.send_payload(replica, payload);
     }
 }
 
--- a/crates/sablehaven-control/src/quotas/loans.rs
+++ b/crates/sablehaven-control/src/quotas/loans.rs
@@ -37,12 +37,13 @@
 }
 
 /// Answers other replicas' requests for loans, and takes what they lend.
-pub(crate) struct LoanCounter {
+pub(crate) struct LoanHandler {
     pub(crate) desk: Arc<QuotaDesk>,
+    /// The connections to the other replicas.
     pub(crate) links: Arc<Links>,
 }
 
-impl LoanCounter {
+impl LoanHandler {
     /// Lends to a replica what this one can spare; it hears nothing where that is nothing.
     pub(crate) fn answer(&self, borrower: ReplicaId, request: &LoanRequest) {
         if let Some(loan) = self.desk.lend(request) {
--- a/crates/sablehaven-control/src/quotas/mod.rs
+++ b/crates/sablehaven-control/src/quotas/mod.rs
@@ -13,6 +13,6 @@
 pub(crate) use grants::PartGrants;
 pub(crate) use hold::{HoldLimits, PartHold, ProbeNumber};
 pub(crate) use keeper::{answer_probe, keep_part, take_answer};
-pub(crate) use loans::{LoanCounter, ask_for_loans};
+pub(crate) use loans::{LoanHandler, ask_for_loans};
 pub(crate) use probes::ProbeQueue;
 pub(crate) use waiting::ReplySender;
--- a/crates/sablehaven-control/src/quotas/probes.rs
+++ b/crates/sablehaven-control/src/quotas/probes.rs
@@ -7,8 +7,8 @@
 
 use super::hold::ProbeNumber;
 
-/// Questions that may wait; more are dropped, and replicas ask again.
-const QUEUE: usize = 256;
+/// The most questions that wait; more are dropped, and replicas ask again.
+const MAXIMUM_WAITING: usize = 256;
 
 /// Questions that wait for the leader's next proof.
 #[derive(Default)]
@@ -21,7 +21,7 @@
     /// Takes a question; an urgent one has the leader prove at once that it leads.
     pub(crate) fn push(&self, member: ReplicaId, number: ProbeNumber, is_urgent: bool) {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        if waiting.len() < QUEUE {
+        if waiting.len() < MAXIMUM_WAITING {
             waiting.push((member, number));
         }
         drop(waiting);
--- a/crates/sablehaven-control/src/quotas/waiting.rs
+++ b/crates/sablehaven-control/src/quotas/waiting.rs
@@ -23,6 +23,7 @@
 }
 
 impl WaitingRequests {
+    /// Whether none waits.
     pub(super) fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
