Gateway: `TokenOutcome` for `Waited`, one signature of the answer's margin, units in its constants

`RouteProfile::answer_margin` repeated the four arguments of `AnswerMargin::margin`; it now lends the margin itself. In tests only the type's name changes.

--- a/crates/sablehaven-gateway/src/answer_margin.rs
+++ b/crates/sablehaven-gateway/src/answer_margin.rs
@@ -8,22 +8,22 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-/// The figures that are kept, so that memory and the work for a margin are bounded.
+/// The most overruns that are kept, so that memory and the work for a margin are bounded.
 const MAXIMUM_SAMPLES: usize = 64;
-/// Time for which a figure counts. The share of a core and the load change within seconds; a caller should not
+/// Time for which an overrun counts. The share of a core and the load change within seconds; a caller should not
 /// lose coverage for what has passed.
 const WINDOW: Duration = Duration::from_secs(3);
-/// The part of the figures that the margin covers.
+/// The part of the overruns, 0 to 1, that the margin covers.
 const QUANTILE: f64 = 0.9;
-/// The part of an aim that a margin may take, so that the parts of a query have time.
+/// The part of an aim, 0 to 1, that a margin may take, so that the parts of a query have time.
 const LARGEST_PART: f64 = 0.5;
 
-/// One part in so many of the least margin is room for what is measured here; the rest is for the way to the caller.
+/// The least margin divided by this is room for what is measured here; the rest is for the way to the caller.
 const ROOM_DIVISOR: u32 = 3;
 /// The resolution of timers: what is later by less was in time.
 const TIMER_RESOLUTION: Duration = Duration::from_millis(1);
 
-/// Between what a margin may be.
+/// The least and the largest margin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct MarginBounds {
     pub(crate) least: Duration,
--- a/crates/sablehaven-gateway/src/quotas/client.rs
+++ b/crates/sablehaven-gateway/src/quotas/client.rs
@@ -51,7 +51,7 @@
 
 /// What a request for a token came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Waited {
+pub(crate) enum TokenOutcome {
     /// A token is spent on it.
     Granted,
     /// The tenant's quota is used up for this time.
@@ -119,7 +119,7 @@
         &self,
         requester: &Requester,
         ask: TokenAsk<'_>,
-    ) -> Waited {
+    ) -> TokenOutcome {
         let limit = ask.limit.min(LONGEST_WAIT);
         let started = Instant::now();
         let (waiter, decisions) = unbounded_channel();
@@ -157,7 +157,7 @@
                 Answered::Nothing => {}
             }
         }
-        Waited::Undecided
+        TokenOutcome::Undecided
     }
 
     /// Takes a replica's answers. What is granted beyond the requests that wait goes into the stock.
@@ -269,7 +269,7 @@
 
 /// What came while a replica's answer was waited for.
 enum Answered {
-    Decided(Waited),
+    Decided(TokenOutcome),
     NoPart,
     Nothing,
 }
@@ -296,13 +296,15 @@
             let age = self.client.clock.now().saturating_sub(decision.asked_at);
             match decision.verdict {
                 TokenVerdict::Granted(_) if age <= oldest => {
-                    return Answered::Decided(Waited::Granted);
+                    return Answered::Decided(TokenOutcome::Granted);
                 }
                 TokenVerdict::OverQuota { retry_after_ms } => {
                     let left = Duration::from_millis(retry_after_ms.into());
-                    return Answered::Decided(Waited::OverQuota(left));
+                    return Answered::Decided(TokenOutcome::OverQuota(left));
+                }
+                TokenVerdict::OverFairShare => {
+                    return Answered::Decided(TokenOutcome::OverFairShare);
                 }
-                TokenVerdict::OverFairShare => return Answered::Decided(Waited::OverFairShare),
                 TokenVerdict::Granted(_) | TokenVerdict::NoPart if decision.replica == replica => {
                     return Answered::NoPart;
                 }
--- a/crates/sablehaven-gateway/src/quotas/client/tests.rs
+++ b/crates/sablehaven-gateway/src/quotas/client/tests.rs
@@ -96,7 +96,7 @@
         }
     }
 
-    fn ask(&self, shed_permille: u16) -> tokio::task::JoinHandle<Waited> {
+    fn ask(&self, shed_permille: u16) -> tokio::task::JoinHandle<TokenOutcome> {
         let client = Rc::clone(&self.client);
         let requests = Rc::clone(&self.requests);
         spawn_local(async move {
@@ -143,7 +143,7 @@
         let asking = trial.ask(0);
         trial.sent(1).await;
         trial.reply(NEAR, 0, TokenVerdict::Granted(3));
-        assert_eq!(asking.await.expect("an answer"), Waited::Granted);
+        assert_eq!(asking.await.expect("an answer"), TokenOutcome::Granted);
         assert!(trial.client.spend(&tenant()));
         assert!(trial.client.spend(&tenant()));
         assert!(!trial.client.spend(&tenant()));
@@ -157,7 +157,7 @@
         let trial = Trial::new(&[]);
         let tenant = tenant();
         let asking = trial.client.ask(&*trial.requests, ask(&tenant, 0));
-        assert_eq!(asking.now_or_never(), Some(Waited::Undecided));
+        assert_eq!(asking.now_or_never(), Some(TokenOutcome::Undecided));
     });
 }
 
@@ -170,7 +170,10 @@
         let retry_after_ms = 700;
         trial.reply(NEAR, 0, TokenVerdict::OverQuota { retry_after_ms });
         let left = Duration::from_millis(700);
-        assert_eq!(asking.await.expect("an answer"), Waited::OverQuota(left));
+        assert_eq!(
+            asking.await.expect("an answer"),
+            TokenOutcome::OverQuota(left)
+        );
         assert_eq!(trial.requests.asked(), [replica(NEAR)]);
     });
 }
@@ -184,7 +187,7 @@
         trial.reply(NEAR, 0, TokenVerdict::NoPart);
         trial.sent(2).await;
         trial.reply(NEXT, 1, TokenVerdict::Granted(1));
-        assert_eq!(asking.await.expect("an answer"), Waited::Granted);
+        assert_eq!(asking.await.expect("an answer"), TokenOutcome::Granted);
         assert_eq!(trial.requests.asked(), [replica(NEAR), replica(NEXT)]);
     });
 }
@@ -197,7 +200,7 @@
         trial.sent(2).await;
         assert_eq!(trial.requests.asked(), [replica(NEAR), replica(NEXT)]);
         trial.reply(NEXT, 1, TokenVerdict::Granted(1));
-        assert_eq!(asking.await.expect("an answer"), Waited::Granted);
+        assert_eq!(asking.await.expect("an answer"), TokenOutcome::Granted);
         trial.reply(NEAR, 0, TokenVerdict::Granted(1));
         assert!(trial.client.spend(&tenant()));
         assert!(!trial.client.spend(&tenant()));
@@ -216,7 +219,7 @@
         trial.sent(3).await;
         assert_eq!(trial.requests.asked()[2], replica(NEXT));
         trial.reply(NEXT, 2, TokenVerdict::Granted(1));
-        assert_eq!(second.await.expect("an answer"), Waited::Granted);
+        assert_eq!(second.await.expect("an answer"), TokenOutcome::Granted);
     });
 }
 
@@ -225,7 +228,10 @@
     run(async {
         let trial = Trial::new(&[NEAR, NEXT]);
         let began = Instant::now();
-        assert_eq!(trial.ask(0).await.expect("an answer"), Waited::Undecided);
+        assert_eq!(
+            trial.ask(0).await.expect("an answer"),
+            TokenOutcome::Undecided
+        );
         assert!(began.elapsed() >= LIMIT, "{:?}", began.elapsed());
         assert_eq!(trial.requests.asked(), [replica(NEAR), replica(NEXT)]);
     });
@@ -240,7 +246,7 @@
         trial.client.close(replica(NEAR));
         trial.sent(2).await;
         trial.reply(NEXT, 1, TokenVerdict::Granted(1));
-        assert_eq!(asking.await.expect("an answer"), Waited::Granted);
+        assert_eq!(asking.await.expect("an answer"), TokenOutcome::Granted);
         // What it says after that counts for nothing.
         trial.reply(NEAR, 0, TokenVerdict::Granted(1));
         assert!(!trial.client.spend(&tenant()));
@@ -282,7 +288,7 @@
         let asking = trial.ask(0);
         trial.sent(1).await;
         trial.reply(NEAR, 0, TokenVerdict::Granted(3));
-        assert_eq!(asking.await.expect("an answer"), Waited::Granted);
+        assert_eq!(asking.await.expect("an answer"), TokenOutcome::Granted);
         trial.clock.pass(Duration::from_secs(1));
         assert!(!trial.client.spend(&tenant()));
     });
@@ -296,7 +302,7 @@
         trial.sent(1).await;
         trial.clock.pass(Duration::from_secs(1));
         trial.reply(NEAR, 0, TokenVerdict::Granted(1));
-        assert_eq!(asking.await.expect("an answer"), Waited::Undecided);
+        assert_eq!(asking.await.expect("an answer"), TokenOutcome::Undecided);
         assert!(!trial.client.spend(&tenant()));
     });
 }
@@ -322,7 +328,10 @@
         let asking = trial.ask(300);
         trial.sent(1).await;
         trial.reply(NEAR, 0, TokenVerdict::OverFairShare);
-        assert_eq!(asking.await.expect("an answer"), Waited::OverFairShare);
+        assert_eq!(
+            asking.await.expect("an answer"),
+            TokenOutcome::OverFairShare
+        );
         let sent = trial.requests.sent.borrow();
         assert_eq!((sent[0].1.shed_permille, sent[0].1.wanted), (300, 1));
     });
@@ -336,6 +345,6 @@
         trial.sent(1).await;
         trial.reply(NEXT, 0, TokenVerdict::OverFairShare);
         trial.reply(NEAR, 0, TokenVerdict::Granted(1));
-        assert_eq!(asking.await.expect("an answer"), Waited::Granted);
+        assert_eq!(asking.await.expect("an answer"), TokenOutcome::Granted);
     });
 }
--- a/crates/sablehaven-gateway/src/quotas/mod.rs
+++ b/crates/sablehaven-gateway/src/quotas/mod.rs
@@ -3,4 +3,4 @@
 mod client;
 mod replicas;
 
-pub(crate) use client::{TokenAsk, TokenClient, TokenRequester, Waited};
+pub(crate) use client::{TokenAsk, TokenClient, TokenOutcome, TokenRequester};
--- a/crates/sablehaven-gateway/src/request/attempt_plan.rs
+++ b/crates/sablehaven-gateway/src/request/attempt_plan.rs
@@ -34,9 +34,11 @@
 /// How far the parts of a query are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct QueryParts {
+    /// All shards that it asks.
     pub(super) shards: usize,
     /// The least number of shards that makes an answer.
     pub(super) least: usize,
+    /// Parts that have come.
     pub(super) arrived: usize,
     /// Parts that will not come.
     pub(super) lost: usize,
--- a/crates/sablehaven-gateway/src/request/head.rs
+++ b/crates/sablehaven-gateway/src/request/head.rs
@@ -35,6 +35,7 @@
     text.trim().parse().ok().map(Duration::from_millis)
 }
 
+/// The host that the caller names.
 pub(super) fn host(head: &Parts) -> Option<&str> {
     let header = head.headers.get(HOST);
     let named = header.and_then(|host| host.to_str().ok());
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -85,10 +85,11 @@
 ) -> Response<AnswerBody> {
     match take(&gateway, request).await {
         Ok(response) => response,
-        Err(refusal) => unnoted(refusal.response()),
+        Err(refusal) => unobserved(refusal.response()),
     }
 }
 
+/// The answer to a request, or why it has none.
 async fn take(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
@@ -115,8 +116,8 @@
 ) -> Result<ReceivedRequest, Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    // Only a gateway that has yet to start needs to know before the caller is known: what callers without a key send says
-    // nothing of the others.
+    // Only a gateway that is still starting looks at the try before the caller is known: what callers without a key send
+    // says nothing of the others.
     let first_look = (!gateway.has_routes()).then(|| caller_try(gateway, &head));
     let known_try = first_look.map(|(caller_try, _)| caller_try);
     let planned = find_route_or_wait(gateway, &head, known_try).await?;
@@ -172,6 +173,7 @@
     })
 }
 
+/// Has the servers of the request's route answer it.
 async fn ask_servers(accepted: &Accepted) -> Result<(Response<AnswerBody>, Outcome), Refusal> {
     match &accepted.planned.route().target {
         RouteTarget::Service(service) => answer_single(accepted, service).await,
@@ -185,11 +187,11 @@
     service: &ServiceName,
 ) -> Result<(Response<AnswerBody>, Outcome), Refusal> {
     let (response, outcome) = single::answer(accepted, service).await?;
-    Ok((unnoted(response), outcome))
+    Ok((unobserved(response), outcome))
 }
 
-/// An answer whose leaving is not observed: it was not planned for a moment.
-fn unnoted(response: Response<WholeBody>) -> Response<AnswerBody> {
+/// An answer whose sending is not observed: it was not due at a planned moment.
+fn unobserved(response: Response<WholeBody>) -> Response<AnswerBody> {
     response.map(|body| AnswerBody::new(body, None))
 }
 
@@ -276,8 +278,8 @@
         let aim = Duration::from_millis(self.planned.route().aim_ms);
         let now = self.gateway.clock.now();
         let bounds = self.gateway.config.margin_bounds();
-        let profile = &self.planned.profile;
-        profile.answer_margin(now, bounds, aim, self.spent)
+        let margin = self.planned.profile.answer_margin();
+        margin.margin(now, bounds, aim, self.spent)
     }
 
     fn id(&self) -> String {
--- a/crates/sablehaven-gateway/src/request/tokens.rs
+++ b/crates/sablehaven-gateway/src/request/tokens.rs
@@ -13,14 +13,14 @@
 use crate::{
     control_links::ControlLinks,
     gateway::Gateway,
-    quotas::{TokenAsk, TokenRequester, Waited},
+    quotas::{TokenAsk, TokenOutcome, TokenRequester},
     resends::CallerTry,
 };
 
 /// Part of the aim for which a request waits for a token: servers need the rest.
 const WAIT_PART_OF_AIM: f64 = 0.5;
-/// Part of the aim for which a replica may keep a request waiting for tokens that may not come: a caller that is refused then
-/// has lost little.
+/// Part of the aim for which a replica may keep a request waiting for tokens that may not come: a caller that is refused
+/// then has lost little.
 const PATIENCE_PART_OF_AIM: f64 = 0.125;
 
 impl TokenRequester for ControlLinks {
@@ -92,14 +92,14 @@
 }
 
 /// Asks until some replica decides or the wait is over.
-async fn ask_again<Asked: Future<Output = Waited>>(
+async fn ask_again<Asked: Future<Output = TokenOutcome>>(
     mut wait: TokenWait,
     ask: impl Fn() -> Asked,
-) -> Waited {
+) -> TokenOutcome {
     let started = Instant::now();
     loop {
         let waited = ask().await;
-        if waited != Waited::Undecided {
+        if waited != TokenOutcome::Undecided {
             return waited;
         }
         let Some(pause) = wait.next_pause(started.elapsed()) else {
@@ -111,14 +111,19 @@
 
 /// What becomes of a request by what replicas said. Where none did, the gateway refuses by lot as it does without
 /// tenants, and whatever needs a token of a quota. `draw` is uniform, 0 to 1.
-fn decide(waited: Waited, tenant: &Tenant, shed_share: f64, draw: f64) -> Result<(), Refusal> {
+fn decide(
+    waited: TokenOutcome,
+    tenant: &Tenant,
+    shed_share: f64,
+    draw: f64,
+) -> Result<(), Refusal> {
     match waited {
-        Waited::Granted => Ok(()),
-        Waited::OverQuota(left) => Err(Refusal::OverQuota { left }),
-        Waited::OverFairShare => Err(Refusal::TooMany),
-        Waited::Undecided if draw < shed_share => Err(Refusal::TooMany),
-        Waited::Undecided if tenant.quota.is_some() => Err(Refusal::NoTokens),
-        Waited::Undecided => Ok(()),
+        TokenOutcome::Granted => Ok(()),
+        TokenOutcome::OverQuota(left) => Err(Refusal::OverQuota { left }),
+        TokenOutcome::OverFairShare => Err(Refusal::TooMany),
+        TokenOutcome::Undecided if draw < shed_share => Err(Refusal::TooMany),
+        TokenOutcome::Undecided if tenant.quota.is_some() => Err(Refusal::NoTokens),
+        TokenOutcome::Undecided => Ok(()),
     }
 }
 
--- a/crates/sablehaven-gateway/src/route_table.rs
+++ b/crates/sablehaven-gateway/src/route_table.rs
@@ -1,7 +1,7 @@
 //! Which route a request takes.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, Ref, RefCell},
     collections::HashMap,
     rc::Rc,
     sync::Arc,
@@ -11,9 +11,7 @@
 use sablehaven_types::{Route, RouteDocument};
 
 use crate::{
-    answer_margin::{AnswerMargin, MarginBounds},
-    servers::KindOfRequest,
-    serving_regions::ServingRegions,
+    answer_margin::AnswerMargin, servers::KindOfRequest, serving_regions::ServingRegions,
     tenant_table::TenantTable,
 };
 
@@ -87,16 +85,9 @@
         self.answer_margin.borrow_mut().observe(now, overrun);
     }
 
-    /// How long before its aim an answer must leave.
-    pub(crate) fn answer_margin(
-        &self,
-        now: Duration,
-        bounds: MarginBounds,
-        aim: Duration,
-        spent: Duration,
-    ) -> Duration {
-        let margin = self.answer_margin.borrow();
-        margin.margin(now, bounds, aim, spent)
+    /// How late requests were acted on lately, for the margin of the next answer.
+    pub(crate) fn answer_margin(&self) -> Ref<'_, AnswerMargin> {
+        self.answer_margin.borrow()
     }
 }
 
