Http, gateway: a body that is observed, in place of a noted one

`NotedBody`, `BodyNote` and `LeaveNote` said neither what is noted nor by whom: they are `ObservedBody`, `BodyObserver` and `SendObserver`. Locals of `TokenOutcome` repeat its last word. No behaviour changes; in tests only the names of types change. cargo test -p sablehaven-http -p sablehaven-gateway: 2, 158 and 70 passed.

--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -18,7 +18,7 @@
 use super::{
     Accepted,
     hedge_timer::BUDGET_PAUSE,
-    lateness::{AnswerBody, LeaveNote, TimerProbe},
+    lateness::{AnswerBody, SendObserver, TimerProbe},
     merge::greatest_records,
     query_attempts::{PartPlace, QueryAttempts, settle},
     refusal::Refusal,
@@ -128,8 +128,8 @@
     } else {
         Outcome::Partial
     };
-    let note = LeaveNote::new(accepted, planned_at.min(Instant::now()));
-    outcome.map(|()| (respond(accepted, gather, &parts, note), kind))
+    let observer = SendObserver::new(accepted, planned_at.min(Instant::now()));
+    outcome.map(|()| (respond(accepted, gather, &parts, observer), kind))
 }
 
 /// The shards in the order in which they are asked: those with most servers to spare first where the first may be a
@@ -182,12 +182,12 @@
     accepted: &Accepted,
     gather: &Gather,
     parts: &Parts,
-    note: Option<LeaveNote>,
+    observer: Option<SendObserver>,
 ) -> Response<AnswerBody> {
     let names = &accepted.gateway.names;
     let bodies = parts.replies.iter().map(|reply| &reply.body[..]);
     let records = greatest_records(bodies, gather.top_k);
-    let mut response = Response::new(AnswerBody::new(WholeBody::new(records), note));
+    let mut response = Response::new(AnswerBody::new(WholeBody::new(records), observer));
     let headers = response.headers_mut();
     let octets = HeaderValue::from_static("application/octet-stream");
     headers.insert(CONTENT_TYPE, octets);
--- a/crates/sablehaven-gateway/src/request/lateness.rs
+++ b/crates/sablehaven-gateway/src/request/lateness.rs
@@ -5,26 +5,26 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_http::{BodyNote, NotedBody};
+use sablehaven_http::{BodyObserver, ObservedBody};
 
 use super::Accepted;
 use crate::{gateway::Gateway, route_table::RouteProfile};
 
 /// The body of an answer to a caller.
-pub(crate) type AnswerBody = NotedBody<LeaveNote>;
+pub(crate) type AnswerBody = ObservedBody<SendObserver>;
 
 /// Moments within the time of a query at which its timer is looked at.
 const PROBES: u32 = 8;
 
 /// Observes when the body of an answer is on its way.
-pub(crate) struct LeaveNote {
+pub(crate) struct SendObserver {
     gateway: Rc<Gateway>,
     profile: Rc<RouteProfile>,
     planned_at: Instant,
 }
 
-impl LeaveNote {
-    /// A note of an answer that was to be made at this moment; `None` where nothing is learned.
+impl SendObserver {
+    /// An observer of an answer that was to be made at this moment; `None` where nothing is learned.
     pub(super) fn new(accepted: &Accepted, planned_at: Instant) -> Option<Self> {
         let bounds = accepted.gateway.config.margin_bounds();
         bounds.is_adaptive().then(|| Self {
@@ -35,7 +35,7 @@
     }
 }
 
-impl BodyNote for LeaveNote {
+impl BodyObserver for SendObserver {
     fn taken(self) {
         let overrun = self.planned_at.elapsed();
         self.profile.overran(self.gateway.clock.now(), overrun);
--- a/crates/sablehaven-gateway/src/request/tokens.rs
+++ b/crates/sablehaven-gateway/src/request/tokens.rs
@@ -76,14 +76,14 @@
         };
         gateway.tokens.ask(&gateway.control_links, ask)
     };
-    let waited = if tenant.quota.is_some() {
+    let outcome = if tenant.quota.is_some() {
         ask_again(need.wait, ask).await
     } else {
         ask().await
     };
     let seconds = started.elapsed().as_secs_f64();
     gateway.metrics.token_wait_seconds.observe(seconds);
-    let decided = decide(waited, tenant, shed_share, rand::random());
+    let decided = decide(outcome, tenant, shed_share, rand::random());
     match &decided {
         Ok(()) => gateway.metrics.tokens_spent("asked"),
         Err(refusal) => note_refusal(gateway, &need, refusal),
@@ -98,12 +98,12 @@
 ) -> TokenOutcome {
     let started = Instant::now();
     loop {
-        let waited = ask().await;
-        if waited != TokenOutcome::Undecided {
-            return waited;
+        let outcome = ask().await;
+        if outcome != TokenOutcome::Undecided {
+            return outcome;
         }
         let Some(pause) = wait.next_pause(started.elapsed()) else {
-            return waited;
+            return outcome;
         };
         sleep(pause).await;
     }
@@ -112,12 +112,12 @@
 /// What becomes of a request by what replicas said. Where none did, the gateway refuses by lot as it does without
 /// tenants, and whatever needs a token of a quota. `draw` is uniform, 0 to 1.
 fn decide(
-    waited: TokenOutcome,
+    outcome: TokenOutcome,
     tenant: &Tenant,
     shed_share: f64,
     draw: f64,
 ) -> Result<(), Refusal> {
-    match waited {
+    match outcome {
         TokenOutcome::Granted => Ok(()),
         TokenOutcome::OverQuota(left) => Err(Refusal::OverQuota { left }),
         TokenOutcome::OverFairShare => Err(Refusal::TooMany),
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -5,12 +5,12 @@
 //! closed. `docs/design/house-style.md` has the reasons.
 
 mod client;
-mod noted_body;
+mod observed_body;
 mod server;
 mod watched_stream;
 
 pub use client::{ConnectError, Opened, open};
-pub use noted_body::{BodyNote, NotedBody};
+pub use observed_body::{BodyObserver, ObservedBody};
 pub use server::{ConnectionBounds, ServerSignals, accept_connections, listen, serve_connection};
 
 /// A body that is whole in memory.
--- a/crates/sablehaven-http/src/noted_body.rs
+++ b/crates/sablehaven-http/src/observed_body.rs
@@ -11,27 +11,27 @@
 
 use crate::WholeBody;
 
-/// Told once of a body.
-pub trait BodyNote {
+/// Is told once when a body is sent.
+pub trait BodyObserver {
     /// The connection has taken the last frame and writes it now.
     fn taken(self);
 }
 
-/// A whole body with a note. The note is dropped untold where the caller leaves before, and where the
+/// A whole body with an observer. The observer is dropped untold where the caller leaves before, and where the
 /// body is empty, since a connection asks nothing of such a body.
-pub struct NotedBody<Note> {
+pub struct ObservedBody<Observer> {
     body: WholeBody,
-    note: Option<Note>,
+    observer: Option<Observer>,
 }
 
-impl<Note> NotedBody<Note> {
-    /// A body that tells `note`.
-    pub fn new(body: WholeBody, note: Option<Note>) -> Self {
-        Self { body, note }
+impl<Observer> ObservedBody<Observer> {
+    /// A body that tells `observer`.
+    pub fn new(body: WholeBody, observer: Option<Observer>) -> Self {
+        Self { body, observer }
     }
 }
 
-impl<Note: BodyNote + Unpin> Body for NotedBody<Note> {
+impl<Observer: BodyObserver + Unpin> Body for ObservedBody<Observer> {
     type Data = Bytes;
     type Error = Infallible;
 
@@ -41,9 +41,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         let frame = Pin::new(&mut self.body).poll_frame(context);
         if self.body.is_end_stream()
-            && let Some(note) = self.note.take()
+            && let Some(observer) = self.observer.take()
         {
-            note.taken();
+            observer.taken();
         }
         frame
     }
--- a/crates/sablehaven-http/src/noted_body/tests.rs
+++ b/crates/sablehaven-http/src/observed_body/tests.rs
@@ -3,23 +3,23 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 
-use super::{BodyNote, NotedBody};
+use super::{BodyObserver, ObservedBody};
 use crate::WholeBody;
 
 /// Counts how often it is told.
-struct CountingNote(Rc<Cell<u32>>);
+struct CountingObserver(Rc<Cell<u32>>);
 
-impl BodyNote for CountingNote {
+impl BodyObserver for CountingObserver {
     fn taken(self) {
         self.0.set(self.0.get() + 1);
     }
 }
 
-fn counted(text: &'static str) -> (NotedBody<CountingNote>, Rc<Cell<u32>>) {
+fn counted(text: &'static str) -> (ObservedBody<CountingObserver>, Rc<Cell<u32>>) {
     let told = Rc::default();
-    let note = CountingNote(Rc::clone(&told));
+    let note = CountingObserver(Rc::clone(&told));
     let body = WholeBody::new(Bytes::from_static(text.as_bytes()));
-    (NotedBody::new(body, Some(note)), told)
+    (ObservedBody::new(body, Some(note)), told)
 }
 
 #[tokio::test]
