Gateway: the exchange of an attempt in a module of its own, in steps

`exchange` was a function of 90 lines in a file of 412. It is now a connection, the checks that sending is still wanted, the request, the body, the checks of the answer and what it comes to, in the same order and with the same texts.

--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt at one server: sent, answered, checked.
 
+mod exchange;
+
 use std::{
     io::ErrorKind,
     pin::Pin,
@@ -9,31 +11,25 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
-    Method, Request, StatusCode, Uri,
-    header::{CONTENT_ENCODING, HeaderMap, HeaderValue},
+    Method, StatusCode, Uri,
+    header::{HeaderMap, HeaderValue},
 };
-use sablehaven_http::{ConnectError, WholeBody, open};
+use sablehaven_http::{ConnectError, open};
 use tokio::{
     sync::oneshot,
     task::{AbortHandle, spawn_local},
 };
 
+use self::exchange::exchange;
 use super::{
     Server,
     health::{Ending, Taken},
 };
 use crate::{
-    caller::{Caller, CallerStanding},
-    crashes::CrashWatch,
-    gateway::Gateway,
-    pace::Pace,
-    route_table::RouteProfile,
+    caller::Caller, crashes::CrashWatch, gateway::Gateway, pace::Pace, route_table::RouteProfile,
 };
 
-/// The largest body of an answer, in bytes.
-const MAXIMUM_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// The least time that opening a connection may take.
 const LEAST_CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Round trips that opening a connection may take.
@@ -260,153 +256,3 @@
 fn connect_limit(server: &Server) -> Duration {
     LEAST_CONNECT_LIMIT.max(server.round_trip() * CONNECT_ROUND_TRIPS)
 }
-
-/// Sends the request and takes the answer in four phases: a connection, the head, the body, the
-/// checks. Only an answer that ended as it must gives its connection back.
-async fn exchange(
-    gateway: &Gateway,
-    server: &Server,
-    request: &OutgoingRequest,
-) -> Result<ServerReply, AttemptFailure> {
-    let not_sent = |reason: String| AttemptFailure::NotSent { reason };
-    let lost = |reason: String| AttemptFailure::Lost {
-        reason,
-        is_server_gone: false,
-    };
-    let unknown = |reason: String| AttemptFailure::Unknown { reason };
-    let address = server.address;
-    let connect_limit = connect_limit(server);
-    let source = gateway.config.connect_from;
-    let mut connection = server
-        .pool
-        .take(source, connect_limit)
-        .await
-        .map_err(|error| not_sent(error.to_string()))?;
-    if let Some(round_trip) = connection.round_trip {
-        server.record_round_trip(round_trip);
-    }
-    // The order must hold: a server that began to leave, or whose zone was evacuated, while this waited
-    // gets nothing any more.
-    if !server.takes_work() {
-        return Err(not_sent(format!(
-            "send to {address}: the server is to get nothing new"
-        )));
-    }
-    // So must this one: a key that was taken away while this waited reaches no server.
-    if gateway.standing(&request.caller) != CallerStanding::Holds {
-        return Err(not_sent(format!(
-            "send to {address}: the caller's key does not hold any more"
-        )));
-    }
-    let Some(outgoing) = build(gateway, server, request) else {
-        return Err(not_sent(format!("send to {address}: no time is left")));
-    };
-    let is_reused = connection.is_reused;
-    let response = match connection.sender.try_send_request(outgoing).await {
-        Ok(response) => response,
-        Err(mut error) => {
-            // hyper gives the request back when it has not begun to write it.
-            let reason = format!("send to {address} (reused {is_reused}): {}", error.error());
-            let was_sent = error.take_message().is_none();
-            return Err(if was_sent {
-                lost(reason)
-            } else {
-                not_sent(reason)
-            });
-        }
-    };
-    let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAXIMUM_ANSWER_BYTES).collect().await;
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return Err(unknown(format!("body of {address}: {error}")));
-        }
-        Err(error) => return Err(lost(format!("body of {address}: {error}"))),
-    };
-    let checked = check(gateway, server, request, &head.headers, head.status);
-    if let Err(reason) = checked {
-        return Err(unknown(format!("answer of {address}: {reason}")));
-    }
-    connection.give_back(&head.headers);
-    let names = &gateway.names;
-    let is_not_executed = head.headers.contains_key(&names.not_executed)
-        || head.status == StatusCode::MISDIRECTED_REQUEST;
-    if is_not_executed {
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
-            // Another server has the address by now.
-            server.leave();
-        }
-        return Err(AttemptFailure::NotExecuted {
-            status: head.status,
-        });
-    }
-    let reply = ServerReply {
-        status: head.status,
-        stamp: head.headers.get(&names.stamp).cloned(),
-        headers: head.headers,
-        body,
-    };
-    if reply.status.is_success() {
-        Ok(reply)
-    } else {
-        Err(AttemptFailure::Answered(Box::new(reply)))
-    }
-}
-
-/// The request as it goes to a server; `None` when no time is left.
-fn build(
-    gateway: &Gateway,
-    server: &Server,
-    request: &OutgoingRequest,
-) -> Option<Request<WholeBody>> {
-    let left = request.deadline.checked_duration_since(Instant::now())?;
-    let left_ms = left.as_millis();
-    if left_ms == 0 {
-        return None;
-    }
-    let mut outgoing = Request::new(WholeBody::new(request.body.clone()));
-    *outgoing.method_mut() = request.method.clone();
-    *outgoing.uri_mut() = request.target.clone();
-    let headers = outgoing.headers_mut();
-    *headers = request.headers.clone();
-    let names = &gateway.names;
-    headers.insert(&names.request_id, request.request_id.clone());
-    let left_ms = HeaderValue::from_str(&left_ms.to_string()).ok()?;
-    headers.insert(&names.deadline_ms, left_ms);
-    let instance = HeaderValue::from_str(server.id.as_str()).ok()?;
-    headers.insert(&names.expect_instance, instance);
-    Some(outgoing)
-}
-
-/// Whether an answer can be this server's answer to this request.
-fn check(
-    gateway: &Gateway,
-    server: &Server,
-    request: &OutgoingRequest,
-    headers: &HeaderMap,
-    status: StatusCode,
-) -> Result<(), String> {
-    let names = &gateway.names;
-    if let Some(echoed) = headers.get(&names.request_id)
-        && *echoed != request.request_id
-    {
-        return Err("it is to another request".to_owned());
-    }
-    if let Some(instance) = headers.get(&names.instance)
-        && status != StatusCode::MISDIRECTED_REQUEST
-        && instance.as_bytes() != server.id.as_str().as_bytes()
-    {
-        return Err("it is of another start of the server".to_owned());
-    }
-    if !status.is_success() {
-        return Ok(());
-    }
-    if headers.contains_key(CONTENT_ENCODING) {
-        return Err("its body is encoded".to_owned());
-    }
-    if !headers.contains_key(&names.stamp) {
-        return Err("it is not signed".to_owned());
-    }
-    Ok(())
-}
