Control: messages between replicas in a module of their own

What replicas send each other and its encoding move to `peers/payload.rs` unchanged. cargo test -p sablehaven-control: passed.

--- a/crates/sablehaven-control/src/peers/incoming.rs
+++ b/crates/sablehaven-control/src/peers/incoming.rs
@@ -4,7 +4,10 @@
 
 use tokio::time::timeout;
 
-use super::introduction::{PeerConnection, PeerError, PeerPayload, alive, decode};
+use super::{
+    introduction::{PeerConnection, PeerError},
+    payload::{PeerPayload, alive, decode},
+};
 use crate::{
     driver::Input,
     quotas::{LoanHandler, answer_probe, take_answer},
--- a/crates/sablehaven-control/src/peers/link.rs
+++ b/crates/sablehaven-control/src/peers/link.rs
@@ -10,8 +10,9 @@
 };
 
 use super::{
-    introduction::{PeerContext, PeerError, PeerPayload, alive, decode, dial, encode, listing},
+    introduction::{PeerContext, PeerError, dial},
     links::Links,
+    payload::{PeerPayload, alive, decode, encode, listing},
 };
 
 /// Pause before a lost connection is dialled again.
--- a/crates/sablehaven-control/src/peers/links.rs
+++ b/crates/sablehaven-control/src/peers/links.rs
@@ -10,8 +10,9 @@
 use tokio::{sync::mpsc, task::AbortHandle, time::interval};
 
 use super::{
-    introduction::{NO_GROUP, PeerContext, PeerPayload},
+    introduction::PeerContext,
     link::{Outgoing, keep_link},
+    payload::{NO_GROUP, PeerPayload},
 };
 use crate::{
     driver::{SharedHandle, read},
--- a/crates/sablehaven-control/src/peers/mod.rs
+++ b/crates/sablehaven-control/src/peers/mod.rs
@@ -9,11 +9,11 @@
 mod link;
 mod links;
 mod listing;
+mod payload;
 
 pub(crate) use formation::form_or_join;
 pub(crate) use incoming::receive_from_peer;
-pub(crate) use introduction::{
-    Directory, Introduction, PartAnswer, PartProbe, PeerContext, PeerPayload, probe,
-};
+pub(crate) use introduction::{Directory, Introduction, PeerContext, probe};
 pub(crate) use links::{Links, keep_links};
 pub(crate) use listing::PeerListing;
+pub(crate) use payload::{PartAnswer, PartProbe, PeerPayload};
