Control: `ReplicaQuotas` for `QuotaDesk`

What the desk was, a newcomer had to look up; the rest of the code calls it `quotas` already. A constant of the group's log stands with the others and has its unit.

--- a/crates/sablehaven-control/src/driver/group.rs
+++ b/crates/sablehaven-control/src/driver/group.rs
@@ -25,6 +25,10 @@
 /// Ledger calls that one group may have open; more are refused at once.
 const OPEN_CALL_LIMIT: usize = 16_384;
 
+/// Longest command that begins a change of the members, in bytes: it names a few replicas and addresses. Longer ones are
+/// not decoded a second time to look.
+const LONGEST_CHANGE_BYTES: usize = 1_024;
+
 /// One consensus group of this replica.
 pub(crate) struct Group {
     pub(crate) number: u32,
@@ -274,10 +278,6 @@
     }
 }
 
-/// Longest command that begins a change of the members: it names a few replicas and addresses. Longer ones are not read
-/// for it twice.
-const LONGEST_CHANGE_BYTES: usize = 1_024;
-
 /// Whether an entry begins a change of the members, or cannot be read.
 fn may_begin_change(entry: &Entry) -> bool {
     let EntryPayload::Command(command) = &entry.payload else {
--- a/crates/sablehaven-control/src/peers/incoming.rs
+++ b/crates/sablehaven-control/src/peers/incoming.rs
@@ -24,7 +24,7 @@
 ) -> Result<(), PeerError> {
     let context = &server.peers;
     let loans = LoanHandler {
-        desk: Arc::clone(&server.quotas),
+        quotas: Arc::clone(&server.quotas),
         links: Arc::clone(&server.links),
     };
     let peer = connection.peer_address.to_string();
--- a/crates/sablehaven-control/src/quotas/loans.rs
+++ b/crates/sablehaven-control/src/quotas/loans.rs
@@ -6,7 +6,7 @@
 use sablehaven_types::{LoanRequest, TokenLoan};
 use tokio::time::sleep;
 
-use super::desk::QuotaDesk;
+use super::replica_quotas::ReplicaQuotas;
 use crate::peers::{Links, PeerPayload};
 
 /// Time between two looks at what is wanted while gateways ask: short against the way between two replicas.
@@ -14,18 +14,18 @@
 
 /// Asks other replicas for what gateways want and this one lacks, until it is dropped. While no gateway asks for tokens
 /// it rests.
-pub(crate) async fn ask_for_loans(desk: Arc<QuotaDesk>, links: Arc<Links>) {
+pub(crate) async fn ask_for_loans(quotas: Arc<ReplicaQuotas>, links: Arc<Links>) {
     loop {
-        desk.asked().await;
+        quotas.asked().await;
         let lenders = links.connected();
-        desk.note_lenders(!lenders.is_empty());
-        for request in desk.loans_wanted() {
+        quotas.note_lenders(!lenders.is_empty());
+        for request in quotas.loans_wanted() {
             let Some(lender) = lender(&lenders, request.number) else {
                 break;
             };
             links.send_payload(lender, PeerPayload::LoanRequest(request));
         }
-        desk.settle();
+        quotas.settle();
         sleep(LOOK_INTERVAL).await;
     }
 }
@@ -38,7 +38,7 @@
 
 /// Answers other replicas' requests for loans, and takes what they lend.
 pub(crate) struct LoanHandler {
-    pub(crate) desk: Arc<QuotaDesk>,
+    pub(crate) quotas: Arc<ReplicaQuotas>,
     /// The connections to the other replicas.
     pub(crate) links: Arc<Links>,
 }
@@ -46,7 +46,7 @@
 impl LoanHandler {
     /// Lends to a replica what this one can spare; it hears nothing where that is nothing.
     pub(crate) fn answer(&self, borrower: ReplicaId, request: &LoanRequest) {
-        if let Some(loan) = self.desk.lend(request) {
+        if let Some(loan) = self.quotas.lend(request) {
             let payload = PeerPayload::TokenLoan(loan);
             self.links.send_payload(borrower, payload);
         }
@@ -54,7 +54,7 @@
 
     /// Takes a loan.
     pub(crate) fn receive(&self, loan: &TokenLoan) {
-        self.desk.receive(loan);
+        self.quotas.receive(loan);
     }
 }
 
--- a/crates/sablehaven-control/src/quotas/desk.rs
+++ b/crates/sablehaven-control/src/quotas/replica_quotas.rs
@@ -29,7 +29,7 @@
 };
 
 /// This replica's part of the quotas.
-pub(crate) struct QuotaDesk {
+pub(crate) struct ReplicaQuotas {
     published: watch::Receiver<Published>,
     state: SharedHandle,
     metrics: Metrics,
@@ -53,8 +53,8 @@
     waiting: WaitingRequests,
 }
 
-impl QuotaDesk {
-    /// A desk that follows what the driver publishes.
+impl ReplicaQuotas {
+    /// Quotas that follow what the driver publishes.
     pub(crate) fn new(
         tolerance: QuotaTolerance,
         hold: PartHold,
@@ -275,11 +275,11 @@
 }
 
 /// Keeps the part by what the driver publishes, also while nobody asks: buckets fill from when their tenants are known.
-pub(crate) async fn follow_configuration(desk: Arc<QuotaDesk>) {
-    let mut published = desk.published.clone();
+pub(crate) async fn follow_configuration(quotas: Arc<ReplicaQuotas>) {
+    let mut published = quotas.published.clone();
     loop {
         published.mark_unchanged();
-        drop(desk.current(desk.now()));
+        drop(quotas.current(quotas.now()));
         if published.changed().await.is_err() {
             return;
         }
--- a/crates/sablehaven-control/src/quotas/desk/tests.rs
+++ b/crates/sablehaven-control/src/quotas/replica_quotas/tests.rs
@@ -23,9 +23,9 @@
 /// A hold that outlasts a test that does not wait for its end.
 const HOLD: Duration = Duration::from_secs(600);
 
-/// A desk, and what its driver publishes.
+/// A replica's quotas, and what its driver publishes.
 struct Counter {
-    desk: QuotaDesk,
+    quotas: ReplicaQuotas,
     published: watch::Sender<Published>,
     state: SharedHandle,
     replying: ReplySender,
@@ -33,7 +33,7 @@
 }
 
 impl Counter {
-    /// A desk of a member of a group of one, which leads.
+    /// The quotas of a member of a group of one, which leads.
     fn new(tolerance: QuotaTolerance) -> Self {
         Self::holding(tolerance, HOLD)
     }
@@ -52,7 +52,7 @@
         let limits = HoldLimits::new(hold, hold);
         let hold = PartHold::new(ReplicaId(1), limits, 0);
         let grants = Arc::default();
-        let desk = QuotaDesk::new(
+        let quotas = ReplicaQuotas::new(
             tolerance,
             hold,
             grants,
@@ -60,10 +60,10 @@
             Arc::clone(&state),
             metrics,
         );
-        desk.granted(desk.ask());
+        quotas.granted(quotas.ask());
         let (replying, replies) = mpsc::channel(8);
         Self {
-            desk,
+            quotas,
             published,
             state,
             replying,
@@ -102,7 +102,7 @@
         self.published
             .send_modify(|published| published.routes_version = version);
         // As the task does that follows the driver.
-        drop(self.desk.current(self.desk.now()));
+        drop(self.quotas.current(self.quotas.now()));
     }
 
     fn take(&self, number: u64, wanted: u32) -> TokenVerdict {
@@ -114,7 +114,7 @@
             patience_ms: 200,
             is_resend: false,
         };
-        let replies = self.desk.take(&[request], &self.replying);
+        let replies = self.quotas.take(&[request], &self.replying);
         assert_eq!(replies.len(), 1);
         assert_eq!(replies[0].number, number);
         replies[0].verdict
@@ -161,7 +161,7 @@
     sleep(hold);
     assert_eq!(counter.take(1, 1), TokenVerdict::NoPart);
     // Its part is empty when it has one again: what it held may have been granted elsewhere by then.
-    counter.desk.granted(counter.desk.ask());
+    counter.quotas.granted(counter.quotas.ask());
     counter.apply(2, 0.1);
     let verdict = counter.take(2, 1);
     assert!(
@@ -184,7 +184,7 @@
 #[test]
 fn a_replica_that_has_just_started_has_no_part_until_a_leader_grants_it() {
     let counter = Counter::new(WITH_SLACK);
-    *counter.desk.hold() = PartHold::new(ReplicaId(1), HoldLimits::new(HOLD, HOLD), 0);
+    *counter.quotas.hold() = PartHold::new(ReplicaId(1), HoldLimits::new(HOLD, HOLD), 0);
     counter.apply(1, 1_000.0);
     sleep(Duration::from_millis(50));
     assert_eq!(counter.take(1, 1), TokenVerdict::NoPart);
@@ -220,7 +220,7 @@
         is_resend: false,
     };
     let replies = counter
-        .desk
+        .quotas
         .take(&[request(5), request(3)], &counter.replying);
     let numbers: Vec<u64> = replies.iter().map(|reply| reply.number).collect();
     assert_eq!(numbers, [5, 3]);
@@ -253,11 +253,11 @@
     let counter = Counter::new(QuotaTolerance::default());
     counter.take(1, 1);
     // The word would be there at once.
-    let asked = tokio::time::timeout(Duration::from_millis(50), counter.desk.asked()).await;
+    let asked = tokio::time::timeout(Duration::from_millis(50), counter.quotas.asked()).await;
     assert!(asked.is_err());
     counter.apply(1, 1.0);
     counter.take(2, 1);
-    counter.desk.asked().await;
+    counter.quotas.asked().await;
 }
 
 fn waiting_request(number: u64) -> TokenRequest {
@@ -271,40 +271,44 @@
     }
 }
 
-/// A desk whose part is empty, beside replicas that may lend.
+/// Quotas whose part is empty, beside replicas that may lend.
 fn beside_lenders() -> Counter {
     let counter = Counter::new(WITH_SLACK);
     counter.apply(1, 0.5);
-    counter.desk.note_lenders(true);
+    counter.quotas.note_lenders(true);
     counter
 }
 
 #[test]
 fn a_request_waits_for_a_loan_and_is_answered_when_it_comes() {
     let mut counter = beside_lenders();
-    let now = counter.desk.take(&[waiting_request(5)], &counter.replying);
+    let now = counter
+        .quotas
+        .take(&[waiting_request(5)], &counter.replying);
     assert!(now.is_empty(), "it waits");
-    let asked = counter.desk.loans_wanted();
+    let asked = counter.quotas.loans_wanted();
     let loan = TokenLoan {
         number: asked[0].number,
         tenant: "desk".into(),
         tokens: 1,
     };
-    counter.desk.receive(&loan);
+    counter.quotas.receive(&loan);
     let replies = counter.replies.try_recv().expect("an answer");
     assert_eq!(replies[0].number, 5);
     assert_eq!(replies[0].verdict, TokenVerdict::Granted(1));
-    counter.desk.receive(&loan);
+    counter.quotas.receive(&loan);
     assert!(counter.replies.try_recv().is_err(), "it is answered once");
 }
 
 #[test]
 fn a_request_that_no_loan_comes_for_is_refused_in_the_end() {
     let mut counter = beside_lenders();
-    let now = counter.desk.take(&[waiting_request(5)], &counter.replying);
+    let now = counter
+        .quotas
+        .take(&[waiting_request(5)], &counter.replying);
     assert!(now.is_empty(), "it waits");
     sleep(FIRST_TOKENS);
-    counter.desk.settle();
+    counter.quotas.settle();
     let replies = counter.replies.try_recv().expect("an answer");
     let verdict = replies[0].verdict;
     assert!(
@@ -317,10 +321,10 @@
 fn a_request_whose_gateway_has_gone_takes_no_token() {
     let counter = beside_lenders();
     let (gone, closed) = mpsc::channel(8);
-    assert!(counter.desk.take(&[waiting_request(5)], &gone).is_empty());
+    assert!(counter.quotas.take(&[waiting_request(5)], &gone).is_empty());
     drop(closed);
-    let asked = counter.desk.loans_wanted();
-    counter.desk.receive(&TokenLoan {
+    let asked = counter.quotas.loans_wanted();
+    counter.quotas.receive(&TokenLoan {
         number: asked[0].number,
         tenant: "desk".into(),
         tokens: 1,
--- a/crates/sablehaven-control/src/server/context.rs
+++ b/crates/sablehaven-control/src/server/context.rs
@@ -15,7 +15,7 @@
     metrics::Metrics,
     operator::CallError,
     peers::{Links, PeerContext},
-    quotas::{ProbeQueue, QuotaDesk},
+    quotas::{ProbeQueue, ReplicaQuotas},
     relays::Registry,
     replicas::ReplicaAddresses,
 };
@@ -32,7 +32,7 @@
     pub(crate) observations: mpsc::Sender<AgentObservation>,
     pub(crate) peers: Arc<PeerContext>,
     pub(crate) links: Arc<Links>,
-    pub(crate) quotas: Arc<QuotaDesk>,
+    pub(crate) quotas: Arc<ReplicaQuotas>,
     pub(crate) probes: ProbeQueue,
     pub(crate) age_clock: SuspensionClock,
     pub(crate) metrics: Metrics,
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -32,7 +32,7 @@
     operator,
     peers::{Directory, Links, PeerContext, PeerListing, form_or_join, keep_links},
     quotas::{
-        HoldLimits, PartGrants, PartHold, ProbeQueue, QuotaDesk, ask_for_loans,
+        HoldLimits, PartGrants, PartHold, ProbeQueue, ReplicaQuotas, ask_for_loans,
         follow_configuration, keep_part,
     },
     relays::Registry,
@@ -222,7 +222,7 @@
     ));
     let patience = Duration::from_millis(config.repair_patience_ms);
     let hold_limits = HoldLimits::new(patience, config.election_timeout());
-    let quotas = Arc::new(QuotaDesk::new(
+    let quotas = Arc::new(ReplicaQuotas::new(
         config.quotas,
         PartHold::new(replica, hold_limits, rand::random()),
         grants,
