--- a/crates/sablehaven-control/src/quotas/replica_quotas.rs
+++ b/crates/sablehaven-control/src/quotas/replica_quotas.rs
@@ -242,10 +242,7 @@
     }
 
     fn routes(&self) -> Option<Arc<RouteDocument>> {
-        read(&self.state, |state| {
-            let held = state.routes().held()?;
-            Some(Arc::clone(&held.document))
-        })
+        read(&self.state, |state| state.routes().document())
     }
 
     fn count(&self, verdict: TokenVerdict) {
--- a/crates/sablehaven-control/src/routes/mod.rs
+++ b/crates/sablehaven-control/src/routes/mod.rs
@@ -36,6 +36,12 @@
 }
 
 impl RoutesState {
+    /// The document of the routes in force; `None` before the first.
+    pub fn document(&self) -> Option<Arc<RouteDocument>> {
+        let held = self.held.as_ref()?;
+        Some(Arc::clone(&held.document))
+    }
+
     /// The routes in force; `None` before the first.
     pub fn held(&self) -> Option<&PutRoutes> {
         self.held.as_ref()
