--- a/crates/sablehaven-control/src/peers/incoming.rs
+++ b/crates/sablehaven-control/src/peers/incoming.rs
@@ -4,10 +4,13 @@
 
 use tokio::time::timeout;
 
-use super::introduction::{PeerConnection, PeerError, PeerPayload, alive, decode};
+use super::{
+    introduction::{PeerConnection, PeerError},
+    payload::{PeerPayload, alive, decode},
+};
 use crate::{
     driver::Input,
-    quotas::{LoanCounter, answer_probe, take_answer},
+    quotas::{LoanHandler, answer_probe, take_answer},
     server::Context,
 };
 
@@ -20,8 +23,8 @@
     mut connection: PeerConnection,
 ) -> Result<(), PeerError> {
     let context = &server.peers;
-    let loans = LoanCounter {
-        desk: Arc::clone(&server.quotas),
+    let loans = LoanHandler {
+        quotas: Arc::clone(&server.quotas),
         links: Arc::clone(&server.links),
     };
     let peer = connection.peer_address.to_string();
--- a/crates/sablehaven-control/src/quotas/desk.rs
+++ b/crates/sablehaven-control/src/quotas/replica_quotas.rs
@@ -29,7 +29,7 @@
 };
 
 /// This replica's part of the quotas.
-pub(crate) struct QuotaDesk {
+pub(crate) struct ReplicaQuotas {
     published: watch::Receiver<Published>,
     state: SharedHandle,
     metrics: Metrics,
@@ -53,8 +53,8 @@
     waiting: WaitingRequests,
 }
 
-impl QuotaDesk {
-    /// A desk that follows what the driver publishes.
+impl ReplicaQuotas {
+    /// Quotas that follow what the driver publishes.
     pub(crate) fn new(
         tolerance: QuotaTolerance,
         hold: PartHold,
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Decides on requests for tokens, those that can be decided on now. The answers to the others follow to `replying`, within
-    /// the time in which other replicas lend.
+    /// Answers the requests for tokens that can be decided on now. The answers to the others follow through `replying`,
+    /// within the time in which other replicas lend.
     pub(crate) fn take(
         &self,
         requests: &[TokenRequest],
@@ -242,10 +242,7 @@
     }
 
     fn routes(&self) -> Option<Arc<RouteDocument>> {
-        read(&self.state, |state| {
-            let held = state.routes().held()?;
-            Some(Arc::clone(&held.document))
-        })
+        read(&self.state, |state| state.routes().document())
     }
 
     fn count(&self, verdict: TokenVerdict) {
@@ -275,11 +272,11 @@
 }
 
 /// Keeps the part by what the driver publishes, also while nobody asks: buckets fill from when their tenants are known.
-pub(crate) async fn follow_configuration(desk: Arc<QuotaDesk>) {
-    let mut published = desk.published.clone();
+pub(crate) async fn follow_configuration(quotas: Arc<ReplicaQuotas>) {
+    let mut published = quotas.published.clone();
     loop {
         published.mark_unchanged();
-        drop(desk.current(desk.now()));
+        drop(quotas.current(quotas.now()));
         if published.changed().await.is_err() {
             return;
         }
