--- a/crates/sablehaven-types/src/routes.rs
+++ b/crates/sablehaven-types/src/routes.rs
@@ -205,7 +205,7 @@
         /// The tenant.
         tenant: TenantName,
     },
-    /// tenant '{tenant}': rate and burst must be finite and not negative
+    /// tenant '{tenant}': the rate must be above 0 and the burst 0 or more, both finite
     BadQuota {
         /// The tenant.
         tenant: TenantName,
