Gateway: what a query decides for its parts keeps to the order of a request that may take servers down

Cause: since a query decides for all of its parts, a part whose attempt was lost while the request was still clear got its next attempt by the query's verdict, past the order in which such a request is tried: more servers crashed than the promise allows. Change: a part is left to the query only while every part may send, and a verdict is looked at again when it comes. Test: undisturbed is exactly when every part may send.

--- a/crates/sablehaven-gateway/src/crashes/watch.rs
+++ b/crates/sablehaven-gateway/src/crashes/watch.rs
@@ -199,6 +199,11 @@
         self.is_answered.get() || self.standing(now) == Standing::Clear
     }
 
+    /// Whether every part may send at once; no server was lost, or some have answered.
+    pub(crate) fn is_undisturbed(&self, now: Duration) -> bool {
+        self.is_answered.get() || (self.is_clear(now) && !self.is_held(now))
+    }
+
     /// Whether servers were found gone after the request, in this try or an earlier one, and none has answered it.
     pub(crate) fn has_crashed_servers(&self, now: Duration) -> bool {
         let table = self.table.borrow();
--- a/crates/sablehaven-gateway/src/crashes/watch/tests.rs
+++ b/crates/sablehaven-gateway/src/crashes/watch/tests.rs
@@ -113,3 +113,18 @@
     drop(many);
     assert!(matches!(watch.turn(ms(102), || 2), Turn::Trial(_)));
 }
+
+/// What a query decides for all of its parts must not pass by the order of a request that may take servers down.
+#[test]
+fn a_request_is_undisturbed_exactly_while_every_part_may_send() {
+    let (watch, _) = watch();
+    assert!(watch.is_undisturbed(ms(100)));
+    let _running = watch.begin();
+    lose(&watch, ms(100), 1);
+    assert!(matches!(watch.turn(ms(101), || 1), Turn::Wait(_)));
+    assert!(!watch.is_undisturbed(ms(101)), "others run");
+    lose(&watch, ms(102), 4);
+    assert!(!watch.is_undisturbed(ms(102) + 4 * USUAL), "it is suspect");
+    watch.answered(ms(300));
+    assert!(watch.is_undisturbed(ms(300)));
+}
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -280,7 +280,8 @@
     fn is_for_query(&self, failure: &AttemptFailure) -> bool {
         let now = self.accepted.gateway.clock.now();
         let is_free = matches!(failure, AttemptFailure::NotSent { .. });
-        self.place.is_some() && !is_free && self.accepted.outgoing.crash_watch.is_clear(now)
+        let is_undisturbed = self.accepted.outgoing.crash_watch.is_undisturbed(now);
+        self.place.is_some() && !is_free && is_undisturbed
     }
 
     /// Waits for an attempt that is under way, or for the query's verdict.
@@ -304,6 +305,11 @@
         let Some(failure) = self.failed.take() else {
             return Ok(());
         };
+        let now = self.accepted.gateway.clock.now();
+        if may_send && !self.accepted.outgoing.crash_watch.is_undisturbed(now) {
+            // Servers were lost since the query was asked: what may take more of them down goes one at a time.
+            return self.send_in_turn(Planned::Retry(failure));
+        }
         if !may_send {
             self.unaffordable += 1;
             self.accepted.gateway.metrics.unaffordable_attempts.inc();
