--- a/review/standin/src/cases/lost.rs
+++ b/review/standin/src/cases/lost.rs
@@ -60,7 +60,7 @@
 fn kill_in_first_election(delay: Duration, record: &Record) -> Option<usize> {
     let logs: Vec<_> = with_fleet(|fleet| fleet.controls.iter().map(Process::log_path).collect());
     let started = Instant::now();
-    while started.elapsed() < FIRST_ELECTION {
+    while started.elapsed() < FIRST_ELECTION && !logs.iter().all(|path| has_leader(path)) {
         for (index, path) in logs.iter().enumerate() {
             if !is_in_election_without_log(path) {
                 continue;
@@ -81,12 +81,22 @@
 
 /// Whether the latest line about the leadership tells of a term and of no members.
 fn is_in_election_without_log(path: &Path) -> bool {
+    let line = leadership_line(path);
+    line.contains("\"voters\":0") && !line.contains("\"term\":0")
+}
+
+/// Whether the latest line about the leadership names a leader and the three members.
+fn has_leader(path: &Path) -> bool {
+    let line = leadership_line(path);
+    line.contains("\"voters\":3") && !line.contains("\"leader\":null")
+}
+
+/// The latest line about the leadership in a log.
+fn leadership_line(path: &Path) -> String {
     let text = std::fs::read_to_string(path).unwrap_or_default();
-    let latest = text
-        .lines()
-        .rev()
-        .find(|line| line.contains("\"event\":\"leadership\""));
-    latest.is_some_and(|line| line.contains("\"voters\":0") && !line.contains("\"term\":0"))
+    let mut lines = text.lines().rev();
+    let latest = lines.find(|line| line.contains("\"event\":\"leadership\""));
+    latest.unwrap_or_default().to_owned()
 }
 
 fn acknowledge_and_lose_a_disk(
