--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -4,8 +4,8 @@
 pub mod list_moved;
 pub mod release;
 pub mod slow_reader;
+pub mod spoiled;
 pub mod stop_queue;
-pub mod surplus;
 
 use std::time::Duration;
 
--- a/review/standin-2/src/cases/surplus.rs
+++ b/review/standin-2/src/cases/spoiled.rs
@@ -1,5 +1,4 @@
-//! Faulty servers that send more bytes after some of their whole answers. The bytes arrive late, in the place where the
-//! next answer on the connection is expected, and carry no request id.
+//! Faulty servers that spoil some of their answers.
 
 use std::{
     collections::BTreeMap,
@@ -16,13 +15,13 @@
     list::{List, entry},
     operator,
     record::Record,
-    server::{Run, Server, Surplus},
+    server::{Run, Server, Spoiling},
 };
 
 /// How long the server is faulty.
 const FAULTY_FOR: Duration = Duration::from_secs(5);
-/// One in so many answers is followed by more bytes: 0.03 of them.
-const ANSWERS_PER_SURPLUS: u64 = 34;
+/// One in so many answers is spoiled: 0.03 of them.
+const ANSWERS_PER_SPOILED: u64 = 34;
 /// How many of the four servers are faulty: a share of 0.5.
 const FAULTY_SERVERS: usize = 2;
 /// Gateways.
@@ -42,7 +41,7 @@
 
 /// The surplus is a copy of the answer before it, without the id: does a client get it?
 pub fn run_foreign_answer(record: &Record, is_troubled: bool) -> Verdict {
-    let outcome = match play(record, is_troubled, "safe", Surplus::CopyWithoutId) {
+    let outcome = match play(record, is_troubled, "safe", Spoiling::CopyWithoutId) {
         Ok(outcome) => outcome,
         Err(reason) => return Verdict::CouldNotRun(reason),
     };
@@ -60,9 +59,9 @@
         ));
     }
     record.line(&format!(
-        "{} answers, {} sent surplus, {} clients got the answer to another request",
+        "{} answers, {} spoiled answers, {} clients got the answer to another request",
         outcome.answers.len(),
-        outcome.sent_surplus,
+        outcome.spoiled,
         foreign.len()
     ));
     match foreign.len() {
@@ -73,7 +72,7 @@
 
 /// The surplus says that a request was not executed, without an id: does a request that may run once run twice?
 pub fn run_twice(record: &Record, is_troubled: bool) -> Verdict {
-    let outcome = match play(record, is_troubled, "non_idempotent", Surplus::NotExecuted) {
+    let outcome = match play(record, is_troubled, "non_idempotent", Spoiling::NotExecuted) {
         Ok(outcome) => outcome,
         Err(reason) => return Verdict::CouldNotRun(reason),
     };
@@ -89,9 +88,9 @@
         record.line(&format!("{id} ran at {servers:?}"));
     }
     record.line(&format!(
-        "{} answers, {} sent surplus, {} requests ran more than once",
+        "{} answers, {} spoiled answers, {} requests ran more than once",
         outcome.answers.len(),
-        outcome.sent_surplus,
+        outcome.spoiled,
         twice.len()
     ));
     match twice.len() {
@@ -100,18 +99,45 @@
     }
 }
 
+/// Instead of its answer, a faulty server sends the head of an interim response: does a client get that?
+pub fn run_interim(record: &Record, is_troubled: bool) -> Verdict {
+    let spoiling = Spoiling::SwitchingProtocols;
+    let outcome = match play(record, is_troubled, "non_idempotent", spoiling) {
+        Ok(outcome) => outcome,
+        Err(reason) => return Verdict::CouldNotRun(reason),
+    };
+    let interim = outcome.answers.iter().filter(|answer| answer.status < 200);
+    let interim: Vec<_> = interim.collect();
+    for answer in &interim {
+        let Answered { id, status, .. } = answer;
+        record.line(&format!(
+            "the client of {id} got {status}, and then the end of its connection"
+        ));
+    }
+    record.line(&format!(
+        "{} answers, {} spoiled answers, {} clients got bytes that are no answer",
+        outcome.answers.len(),
+        outcome.spoiled,
+        interim.len()
+    ));
+    match interim.len() {
+        0 => Verdict::Held,
+        _ => Verdict::Broken,
+    }
+}
+
 /// What clients and servers saw.
 struct Outcome {
     answers: Vec<Answered>,
     runs: Vec<(String, Run)>,
-    sent_surplus: u64,
+    spoiled: u64,
 }
 
 fn play(
     record: &Record,
     is_troubled: bool,
     kind: &str,
-    surplus: Surplus,
+    spoiling: Spoiling,
 ) -> Result<Outcome, String> {
     let list = List::start();
     let start = |id: &str| Server::start(id, b"ran ".to_vec(), Duration::from_millis(5));
@@ -138,10 +164,10 @@
     // Calm for `contact_ms`, so that every machine is in touch.
     thread::sleep(Duration::from_secs(6));
     if is_troubled {
-        record.line("i-1 and i-2 send more after one in 34 of their answers for 5 s");
-        set_surplus(
+        record.line("i-1 and i-2 spoil one in 34 of their answers for 5 s");
+        set_spoiling(
             &servers[..FAULTY_SERVERS],
-            Some((surplus, ANSWERS_PER_SURPLUS)),
+            Some((spoiling, ANSWERS_PER_SPOILED)),
         );
     }
     let answers = Arc::new(Mutex::new(Vec::new()));
@@ -180,7 +206,7 @@
     for client in clients {
         let _ = client.join();
     }
-    set_surplus(&servers[..FAULTY_SERVERS], None);
+    set_spoiling(&servers[..FAULTY_SERVERS], None);
     let mut runs = Vec::new();
     for server in &servers {
         for run in server.runs() {
@@ -192,12 +218,12 @@
     Ok(Outcome {
         answers,
         runs,
-        sent_surplus: servers.iter().map(Server::sent_surplus).sum(),
+        spoiled: servers.iter().map(Server::spoiled).sum(),
     })
 }
 
-fn set_surplus(servers: &[Server], surplus: Option<(Surplus, u64)>) {
+fn set_spoiling(servers: &[Server], spoiling: Option<(Spoiling, u64)>) {
     for server in servers {
-        server.set_surplus(surplus);
+        server.set_spoiling(spoiling);
     }
 }
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -25,6 +25,18 @@
     pub body: Vec<u8>,
 }
 
+impl Answer {
+    /// An interim response, after which the connection ended.
+    fn interim(status: u16) -> Self {
+        Self {
+            status,
+            stamp: None,
+            location: None,
+            body: Vec::new(),
+        }
+    }
+}
+
 impl Request {
     pub fn new(method: &str, target: &str, host: &str) -> Self {
         Self {
@@ -113,6 +125,13 @@
 fn read_answer(reader: &mut BufReader<TcpStream>) -> std::io::Result<(Answer, bool)> {
     let ended = || std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
     let head = read_head(reader).ok_or_else(ended)?;
+    if head.status() == 101 {
+        // The connection ends without another answer, or the read times out.
+        return match read_head(reader) {
+            None => Ok((Answer::interim(head.status()), true)),
+            Some(_) => Err(std::io::Error::other("an answer after an interim response")),
+        };
+    }
     let body = read_body(reader, head.content_length()).ok_or_else(ended)?;
     let is_last = head
         .header("connection")
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -35,8 +35,9 @@
         "list-entry" => cases::list_entry::run(&record, is_troubled),
         "stop-queue" => cases::stop_queue::run(&record, is_troubled),
         "list-moved" => cases::list_moved::run(&record, is_troubled),
-        "foreign-answer" => cases::surplus::run_foreign_answer(&record, is_troubled),
-        "twice" => cases::surplus::run_twice(&record, is_troubled),
+        "foreign-answer" => cases::spoiled::run_foreign_answer(&record, is_troubled),
+        "interim" => cases::spoiled::run_interim(&record, is_troubled),
+        "twice" => cases::spoiled::run_twice(&record, is_troubled),
         other => Verdict::CouldNotRun(format!("there is no case {other}")),
     };
     match verdict {
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -1,5 +1,5 @@
 //! A server: answers each request after a time with a signed body that ends with the request's id, turns away requests
-//! for another instance, and records what it runs. It is sound unless it is told to send surplus bytes.
+//! for another instance, and records what it runs. It is sound unless it is told to spoil answers.
 
 use std::{
     io::{BufReader, Write},
@@ -14,6 +14,12 @@
 
 use crate::http::{Head, read_body, read_head};
 
+/// An answer that says that a request was not executed. It names no request.
+const NOT_EXECUTED: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Sablehaven-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+/// The head of an interim response.
+const SWITCHING_PROTOCOLS: &[u8] = b"HTTP/1.1 101 Switching Protocols\r\n\r\n";
+
 /// A request that the server ran.
 #[derive(Clone)]
 pub struct Run {
@@ -21,13 +27,17 @@
     pub at: Instant,
 }
 
-/// Bytes that a faulty server sends after a whole answer, when the next request of the connection has arrived.
+/// What a faulty server does with some of its answers.
 #[derive(Clone, Copy)]
-pub enum Surplus {
-    /// The answer once more, without the request id.
+pub enum Spoiling {
+    /// After the answer, when the next request of the connection has arrived, it sends the answer once more, without
+    /// the request id.
     CopyWithoutId,
-    /// An answer that says that a request was not executed, without a request id.
+    /// After the answer, when the next request of the connection has arrived, it sends an answer that says that a
+    /// request was not executed, without a request id.
     NotExecuted,
+    /// Instead of the answer, it sends the head of an interim response that nobody asked for.
+    SwitchingProtocols,
 }
 
 /// A running server; cheap to clone.
@@ -44,9 +54,9 @@
     runs: Mutex<Vec<Run>>,
     has_ended: AtomicBool,
     stamps: AtomicU64,
-    /// The surplus, and how many answers there are for each.
-    surplus: Mutex<Option<(Surplus, u64)>>,
-    sent_surplus: AtomicU64,
+    /// What it does with one in so many answers.
+    spoiling: Mutex<Option<(Spoiling, u64)>>,
+    spoiled: AtomicU64,
 }
 
 impl Server {
@@ -61,8 +71,8 @@
                 runs: Mutex::default(),
                 has_ended: AtomicBool::new(false),
                 stamps: AtomicU64::new(0),
-                surplus: Mutex::default(),
-                sent_surplus: AtomicU64::new(0),
+                spoiling: Mutex::default(),
+                spoiled: AtomicU64::new(0),
             }),
         };
         let serving = server.clone();
@@ -90,14 +100,14 @@
         let _ = TcpStream::connect(self.address);
     }
 
-    /// Starts or stops to send surplus bytes after one in so many answers.
-    pub fn set_surplus(&self, surplus: Option<(Surplus, u64)>) {
-        *self.shared.surplus.lock().expect("surplus") = surplus;
+    /// Starts or stops to spoil one in so many answers.
+    pub fn set_spoiling(&self, spoiling: Option<(Spoiling, u64)>) {
+        *self.shared.spoiling.lock().expect("spoiling") = spoiling;
     }
 
-    /// How often it has sent surplus bytes.
-    pub fn sent_surplus(&self) -> u64 {
-        self.shared.sent_surplus.load(Ordering::SeqCst)
+    /// How many answers it has spoiled.
+    pub fn spoiled(&self) -> u64 {
+        self.shared.spoiled.load(Ordering::SeqCst)
     }
 
     fn has_ended(&self) -> bool {
@@ -114,38 +124,36 @@
                 return;
             }
             if !late_bytes.is_empty() {
-                self.shared.sent_surplus.fetch_add(1, Ordering::SeqCst);
+                self.shared.spoiled.fetch_add(1, Ordering::SeqCst);
                 if writer.write_all(&std::mem::take(&mut late_bytes)).is_err() {
                     return;
                 }
             }
-            let answer = self.answer(&head);
+            let mut answer = self.answer(&head);
             if self.has_ended() {
                 return;
             }
+            match self.spoiling_now() {
+                None => {}
+                Some(Spoiling::CopyWithoutId) => late_bytes = without_id(&answer),
+                Some(Spoiling::NotExecuted) => late_bytes = NOT_EXECUTED.to_vec(),
+                Some(Spoiling::SwitchingProtocols) => {
+                    self.shared.spoiled.fetch_add(1, Ordering::SeqCst);
+                    answer = SWITCHING_PROTOCOLS.to_vec();
+                }
+            }
             if writer.write_all(&answer).is_err() {
                 return;
             }
-            late_bytes = self.surplus_after(&answer);
         }
     }
 
-    /// The bytes that follow an answer late; mostly none.
-    fn surplus_after(&self, answer: &[u8]) -> Vec<u8> {
-        let surplus = *self.shared.surplus.lock().expect("surplus");
+    /// What the server does with its latest answer; mostly nothing.
+    fn spoiling_now(&self) -> Option<Spoiling> {
+        let spoiling = *self.shared.spoiling.lock().expect("spoiling");
+        let (spoiling, interval) = spoiling?;
         let count = self.shared.stamps.load(Ordering::SeqCst);
-        match surplus {
-            Some((Surplus::CopyWithoutId, interval)) if count.is_multiple_of(interval) => {
-                let text = String::from_utf8_lossy(answer);
-                let lines = text.split_inclusive("\r\n");
-                let kept = lines.filter(|line| !line.starts_with("X-Sablehaven-Request-Id"));
-                kept.collect::<String>().into_bytes()
-            }
-            Some((Surplus::NotExecuted, interval)) if count.is_multiple_of(interval) => {
-                b"HTTP/1.1 503 Service Unavailable\r\nX-Sablehaven-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_vec()
-            }
-            _ => Vec::new(),
-        }
+        count.is_multiple_of(interval).then_some(spoiling)
     }
 
     fn answer(&self, head: &Head) -> Vec<u8> {
@@ -181,3 +189,11 @@
         answer
     }
 }
+
+/// The bytes of an answer without the header with the request id.
+fn without_id(answer: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(answer);
+    let lines = text.split_inclusive("\r\n");
+    let kept = lines.filter(|line| !line.starts_with("X-Sablehaven-Request-Id"));
+    kept.collect::<String>().into_bytes()
+}
