--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,6 +1,5 @@
 //! The cases, one module each.
 
-pub mod list_entry;
 pub mod list_moved;
 pub mod release;
 pub mod slow_reader;
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -61,7 +61,6 @@
 pub struct Deployment {
     ports: Ports,
     list: SocketAddr,
-    bounds: Value,
     folder: PathBuf,
     pub controls: Vec<Process>,
     pub gateways: Vec<Process>,
@@ -71,24 +70,6 @@
     /// Starts control replicas and gateways for the first time, spread over three zones, with the bounds of the site
     /// `tareas-busca`.
     pub fn start(controls: u8, gateways: u8, list: SocketAddr) -> Self {
-        Self::start_with_bounds(controls, gateways, list, &[])
-    }
-
-    /// As [`Self::start`], with some other bounds.
-    pub fn start_with_bounds(
-        controls: u8,
-        gateways: u8,
-        list: SocketAddr,
-        other_bounds: &[(&str, u64)],
-    ) -> Self {
-        let mut bounds = json!({
-            "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 5000, "ack_ms": 6000, "catch_up_s": 4, "drain_ms": 3000,
-            "grace_s": 6, "loss_slack_ms": 200, "config_apply_ms": 3000, "rollback_slack_ms": 250, "max_skew_ms": 15000,
-            "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 52, "recovery_s": 12, "ttl_max_s": 5,
-        });
-        for (name, value) in other_bounds {
-            bounds[*name] = json!(value);
-        }
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("folder");
         let network = (std::process::id() % 200) as u8 + 20;
@@ -101,7 +82,6 @@
         let mut deployment = Self {
             ports: Ports::find(),
             list,
-            bounds,
             controls: (0..controls).map(|host| process(1, host)).collect(),
             gateways: (0..gateways).map(|host| process(2, host)).collect(),
             folder,
@@ -205,7 +185,12 @@
             "data_dir": null, "discovery": "cloud", "entry": "directory", "heartbeat_ms": 1200,
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "scatter"],
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": self.bounds,
+            "bounds": {
+                "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 5000, "ack_ms": 6000, "catch_up_s": 4,
+                "drain_ms": 3000, "grace_s": 6, "loss_slack_ms": 200, "config_apply_ms": 3000,
+                "rollback_slack_ms": 250, "max_skew_ms": 15000, "retry_ratio": 0.2, "retry_window_s": 10,
+                "retry_slack": 52, "recovery_s": 12, "ttl_max_s": 5,
+            },
             "config_mode": "highest",
             "cloud": {"address": self.list, "rate_per_s": 49.0, "duties": [], "lag_ms": 800},
         })
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -32,7 +32,6 @@
     let record = record::Record::create(record_path);
     let verdict = match case.as_str() {
         "slow-reader" => cases::slow_reader::run(&record, is_troubled),
-        "list-entry" => cases::list_entry::run(&record, is_troubled),
         "stop-queue" => cases::stop_queue::run(&record, is_troubled),
         "list-moved" => cases::list_moved::run(&record, is_troubled),
         "foreign-answer" => cases::spoiled::run_foreign_answer(&record, is_troubled),
