--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -18,7 +18,7 @@
 /// The program of the deploy file, relative to the root of the repository.
 const PROGRAM: &str = "target/release/sablehaven-platform";
 
-/// Ports that are free on every loopback address.
+/// Ports that are free on the loopback addresses of all processes.
 #[derive(Clone, Copy)]
 struct Ports {
     internal: u16,
@@ -30,9 +30,9 @@
 
 impl Ports {
     /// Finds a free range of ports below those that the system gives to outgoing connections.
-    fn find() -> Self {
+    fn find(ips: &[Ipv4Addr]) -> Self {
         const RANGES: u32 = 540;
-        let is_free = |port: u16| TcpListener::bind(("0.0.0.0", port)).is_ok();
+        let is_free = |port: u16| ips.iter().all(|ip| TcpListener::bind((*ip, port)).is_ok());
         let starts = (0..RANGES).map(|number| {
             let range = (std::process::id() + number) % RANGES;
             10_000 + range as u16 * 40
@@ -79,11 +79,18 @@
             settings: Value::Null,
             child: None,
         };
+        let controls: Vec<Process> = (0..controls).map(|host| process(1, host)).collect();
+        let gateways: Vec<Process> = (0..gateways).map(|host| process(2, host)).collect();
+        let ips: Vec<Ipv4Addr> = controls
+            .iter()
+            .chain(&gateways)
+            .map(|process| process.ip)
+            .collect();
         let mut deployment = Self {
-            ports: Ports::find(),
+            ports: Ports::find(&ips),
             list,
-            controls: (0..controls).map(|host| process(1, host)).collect(),
-            gateways: (0..gateways).map(|host| process(2, host)).collect(),
+            controls,
+            gateways,
             folder,
         };
         for index in 0..deployment.controls.len() {
