gateway, http: a stop waits until connections have closed, not for admitted requests

Cause: the stop waited until no request was admitted. A request is admitted after its body was read, and its slot is released when the handler returns the response, before it is written. Requests that wait for a starting gateway's first routes are not admitted either.

Ruled out: that connections are closed at the end of the linger time; those with a request stay until their response is written if the process lives that long.

Change: `ServerSignals` tracks the accepted connections, and the stop waits until all have closed, at most until `stop_limit_ms`. The lines `stop` and `stopped` tell how many are open. The wait for first routes ends when the last answers are due.

Evidence: on the commit before, the four new tests failed (unfinished body, late body, slow receiver, waiting resend); they pass now.

--- a/crates/sablehaven-gateway/src/planned_stop.rs
+++ b/crates/sablehaven-gateway/src/planned_stop.rs
@@ -6,7 +6,10 @@
 
 use std::time::Duration;
 
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{gateway::Clock, route_table::RouteProfile};
 
@@ -60,6 +63,20 @@
         let left = self.time_left().unwrap_or_default();
         sleep(left.saturating_sub(needed)).await;
     }
+
+    /// Waits for `limit`, or until the last answers are due if that is sooner. Returns the output of `step` if it is
+    /// ready before.
+    pub(crate) async fn within<Output>(
+        &self,
+        limit: Duration,
+        step: impl Future<Output = Output>,
+    ) -> Option<Output> {
+        tokio::select! {
+            biased;
+            output = timeout(limit, step) => output.ok(),
+            () = self.wait_until_left(Duration::ZERO) => None,
+        }
+    }
 }
 
 /// Time that a request of a route is expected to need at a server, without the network round trip.
--- a/crates/sablehaven-gateway/src/request/first_routes.rs
+++ b/crates/sablehaven-gateway/src/request/first_routes.rs
@@ -6,15 +6,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::http::request::Parts;
-use tokio::time::timeout;
-
 use super::{
     head::{RESEND_WAIT_SHARE, caller_time, host},
     id_text,
     refusal::Refusal,
 };
 use crate::{gateway::Gateway, resends::CallerTry, route_table::PlannedRoute};
+use hyper::http::request::Parts;
 
 /// Finds the route of a request. A resend waits for the gateway's first routes and servers.
 pub(super) async fn find_route_or_wait(
@@ -57,5 +55,5 @@
     let mut status = gateway.status();
     let available = status.wait_for(|_| gateway.has_routes());
     // The result is ignored: the caller looks up the routes again in either case.
-    let _ = timeout(limit, available).await;
+    let _ = gateway.planned_stop.within(limit, available).await;
 }
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -1,10 +1,6 @@
 //! Starts and stops a gateway.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -13,7 +9,7 @@
 use tokio::{
     net::TcpListener,
     task::{JoinHandle, spawn_local},
-    time::{interval, sleep, sleep_until},
+    time::{interval, sleep, timeout},
 };
 
 use crate::{
@@ -25,8 +21,6 @@
 const CONNECTION_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the load is sampled. It equals the interval of the keepalive messages that report it.
 const LOAD_SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval at which a stopping gateway checks whether all requests have been answered.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a gateway did not start. Each error names the step that failed.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -138,25 +132,29 @@
     }
 
     /// Stops the gateway gracefully. It is no longer ready from the start of the stop, which removes it from the
-    /// directory, but it still accepts requests for as long as callers may keep its address. Requests that have
-    /// been read are answered, with a refusal if no server can answer them before the last answers are due, and idle
-    /// connections are closed last.
+    /// directory, but it still accepts requests for as long as callers may keep its address. Then idle connections are
+    /// closed, and the others after their response. Every request that has been read is answered, with a refusal if no
+    /// server can answer it before the last answers are due.
     pub async fn stop(self) {
         let gateway = &self.gateway;
-        let stop_by = gateway.clock.now() + Duration::from_millis(gateway.config.stop_limit_ms);
-        log::info!(event = "stop", open = gateway.admission.open(); "stopping");
-        gateway.begin_stop(stop_by);
+        let signals = &gateway.signals;
+        let exit_at = gateway.clock.now() + Duration::from_millis(gateway.config.stop_limit_ms);
+        log::info!(
+            event = "stop", open = gateway.admission.open(), connections = signals.open_connections();
+            "stopping"
+        );
+        gateway.begin_stop(exit_at);
         sleep(Duration::from_millis(gateway.config.stop_linger_ms)).await;
         self.accept_task.abort();
-        gateway.signals.closing.cancel();
-        // Requests that are still in transit on open connections get a moment to be read.
-        sleep(STOP_POLL_INTERVAL).await;
-        while gateway.admission.open() > 0 && gateway.clock.now() < stop_by {
-            sleep(STOP_POLL_INTERVAL).await;
-        }
-        // The last responses get a moment to be written.
-        sleep_until((Instant::now() + STOP_POLL_INTERVAL).into()).await;
-        log::info!(event = "stopped", open = gateway.admission.open(); "stopped");
+        signals.closing.cancel();
+        // A connection closes once it has no request to read or to answer, and its last response is written.
+        let time_left = exit_at.saturating_sub(gateway.clock.now());
+        let all_closed = timeout(time_left, signals.wait_until_closed()).await;
+        log::info!(
+            event = "stopped", open = gateway.admission.open(), connections = signals.open_connections(),
+            is_limit_reached = all_closed.is_err();
+            "stopped"
+        );
     }
 }
 
--- a/crates/sablehaven-gateway/tests/gateway/stops.rs
+++ b/crates/sablehaven-gateway/tests/gateway/stops.rs
@@ -9,9 +9,14 @@
 use sablehaven_types::{RequestKind, Route};
 use tokio::time::sleep;
 
+use crate::support::raw_caller::{RawCaller, has_status, request_head};
 use crate::support::routes::{gather_route, record, service_route};
 use crate::support::{TestBed, run_test, send_request, wait_until};
 
+/// A time after the gateway has closed its idle connections, and before its exit, in a stop with the settings of
+/// [`TestBed::new`].
+const AFTER_LINGER: Duration = Duration::from_millis(800);
+
 /// Settings of a gateway that exits soon.
 fn short_stop(config: &mut Config) {
     config.stop_linger_ms = 300;
@@ -181,3 +186,92 @@
         assert_eq!(all.status, StatusCode::GATEWAY_TIMEOUT);
     });
 }
+
+/// Guards against resends that are cut at the exit while they wait for a starting gateway's first routes.
+#[test]
+fn a_resend_that_waits_for_the_first_routes_is_refused_before_the_exit() {
+    run_test(async {
+        let mut bed = TestBed::with(short_stop).await;
+        let gateway = bed.gateway.take().expect("a gateway");
+        let first_try_headers = [("sablehaven-deadline-ms", "20000")];
+        bed.send("0", "GET", "/q/x", &first_try_headers, "").await;
+        let resend_headers = [("sablehaven-deadline-ms", "19000")];
+        let resend = bed.send("1", "GET", "/q/x", &resend_headers, "");
+        let stopping = async {
+            sleep(Duration::from_millis(100)).await;
+            bed.stop_and_exit(gateway).await;
+        };
+        let (response, ()) = tokio::join!(resend, stopping);
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    });
+}
+
+/// Guards against an exit while bodies of requests are still arriving: they are not admitted yet.
+#[test]
+fn a_request_whose_body_is_still_arriving_is_answered_before_the_exit() {
+    run_test(async {
+        let mut bed = TestBed::new().await;
+        bed.add_servers("quick", &[Behaviour::answer("quick")])
+            .await;
+        let route = service_route("/q/", RequestKind::NonIdempotent, "quick");
+        bed.apply_routes(1, vec![route]).await;
+        let gateway = bed.gateway.take().expect("a gateway");
+        let mut caller = RawCaller::connect(bed.address).await;
+        caller
+            .send(&request_head("POST", "/q/x", &["content-length: 10"]))
+            .await;
+        let upload = async {
+            sleep(AFTER_LINGER).await;
+            caller.send("0123456789").await;
+            caller.receive().await
+        };
+        let (response, ()) = tokio::join!(upload, bed.stop_and_exit(gateway));
+        assert!(has_status(&response, 200), "{response}");
+        assert_eq!(bed.server("quick", 0).seen()[0].body, b"0123456789");
+    });
+}
+
+/// Guards against an exit that closes the connection of an unfinished request without an answer, and against one that
+/// waits for its body for as long as the caller takes.
+#[test]
+fn a_request_whose_body_does_not_arrive_is_refused_before_the_exit() {
+    run_test(async {
+        let mut bed = TestBed::with(short_stop).await;
+        bed.add_servers("quick", &[Behaviour::answer("quick")])
+            .await;
+        let route = service_route("/q/", RequestKind::NonIdempotent, "quick");
+        bed.apply_routes(1, vec![route]).await;
+        let gateway = bed.gateway.take().expect("a gateway");
+        let mut caller = RawCaller::connect(bed.address).await;
+        caller
+            .send(&request_head("POST", "/q/x", &["content-length: 10"]))
+            .await;
+        let (response, ()) = tokio::join!(caller.receive(), bed.stop_and_exit(gateway));
+        assert!(has_status(&response, 503), "{response}");
+        assert_eq!(bed.arrivals("quick"), 0);
+    });
+}
+
+/// Guards against an exit that cuts responses that are still being written because their callers' links are slow.
+#[test]
+fn a_response_that_its_caller_receives_slowly_is_written_before_the_exit() {
+    run_test(async {
+        let mut bed = TestBed::new().await;
+        // More than the kernel buffers for the caller's small receive window.
+        let body = "b".repeat(6 * 1024 * 1024);
+        bed.add_servers("large", &[Behaviour::answer(body.as_bytes())])
+            .await;
+        let route = service_route("/l/", RequestKind::NonIdempotent, "large");
+        bed.apply_routes(1, vec![route]).await;
+        let gateway = bed.gateway.take().expect("a gateway");
+        let mut caller = RawCaller::connect_with_receive_buffer(bed.address, 64 * 1024).await;
+        caller.send(&request_head("GET", "/l/x", &[])).await;
+        let download = async {
+            sleep(AFTER_LINGER).await;
+            caller.receive().await
+        };
+        let (response, ()) = tokio::join!(download, bed.stop_and_exit(gateway));
+        assert!(has_status(&response, 200));
+        assert!(response.ends_with(&body));
+    });
+}
--- a/crates/sablehaven-gateway/tests/gateway/support/raw_caller.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/raw_caller.rs
@@ -4,7 +4,7 @@
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::timeout,
 };
 
@@ -21,6 +21,14 @@
         Self { stream }
     }
 
+    /// Connects with a receive buffer of a fixed size, in bytes.
+    pub async fn connect_with_receive_buffer(address: SocketAddr, size: u32) -> Self {
+        let socket = TcpSocket::new_v4().expect("socket");
+        socket.set_recv_buffer_size(size).expect("set buffer size");
+        let stream = socket.connect(address).await.expect("connect");
+        Self { stream }
+    }
+
     /// Sends the bytes of `text` unchanged.
     pub async fn send(&mut self, text: &str) {
         let sent = self.stream.write_all(text.as_bytes()).await;
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -12,10 +12,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    task::spawn_local,
     time::{Instant, sleep, sleep_until},
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::watched_stream::{Activity, ConnectionState, WatchedStream};
 
@@ -37,13 +36,29 @@
     pub idle_timeout: Duration,
 }
 
-/// Signals for the two steps of a graceful shutdown. Cheap to clone.
+/// Signals for the two steps of a graceful shutdown, and the connections that it waits for. Cheap to clone.
 #[derive(Clone, Debug, Default)]
 pub struct ServerSignals {
     /// First step: every response from now on asks the caller to close its connection (`Connection: close`).
     pub leaving: CancellationToken,
     /// Second step: no more connections are accepted, idle ones are closed, and the others close after their response.
     pub closing: CancellationToken,
+    /// The accepted connections that are open.
+    connections: TaskTracker,
+}
+
+impl ServerSignals {
+    /// Number of accepted connections that are open.
+    pub fn open_connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Waits until all accepted connections have closed, each after its last response is written. Meant to follow
+    /// [`Self::closing`], without which idle connections stay open.
+    pub async fn wait_until_closed(&self) {
+        self.connections.close();
+        self.connections.wait().await;
+    }
 }
 
 /// Listens on an address. Sets `SO_REUSEADDR`, so that the address can be reused immediately after a previous process
@@ -84,7 +99,7 @@
             continue;
         };
         let connection = serve_connection(stream, limits(), signals.clone(), handler.clone());
-        spawn_local(connection);
+        signals.connections.spawn_local(connection);
     }
 }
 
