gateway: checks of a planned stop cost nothing while none has begun

Cause: each choice of a server and each acquired connection read a watch channel and computed the expected reply time, and each wake-up of a query over shards subscribed to it again.

Change: the time at which the last answers are due is a cell; the expected reply time is computed only after a stop has begun, and a query waits for the stop once.

--- a/crates/sablehaven-gateway/src/planned_stop.rs
+++ b/crates/sablehaven-gateway/src/planned_stop.rs
@@ -4,12 +4,10 @@
 //! in time is not sent to any and is refused, so that its caller may send it through another gateway. A request that is
 //! still at a server when the last answers are due is answered as if its time were over.
 
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
-use tokio::{
-    sync::watch,
-    time::{sleep, timeout},
-};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 use crate::{gateway::Clock, route_table::RouteProfile};
 
@@ -21,7 +19,9 @@
 /// When the last answers of a stopping gateway are due.
 pub(crate) struct PlannedStop {
     clock: Clock,
-    answers_due: watch::Sender<Option<Duration>>,
+    answers_due: Cell<Option<Duration>>,
+    /// Cancelled when the stop begins.
+    begun: CancellationToken,
 }
 
 impl PlannedStop {
@@ -29,39 +29,44 @@
     pub(crate) fn new(clock: Clock) -> Self {
         Self {
             clock,
-            answers_due: watch::channel(None).0,
+            answers_due: Cell::default(),
+            begun: CancellationToken::new(),
         }
     }
 
     /// Begins the stop of a gateway that exits at `exit_at` at the latest.
     pub(crate) fn begin(&self, exit_at: Duration) {
         let answers_due = exit_at.saturating_sub(WRITE_RESERVE);
-        self.answers_due.send_replace(Some(answers_due));
+        self.answers_due.set(Some(answers_due));
+        self.begun.cancel();
     }
 
     /// Whether a stop has begun.
     pub(crate) fn has_begun(&self) -> bool {
-        self.answers_due.borrow().is_some()
+        self.answers_due.get().is_some()
     }
 
     /// Time until the last answers are due; `None` if no stop has begun.
     pub(crate) fn time_left(&self) -> Option<Duration> {
-        let answers_due = *self.answers_due.borrow();
+        let answers_due = self.answers_due.get();
         answers_due.map(|due| due.saturating_sub(self.clock.now()))
     }
 
-    /// Whether a stop has begun and leaves less than `needed` until the last answers are due.
-    pub(crate) fn leaves_less_than(&self, needed: Duration) -> bool {
-        self.time_left().is_some_and(|left| left < needed)
+    /// Whether a stop has begun and leaves less than the time `needed` until the last answers are due.
+    pub(crate) fn leaves_less_than(&self, needed: impl FnOnce() -> Duration) -> bool {
+        self.time_left().is_some_and(|left| left < needed())
     }
 
-    /// Waits until the last answers are due in `needed`. Never resolves if no stop begins.
-    pub(crate) async fn wait_until_left(&self, needed: Duration) {
-        let mut answers_due = self.answers_due.subscribe();
-        // The sender lives as long as `self`, so waiting does not fail.
-        let _ = answers_due.wait_for(Option::is_some).await;
+    /// Waits until a stop has begun and leaves no more than the time `needed` until the last answers are due.
+    pub(crate) async fn wait_until_left(&self, needed: impl FnOnce() -> Duration) {
+        self.begun.cancelled().await;
         let left = self.time_left().unwrap_or_default();
-        sleep(left.saturating_sub(needed)).await;
+        sleep(left.saturating_sub(needed())).await;
+    }
+
+    /// Waits until a stop has begun and the last answers are due.
+    pub(crate) async fn answers_due(&self) {
+        self.wait_until_left(|| Duration::ZERO).await;
     }
 
     /// Waits for `limit`, or until the last answers are due if that is sooner. Returns the output of `step` if it is
@@ -74,7 +79,7 @@
         tokio::select! {
             biased;
             output = timeout(limit, step) => output.ok(),
-            () = self.wait_until_left(Duration::ZERO) => None,
+            () = self.answers_due() => None,
         }
     }
 }
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -3,6 +3,7 @@
 
 use std::{
     cmp::Reverse,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -88,6 +89,8 @@
         .collect();
     let mut probe = TimerProbe::start(accepted);
     let mut planned_at = accepted.outgoing.deadline;
+    // Once it is ready, the query is answered and this is not polled any more.
+    let mut answers_due = pin!(accepted.gateway.planned_stop.answers_due());
     let outcome = loop {
         probe.check(accepted);
         decide_failed_parts(accepted, &query);
@@ -121,7 +124,7 @@
             }
             () = sleep(BUDGET_RETRY_INTERVAL), if query.has_failed_parts() => {}
             () = sleep_until(probe.wake_at(wait_until).into()) => {}
-            () = accepted.gateway.planned_stop.wait_until_left(Duration::ZERO) => {}
+            () = &mut answers_due => {}
         }
     };
     log_if_incomplete_or_late(accepted, gather, &parts, outcome.as_ref().err());
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -156,7 +156,7 @@
     arrived: Instant,
     step: impl Future<Output = Result<Output, Refusal>>,
 ) -> Result<Output, Refusal> {
-    let reply_time = expected_reply_time(&planned.profile);
+    let reply_time = || expected_reply_time(&planned.profile);
     tokio::select! {
         biased;
         () = gateway.planned_stop.wait_until_left(reply_time) => {
@@ -294,7 +294,7 @@
 
     /// Whether the gateway stops too soon for another server's reply.
     fn is_stopping(&self) -> bool {
-        let reply_time = expected_reply_time(&self.planned.profile);
+        let reply_time = || expected_reply_time(&self.planned.profile);
         self.gateway.planned_stop.leaves_less_than(reply_time)
     }
 
--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -171,7 +171,7 @@
                     }
                 }
                 () = self.accepted.outgoing.service_time_estimate.wait_until_known() => {}
-                () = self.accepted.gateway.planned_stop.wait_until_left(Duration::ZERO),
+                () = self.accepted.gateway.planned_stop.answers_due(),
                     if self.handle.is_none() =>
                 {
                     return Err(PartFailure::Stopping);
--- a/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
@@ -79,10 +79,10 @@
     let connection = tokio::select! {
         biased;
         connection = connect(gateway, server) => connection?,
-        () = gateway.planned_stop.wait_until_left(reply_time()) => return Err(stops_too_soon()),
+        () = gateway.planned_stop.wait_until_left(reply_time) => return Err(stops_too_soon()),
     };
     // The connection may have become free too late, and the server may have been slow in the meantime.
-    if gateway.planned_stop.leaves_less_than(reply_time()) {
+    if gateway.planned_stop.leaves_less_than(reply_time) {
         return Err(stops_too_soon());
     }
     Ok(connection)
