http, gateway: interim responses without end no longer hold a request

Cause: hyper bounds the head of a response by the read buffer, but skips any number of interim responses before it.

Ruled out: other parts without end (header value, headers, body without a length, body in chunks, chunk extension, trailers, bytes after a whole answer) are given up at their size limits; the tests show it.

The limit is armed when a request is sent and lifted when the head has arrived.

--- a/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
@@ -134,7 +134,9 @@
     outgoing: Request<WholeBody>,
 ) -> Result<Response<Incoming>, AttemptFailure> {
     let is_reused = connection.is_reused;
+    connection.head_limit.arm();
     let result = connection.sender.try_send_request(outgoing).await;
+    connection.head_limit.lift();
     result.map_err(|mut error| {
         // hyper returns the request if it has not started to write it.
         let reason = format!(
--- a/crates/sablehaven-gateway/src/servers/connection_pool.rs
+++ b/crates/sablehaven-gateway/src/servers/connection_pool.rs
@@ -8,7 +8,7 @@
 };
 
 use hyper::{client::conn::http1::SendRequest, header::HeaderMap};
-use sablehaven_http::{ConnectError, WholeBody, connect};
+use sablehaven_http::{ConnectError, HeadLimit, WholeBody, connect};
 use tokio::{sync::Notify, task::spawn_local};
 
 use super::connection_share::ConnectionShare;
@@ -44,6 +44,7 @@
 
 struct IdleConnection {
     sender: SendRequest<WholeBody>,
+    head_limit: HeadLimit,
     usable_until: Instant,
     permit: Permit,
 }
@@ -51,6 +52,8 @@
 /// A connection in use by one request. Dropping it without [`Self::release`] closes it.
 pub(crate) struct PooledConnection {
     pub(crate) sender: SendRequest<WholeBody>,
+    /// Limits what precedes the body of a reply.
+    pub(crate) head_limit: HeadLimit,
     /// Whether it has carried an earlier request.
     pub(crate) is_reused: bool,
     /// The measured round trip, if the connection is new.
@@ -141,6 +144,7 @@
             if is_usable && sender.ready().await.is_ok() {
                 return Some(PooledConnection {
                     sender,
+                    head_limit: idle.head_limit,
                     is_reused: true,
                     round_trip: None,
                     permit,
@@ -166,6 +170,7 @@
         });
         Ok(PooledConnection {
             sender: opened.sender,
+            head_limit: opened.head_limit,
             is_reused: false,
             round_trip: Some(opened.round_trip),
             permit,
@@ -202,6 +207,7 @@
         // An idle connection keeps its permit.
         state.idle.borrow_mut().push(IdleConnection {
             sender: self.sender,
+            head_limit: self.head_limit,
             usable_until: Instant::now() + idle_timeout,
             permit: self.permit,
         });
--- a/crates/sablehaven-gateway/tests/gateway/replies.rs
+++ b/crates/sablehaven-gateway/tests/gateway/replies.rs
@@ -1,11 +1,11 @@
 //! Tests that the gateway accepts a server's reply only if it is complete, signed and belongs to the request.
 
 use hyper::StatusCode;
-use sablehaven_standins::routed::Behaviour;
+use sablehaven_standins::routed::{Behaviour, EndlessPart};
 use sablehaven_types::RequestKind;
 
 use crate::support::routes::service_route;
-use crate::support::{TestBed, run_test};
+use crate::support::{Response, TestBed, run_test, wait_until};
 
 /// Checks that the caller gets the good reply of the far server and no part of the bad reply of the near one.
 async fn assert_never_forwarded(bad_reply: Behaviour) {
@@ -140,3 +140,66 @@
         assert!((1..=900).contains(&time_left_ms), "{time_left_ms}");
     });
 }
+
+/// Sends a request that may run once to a server with this behaviour, the second time on a connection that has carried
+/// a request before, and returns both responses.
+async fn ask_once(behaviour: Behaviour) -> [Response; 2] {
+    let mut bed = TestBed::new().await;
+    bed.add_servers("once", std::slice::from_ref(&behaviour))
+        .await;
+    let route = service_route("/o/", RequestKind::NonIdempotent, "once");
+    bed.apply_routes(1, vec![route]).await;
+    let on_new = bed.get("1", "/o/x").await;
+    bed.server("once", 0).set(Behaviour::answer("whole"));
+    let whole = bed.get("2", "/o/x").await;
+    assert_eq!(&whole.body[..], b"whole", "{behaviour:?}");
+    bed.server("once", 0).set(behaviour);
+    let on_reused = bed.get("3", "/o/x").await;
+    wait_until("the gateway closes the connection", || {
+        bed.server("once", 0).open_connections() == 0
+    })
+    .await;
+    assert_eq!(bed.arrivals("once"), 3);
+    [on_new, on_reused]
+}
+
+/// Guards against requests that are held, and servers that are kept busy, by bytes that follow without end.
+#[test]
+fn an_answer_without_end_is_given_up_before_the_deadline() {
+    let endless_parts = [
+        EndlessPart::HeaderValue,
+        EndlessPart::Headers,
+        EndlessPart::InterimResponses,
+        EndlessPart::UnframedBody,
+        EndlessPart::ChunkedBody,
+        EndlessPart::ChunkExtension,
+        EndlessPart::Trailers,
+    ];
+    for part in endless_parts {
+        run_test(async {
+            for response in ask_once(Behaviour::Endless(part)).await {
+                assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{part:?}");
+            }
+        });
+        run_test(assert_never_forwarded(Behaviour::Endless(part)));
+    }
+}
+
+/// Guards against connections that stay open, and keep their server busy, after a whole answer.
+#[test]
+fn a_connection_with_bytes_without_end_after_the_answer_is_closed() {
+    run_test(async {
+        let mut bed = TestBed::new().await;
+        let surplus = Behaviour::Endless(EndlessPart::AfterAnswer);
+        bed.add_servers("once", &[surplus]).await;
+        let route = service_route("/o/", RequestKind::NonIdempotent, "once");
+        bed.apply_routes(1, vec![route]).await;
+        let response = bed.get("1", "/o/x").await;
+        assert_eq!(response.status, StatusCode::OK);
+        assert_eq!(&response.body[..], b"answer");
+        wait_until("the gateway closes the connection", || {
+            bed.server("once", 0).open_connections() == 0
+        })
+        .await;
+    });
+}
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -5,11 +5,13 @@
 //! `docs/design/house-style.md` explains this choice.
 
 mod client;
+mod head_limit;
 mod observed_body;
 mod server;
 mod watched_stream;
 
 pub use client::{ConnectError, OpenConnection, connect};
+pub use head_limit::{HeadLimit, HeadLimitedStream};
 pub use observed_body::{BodyObserver, ObservedBody};
 pub use server::{ConnectionLimits, ServerSignals, accept_connections, listen, serve_connection};
 
--- a/testing/sablehaven-standins/src/routed/behaviour.rs
+++ b/testing/sablehaven-standins/src/routed/behaviour.rs
@@ -53,6 +53,39 @@
     Fail,
     /// Nothing at all.
     Silent,
+    /// Signed and with a body, under a status line of the test's choice.
+    Status {
+        /// Status code and reason.
+        status: &'static str,
+    },
+    /// The first bytes of a whole answer; then the connection is closed.
+    CutAfter {
+        /// The number of bytes.
+        length: usize,
+    },
+    /// Bytes that follow without end until the caller closes the connection.
+    Endless(EndlessPart),
+}
+
+/// The part of an answer that does not end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessPart {
+    /// A header's value.
+    HeaderValue,
+    /// Header after header.
+    Headers,
+    /// Interim responses, none of which is the answer.
+    InterimResponses,
+    /// A body without a length.
+    UnframedBody,
+    /// A body in chunks.
+    ChunkedBody,
+    /// The extension of a chunk's size.
+    ChunkExtension,
+    /// The trailers after a body in chunks.
+    Trailers,
+    /// What follows a whole answer.
+    AfterAnswer,
 }
 
 impl Behaviour {
--- a/testing/sablehaven-standins/src/routed/mod.rs
+++ b/testing/sablehaven-standins/src/routed/mod.rs
@@ -5,6 +5,6 @@
 mod message;
 mod server;
 
-pub use behaviour::Behaviour;
+pub use behaviour::{Behaviour, EndlessPart};
 pub use message::SeenRequest;
 pub use server::{RoutedNames, RoutedServer};
--- a/testing/sablehaven-standins/src/routed/server.rs
+++ b/testing/sablehaven-standins/src/routed/server.rs
@@ -21,10 +21,13 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    behaviour::Behaviour,
+    behaviour::{Behaviour, EndlessPart},
     message::{SeenRequest, read_request},
 };
 
+/// How often the bytes of an endless answer are repeated in one write.
+const ENDLESS_REPEATS: usize = 64;
+
 /// What the headers are called.
 #[derive(Clone, Copy, Debug)]
 pub struct RoutedNames {
@@ -213,6 +216,10 @@
             return;
         }
         let is_reset = matches!(behaviour, Behaviour::Reset | Behaviour::UnframedReset);
+        if let Behaviour::Endless(part) = &behaviour {
+            shared.answer_endlessly(&mut writer, *part, &id).await;
+            return;
+        }
         let ended = shared.answer(&mut writer, &behaviour, &id).await;
         if is_reset {
             reset(reader, writer);
@@ -262,7 +269,15 @@
                 whole.truncate(whole.len() - 40);
                 whole
             }
-            Behaviour::Reset | Behaviour::Close | Behaviour::Silent => Vec::new(),
+            Behaviour::Reset | Behaviour::Close | Behaviour::Silent | Behaviour::Endless(_) => {
+                Vec::new()
+            }
+            Behaviour::Status { status } => self.framed(status, request, "", b"status"),
+            Behaviour::CutAfter { length } => {
+                let mut whole = self.framed("200 OK", request, "", b"");
+                whole.truncate(*length);
+                whole
+            }
             Behaviour::Garbage => b"\x00\x01 this is no answer\r\n\r\n".to_vec(),
             Behaviour::Surplus { body } => {
                 let mut both = self.framed("200 OK", request, "", body);
@@ -289,10 +304,42 @@
                 | Behaviour::Reset
                 | Behaviour::Close
                 | Behaviour::Garbage
+                | Behaviour::CutAfter { .. }
         );
         sent && !is_last
     }
 
+    /// Sends bytes until the other side closes the connection.
+    async fn answer_endlessly(
+        &self,
+        writer: &mut OwnedWriteHalf,
+        part: EndlessPart,
+        request: &str,
+    ) {
+        let head = self.head("200 OK", request);
+        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        let (start, repeated) = match part {
+            EndlessPart::HeaderValue => (format!("{head}long: "), "value".to_owned()),
+            EndlessPart::Headers => (head, "more: value\r\n".to_owned()),
+            EndlessPart::InterimResponses => {
+                (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".to_owned())
+            }
+            EndlessPart::UnframedBody => (format!("{head}\r\n"), "body".to_owned()),
+            EndlessPart::ChunkedBody => (chunked, format!("400\r\n{}\r\n", "b".repeat(0x400))),
+            EndlessPart::ChunkExtension => (format!("{chunked}4;"), "extension".to_owned()),
+            EndlessPart::AfterAnswer => (
+                format!("{head}Content-Length: 6\r\n\r\nanswer"),
+                "surplus".to_owned(),
+            ),
+            EndlessPart::Trailers => (format!("{chunked}0\r\n"), "more: value\r\n".to_owned()),
+        };
+        let repeated = repeated.repeat(ENDLESS_REPEATS);
+        let mut sent = writer.write_all(start.as_bytes()).await;
+        while sent.is_ok() {
+            sent = writer.write_all(repeated.as_bytes()).await;
+        }
+    }
+
     fn head(&self, status: &str, request: &str) -> String {
         let number = self.stamps.fetch_add(1, Ordering::SeqCst);
         let Shared { id, names, .. } = self;
