http, gateway: a body in tiny chunks takes no more memory than its size

What an operator would see: a server in trouble (or a caller) that sends a body in chunks of a byte makes the gateway hold each chunk with the read buffer that it arrived in, many times the body's size, up to the limit of 8 MiB of data.

Cause: the frames of a body were kept until its end; the limit counted their bytes only.

Change: `collect_body` copies the frames of a body as they arrive and releases them. A body of a single frame is not copied, as before. Replies and requests are read by the same function.

--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -25,9 +25,8 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{Request, Response, body::Incoming, header::HeaderValue, http::request::Parts};
-use sablehaven_http::WholeBody;
+use sablehaven_http::{CollectError, WholeBody, collect_body};
 use sablehaven_types::{RouteTarget, ServiceName, Tenant, WeightedService};
 
 use self::{
@@ -249,11 +248,12 @@
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_) => Err(Refusal::IncompleteBody),
-    }
+    collect_body(body, limit)
+        .await
+        .map_err(|error| match error {
+            CollectError::TooLarge { .. } => Refusal::BodyTooLarge,
+            CollectError::Failed(_) => Refusal::IncompleteBody,
+        })
 }
 
 /// The service that `draw` (uniform, 0 to 1) selects by weight.
--- a/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
@@ -6,14 +6,13 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_ENCODING, HeaderMap, HeaderValue},
     http::response::Parts,
 };
-use sablehaven_http::WholeBody;
+use sablehaven_http::{CollectError, WholeBody, collect_body};
 
 use super::{AttemptFailure, OutgoingRequest, Server, ServerReply, connect_timeout};
 use crate::{
@@ -153,15 +152,13 @@
 }
 
 async fn read_body(address: SocketAddr, body: Incoming) -> Result<Bytes, AttemptFailure> {
-    match Limited::new(body, MAX_REPLY_BYTES).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(outcome_unknown(format!(
-            "reply body from {address}: {error}"
-        ))),
-        Err(error) => Err(connection_lost(format!(
-            "reply body from {address}: {error}"
-        ))),
-    }
+    collect_body(body, MAX_REPLY_BYTES).await.map_err(|error| {
+        let reason = format!("reply body from {address}: {error}");
+        match error {
+            CollectError::TooLarge { .. } => outcome_unknown(reason),
+            CollectError::Failed(_) => connection_lost(reason),
+        }
+    })
 }
 
 /// Converts a complete and valid reply into the result of the attempt.
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -5,12 +5,14 @@
 //! `docs/design/house-style.md` explains this choice.
 
 mod client;
+mod collect;
 mod head_limit;
 mod observed_body;
 mod server;
 mod watched_stream;
 
 pub use client::{ConnectError, OpenConnection, connect};
+pub use collect::{CollectError, collect_body};
 pub use head_limit::{HeadLimit, HeadLimitedStream};
 pub use observed_body::{BodyObserver, ObservedBody};
 pub use server::{ConnectionLimits, ServerSignals, accept_connections, listen, serve_connection};
