gateway: an answer with a status outside 100 to 599 is not forwarded

Cause: hyper accepts any three digits from 100 on, and the validation of replies did not look at the status.

Change: a reply with an undefined status is not valid, as one with a foreign id is not.

--- a/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    ops::Range,
     time::{Duration, Instant},
 };
 
@@ -23,6 +24,9 @@
 /// Size limit for the body of a reply.
 const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Status codes that HTTP defines (RFC 9110, section 15). hyper accepts larger ones as well.
+const VALID_STATUS_CODES: Range<u16> = 100..600;
+
 /// Sends the request and reads the reply in four phases: connect, read the head, read the body, validate. The
 /// connection returns to the pool only after a complete and valid reply.
 pub(super) async fn exchange(
@@ -225,6 +229,9 @@
     headers: &HeaderMap,
     status: StatusCode,
 ) -> Result<(), String> {
+    if !VALID_STATUS_CODES.contains(&status.as_u16()) {
+        return Err(format!("the status code {} is not valid", status.as_u16()));
+    }
     let names = &gateway.names;
     if let Some(echoed) = headers.get(&names.request_id)
         && *echoed != request.request_id
--- a/crates/sablehaven-gateway/tests/gateway/replies.rs
+++ b/crates/sablehaven-gateway/tests/gateway/replies.rs
@@ -203,3 +203,17 @@
         .await;
     });
 }
+
+/// Guards against statuses that are none, such as 000, being forwarded as if the server had answered.
+#[test]
+fn an_answer_with_an_invalid_status_is_not_forwarded() {
+    for status in ["000 Trouble", "099 Trouble", "600 Trouble", "999 Trouble"] {
+        run_test(async {
+            for response in ask_once(Behaviour::Status { status }).await {
+                assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{status}");
+                assert_eq!(response.header("sablehaven-stamp"), None, "{status}");
+            }
+        });
+        run_test(assert_never_forwarded(Behaviour::Status { status }));
+    }
+}
