gateway tests: an answer that ends within its head is never forwarded

It does not happen here: hyper treats the end of a connection within a head as an incomplete message. The test cuts the head after every number of bytes, on reused and on new connections, and asks for a 502 each time. It passes on the code before this commit; there is no fault to fix.

--- a/crates/sablehaven-gateway/tests/gateway/replies.rs
+++ b/crates/sablehaven-gateway/tests/gateway/replies.rs
@@ -217,3 +217,40 @@
         run_test(assert_never_forwarded(Behaviour::Status { status }));
     }
 }
+
+/// Guards against a head that the server cut off being taken for a whole answer with an empty or short body.
+#[test]
+fn an_answer_that_ends_within_its_head_is_not_forwarded() {
+    run_test(async {
+        // Most requests fail, which must not lead to refusals.
+        let mut bed = TestBed::with(|config| config.max_throttled = 0.0).await;
+        bed.add_servers("once", &[Behaviour::answer("")]).await;
+        let route = service_route("/o/", RequestKind::NonIdempotent, "once");
+        bed.apply_routes(1, vec![route]).await;
+        let server = bed.server("once", 0);
+        let mut length = 0;
+        // Each request has a path of its own, since one under which connections are lost is suspected of crashing
+        // servers.
+        loop {
+            server.set(Behaviour::answer(""));
+            let whole = bed.get("a", &format!("/o/whole/{length}")).await;
+            assert_eq!(whole.status, StatusCode::OK);
+            server.set(Behaviour::CutAfter { length });
+            let on_reused = bed.get("a", &format!("/o/reused/{length}")).await;
+            let on_new = bed.get("a", &format!("/o/new/{length}")).await;
+            assert_eq!(on_reused.status, on_new.status, "{length} bytes");
+            if on_new.status == StatusCode::OK {
+                break;
+            }
+            assert_eq!(on_new.status, StatusCode::BAD_GATEWAY, "{length} bytes");
+            length += 1;
+        }
+        let head = [
+            "HTTP/1.1 200 OK",
+            "sablehaven-request-id: a",
+            "Content-Length: 0",
+        ];
+        let min_length = head.join("\r\n").len();
+        assert!(length > min_length, "forwarded after {length} bytes");
+    });
+}
