http: one stream type for the observers of reads

The streams of both sides differed only in what they did with the number of bytes read. `ObservedStream` calls a `ReadObserver`, which `Activity` and `HeadLimit` implement. `watched_stream.rs` becomes `activity.rs`. No change of behaviour.

--- a/crates/sablehaven-http/src/watched_stream.rs
+++ b/crates/sablehaven-http/src/activity.rs
@@ -1,18 +1,13 @@
-//! A stream that records when the bytes of the next request begin to arrive. The header and idle timeouts of a
-//! connection depend on it.
+//! Records when the bytes of the next request begin to arrive. The header and idle timeouts of a connection depend on
+//! it.
 
 use std::{
     io,
-    pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll},
     time::Instant,
 };
 
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use crate::observed_stream::ReadObserver;
 
 /// The activity of a connection, shared by the stream, the request handler and the timeout checks.
 #[derive(Clone, Debug)]
@@ -89,59 +84,9 @@
     }
 }
 
-/// A TCP stream that records received bytes in an [`Activity`].
-pub(crate) struct WatchedStream {
-    stream: TcpStream,
-    activity: Activity,
-}
-
-impl WatchedStream {
-    pub(crate) fn new(stream: TcpStream, activity: Activity) -> Self {
-        Self { stream, activity }
-    }
-}
-
-impl AsyncRead for WatchedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.activity.bytes_received();
-        }
-        result
-    }
-}
-
-impl AsyncWrite for WatchedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+impl ReadObserver for Activity {
+    fn bytes_read(&self, _: usize) -> io::Result<()> {
+        self.bytes_received();
+        Ok(())
     }
 }
--- a/crates/sablehaven-http/src/client.rs
+++ b/crates/sablehaven-http/src/client.rs
@@ -13,7 +13,7 @@
     time::{Instant, timeout},
 };
 
-use crate::{HeadLimit, HeadLimitedStream, WholeBody};
+use crate::{HeadLimit, ObservedStream, WholeBody};
 
 /// The size of the read buffer, in bytes, which also limits the header section of a response. It is half of hyper's
 /// default, because a gateway keeps hundreds of these connections.
@@ -48,7 +48,7 @@
     /// Sends requests, one at a time. Dropping a response before its end closes the connection.
     pub sender: SendRequest<WholeBody>,
     /// The future that drives the connection until it closes.
-    pub connection: Connection<TokioIo<HeadLimitedStream>, WholeBody>,
+    pub connection: Connection<TokioIo<ObservedStream<HeadLimit>>, WholeBody>,
     /// Limits what precedes the body of a response. It is lifted at first.
     pub head_limit: HeadLimit,
     /// The time that the TCP handshake took, which is one round trip.
@@ -79,7 +79,7 @@
     let mut builder = Builder::new();
     builder.read_buf_exact_size(Some(READ_BUFFER_BYTES));
     let head_limit = HeadLimit::default();
-    let stream = HeadLimitedStream::new(stream, head_limit.clone());
+    let stream = ObservedStream::new(stream, head_limit.clone());
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) =
         handshake.map_err(|source| ConnectError::Handshake { address, source })?;
--- a/crates/sablehaven-http/src/head_limit.rs
+++ b/crates/sablehaven-http/src/head_limit.rs
@@ -3,18 +3,13 @@
 
 use std::{
     io,
-    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
 };
 
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use crate::observed_stream::ReadObserver;
 
 /// Maximum size of a response's head together with the interim responses before it.
 const MAX_BYTES_BEFORE_BODY: usize = 64 * 1024;
@@ -64,61 +59,9 @@
     }
 }
 
-/// A TCP stream whose reads fail when the [`HeadLimit`] is exceeded.
-pub struct HeadLimitedStream {
-    stream: TcpStream,
-    limit: HeadLimit,
-}
-
-impl HeadLimitedStream {
-    pub(crate) fn new(stream: TcpStream, limit: HeadLimit) -> Self {
-        Self { stream, limit }
-    }
-}
-
-impl AsyncRead for HeadLimitedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let length = buffer.filled().len() - before;
-        match result {
-            Poll::Ready(Ok(())) => Poll::Ready(self.limit.count(length)),
-            other => other,
-        }
-    }
-}
-
-impl AsyncWrite for HeadLimitedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+impl ReadObserver for HeadLimit {
+    fn bytes_read(&self, length: usize) -> io::Result<()> {
+        self.count(length)
     }
 }
 
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -4,17 +4,19 @@
 //! must know for each connection what was sent, whether a response was complete, and when the connection may be closed.
 //! `docs/design/house-style.md` explains this choice.
 
+mod activity;
 mod client;
 mod collect;
 mod head_limit;
 mod observed_body;
+mod observed_stream;
 mod server;
-mod watched_stream;
 
 pub use client::{ConnectError, OpenConnection, connect};
 pub use collect::{CollectError, collect_body};
-pub use head_limit::{HeadLimit, HeadLimitedStream};
+pub use head_limit::HeadLimit;
 pub use observed_body::{BodyObserver, ObservedBody};
+pub use observed_stream::{ObservedStream, ReadObserver};
 pub use server::{ConnectionLimits, ServerSignals, accept_connections, listen, serve_connection};
 
 /// A body that is held completely in memory.
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -16,7 +16,10 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::watched_stream::{Activity, ConnectionState, WatchedStream};
+use crate::{
+    activity::{Activity, ConnectionState},
+    observed_stream::ObservedStream,
+};
 
 /// The smallest buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -117,7 +120,7 @@
     // If the option cannot be set, small responses are delayed but still correct.
     let _ = stream.set_nodelay(true);
     let activity = Activity::new();
-    let stream = TokioIo::new(WatchedStream::new(stream, activity.clone()));
+    let stream = TokioIo::new(ObservedStream::new(stream, activity.clone()));
     let service = service_fn(|request| {
         activity.request_started();
         let response = handler(request);
