--- a/crates/sablehaven-gateway/src/request/first_routes.rs
+++ b/crates/sablehaven-gateway/src/request/first_routes.rs
@@ -6,13 +6,14 @@
 
 use std::{rc::Rc, time::Duration};
 
+use hyper::http::request::Parts;
+
 use super::{
     head::{RESEND_WAIT_SHARE, caller_time, host},
     id_text,
     refusal::Refusal,
 };
 use crate::{gateway::Gateway, resends::CallerTry, route_table::PlannedRoute};
-use hyper::http::request::Parts;
 
 /// Finds the route of a request. A resend waits for the gateway's first routes and servers.
 pub(super) async fn find_route_or_wait(
--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use futures::{StreamExt, stream::FuturesUnordered};
+use futures::{FutureExt, StreamExt, stream::FuturesUnordered};
 use hyper::{
     Response,
     header::{CONTENT_TYPE, HeaderValue},
@@ -89,8 +89,7 @@
         .collect();
     let mut probe = TimerProbe::start(accepted);
     let mut planned_at = accepted.outgoing.deadline;
-    // Once it is ready, the query is answered and this is not polled any more.
-    let mut answers_due = pin!(accepted.gateway.planned_stop.answers_due());
+    let mut answers_due = pin!(accepted.gateway.planned_stop.answers_due().fuse());
     let outcome = loop {
         probe.check(accepted);
         decide_failed_parts(accepted, &query);
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -65,6 +65,23 @@
     crash_watch: Rc<CrashWatch>,
 }
 
+/// A request that has not been sent to any server.
+struct UnsentRequest<'a> {
+    arrived: Instant,
+    request_id: &'a HeaderValue,
+    planned: &'a PlannedRoute,
+}
+
+impl ReceivedRequest {
+    fn unsent(&self) -> UnsentRequest<'_> {
+        UnsentRequest {
+            arrived: self.arrived,
+            request_id: &self.request_id,
+            planned: &self.planned,
+        }
+    }
+}
+
 /// An admitted request. It uses the version of the routes that was in force when it arrived.
 pub(crate) struct Accepted {
     pub(crate) gateway: Rc<Gateway>,
@@ -99,8 +116,7 @@
     refuse_quarantined(gateway, &received)?;
     let admitted = admit(gateway, &received);
     // Holds the request's slot until it is answered or its caller disconnects.
-    let _admitted =
-        refuse_if_stopping(gateway, &received.planned, received.arrived, admitted).await?;
+    let _admitted = refuse_if_stopping(gateway, received.unsent(), admitted).await?;
     let accepted = accept(gateway, received)?;
     let answer = ask_servers(&accepted).await;
     let answer = answer.map_err(|refusal| accepted.final_refusal(refusal));
@@ -129,7 +145,12 @@
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
     let request_id = request_id.ok_or(Refusal::MissingRequestId)?;
     let body = read_body(body, gateway.limits().max_body_bytes);
-    let body = refuse_if_stopping(gateway, &planned, arrived, body).await?;
+    let unsent = UnsentRequest {
+        arrived,
+        request_id: &request_id,
+        planned: &planned,
+    };
+    let body = refuse_if_stopping(gateway, unsent, body).await?;
     let crash_watch = CrashWatch::new(
         fingerprint(&head, host(&head).unwrap_or_default(), &body),
         Rc::clone(&gateway.crashes),
@@ -151,16 +172,21 @@
 /// without waiting for the step.
 async fn refuse_if_stopping<Output>(
     gateway: &Gateway,
-    planned: &PlannedRoute,
-    arrived: Instant,
+    unsent: UnsentRequest<'_>,
     step: impl Future<Output = Result<Output, Refusal>>,
 ) -> Result<Output, Refusal> {
+    let UnsentRequest {
+        arrived,
+        request_id,
+        planned,
+    } = unsent;
     let reply_time = || expected_reply_time(&planned.profile);
     tokio::select! {
         biased;
         () = gateway.planned_stop.wait_until_left(reply_time) => {
             log::info!(
-                event = "refused", reason:% = Refusal::Stopping, route = planned.route().name.as_str();
+                event = "refused", request:% = id_text(request_id), reason:% = Refusal::Stopping,
+                route = planned.route().name.as_str();
                 "request"
             );
             record_outcome(gateway, planned, Outcome::Refused, arrived);
