--- a/crates/sablehaven-gateway/tests/gateway/stops.rs
+++ b/crates/sablehaven-gateway/tests/gateway/stops.rs
@@ -4,7 +4,7 @@
 
 use futures::future::join_all;
 use hyper::StatusCode;
-use sablehaven_gateway::Config;
+use sablehaven_gateway::{Config, Handle};
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::{RequestKind, Route};
 use tokio::time::sleep;
@@ -23,13 +23,19 @@
     config.stop_limit_ms = 1_500;
 }
 
-/// A route whose requests are expected to take longer than a short stop leaves them.
-fn slow_route(path_prefix: &str, kind: RequestKind, service: &str) -> Route {
-    Route {
+/// Starts a gateway that exits soon, with the route `/s/` to a server that does not answer. Requests on this route are
+/// expected to take longer than the stop leaves them.
+async fn start_with_silent_server() -> (TestBed, Handle) {
+    let mut bed = TestBed::with(short_stop).await;
+    bed.add_servers("slow", &[Behaviour::Silent]).await;
+    let route = Route {
         aim_ms: 10_000,
         timeout_ms: 20_000,
-        ..service_route(path_prefix, kind, service)
-    }
+        ..service_route("/s/", RequestKind::NonIdempotent, "slow")
+    };
+    bed.apply_routes(1, vec![route]).await;
+    let gateway = bed.gateway.take().expect("a gateway");
+    (bed, gateway)
 }
 
 #[test]
@@ -117,11 +123,7 @@
 #[test]
 fn a_request_that_cannot_be_answered_before_the_exit_is_refused_at_once() {
     run_test(async {
-        let mut bed = TestBed::with(short_stop).await;
-        bed.add_servers("slow", &[Behaviour::Silent]).await;
-        let route = slow_route("/s/", RequestKind::NonIdempotent, "slow");
-        bed.apply_routes(1, vec![route]).await;
-        let gateway = bed.gateway.take().expect("a gateway");
+        let (bed, gateway) = start_with_silent_server().await;
         let late_request = async {
             sleep(Duration::from_millis(100)).await;
             bed.get("1", "/s/x").await
@@ -138,11 +140,7 @@
 #[test]
 fn a_request_that_is_at_its_server_is_answered_before_the_exit() {
     run_test(async {
-        let mut bed = TestBed::with(short_stop).await;
-        bed.add_servers("slow", &[Behaviour::Silent]).await;
-        let route = slow_route("/s/", RequestKind::NonIdempotent, "slow");
-        bed.apply_routes(1, vec![route]).await;
-        let gateway = bed.gateway.take().expect("a gateway");
+        let (bed, gateway) = start_with_silent_server().await;
         let stopping = async {
             wait_until("the request reaches the server", || {
                 bed.arrivals("slow") == 1
