http: the connections of clients are limited, and the slowest one makes room for a new one

What callers saw: a gateway, or the calls of a control replica, accepted every connection until descriptors or memory were used up; then nobody was served.

Cause: accept_connections served whatever the listener returned. The buffers that the system keeps for a connection grow to megabytes, and bytes that arrive while a request is served stay in them.

Ruled out: to stop accepting at the limit. A crowd that stays connected would then keep ordinary callers out for as long as it likes.

Change: all listeners of a process share a ClientBudget, and each has a share of its connections. At the limit the connection that has waited longest for its client is closed: idle, or sending its head or its body, counted from the first byte, so that trickled bytes gain nothing. One whose request is being served is not closed; if there is no other, the new connection is. At most seven eighths of the connections may have an open request.

--- a/crates/sablehaven-gateway/src/config.rs
+++ b/crates/sablehaven-gateway/src/config.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use sablehaven_http::ClientLimits;
 use sablehaven_types::{
     Placement, QuotaTolerance, RegionName, SettingChecks, SettingError, ZoneName,
 };
@@ -50,6 +51,8 @@
     pub stop_limit_ms: u64,
     /// Maximum number of open requests. Beyond it requests are refused, the least urgent first.
     pub max_requests: usize,
+    /// Limits on what is held for callers and for other clients.
+    pub clients: ClientLimits,
     /// Maximum fraction (0 to 0.9) of the requests of one kind that is refused while most of their responses are
     /// late or missing. At 0 no request is refused for this reason.
     pub max_throttled: f64,
@@ -104,6 +107,7 @@
             stop_linger_ms: 3_300,
             stop_limit_ms: 5_500,
             max_requests: 512,
+            clients: ClientLimits::default(),
             max_throttled: 0.7,
             quotas: QuotaTolerance::default(),
         }
@@ -127,6 +131,7 @@
         let is_valid = limit >= self.stop_linger_ms;
         checks.require("stop_limit_ms", is_valid, limit, "at least stop_linger_ms");
         checks.at_least("max_requests", self.max_requests as u64, 1);
+        checks.nested("clients", |prefix| self.clients.validate(prefix));
         let fraction = self.max_throttled;
         let is_valid = (0.0..=0.9).contains(&fraction);
         checks.require("max_throttled", is_valid, fraction, "0 to 0.9");
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_http::ServerSignals;
+use sablehaven_http::{ClientBudget, ServerSignals};
 use sablehaven_routing::crash_table::CrashTable;
 use sablehaven_types::{
     CallerLimits, CrashReport, EvacuatedZones, ListingChange, ListingNumber, RequestFingerprint,
@@ -39,6 +39,10 @@
 /// known reports are sent on it again.
 const MAX_UNSENT_REPORTS: usize = 64;
 
+/// Fraction of the connections of callers whose requests may be open, in eighths. Only the others can be closed to make
+/// room for new ones.
+const OPEN_REQUEST_EIGHTHS: usize = 7;
+
 /// A monotonic clock that starts at zero.
 #[derive(Clone, Copy)]
 pub(crate) struct Clock {
@@ -72,6 +76,8 @@
     crash_reports: broadcast::Sender<CrashReport>,
     pub(crate) load: LoadMeter,
     pub(crate) signals: ServerSignals,
+    /// What is held for callers and for other clients.
+    pub(crate) clients: ClientBudget,
     pub(crate) metrics: Metrics,
     routes: RefCell<Option<Rc<RouteTable>>>,
     advertised_address: SocketAddr,
@@ -99,10 +105,14 @@
         let tokens = TokenClient::new(BootTimeClock::default(), &config.quotas);
         let controls = config.controls.iter().copied().collect();
         let clock = Clock::new();
+        let clients = ClientBudget::new(config.clients);
+        let mut metrics = Metrics::new();
+        metrics.register_clients(&clients);
         Self {
             registry: Registry::new(&config),
-            admission: Admission::new(config.max_requests),
+            admission: Admission::new(max_requests(&config)),
             throttle: RefCell::new(RequestThrottle::new(config.max_throttled)),
+            clients,
             config,
             names,
             clock,
@@ -111,7 +121,7 @@
             crash_reports: broadcast::channel(MAX_UNSENT_REPORTS).0,
             load: LoadMeter::default(),
             signals: ServerSignals::default(),
-            metrics: Metrics::new(),
+            metrics,
             routes: RefCell::default(),
             advertised_address,
             planned_stop: PlannedStop::new(clock),
@@ -332,3 +342,11 @@
         });
     }
 }
+
+/// The maximum number of open requests, given the number of connections that callers may open.
+fn max_requests(config: &Config) -> usize {
+    let max_header_bytes = CallerLimits::default().max_header_bytes;
+    let connections = config.clients.connections(max_header_bytes);
+    let limit = connections * OPEN_REQUEST_EIGHTHS / 8;
+    config.max_requests.min(limit.max(1))
+}
--- a/crates/sablehaven-gateway/src/metrics.rs
+++ b/crates/sablehaven-gateway/src/metrics.rs
@@ -11,6 +11,8 @@
     registry::Registry,
 };
 
+use sablehaven_http::ClientBudget;
+
 /// Upper bound of the first bucket for request durations, in seconds.
 const MIN_DURATION_SECONDS: f64 = 0.004;
 /// Upper bound of the first bucket for waits for a token, in seconds.
@@ -215,6 +217,11 @@
         self.tokens_refused.get_or_create(&labels).inc();
     }
 
+    /// Adds the use of a budget to the metrics.
+    pub(crate) fn register_clients(&mut self, clients: &ClientBudget) {
+        clients.register_metrics(&mut self.registry);
+    }
+
     /// Encodes the metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use sablehaven_http::{ConnectionLimits, ServerSignals, WholeBody, accept_connections, listen};
+use sablehaven_http::{
+    ClientBudget, ConnectionLimits, ServerSignals, WholeBody, accept_connections, listen,
+};
 use sablehaven_types::{BoundAddresses, SettingError};
 use tokio::{
     net::TcpListener,
@@ -54,6 +56,11 @@
 }
 
 impl MetricsHandle {
+    /// The limits on what the gateway holds for its clients, which those who fetch its metrics share.
+    pub fn clients(&self) -> &ClientBudget {
+        &self.gateway.clients
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode_metrics(&self) -> String {
         let open = i64::try_from(self.gateway.admission.open()).unwrap_or(i64::MAX);
@@ -71,6 +78,8 @@
     if !errors.is_empty() {
         return Err(StartError::Settings { errors });
     }
+    let buffer_bytes = config.clients.socket_buffer_bytes;
+    let bind = |address| bind(address, buffer_bytes);
     let (caller_listener, address) = bind(config.listen)?;
     let readiness_listener = config.ready_listen.map(bind).transpose()?;
     let gateway = Rc::new(Gateway::new(config, names, address));
@@ -96,9 +105,9 @@
     })
 }
 
-fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+fn bind(address: SocketAddr, buffer_bytes: usize) -> Result<(TcpListener, SocketAddr), StartError> {
     let error = |source| StartError::Listen { address, source };
-    let listener = listen(address).map_err(error)?;
+    let listener = listen(address, buffer_bytes).map_err(error)?;
     let bound = listener.local_addr().map_err(error)?;
     Ok((listener, bound))
 }
@@ -168,9 +177,12 @@
             idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
         }
     };
+    let share = gateway
+        .clients
+        .listener(gateway.config.clients.max_connections);
     let signals = gateway.signals.clone();
     let handler = move |request| answer(Rc::clone(&gateway), request);
-    accept_connections(listener, bounds, signals, handler).await;
+    accept_connections(listener, bounds, share, signals, handler).await;
 }
 
 /// Serves the readiness check until the process ends.
@@ -180,9 +192,12 @@
         header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(60),
     };
+    let max_connections = gateway.config.clients.max_probe_connections;
+    let share = gateway.clients.listener(max_connections);
+    let signals = ServerSignals::default();
     let handler =
         move |request: Request<Incoming>| std::future::ready(readiness(&gateway, &request));
-    accept_connections(listener, bounds, ServerSignals::default(), handler).await;
+    accept_connections(listener, bounds, share, signals, handler).await;
 }
 
 fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<WholeBody> {
--- a/crates/sablehaven-http/src/activity.rs
+++ b/crates/sablehaven-http/src/activity.rs
@@ -1,18 +1,15 @@
-//! Records when the bytes of the next request begin to arrive. The header and idle timeouts of a connection depend on
-//! it.
+//! Records what a connection waits for, and since when. The timeouts of a connection depend on it, and so does which one
+//! is closed to make room for others.
 
 use std::{
-    io,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
 
-use crate::observed_stream::ReadObserver;
-
 /// The activity of a connection, shared by the stream, the request handler and the timeout checks.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Activity {
-    record: Arc<Mutex<ActivityRecord>>,
+    record: Mutex<ActivityRecord>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -38,13 +35,12 @@
 
 impl Activity {
     pub(crate) fn new() -> Self {
-        let record = ActivityRecord {
-            is_busy: false,
-            idle_since: Instant::now(),
-            header_since: None,
-        };
         Self {
-            record: Arc::new(Mutex::new(record)),
+            record: Mutex::new(ActivityRecord {
+                is_busy: false,
+                idle_since: Instant::now(),
+                header_since: None,
+            }),
         }
     }
 
@@ -71,8 +67,20 @@
         }
     }
 
+    /// Since when the connection has waited for its client: to send the rest of a request, to take the rest of a
+    /// response, or to send the next request. `None` while a request is being served.
+    ///
+    /// The time counts from the first byte, so that a client that sends or takes a byte now and then gains nothing.
+    pub(crate) fn waiting_since(&self) -> Option<Instant> {
+        let record = *self.lock();
+        if record.is_busy {
+            return None;
+        }
+        Some(record.header_since.unwrap_or(record.idle_since))
+    }
+
     /// Records that bytes have arrived.
-    fn bytes_received(&self) {
+    pub(crate) fn bytes_received(&self) {
         let mut record = self.lock();
         if !record.is_busy && record.header_since.is_none() {
             record.header_since = Some(Instant::now());
@@ -83,10 +91,3 @@
         self.record.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl ReadObserver for Activity {
-    fn bytes_read(&self, _: usize) -> io::Result<()> {
-        self.bytes_received();
-        Ok(())
-    }
-}
--- /dev/null
+++ b/crates/sablehaven-http/src/client_budget/tests.rs
@@ -0,0 +1,111 @@
+//! Tests of what is closed or refused when a limit is reached.
+
+use std::{future::Future, pin::pin, time::Duration};
+
+use futures::poll;
+use tokio::time::sleep;
+
+use super::{ClientBudget, ConnectionSlot, ListenerShare};
+use crate::ClientLimits;
+
+const MAX_CONNECTIONS: usize = 3;
+
+fn budget() -> ClientBudget {
+    ClientBudget::new(ClientLimits {
+        max_connections: 100,
+        connection_bytes: 100 * 1024 * 1024,
+        max_probe_connections: 1,
+        socket_buffer_bytes: 16 * 1024,
+    })
+}
+
+/// Opens connections, each a little after the one before.
+async fn open(share: &ListenerShare, count: usize) -> Vec<ConnectionSlot> {
+    let mut slots = Vec::new();
+    for _ in 0..count {
+        slots.push(share.open(0).await.expect("a connection"));
+        sleep(Duration::from_millis(2)).await;
+    }
+    slots
+}
+
+async fn is_evicted(slot: &ConnectionSlot) -> bool {
+    poll!(pin!(slot.evicted())).is_ready()
+}
+
+/// Polls a future that waits for a connection to close, closes that connection and returns the output.
+async fn after_close<Output>(
+    waiting: impl Future<Output = Output>,
+    slots: &mut Vec<ConnectionSlot>,
+    expected: usize,
+) -> Output {
+    let mut waiting = pin!(waiting);
+    assert!(poll!(waiting.as_mut()).is_pending());
+    for (index, slot) in slots.iter().enumerate() {
+        assert_eq!(
+            is_evicted(slot).await,
+            index == expected,
+            "connection {index}"
+        );
+    }
+    drop(slots.remove(expected));
+    waiting.await
+}
+
+#[tokio::test]
+async fn the_connection_that_waits_longest_is_closed_for_a_new_one() {
+    let budget = budget();
+    let share = budget.listener(MAX_CONNECTIONS);
+    let mut slots = open(&share, MAX_CONNECTIONS).await;
+    // The first connection has sent the next request in the meantime.
+    slots[0].activity().request_started();
+    let opened = after_close(share.open(0), &mut slots, 1).await;
+    assert!(opened.is_some());
+    assert_eq!(budget.usage().connections, MAX_CONNECTIONS);
+    assert_eq!(budget.usage().closed_connections, 1);
+}
+
+#[tokio::test]
+async fn a_new_connection_is_refused_if_all_others_are_served() {
+    let budget = budget();
+    let share = budget.listener(MAX_CONNECTIONS);
+    let slots = open(&share, MAX_CONNECTIONS).await;
+    for slot in &slots {
+        slot.activity().request_started();
+    }
+    assert!(share.open(0).await.is_none());
+    assert_eq!(budget.usage().refused_connections, 1);
+    slots[1].activity().response_ready();
+    drop(slots);
+    assert!(share.open(0).await.is_some());
+}
+
+#[tokio::test]
+async fn a_listener_does_not_close_connections_of_another() {
+    let budget = budget();
+    let callers = open(&budget.listener(MAX_CONNECTIONS), MAX_CONNECTIONS).await;
+    let probes = budget.listener(1);
+    let mut probe_slots = open(&probes, 1).await;
+    assert!(
+        after_close(probes.open(0), &mut probe_slots, 0)
+            .await
+            .is_some()
+    );
+    for slot in &callers {
+        assert!(!is_evicted(slot).await);
+    }
+}
+
+/// A client that sends a byte now and then is as slow as one that has stopped.
+#[tokio::test]
+async fn trickling_bytes_do_not_save_a_connection() {
+    let budget = budget();
+    let share = budget.listener(2);
+    let mut slots = open(&share, 2).await;
+    for slot in &slots {
+        slot.activity().bytes_received();
+        sleep(Duration::from_millis(2)).await;
+    }
+    slots[0].activity().bytes_received();
+    assert!(after_close(share.open(0), &mut slots, 0).await.is_some());
+}
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -5,7 +5,10 @@
 //! `docs/design/house-style.md` explains this choice.
 
 mod activity;
+mod budget_metrics;
 mod client;
+mod client_budget;
+mod client_limits;
 mod collect;
 mod head_limit;
 mod observed_body;
@@ -13,11 +16,13 @@
 mod server;
 
 pub use client::{ConnectError, OpenConnection, connect};
+pub use client_budget::{BudgetUse, ClientBudget, ListenerShare};
+pub use client_limits::{ClientLimits, MachineLimits};
 pub use collect::{CollectError, collect_body};
 pub use head_limit::HeadLimit;
 pub use observed_body::{BodyObserver, ObservedBody};
 pub use observed_stream::{ObservedStream, ReadObserver};
-pub use server::{ConnectionLimits, ServerSignals, accept_connections, listen, serve_connection};
+pub use server::{ConnectionLimits, ServerSignals, accept_connections, listen};
 
 /// A body that is held completely in memory.
 pub type WholeBody = http_body_util::Full<bytes::Bytes>;
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -1,6 +1,6 @@
 //! Server side: accepts and serves HTTP/1.1 connections from callers.
 
-use std::{convert::Infallible, net::SocketAddr, pin::pin, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -18,17 +18,17 @@
 
 use crate::{
     activity::{Activity, ConnectionState},
-    observed_stream::ObservedStream,
+    client_budget::{ClientConnection, ConnectionSlot, ListenerShare},
+    client_limits::MIN_READ_BUFFER_BYTES,
+    observed_stream::{ObservedStream, ReadObserver},
 };
 
-/// The smallest buffer size that hyper accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// The delay after a failed accept, so that the loop does not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The maximum number of new connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
-/// Limits on the header section of requests and on the idle time of connections.
+/// Limits on the header section of requests and on the idle time of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionLimits {
     /// The maximum size of the header section, in bytes. A larger one is answered with status 431.
@@ -65,25 +65,31 @@
 }
 
 /// Listens on an address. Sets `SO_REUSEADDR`, so that the address can be reused immediately after a previous process
-/// has ended.
+/// has ended. The system buffers `buffer_bytes` of what each accepted connection receives, and as much of what it sends.
 ///
 /// # Errors
 /// Returns the operating system's error if the socket cannot be bound.
-pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn listen(address: SocketAddr, buffer_bytes: usize) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the sizes. Otherwise the system enlarges the buffers of each to several megabytes.
+    let buffer_bytes = u32::try_from(buffer_bytes).unwrap_or(u32::MAX);
+    socket.set_recv_buffer_size(buffer_bytes)?;
+    socket.set_send_buffer_size(buffer_bytes)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
 /// Accepts connections until [`ServerSignals::closing`] and serves each in a local task of its own. `limits` is called
-/// for each connection, since the limits may change while the process runs.
+/// for each connection, since the limits may change while the process runs. If as many connections are open as `share`
+/// allows, one that waits for its client is closed; if there is none, the new one is.
 pub async fn accept_connections<Handler, ResponseFuture, ResponseBody>(
     listener: TcpListener,
     limits: impl Fn() -> ConnectionLimits,
+    share: ListenerShare,
     signals: ServerSignals,
     handler: Handler,
 ) where
@@ -101,14 +107,30 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let connection = serve_connection(stream, limits(), signals.clone(), handler.clone());
+        let limits = limits();
+        let Some(slot) = share.open(limits.max_header_bytes).await else {
+            continue;
+        };
+        let connection = serve_connection(stream, slot, limits, signals.clone(), handler.clone());
         signals.connections.spawn_local(connection);
     }
 }
 
-/// Serves one connection until it closes. The handler's future is dropped if the caller disconnects.
-pub async fn serve_connection<Handler, ResponseFuture, ResponseBody>(
+/// Observes a connection's stream.
+struct ActivityObserver(ClientConnection);
+
+impl ReadObserver for ActivityObserver {
+    fn bytes_read(&self, _: usize) -> io::Result<()> {
+        self.0.activity().bytes_received();
+        Ok(())
+    }
+}
+
+/// Serves one connection until it closes or must make room for others. The handler's future is dropped if the caller
+/// disconnects.
+async fn serve_connection<Handler, ResponseFuture, ResponseBody>(
     stream: TcpStream,
+    slot: ConnectionSlot,
     limits: ConnectionLimits,
     signals: ServerSignals,
     handler: Handler,
@@ -119,12 +141,13 @@
 {
     // If the option cannot be set, small responses are delayed but still correct.
     let _ = stream.set_nodelay(true);
-    let activity = Activity::new();
-    let stream = TokioIo::new(ObservedStream::new(stream, activity.clone()));
-    let service = service_fn(|request| {
+    let client = slot.client();
+    let activity = slot.activity();
+    let observer = ActivityObserver(client.clone());
+    let stream = TokioIo::new(ObservedStream::new(stream, observer));
+    let service = service_fn(|request: Request<Incoming>| {
         activity.request_started();
         let response = handler(request);
-        let activity = activity.clone();
         let leaving = signals.leaving.clone();
         async move {
             let mut response = response.await;
@@ -138,7 +161,7 @@
     });
     let mut builder = Builder::new();
     builder
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES))
         .auto_date_header(false);
     let mut connection = pin!(builder.serve_connection(stream, service));
     let mut is_closing = false;
@@ -150,7 +173,8 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = sleep_until(next_check(&activity, limits)) => match activity.state() {
+            () = slot.evicted() => return,
+            () = sleep_until(next_check(activity, limits)) => match activity.state() {
                 ConnectionState::ReadingHeader(since) if since.elapsed() >= limits.header_timeout => return,
                 ConnectionState::Idle(since) if since.elapsed() >= limits.idle_timeout => {
                     is_closing = true;
