http: the bodies that are read for clients share a budget of memory

What callers saw: a process ran out of memory when many clients sent bodies, in large chunks, tiny chunks, or whole, and stopped short of the end. Each body was within its limit; their sum had none, before admission and after it.

Cause: collect_body limited each body alone. It is read before the request is admitted, so the limit of open requests says nothing about it.

Ruled out: reserving a body's declared size, since a client that declares and sends nothing would use up the budget; and waiting until memory is free, since unfinished bodies free none.

Change: bodies of requests until they are answered, and replies until they are merged or passed on, are held in the ClientBudget, by the capacity that is allocated for them: a quarter of the memory, of which requests use three quarters at most. If it is used up, connections that hold some of it and have waited longest for their clients are closed. If none of them waits, the request gets 503 with Retry-After before it is sent anywhere, so "not run" is true; a reply for which no memory is left is an outcome that is not known.

--- a/crates/sablehaven-gateway/src/request/gather.rs
+++ b/crates/sablehaven-gateway/src/request/gather.rs
@@ -197,7 +197,7 @@
     observer: Option<SendObserver>,
 ) -> Response<AnswerBody> {
     let names = &accepted.gateway.names;
-    let bodies = parts.replies.iter().map(|reply| &reply.body[..]);
+    let bodies = parts.replies.iter().map(|reply| &reply.body.bytes()[..]);
     let records = greatest_records(bodies, gather.top_k);
     let mut response = Response::new(AnswerBody::new(WholeBody::new(records), observer));
     let headers = response.headers_mut();
--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -24,9 +24,8 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use hyper::{Request, Response, body::Incoming, header::HeaderValue, http::request::Parts};
-use sablehaven_http::{CollectError, WholeBody, collect_body};
+use sablehaven_http::{ClientConnection, CollectError, HeldBody, WholeBody, collect_request};
 use sablehaven_types::{RouteTarget, ServiceName, Tenant, WeightedService};
 
 use self::{
@@ -54,7 +53,8 @@
 struct ReceivedRequest {
     arrived: Instant,
     head: Parts,
-    body: Bytes,
+    client: ClientConnection,
+    body: HeldBody,
     request_id: HeaderValue,
     planned: Rc<PlannedRoute>,
     /// The caller when the request arrived.
@@ -99,9 +99,10 @@
 /// servers. If the caller disconnects, this future is dropped and every attempt with it.
 pub(crate) async fn answer(
     gateway: Rc<Gateway>,
+    client: ClientConnection,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    match handle(&gateway, request).await {
+    match handle(&gateway, client, request).await {
         Ok(response) => response,
         Err(refusal) => unobserved(refusal.response()),
     }
@@ -110,9 +111,10 @@
 /// Handles a request and returns the response, or the refusal if no server's response can be returned.
 async fn handle(
     gateway: &Rc<Gateway>,
+    client: ClientConnection,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let received = receive(gateway, request).await?;
+    let received = receive(gateway, client, request).await?;
     refuse_quarantined(gateway, &received)?;
     let admitted = admit(gateway, &received);
     // Holds the request's slot until it is answered or its caller disconnects.
@@ -131,6 +133,7 @@
 /// Finds the route and the caller of a request, and reads its body.
 async fn receive(
     gateway: &Gateway,
+    client: ClientConnection,
     request: Request<Incoming>,
 ) -> Result<ReceivedRequest, Refusal> {
     let arrived = Instant::now();
@@ -144,7 +147,7 @@
     let (caller_try, spent) = early_try.unwrap_or_else(|| caller_try(gateway, &head));
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
     let request_id = request_id.ok_or(Refusal::MissingRequestId)?;
-    let body = read_body(body, gateway.limits().max_body_bytes);
+    let body = read_body(&client, body, gateway.limits().max_body_bytes);
     let unsent = UnsentRequest {
         arrived,
         request_id: &request_id,
@@ -152,12 +155,13 @@
     };
     let body = refuse_if_stopping(gateway, unsent, body).await?;
     let crash_watch = CrashWatch::new(
-        fingerprint(&head, host(&head).unwrap_or_default(), &body),
+        fingerprint(&head, host(&head).unwrap_or_default(), body.bytes()),
         Rc::clone(&gateway.crashes),
     );
     Ok(ReceivedRequest {
         arrived,
         head,
+        client,
         body,
         request_id,
         planned,
@@ -210,6 +214,7 @@
         target: head.uri,
         headers,
         request_id: received.request_id,
+        client: received.client,
         body: received.body,
         deadline,
         profile: Rc::clone(&planned.profile),
@@ -273,13 +278,17 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    collect_body(body, limit)
-        .await
-        .map_err(|error| match error {
-            CollectError::TooLarge { .. } => Refusal::BodyTooLarge,
-            CollectError::Failed(_) => Refusal::IncompleteBody,
-        })
+async fn read_body(
+    client: &ClientConnection,
+    body: Incoming,
+    limit: usize,
+) -> Result<HeldBody, Refusal> {
+    let collected = collect_request(client, body, limit).await;
+    collected.map_err(|error| match error {
+        CollectError::TooLarge { .. } => Refusal::BodyTooLarge,
+        CollectError::NoMemoryLeft(_) => Refusal::NoMemoryLeft,
+        CollectError::Failed(_) => Refusal::IncompleteBody,
+    })
 }
 
 /// The service that `draw` (uniform, 0 to 1) selects by weight.
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -45,6 +45,8 @@
     BodyTooLarge,
     /// the body ended early
     IncompleteBody,
+    /// too many bodies are held; the request has not run
+    NoMemoryLeft,
     /// too many requests
     TooManyRequests,
     /// the tenant's quota is used up
@@ -104,6 +106,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoutes { .. }
             | Self::TooManyRequests
+            | Self::NoMemoryLeft
             | Self::NoTokens
             | Self::NoServerAvailable
             | Self::NotRun
@@ -123,7 +126,9 @@
                     .saturating_sub(*age)
                     .max(MIN_STARTUP_RETRY_DELAY),
             ),
-            Self::TooManyRequests | Self::NoTokens => Some(OVERLOAD_RETRY_DELAY),
+            Self::TooManyRequests | Self::NoMemoryLeft | Self::NoTokens => {
+                Some(OVERLOAD_RETRY_DELAY)
+            }
             Self::OverQuota { retry_in } => Some(*retry_in),
             Self::NoServerAvailable => Some(NO_SERVER_RETRY_DELAY),
             Self::NotRun | Self::Stopping | Self::Failed | Self::TooFewShards => {
--- a/crates/sablehaven-gateway/src/request/single.rs
+++ b/crates/sablehaven-gateway/src/request/single.rs
@@ -71,7 +71,7 @@
 }
 
 fn forward_reply(reply: &ServerReply) -> Response<WholeBody> {
-    let mut response = Response::new(WholeBody::new(reply.body.clone()));
+    let mut response = Response::new(WholeBody::new(reply.body.bytes().clone()));
     *response.status_mut() = reply.status;
     *response.headers_mut() = headers::response_headers_to_forward(&reply.headers);
     response
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -181,7 +181,7 @@
         .clients
         .listener(gateway.config.clients.max_connections);
     let signals = gateway.signals.clone();
-    let handler = move |request| answer(Rc::clone(&gateway), request);
+    let handler = move |client, request| answer(Rc::clone(&gateway), client, request);
     accept_connections(listener, bounds, share, signals, handler).await;
 }
 
@@ -196,7 +196,7 @@
     let share = gateway.clients.listener(max_connections);
     let signals = ServerSignals::default();
     let handler =
-        move |request: Request<Incoming>| std::future::ready(readiness(&gateway, &request));
+        move |_, request: Request<Incoming>| std::future::ready(readiness(&gateway, &request));
     accept_connections(listener, bounds, share, signals, handler).await;
 }
 
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -13,12 +13,11 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use hyper::{
     Method, StatusCode, Uri,
     header::{HeaderMap, HeaderValue},
 };
-use sablehaven_http::{ConnectError, connect};
+use sablehaven_http::{ClientConnection, ConnectError, HeldBody, connect};
 use tokio::{
     sync::oneshot,
     task::{AbortHandle, spawn_local},
@@ -49,7 +48,9 @@
     /// The caller's headers, without the hop-by-hop ones.
     pub(crate) headers: HeaderMap,
     pub(crate) request_id: HeaderValue,
-    pub(crate) body: Bytes,
+    /// The connection of the caller.
+    pub(crate) client: ClientConnection,
+    pub(crate) body: HeldBody,
     /// The earlier of the caller's deadline and the route's.
     pub(crate) deadline: Instant,
     /// Statistics of the route, such as its typical service time.
@@ -64,7 +65,7 @@
 pub(crate) struct ServerReply {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// The server's signature of the reply.
     pub(crate) stamp: Option<HeaderValue>,
 }
--- a/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
@@ -6,14 +6,13 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_ENCODING, HeaderMap, HeaderValue},
     http::response::Parts,
 };
-use sablehaven_http::{CollectError, WholeBody, collect_body};
+use sablehaven_http::{ClientConnection, CollectError, HeldBody, HeldFor, WholeBody, collect_body};
 
 use super::{AttemptFailure, OutgoingRequest, Server, ServerReply, connect_timeout};
 use crate::{
@@ -44,7 +43,7 @@
     };
     let response = send(address, &mut connection, outgoing).await?;
     let (head, body) = response.into_parts();
-    let body = read_body(address, body).await?;
+    let body = read_body(&request.client, address, body).await?;
     let validated = validate(gateway, server, request, &head.headers, head.status);
     validated.map_err(|reason| outcome_unknown(format!("reply from {address}: {reason}")))?;
     connection.release(&head.headers);
@@ -155,11 +154,18 @@
     })
 }
 
-async fn read_body(address: SocketAddr, body: Incoming) -> Result<Bytes, AttemptFailure> {
-    collect_body(body, MAX_REPLY_BYTES).await.map_err(|error| {
+async fn read_body(
+    client: &ClientConnection,
+    address: SocketAddr,
+    body: Incoming,
+) -> Result<HeldBody, AttemptFailure> {
+    let collected = collect_body(client, HeldFor::Reply, body, MAX_REPLY_BYTES).await;
+    collected.map_err(|error| {
         let reason = format!("reply body from {address}: {error}");
         match error {
-            CollectError::TooLarge { .. } => outcome_unknown(reason),
+            CollectError::TooLarge { .. } | CollectError::NoMemoryLeft(_) => {
+                outcome_unknown(reason)
+            }
             CollectError::Failed(_) => connection_lost(reason),
         }
     })
@@ -170,7 +176,7 @@
     gateway: &Gateway,
     server: &Server,
     head: Parts,
-    body: Bytes,
+    body: HeldBody,
 ) -> Result<ServerReply, AttemptFailure> {
     let names = &gateway.names;
     let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -207,7 +213,7 @@
     if remaining_ms == 0 {
         return None;
     }
-    let mut outgoing = Request::new(WholeBody::new(request.body.clone()));
+    let mut outgoing = Request::new(WholeBody::new(request.body.bytes().clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.clone();
     let headers = outgoing.headers_mut();
--- a/crates/sablehaven-http/src/activity.rs
+++ b/crates/sablehaven-http/src/activity.rs
@@ -20,6 +20,8 @@
     idle_since: Instant,
     /// When the first byte of an incomplete header section arrived.
     header_since: Option<Instant>,
+    /// Since when the body of the request is being read.
+    body_since: Option<Instant>,
 }
 
 /// The state of a connection.
@@ -40,6 +42,7 @@
                 is_busy: false,
                 idle_since: Instant::now(),
                 header_since: None,
+                body_since: None,
             }),
         }
     }
@@ -51,6 +54,16 @@
         record.header_since = None;
     }
 
+    /// Records that the body of the request is being read.
+    pub(crate) fn body_started(&self) {
+        self.lock().body_since = Some(Instant::now());
+    }
+
+    /// Records that the body of the request is no longer being read.
+    pub(crate) fn body_ended(&self) {
+        self.lock().body_since = None;
+    }
+
     /// Records that the handler has returned a response.
     pub(crate) fn response_ready(&self) {
         let mut record = self.lock();
@@ -74,7 +87,7 @@
     pub(crate) fn waiting_since(&self) -> Option<Instant> {
         let record = *self.lock();
         if record.is_busy {
-            return None;
+            return record.body_since;
         }
         Some(record.header_since.unwrap_or(record.idle_since))
     }
--- a/crates/sablehaven-http/src/budget_metrics.rs
+++ b/crates/sablehaven-http/src/budget_metrics.rs
@@ -36,6 +36,16 @@
                 "Limit of the connections of clients by descriptors",
                 limits.max_connections,
             ),
+            (
+                "client_body_bytes",
+                "Bytes of bodies that are held for clients",
+                usage.body_bytes,
+            ),
+            (
+                "client_body_bytes_limit",
+                "Limit of the bytes of bodies",
+                limits.body_bytes,
+            ),
         ];
         for (name, help, value) in gauges {
             let gauge = ConstGauge::new(i64::try_from(value).unwrap_or(i64::MAX));
@@ -52,6 +62,11 @@
                 "Connections of clients that were refused for lack of room",
                 usage.refused_connections,
             ),
+            (
+                "client_bodies_refused",
+                "Bodies of requests and replies that were not read for lack of memory",
+                usage.refused_bodies,
+            ),
         ];
         for (name, help, value) in counters {
             let counter = ConstCounter::new(value);
--- a/crates/sablehaven-http/src/client_budget.rs
+++ b/crates/sablehaven-http/src/client_budget.rs
@@ -1,19 +1,22 @@
-//! Accounts for the connections that a process holds for its clients. Free of I/O.
+//! Accounts for what a process holds for its clients: connections, and the bytes of bodies. Free of I/O.
 //!
 //! When a limit is reached, the connection that has waited longest for its client is closed: one that sends a request or
 //! takes a response more slowly than any other, or is idle. A connection whose request is being served is not closed. If
 //! there is no other, what was asked for is refused.
 
+mod held_bytes;
+
 use std::{
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
 use tokio::sync::Notify;
 
+pub use self::held_bytes::{HeldBytes, HeldFor, NoMemoryLeft};
 use crate::{ClientLimits, activity::Activity};
 
 /// The use of a budget.
@@ -21,10 +24,14 @@
 pub struct BudgetUse {
     /// Number of open connections.
     pub connections: usize,
+    /// Number of bytes of bodies that are held.
+    pub body_bytes: usize,
     /// Number of connections that were closed so far to make room for others.
     pub closed_connections: u64,
     /// Number of connections that were refused so far.
     pub refused_connections: u64,
+    /// Number of bodies for which no memory was left so far.
+    pub refused_bodies: u64,
 }
 
 /// The limits on what a process holds for its clients, and what it holds. Cheap to clone; all listeners of a process
@@ -46,7 +53,7 @@
 struct Shared {
     limits: ClientLimits,
     state: Mutex<BudgetState>,
-    /// Notified when a connection has closed.
+    /// Notified when a connection has closed or bytes are released.
     released: Notify,
 }
 
@@ -56,8 +63,10 @@
     connections: HashMap<u64, Arc<Connection>>,
     listeners: Vec<ConnectionCount>,
     opened: u64,
+    body_bytes: usize,
     closed_connections: u64,
     refused_connections: u64,
+    refused_bodies: u64,
 }
 
 /// The connections of one listener.
@@ -72,6 +81,7 @@
     /// Index in [`BudgetState::listeners`].
     listener: usize,
     activity: Activity,
+    held_bytes: AtomicUsize,
     is_evicted: AtomicBool,
     evicted: Notify,
 }
@@ -82,9 +92,9 @@
     number: u64,
 }
 
-/// The connection of a client. Cheap to clone.
+/// The connection of a client, for which bytes are held. Cheap to clone.
 #[derive(Clone)]
-pub(crate) struct ClientConnection {
+pub struct ClientConnection {
     shared: Arc<Shared>,
     connection: Arc<Connection>,
 }
@@ -130,8 +140,10 @@
         let state = self.shared.lock();
         BudgetUse {
             connections: state.connections.len(),
+            body_bytes: state.body_bytes,
             closed_connections: state.closed_connections,
             refused_connections: state.refused_connections,
+            refused_bodies: state.refused_bodies,
         }
     }
 }
@@ -159,6 +171,7 @@
         let connection = Arc::new(Connection {
             listener: self.index,
             activity: Activity::new(),
+            held_bytes: AtomicUsize::new(0),
             is_evicted: AtomicBool::new(false),
             evicted: Notify::new(),
         });
@@ -228,6 +241,10 @@
     fn is_evicted(&self) -> bool {
         self.is_evicted.load(Ordering::Relaxed)
     }
+
+    fn held_bytes(&self) -> usize {
+        self.held_bytes.load(Ordering::Relaxed)
+    }
 }
 
 impl ConnectionSlot {
--- a/crates/sablehaven-http/src/client_budget/tests.rs
+++ b/crates/sablehaven-http/src/client_budget/tests.rs
@@ -5,15 +5,17 @@
 use futures::poll;
 use tokio::time::sleep;
 
-use super::{ClientBudget, ConnectionSlot, ListenerShare};
+use super::{ClientBudget, ConnectionSlot, HeldFor, ListenerShare, NoMemoryLeft};
 use crate::ClientLimits;
 
 const MAX_CONNECTIONS: usize = 3;
+const BODY_BYTES: usize = 1_000;
 
 fn budget() -> ClientBudget {
     ClientBudget::new(ClientLimits {
         max_connections: 100,
         connection_bytes: 100 * 1024 * 1024,
+        body_bytes: BODY_BYTES,
         max_probe_connections: 1,
         socket_buffer_bytes: 16 * 1024,
     })
@@ -109,3 +111,51 @@
     slots[0].activity().bytes_received();
     assert!(after_close(share.open(0), &mut slots, 0).await.is_some());
 }
+
+#[tokio::test]
+async fn the_slowest_upload_is_closed_for_the_bytes_of_another() {
+    let budget = budget();
+    let share = budget.listener(MAX_CONNECTIONS);
+    let mut slots = open(&share, MAX_CONNECTIONS).await;
+    let mut held = Vec::new();
+    for slot in &slots[1..] {
+        slot.activity().request_started();
+        slot.activity().body_started();
+        held.push(
+            slot.client()
+                .hold(300, HeldFor::Request)
+                .await
+                .expect("bytes"),
+        );
+        sleep(Duration::from_millis(2)).await;
+    }
+    // The first connection is older, but closing it would release nothing.
+    let newcomer = slots.remove(0);
+    newcomer.activity().request_started();
+    let holding = newcomer.client().hold(300, HeldFor::Request);
+    let mut holding = pin!(holding);
+    assert!(poll!(holding.as_mut()).is_pending());
+    assert!(is_evicted(&slots[0]).await);
+    assert!(!is_evicted(&slots[1]).await);
+    drop(held.remove(0));
+    assert_eq!(holding.await.expect("bytes").length(), 300);
+}
+
+#[tokio::test]
+async fn requests_leave_memory_for_replies() {
+    let budget = budget();
+    let slots = open(&budget.listener(2), 2).await;
+    for slot in &slots {
+        slot.activity().request_started();
+    }
+    let request = slots[0].client().hold(750, HeldFor::Request).await;
+    let request = request.expect("bytes");
+    let refused = slots[1].client().hold(1, HeldFor::Request).await;
+    assert_eq!(refused.err(), Some(NoMemoryLeft { length: 1 }));
+    let reply = slots[1].client().hold(250, HeldFor::Reply).await;
+    assert_eq!(
+        reply.expect("bytes").length() + request.length(),
+        BODY_BYTES
+    );
+    assert_eq!(budget.usage().refused_bodies, 1);
+}
--- a/crates/sablehaven-http/src/client_limits.rs
+++ b/crates/sablehaven-http/src/client_limits.rs
@@ -6,6 +6,8 @@
 
 /// Fraction of the machine's memory for the buffers of connections, in eighths.
 const CONNECTION_MEMORY_EIGHTHS: u64 = 2;
+/// Fraction of the machine's memory for bodies, in eighths. The remaining eighths are for the process itself.
+const BODY_MEMORY_EIGHTHS: u64 = 2;
 /// Fraction of the descriptors that connections of clients may use: one in this many. The others are for the
 /// connections that the process opens itself, and for files.
 const DESCRIPTOR_DIVISOR: u64 = 2;
@@ -69,6 +71,9 @@
     pub max_connections: usize,
     /// Maximum memory of connections, in bytes: their buffers in this process and in the system.
     pub connection_bytes: usize,
+    /// Maximum size of the bodies that are held, in bytes: those of requests until they are answered, replies that are
+    /// being received or merged, and responses until they are sent.
+    pub body_bytes: usize,
     /// Maximum number of connections to each listener for readiness checks or metrics.
     pub max_probe_connections: usize,
     /// Size of the receive buffer and of the send buffer of a connection in the system, in bytes each.
@@ -89,6 +94,7 @@
         Self {
             max_connections: saturating_usize(connections).max(1),
             connection_bytes: saturating_usize(eighth * CONNECTION_MEMORY_EIGHTHS),
+            body_bytes: saturating_usize(eighth * BODY_MEMORY_EIGHTHS),
             max_probe_connections: MAX_PROBE_CONNECTIONS,
             socket_buffer_bytes: SOCKET_BUFFER_BYTES,
         }
@@ -104,6 +110,7 @@
             self.connection_bytes as u64,
             minimum as u64,
         );
+        checks.at_least("body_bytes", self.body_bytes as u64, 1);
         let probes = self.max_probe_connections as u64;
         checks.at_least("max_probe_connections", probes, 1);
         let buffer_bytes = self.socket_buffer_bytes as u64;
--- a/crates/sablehaven-http/src/client_limits/tests.rs
+++ b/crates/sablehaven-http/src/client_limits/tests.rs
@@ -19,7 +19,8 @@
         for descriptors in [64, 500, 1_024, 3_900, 1_000_000] {
             let limits = ClientLimits::for_machine(machine(megabytes, descriptors));
             assert!(limits.validate("clients").is_empty());
-            assert!(limits.connection_bytes <= megabytes * MEBIBYTE / 2);
+            let memory = limits.connection_bytes + limits.body_bytes;
+            assert!(memory <= megabytes * MEBIBYTE / 2);
             let connections = limits.connections(HEADER_BYTES);
             assert!(connections <= usize::try_from(descriptors).expect("small") / 2);
             assert!(connections * 2 * HEADER_BYTES <= limits.connection_bytes);
@@ -39,6 +40,7 @@
     let limits = ClientLimits {
         max_connections: 0,
         connection_bytes: 0,
+        body_bytes: 0,
         max_probe_connections: 0,
         socket_buffer_bytes: 0,
     };
@@ -47,6 +49,7 @@
     let expected = [
         "gateway.clients.max_connections",
         "gateway.clients.connection_bytes",
+        "gateway.clients.body_bytes",
         "gateway.clients.max_probe_connections",
         "gateway.clients.socket_buffer_bytes",
     ];
--- a/crates/sablehaven-http/src/collect/tests.rs
+++ b/crates/sablehaven-http/src/collect/tests.rs
@@ -10,7 +10,38 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
 
-use super::{CollectError, collect_body};
+use super::{CollectError, HeldBody, collect_request};
+use crate::{ClientBudget, ClientLimits, client_budget::ConnectionSlot};
+
+/// Limits of a process that holds at most `body_bytes`.
+fn limits(body_bytes: usize) -> ClientLimits {
+    ClientLimits {
+        max_connections: 8,
+        connection_bytes: 1024 * 1024,
+        body_bytes,
+        max_probe_connections: 1,
+        socket_buffer_bytes: 16 * 1024,
+    }
+}
+
+async fn connect(budget: &ClientBudget) -> ConnectionSlot {
+    let share = budget.listener(8);
+    share.open(0).await.expect("a connection")
+}
+
+/// Reads a body for a client of a process that holds nothing else.
+async fn collect<BodyType>(
+    body: BodyType,
+    limit: usize,
+) -> Result<HeldBody, CollectError<BodyType::Error>>
+where
+    BodyType: Body<Data = Bytes>,
+    BodyType::Error: std::error::Error + 'static,
+{
+    let budget = ClientBudget::new(limits(1024 * 1024));
+    let slot = connect(&budget).await;
+    collect_request(slot.client(), body, limit).await
+}
 
 /// A body of one-byte frames that records how many frames are held at most.
 struct TinyFrames {
@@ -66,15 +97,15 @@
 #[tokio::test]
 async fn the_frames_of_a_body_are_released_as_they_arrive() {
     let (body, max_held) = tiny_frames(1_000);
-    let collected = collect_body(body, 1_000).await;
-    assert_eq!(collected.expect("a body"), "b".repeat(1_000));
+    let collected = collect(body, 1_000).await.expect("a body");
+    assert_eq!(collected.bytes(), &"b".repeat(1_000));
     assert!(max_held.get() <= 2, "{} frames were held", max_held.get());
 }
 
 #[tokio::test]
 async fn a_body_over_the_limit_is_not_read() {
     let (body, _) = tiny_frames(11);
-    let collected = collect_body(body, 10).await;
+    let collected = collect(body, 10).await;
     assert!(matches!(
         collected,
         Err(CollectError::TooLarge { limit: 10 })
@@ -84,8 +115,35 @@
 #[tokio::test]
 async fn a_body_of_a_single_frame_is_not_copied() {
     let data = Bytes::from_static(b"whole");
-    let collected = collect_body(crate::WholeBody::new(data.clone()), 5).await;
+    let collected = collect(crate::WholeBody::new(data.clone()), 5).await;
     let collected = collected.expect("a body");
-    assert_eq!(collected, data);
-    assert_eq!(collected.as_ptr(), data.as_ptr());
+    assert_eq!(collected.bytes(), &data);
+    assert_eq!(collected.bytes().as_ptr(), data.as_ptr());
+}
+
+#[tokio::test]
+async fn a_body_is_held_until_its_last_clone_is_dropped() {
+    let budget = ClientBudget::new(limits(1024 * 1024));
+    let slot = connect(&budget).await;
+    let (body, _) = tiny_frames(10_000);
+    let collected = collect_request(slot.client(), body, 10_000).await;
+    let collected = collected.expect("a body");
+    let held = budget.usage().body_bytes;
+    assert!((10_000..=20_000).contains(&held), "{held} bytes are held");
+    let clone = collected.clone();
+    drop(collected);
+    assert_eq!(budget.usage().body_bytes, held);
+    drop(clone);
+    assert_eq!(budget.usage().body_bytes, 0);
+}
+
+#[tokio::test]
+async fn a_body_for_which_no_memory_is_left_is_refused_and_released() {
+    let budget = ClientBudget::new(limits(8 * 1024));
+    let slot = connect(&budget).await;
+    let (body, _) = tiny_frames(10_000);
+    let collected = collect_request(slot.client(), body, 10_000).await;
+    assert!(matches!(collected, Err(CollectError::NoMemoryLeft(_))));
+    assert_eq!(budget.usage().body_bytes, 0);
+    assert_eq!(budget.usage().refused_bodies, 1);
 }
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -16,9 +16,11 @@
 mod server;
 
 pub use client::{ConnectError, OpenConnection, connect};
-pub use client_budget::{BudgetUse, ClientBudget, ListenerShare};
+pub use client_budget::{
+    BudgetUse, ClientBudget, ClientConnection, HeldBytes, HeldFor, ListenerShare, NoMemoryLeft,
+};
 pub use client_limits::{ClientLimits, MachineLimits};
-pub use collect::{CollectError, collect_body};
+pub use collect::{CollectError, HeldBody, collect_body, collect_request};
 pub use head_limit::HeadLimit;
 pub use observed_body::{BodyObserver, ObservedBody};
 pub use observed_stream::{ObservedStream, ReadObserver};
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -86,6 +86,8 @@
 /// Accepts connections until [`ServerSignals::closing`] and serves each in a local task of its own. `limits` is called
 /// for each connection, since the limits may change while the process runs. If as many connections are open as `share`
 /// allows, one that waits for its client is closed; if there is none, the new one is.
+///
+/// The handler receives the connection of the client with each of its requests.
 pub async fn accept_connections<Handler, ResponseFuture, ResponseBody>(
     listener: TcpListener,
     limits: impl Fn() -> ConnectionLimits,
@@ -93,7 +95,7 @@
     signals: ServerSignals,
     handler: Handler,
 ) where
-    Handler: Fn(Request<Incoming>) -> ResponseFuture + Clone + 'static,
+    Handler: Fn(ClientConnection, Request<Incoming>) -> ResponseFuture + Clone + 'static,
     ResponseFuture: Future<Output = Response<ResponseBody>> + 'static,
     ResponseBody: Body<Error = Infallible> + 'static,
 {
@@ -135,7 +137,7 @@
     signals: ServerSignals,
     handler: Handler,
 ) where
-    Handler: Fn(Request<Incoming>) -> ResponseFuture,
+    Handler: Fn(ClientConnection, Request<Incoming>) -> ResponseFuture,
     ResponseFuture: Future<Output = Response<ResponseBody>>,
     ResponseBody: Body<Error = Infallible> + 'static,
 {
@@ -147,7 +149,7 @@
     let stream = TokioIo::new(ObservedStream::new(stream, observer));
     let service = service_fn(|request: Request<Incoming>| {
         activity.request_started();
-        let response = handler(request);
+        let response = handler(client.clone(), request);
         let leaving = signals.leaving.clone();
         async move {
             let mut response = response.await;
