http: responses that are being written count in the budget of clients

What callers saw: a gateway ran out of memory when many callers asked for long answers and read them slowly.

Cause: a request's slot is released when its answer is handed to the connection, while the answer stays in memory until the caller has taken it. Nothing counted it from then on, at any listener.

Change: serve_connection holds the size of each response in the ClientBudget until the connection has written it. The guard travels with the frame, which the connection drops when its last byte is written. The handler has released the reply by then, so nothing is counted twice. If too much is held, the connections that have waited longest for their clients to take their responses are closed, in the last place the one with the new response.

--- a/crates/sablehaven-http/src/client_budget/held_bytes.rs
+++ b/crates/sablehaven-http/src/client_budget/held_bytes.rs
@@ -118,6 +118,22 @@
         self.activity().body_started();
         BodyReading(self.activity())
     }
+
+    /// Holds the bytes of a response that exists already. If too many are held then, connections that have waited
+    /// longest for their clients are closed, in the last place this one.
+    pub(crate) fn hold_response(&self, length: usize) -> HeldBytes {
+        let ClientConnection { shared, connection } = self;
+        let mut state = shared.lock();
+        state.add_bytes(connection, length);
+        let excess = state.body_bytes.saturating_sub(shared.limits.body_bytes);
+        if excess > 0 && !state.evict_bytes(connection, excess) {
+            state.evict(connection);
+        }
+        HeldBytes {
+            client: self.clone(),
+            length,
+        }
+    }
 }
 
 impl HeldBytes {
--- a/crates/sablehaven-http/src/client_budget/tests.rs
+++ b/crates/sablehaven-http/src/client_budget/tests.rs
@@ -159,3 +159,25 @@
     );
     assert_eq!(budget.usage().refused_bodies, 1);
 }
+
+#[tokio::test]
+async fn a_response_over_the_limit_closes_the_slowest_reader() {
+    let budget = budget();
+    let slots = open(&budget.listener(2), 2).await;
+    let first = slots[0].client().hold_response(600);
+    let second = slots[1].client().hold_response(600);
+    assert!(is_evicted(&slots[0]).await);
+    assert!(!is_evicted(&slots[1]).await);
+    drop(first);
+    assert_eq!(budget.usage().body_bytes, 600);
+    drop(second);
+    assert_eq!(budget.usage().body_bytes, 0);
+}
+
+#[tokio::test]
+async fn a_response_that_no_other_connection_makes_room_for_is_not_sent() {
+    let budget = budget();
+    let slots = open(&budget.listener(1), 1).await;
+    let _held = slots[0].client().hold_response(BODY_BYTES + 1);
+    assert!(is_evicted(&slots[0]).await);
+}
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -11,6 +11,7 @@
 mod client_limits;
 mod collect;
 mod head_limit;
+mod held_response;
 mod observed_body;
 mod observed_stream;
 mod server;
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -20,6 +20,7 @@
     activity::{Activity, ConnectionState},
     client_budget::{ClientConnection, ConnectionSlot, ListenerShare},
     client_limits::MIN_READ_BUFFER_BYTES,
+    held_response::HeldResponse,
     observed_stream::{ObservedStream, ReadObserver},
 };
 
@@ -97,7 +98,7 @@
 ) where
     Handler: Fn(ClientConnection, Request<Incoming>) -> ResponseFuture + Clone + 'static,
     ResponseFuture: Future<Output = Response<ResponseBody>> + 'static,
-    ResponseBody: Body<Error = Infallible> + 'static,
+    ResponseBody: Body<Error = Infallible> + Unpin + 'static,
 {
     loop {
         let accepted = tokio::select! {
@@ -139,7 +140,7 @@
 ) where
     Handler: Fn(ClientConnection, Request<Incoming>) -> ResponseFuture,
     ResponseFuture: Future<Output = Response<ResponseBody>>,
-    ResponseBody: Body<Error = Infallible> + 'static,
+    ResponseBody: Body<Error = Infallible> + Unpin + 'static,
 {
     // If the option cannot be set, small responses are delayed but still correct.
     let _ = stream.set_nodelay(true);
@@ -158,6 +159,7 @@
                 response.headers_mut().insert(CONNECTION, close);
             }
             activity.response_ready();
+            let response = response.map(|body| HeldResponse::new(body, client));
             Ok::<_, Infallible>(response)
         }
     });
