http: a client that takes nothing of its response is disconnected after the idle timeout

What callers saw: nothing themselves; a connection whose client had stopped to read stayed open, with its response, for as long as the client liked.

Cause: the idle timeout asks the connection to close after the response is written, and that never happens. A client that sends its next request before it takes the response to the last one also counted as being served, so it was never closed to make room for others.

Change: the stream records since when no bytes could be written. A connection that has written nothing for the idle timeout is closed, and one whose client does not read counts as waiting for it, whatever else it has sent.

--- a/crates/sablehaven-gateway/tests/gateway/main.rs
+++ b/crates/sablehaven-gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod regions;
 mod replies;
 mod servers;
+mod slow_callers;
 mod stops;
 mod support;
 mod tenant_keys;
--- a/crates/sablehaven-gateway/tests/gateway/support/mod.rs
+++ b/crates/sablehaven-gateway/tests/gateway/support/mod.rs
@@ -85,6 +85,8 @@
     cold: Vec<String>,
     /// Maximum requests per second to a cold server; 0 for no limit.
     pub warmup_per_second: f64,
+    /// The limits on callers that are sent with the next routes.
+    pub caller_limits: CallerLimits,
     /// The tenants that are sent with the next routes.
     pub tenants: Vec<Tenant>,
 }
@@ -147,6 +149,10 @@
             draining: Vec::new(),
             cold: Vec::new(),
             warmup_per_second: 0.0,
+            caller_limits: CallerLimits {
+                max_body_bytes: 1_000,
+                ..CallerLimits::default()
+            },
             tenants: Vec::new(),
         }
     }
@@ -275,10 +281,7 @@
                 })
                 .collect(),
             routes,
-            limits: CallerLimits {
-                max_body_bytes: 1_000,
-                ..CallerLimits::default()
-            },
+            limits: self.caller_limits,
             tenants: self.tenants.clone(),
         };
         self.control_state
--- a/crates/sablehaven-http/src/activity.rs
+++ b/crates/sablehaven-http/src/activity.rs
@@ -22,6 +22,8 @@
     header_since: Option<Instant>,
     /// Since when the body of the request is being read.
     body_since: Option<Instant>,
+    /// Since when the client has taken no bytes of a response.
+    blocked_since: Option<Instant>,
 }
 
 /// The state of a connection.
@@ -33,6 +35,8 @@
     Idle(Instant),
     /// A header section has been arriving since this time.
     ReadingHeader(Instant),
+    /// The client has taken no bytes of a response since this time.
+    Blocked(Instant),
 }
 
 impl Activity {
@@ -43,6 +47,7 @@
                 idle_since: Instant::now(),
                 header_since: None,
                 body_since: None,
+                blocked_since: None,
             }),
         }
     }
@@ -73,10 +78,11 @@
 
     pub(crate) fn state(&self) -> ConnectionState {
         let record = *self.lock();
-        match (record.is_busy, record.header_since) {
-            (true, _) => ConnectionState::Busy,
-            (false, Some(since)) => ConnectionState::ReadingHeader(since),
-            (false, None) => ConnectionState::Idle(record.idle_since),
+        match (record.is_busy, record.blocked_since, record.header_since) {
+            (true, ..) => ConnectionState::Busy,
+            (false, Some(since), _) => ConnectionState::Blocked(since),
+            (false, None, Some(since)) => ConnectionState::ReadingHeader(since),
+            (false, None, None) => ConnectionState::Idle(record.idle_since),
         }
     }
 
@@ -87,7 +93,8 @@
     pub(crate) fn waiting_since(&self) -> Option<Instant> {
         let record = *self.lock();
         if record.is_busy {
-            return record.body_since;
+            // A client may send its next request before it takes the response to the last one.
+            return record.body_since.or(record.blocked_since);
         }
         Some(record.header_since.unwrap_or(record.idle_since))
     }
@@ -100,6 +107,16 @@
         }
     }
 
+    /// Records whether bytes could be written.
+    pub(crate) fn write_polled(&self, is_written: bool) {
+        let mut record = self.lock();
+        record.blocked_since = match record.blocked_since {
+            _ if is_written => None,
+            None => Some(Instant::now()),
+            since => since,
+        };
+    }
+
     fn lock(&self) -> MutexGuard<'_, ActivityRecord> {
         self.record.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sablehaven-http/src/head_limit.rs
+++ b/crates/sablehaven-http/src/head_limit.rs
@@ -9,7 +9,7 @@
     },
 };
 
-use crate::observed_stream::ReadObserver;
+use crate::observed_stream::StreamObserver;
 
 /// Maximum size of a response's head together with the interim responses before it.
 const MAX_BYTES_BEFORE_BODY: usize = 64 * 1024;
@@ -59,7 +59,7 @@
     }
 }
 
-impl ReadObserver for HeadLimit {
+impl StreamObserver for HeadLimit {
     fn bytes_read(&self, length: usize) -> io::Result<()> {
         self.count(length)
     }
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -24,7 +24,7 @@
 pub use collect::{CollectError, HeldBody, collect_body, collect_request};
 pub use head_limit::HeadLimit;
 pub use observed_body::{BodyObserver, ObservedBody};
-pub use observed_stream::{ObservedStream, ReadObserver};
+pub use observed_stream::{ObservedStream, StreamObserver};
 pub use server::{ConnectionLimits, ServerSignals, accept_connections, listen};
 
 /// A body that is held completely in memory.
--- a/crates/sablehaven-http/src/observed_stream.rs
+++ b/crates/sablehaven-http/src/observed_stream.rs
@@ -1,4 +1,4 @@
-//! A TCP stream that notifies an observer of the bytes that are read.
+//! A TCP stream that notifies an observer of the bytes that are read and written.
 
 use std::{
     io,
@@ -11,16 +11,19 @@
     net::TcpStream,
 };
 
-/// Receives a notification when bytes are read.
-pub trait ReadObserver {
+/// Receives a notification when bytes are read or written.
+pub trait StreamObserver {
     /// Called after `length` bytes were read, which is at least 1.
     ///
     /// # Errors
     /// The read fails with the returned error.
     fn bytes_read(&self, length: usize) -> io::Result<()>;
+
+    /// Called after a write: whether bytes were written, or the peer has to take others first.
+    fn write_polled(&self, _is_written: bool) {}
 }
 
-/// A TCP stream with an observer of its reads.
+/// A TCP stream with an observer.
 pub struct ObservedStream<Observer> {
     stream: TcpStream,
     observer: Observer,
@@ -32,7 +35,7 @@
     }
 }
 
-impl<Observer: ReadObserver + Unpin> AsyncRead for ObservedStream<Observer> {
+impl<Observer: StreamObserver + Unpin> AsyncRead for ObservedStream<Observer> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -48,13 +51,15 @@
     }
 }
 
-impl<Observer: Unpin> AsyncWrite for ObservedStream<Observer> {
+impl<Observer: StreamObserver + Unpin> AsyncWrite for ObservedStream<Observer> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.observer.write_polled(written.is_ready());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -70,7 +75,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.observer.write_polled(written.is_ready());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -21,7 +21,7 @@
     client_budget::{ClientConnection, ConnectionSlot, ListenerShare},
     client_limits::MIN_READ_BUFFER_BYTES,
     held_response::HeldResponse,
-    observed_stream::{ObservedStream, ReadObserver},
+    observed_stream::{ObservedStream, StreamObserver},
 };
 
 /// The delay after a failed accept, so that the loop does not spin.
@@ -36,7 +36,7 @@
     pub max_header_bytes: usize,
     /// The timeout for receiving a header section, from its first byte.
     pub header_timeout: Duration,
-    /// The maximum idle time between two requests.
+    /// The maximum idle time between two requests, and the maximum time for which a client takes no byte of a response.
     pub idle_timeout: Duration,
 }
 
@@ -122,11 +122,15 @@
 /// Observes a connection's stream.
 struct ActivityObserver(ClientConnection);
 
-impl ReadObserver for ActivityObserver {
+impl StreamObserver for ActivityObserver {
     fn bytes_read(&self, _: usize) -> io::Result<()> {
         self.0.activity().bytes_received();
         Ok(())
     }
+
+    fn write_polled(&self, is_written: bool) {
+        self.0.activity().write_polled(is_written);
+    }
 }
 
 /// Serves one connection until it closes or must make room for others. The handler's future is dropped if the caller
@@ -180,6 +184,7 @@
             () = slot.evicted() => return,
             () = sleep_until(next_check(activity, limits)) => match activity.state() {
                 ConnectionState::ReadingHeader(since) if since.elapsed() >= limits.header_timeout => return,
+                ConnectionState::Blocked(since) if since.elapsed() >= limits.idle_timeout => return,
                 ConnectionState::Idle(since) if since.elapsed() >= limits.idle_timeout => {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
@@ -200,6 +205,7 @@
             (since + limits.idle_timeout).min(latest_check)
         }
         ConnectionState::ReadingHeader(since) => since + limits.header_timeout,
+        ConnectionState::Blocked(since) => since + limits.idle_timeout,
     };
     let earliest_check = std::time::Instant::now() + Duration::from_millis(10);
     Instant::from_std(at.max(earliest_check))
