gateway: a body that is not complete when its request's time is over is refused with 408

What callers saw: a request whose body stopped short of its end got no answer, after its own deadline and the timeout of its route as well, and occupied a connection and memory for as long as the caller stayed.

Cause: the deadline was applied to what follows the admission. The body is read before it, without a time limit.

Change: the body must be complete when the time of the request is over. Otherwise the answer is 408; nothing was sent to any server, so "not run" is true.

--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -27,6 +27,7 @@
 use hyper::{Request, Response, body::Incoming, header::HeaderValue, http::request::Parts};
 use sablehaven_http::{ClientConnection, CollectError, HeldBody, WholeBody, collect_request};
 use sablehaven_types::{RouteTarget, ServiceName, Tenant, WeightedService};
+use tokio::time::timeout_at;
 
 use self::{
     admit::{admit, record_response, refuse_quarantined},
@@ -147,7 +148,8 @@
     let (caller_try, spent) = early_try.unwrap_or_else(|| caller_try(gateway, &head));
     let request_id = head.headers.get(&gateway.names.request_id).cloned();
     let request_id = request_id.ok_or(Refusal::MissingRequestId)?;
-    let body = read_body(&client, body, gateway.limits().max_body_bytes);
+    let read_until = arrived + time_left(gateway, &planned, &head);
+    let body = read_body(&client, body, gateway.limits().max_body_bytes, read_until);
     let unsent = UnsentRequest {
         arrived,
         request_id: &request_id,
@@ -278,12 +280,17 @@
     }
 }
 
+/// Reads the body of a request, which must be complete at `read_until`.
 async fn read_body(
     client: &ClientConnection,
     body: Incoming,
     limit: usize,
+    read_until: Instant,
 ) -> Result<HeldBody, Refusal> {
-    let collected = collect_request(client, body, limit).await;
+    let reading = collect_request(client, body, limit);
+    let Ok(collected) = timeout_at(read_until.into(), reading).await else {
+        return Err(Refusal::BodyTooLate);
+    };
     collected.map_err(|error| match error {
         CollectError::TooLarge { .. } => Refusal::BodyTooLarge,
         CollectError::NoMemoryLeft(_) => Refusal::NoMemoryLeft,
--- a/crates/sablehaven-gateway/src/request/refusal.rs
+++ b/crates/sablehaven-gateway/src/request/refusal.rs
@@ -24,7 +24,7 @@
 /// Retry delay when no server ran the request.
 const NOT_RUN_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Why a request gets no response from a server. Status codes 429 and 503 promise that the request has not run and
+/// Why a request gets no response from a server. Status codes 408, 429 and 503 promise that the request has not run and
 /// never will; 502 and 504 promise nothing.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 pub(super) enum Refusal {
@@ -45,6 +45,8 @@
     BodyTooLarge,
     /// the body ended early
     IncompleteBody,
+    /// the body was not complete in time; the request has not run
+    BodyTooLate,
     /// too many bodies are held; the request has not run
     NoMemoryLeft,
     /// too many requests
@@ -104,6 +106,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooLate => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoutes { .. }
             | Self::TooManyRequests
             | Self::NoMemoryLeft
--- a/crates/sablehaven-gateway/tests/gateway/slow_callers.rs
+++ b/crates/sablehaven-gateway/tests/gateway/slow_callers.rs
@@ -3,7 +3,7 @@
 use sablehaven_standins::routed::Behaviour;
 use sablehaven_types::RequestKind;
 
-use crate::support::raw_caller::{RawCaller, request_head};
+use crate::support::raw_caller::{RawCaller, has_status, request_head};
 use crate::support::routes::service_route;
 use crate::support::{TestBed, run_test, wait_until};
 
@@ -37,3 +37,24 @@
         wait_until("the caller is disconnected", || open_connections(&bed) == 0).await;
     });
 }
+
+/// The gateway reads a body before it sends the request, so whoever does not finish in time can be told that it has not
+/// run.
+#[test]
+fn a_body_that_is_not_complete_in_time_is_refused_as_not_run() {
+    run_test(async {
+        let mut bed = TestBed::new().await;
+        bed.add_servers("one", &[Behaviour::answer("whole")]).await;
+        let route = service_route("/o/", RequestKind::NonIdempotent, "one");
+        bed.apply_routes(1, vec![route]).await;
+        for framing in ["content-length: 10", "transfer-encoding: chunked"] {
+            let mut caller = RawCaller::connect(bed.address).await;
+            let headers = ["sablehaven-deadline-ms: 300", framing];
+            caller.send(&request_head("POST", "/o/x", &headers)).await;
+            caller.send("2\r\nbb\r\n").await;
+            let response = caller.receive().await;
+            assert!(has_status(&response, 408), "{framing}: {response}");
+        }
+        assert_eq!(bed.arrivals("one"), 0);
+    });
+}
