control: the operator interface keeps to the budget of clients

What callers saw: the operator interface of a control replica accepted every connection, and read a body of up to 16 MiB on each, until the process had no descriptors or memory left.

Cause: it is a salvo server, whose listener knew no limits. The limits so far were those of sablehaven-http.

Ruled out: serving the router with sablehaven-http. salvo has a policy for admitting and observing connections.

Change: sablehaven-web makes salvo servers that keep to a share of a ClientBudget: the policy admits connections and closes the one that has waited longest for its client, and a hoop counts requests, their bodies with the memory for parsing them, and responses until they are written. Heads are limited to 16 KiB. The three interfaces of a control replica divide its connections.

--- a/crates/sablehaven-control/examples/control_bench/cluster.rs
+++ b/crates/sablehaven-control/examples/control_bench/cluster.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_control::{Config, Environment, Handle, Listeners, start_in};
+use sablehaven_control::{ClientBudget, Config, Environment, Handle, Listeners, start_in};
 use sablehaven_storage::RealDisk;
 use sablehaven_telemetry::Telemetry;
 use tokio::net::TcpListener;
@@ -66,6 +66,7 @@
             listeners,
             disk: Arc::new(RealDisk),
             servers: None,
+            clients: ClientBudget::new(self.config.clients),
         };
         let handle = start_in(self.config.clone(), telemetry, environment).await;
         self.handle = Some(handle.expect("start replica"));
--- a/crates/sablehaven-control/src/config.rs
+++ b/crates/sablehaven-control/src/config.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use sablehaven_http::ClientLimits;
 use sablehaven_types::{Placement, QuotaTolerance, SettingChecks, SettingError, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +55,8 @@
     /// is new and every peer answers, is new too, and may form a deployment as well. Set it at the first start of a
     /// deployment, and leave it unset on a replica that joins later.
     pub bootstrap: bool,
+    /// Limits on what is held for clients: operators, callers of the directory and readers of metrics.
+    pub clients: ClientLimits,
     /// How far the requests of a tenant may exceed its quota, over all gateways together.
     pub quotas: QuotaTolerance,
     /// The number of consensus groups over which the keys of the ledger are distributed. It must be the same on every
@@ -117,6 +120,7 @@
             data_folder: PathBuf::from("data"),
             peers: Vec::new(),
             bootstrap: false,
+            clients: ClientLimits::default(),
             quotas: QuotaTolerance::default(),
             ledger_groups: 4,
             ledger: LedgerLimits::default(),
@@ -142,6 +146,7 @@
     /// Returns an error for each invalid setting, with `prefix` before its key.
     pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
         let mut checks = SettingChecks::new(prefix);
+        checks.nested("clients", |prefix| self.clients.validate(prefix));
         checks.nested("ledger", |prefix| self.ledger.validate(prefix));
         checks.name("deployment", &self.deployment);
         let groups = 0..=u64::from(MAX_LEDGER_GROUPS);
--- a/crates/sablehaven-control/src/lib.rs
+++ b/crates/sablehaven-control/src/lib.rs
@@ -32,5 +32,6 @@
 pub use error::StartError;
 pub use leader::{ServerListFuture, ServerSource, ServerSourceError};
 pub use quorum_call::QuorumCallError;
+pub use sablehaven_http::ClientBudget;
 pub use sablehaven_storage::RealDisk;
-pub use server::{Environment, Handle, Listeners, Peers, start, start_in};
+pub use server::{CLIENT_LISTENERS, Environment, Handle, Listeners, Peers, start, start_in};
--- a/crates/sablehaven-control/src/operator/handlers.rs
+++ b/crates/sablehaven-control/src/operator/handlers.rs
@@ -2,9 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use sablehaven_http::CollectError;
+use sablehaven_web::{ReadError, read_body};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
-    http::{ParseError, StatusCode, header},
+    http::{StatusCode, header},
     writing::Json,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -219,9 +221,16 @@
 
 /// Reads the request body as JSON.
 async fn body<Body: DeserializeOwned>(request: &mut Request) -> Result<Body, CallError> {
-    let payload = request.payload_with_max_size(MAX_BODY_BYTES).await;
-    let payload = payload.map_err(|error: ParseError| bad_request(&error))?;
-    serde_json::from_slice(payload).map_err(|error| bad_request(&error))
+    let payload = match read_body(request, MAX_BODY_BYTES).await {
+        Ok(payload) => payload,
+        Err(ReadError::Body(CollectError::NoMemoryLeft(error))) => {
+            return Err(CallError::Unavailable {
+                reason: format!("read request: {error}"),
+            });
+        }
+        Err(error) => return Err(bad_request(&error)),
+    };
+    serde_json::from_slice(payload.bytes()).map_err(|error| bad_request(&error))
 }
 
 /// Reads the query parameter `unconfirmed`. If it is `true`, the reply is the state that this replica has applied,
--- a/crates/sablehaven-control/src/server/mod.rs
+++ b/crates/sablehaven-control/src/server/mod.rs
@@ -9,4 +9,4 @@
 
 pub(crate) use context::Context;
 pub use handle::{Handle, Peers};
-pub use start::{Environment, Listeners, start, start_in};
+pub use start::{CLIENT_LISTENERS, Environment, Listeners, start, start_in};
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -6,11 +6,13 @@
     time::Duration,
 };
 
+use sablehaven_http::ClientBudget;
 use sablehaven_storage::{Disk, OpenedStorage, RealDisk, Storage};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::BoundAddresses;
+use sablehaven_web::{MAX_HEADER_BYTES, bounded_server};
 use sablehaven_wire::BootTimeClock;
-use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
+use salvo::server::ServerHandle;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
@@ -48,6 +50,10 @@
     pub http: TcpListener,
 }
 
+/// Interfaces among which the connections of clients are divided: that of this crate, and two that an embedding program
+/// may add, for its own calls and for a directory.
+pub const CLIENT_LISTENERS: usize = 3;
+
 /// What a replica needs besides its settings.
 pub struct Environment {
     /// The listening sockets.
@@ -56,6 +62,8 @@
     pub disk: Arc<dyn Disk>,
     /// Lists the servers to which gateways send requests, if there are gateways.
     pub servers: Option<Arc<dyn ServerSource>>,
+    /// What the process holds for its clients.
+    pub clients: ClientBudget,
 }
 
 impl Listeners {
@@ -66,7 +74,7 @@
     pub async fn bind(config: &Config) -> Result<Self, StartError> {
         Ok(Self {
             internal: listen(config.internal_listen).await?,
-            http: listen(config.http_listen).await?,
+            http: listen_http(config)?,
         })
     }
 
@@ -88,6 +96,7 @@
         listeners: Listeners::bind(&config).await?,
         disk: Arc::new(RealDisk),
         servers: None,
+        clients: ClientBudget::new(config.clients),
     };
     start_in(config, telemetry, environment).await
 }
@@ -106,6 +115,7 @@
         listeners,
         disk,
         servers,
+        clients,
     } = environment;
     let (internal, http) = listeners.addresses(&config)?;
     let own_addresses = ReplicaAddresses {
@@ -119,7 +129,8 @@
     let driver = tokio::spawn(driver.run(stop_driver.clone()));
     let background = TaskGroup::default();
     let relays = TaskGroup::default();
-    let (http_handle, http_server) = serve_http(&context, &telemetry, listeners.http, http)?;
+    let (http_handle, http_server) =
+        serve_http(&context, &telemetry, &clients, listeners.http, http)?;
     spawn_background(&context, &background, observations);
     if let Some(servers) = servers {
         background.spawn(leader::read_listing(Arc::clone(&context), servers));
@@ -161,6 +172,12 @@
     listener.map_err(|source| StartError::Listen { address, source })
 }
 
+fn listen_http(config: &Config) -> Result<TcpListener, StartError> {
+    let address = config.http_listen;
+    let listener = sablehaven_http::listen(address, config.clients.socket_buffer_bytes);
+    listener.map_err(|source| StartError::Listen { address, source })
+}
+
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
     let local = listener.local_addr();
     local.map_err(|source| StartError::Listen { address, source })
@@ -259,15 +276,18 @@
 fn serve_http(
     context: &Arc<Context>,
     telemetry: &Telemetry,
+    clients: &ClientBudget,
     listener: TcpListener,
     address: SocketAddr,
 ) -> Result<(ServerHandle, JoinHandle<()>), StartError> {
+    telemetry.register(|registry| clients.register_metrics(registry));
+    let limits = clients.limits();
+    let max_connections = limits.connections_per_listener(MAX_HEADER_BYTES, CLIENT_LISTENERS);
     let router = operator::router(context).push(telemetry.router());
-    let acceptor = TcpAcceptor::try_from(listener);
-    let acceptor = acceptor.map_err(|source| StartError::Listen { address, source })?;
-    let server = Server::new(acceptor);
+    let server = bounded_server(listener, clients.listener(max_connections), router);
+    let (server, service) = server.map_err(|source| StartError::Listen { address, source })?;
     let handle = server.handle();
-    let task = tokio::spawn(async move { server.serve(router).await });
+    let task = tokio::spawn(async move { server.serve(service).await });
     Ok((handle, task))
 }
 
--- a/crates/sablehaven-control/tests/support/mod.rs
+++ b/crates/sablehaven-control/tests/support/mod.rs
@@ -17,7 +17,7 @@
 
 use sablehaven_consensus::ReplicaId;
 use sablehaven_control::{
-    Config, Environment, Handle, Listeners, ServerSource, StartError, start_in,
+    ClientBudget, Config, Environment, Handle, Listeners, ServerSource, StartError, start_in,
 };
 use sablehaven_storage::{Disk, RealDisk};
 use sablehaven_telemetry::Telemetry;
@@ -124,6 +124,7 @@
             listeners,
             disk: Arc::clone(&self.disk),
             servers: self.servers.clone(),
+            clients: ClientBudget::new(self.config.clients),
         };
         let handle = start_in(self.config.clone(), telemetry, environment).await?;
         self.handle = Some(handle);
--- a/crates/sablehaven-http/src/client_budget.rs
+++ b/crates/sablehaven-http/src/client_budget.rs
@@ -87,7 +87,7 @@
 }
 
 /// An open connection of a client, which counts until this is dropped.
-pub(crate) struct ConnectionSlot {
+pub struct ConnectionSlot {
     client: ClientConnection,
     number: u64,
 }
@@ -151,9 +151,14 @@
 impl ListenerShare {
     /// Opens a connection whose requests have heads of at most `max_header_bytes`. If there are as many as allowed, the
     /// one that has waited longest for its client is closed first; `None` if all of them are being served.
-    pub(crate) async fn open(&self, max_header_bytes: usize) -> Option<ConnectionSlot> {
+    pub async fn open(&self, max_header_bytes: usize) -> Option<ConnectionSlot> {
+        let limit = self.shared.limits.connections(max_header_bytes);
+        self.open_up_to(limit).await
+    }
+
+    /// Like [`Self::open`], with a limit of the number of connections that does not depend on their memory.
+    pub async fn open_up_to(&self, limit: usize) -> Option<ConnectionSlot> {
         let shared = &self.shared;
-        let limit = shared.limits.connections(max_header_bytes);
         let limit = limit.min(self.max_connections);
         loop {
             let mut released = std::pin::pin!(shared.released.notified());
@@ -248,7 +253,8 @@
 }
 
 impl ConnectionSlot {
-    pub(crate) fn client(&self) -> &ClientConnection {
+    /// The connection.
+    pub fn client(&self) -> &ClientConnection {
         &self.client
     }
 
@@ -257,7 +263,7 @@
     }
 
     /// Waits until the connection must be closed to make room for others.
-    pub(crate) async fn evicted(&self) {
+    pub async fn evicted(&self) {
         self.client.connection.evicted.notified().await;
     }
 }
@@ -276,6 +282,26 @@
 }
 
 impl ClientConnection {
+    /// Whether both are the same connection.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.connection, &other.connection)
+    }
+
+    /// Records that bytes have arrived.
+    pub fn bytes_received(&self) {
+        self.activity().bytes_received();
+    }
+
+    /// Records that a request is being served. The connection is not closed to make room for others meanwhile.
+    pub fn request_started(&self) {
+        self.activity().request_started();
+    }
+
+    /// Records that the response to the request is ready.
+    pub fn response_ready(&self) {
+        self.activity().response_ready();
+    }
+
     pub(crate) fn activity(&self) -> &Activity {
         &self.connection.activity
     }
--- a/crates/sablehaven-http/src/client_budget/held_bytes.rs
+++ b/crates/sablehaven-http/src/client_budget/held_bytes.rs
@@ -121,7 +121,7 @@
 
     /// Holds the bytes of a response that exists already. If too many are held then, connections that have waited
     /// longest for their clients are closed, in the last place this one.
-    pub(crate) fn hold_response(&self, length: usize) -> HeldBytes {
+    pub fn hold_response(&self, length: usize) -> HeldBytes {
         let ClientConnection { shared, connection } = self;
         let mut state = shared.lock();
         state.add_bytes(connection, length);
--- a/crates/sablehaven-http/src/client_limits.rs
+++ b/crates/sablehaven-http/src/client_limits.rs
@@ -122,6 +122,11 @@
         checks.into_errors()
     }
 
+    /// The connections of each of `listeners` whose requests have heads of at most `max_header_bytes`.
+    pub fn connections_per_listener(&self, max_header_bytes: usize, listeners: usize) -> usize {
+        (self.connections(max_header_bytes) / listeners).max(1)
+    }
+
     /// The maximum number of connections whose requests have heads of at most `max_header_bytes`.
     pub fn connections(&self, max_header_bytes: usize) -> usize {
         let each = memory_of_connection(max_header_bytes, self.socket_buffer_bytes);
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -18,7 +18,8 @@
 
 pub use client::{ConnectError, OpenConnection, connect};
 pub use client_budget::{
-    BudgetUse, ClientBudget, ClientConnection, HeldBytes, HeldFor, ListenerShare, NoMemoryLeft,
+    BudgetUse, ClientBudget, ClientConnection, ConnectionSlot, HeldBytes, HeldFor, ListenerShare,
+    NoMemoryLeft,
 };
 pub use client_limits::{ClientLimits, MachineLimits};
 pub use collect::{CollectError, HeldBody, collect_body, collect_request};
--- a/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
@@ -11,7 +11,7 @@
 
 use reqwest::{Client, StatusCode};
 use sablehaven_control::{
-    Environment, Listeners, operator::OperatorError, operator::paths, start_in,
+    ClientBudget, Environment, Listeners, operator::OperatorError, operator::paths, start_in,
 };
 use sablehaven_storage::RealDisk;
 use sablehaven_telemetry::Telemetry;
@@ -132,6 +132,7 @@
                 listeners: replica,
                 disk: Arc::new(RealDisk),
                 servers: None,
+                clients: ClientBudget::new(config.clients),
             };
             let started = start_in(config, Telemetry::new("control"), environment);
             handles.push(started.await.expect("start control replica"));
