--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -53,6 +53,8 @@
 /// Interfaces among which the connections of clients are divided: that of this crate, and two that an embedding program
 /// may add, for its own calls and for a directory.
 pub const CLIENT_LISTENERS: usize = 3;
+/// Connections from other processes, in quarters of those that clients may have.
+const INTERNAL_CONNECTION_QUARTERS: usize = 3;
 
 /// What a replica needs besides its settings.
 pub struct Environment {
@@ -138,6 +140,7 @@
     background.spawn(accept_connections(
         Arc::clone(&context),
         listeners.internal,
+        clients.listener(max_internal_connections(&clients)),
         background.clone(),
         relays.clone(),
     ));
@@ -178,6 +181,12 @@
     listener.map_err(|source| StartError::Listen { address, source })
 }
 
+/// The maximum number of connections from other processes.
+fn max_internal_connections(clients: &ClientBudget) -> usize {
+    let limit = clients.limits().max_connections;
+    (limit * INTERNAL_CONNECTION_QUARTERS / 4).max(1)
+}
+
 fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
     let local = listener.local_addr();
     local.map_err(|source| StartError::Listen { address, source })
