agent: callers, their bodies and their replies keep to the budget of clients

What callers saw: an agent accepted every connection, and held a body of up to 1 MiB on each and replies of up to 8 MiB for each shard, until it had no descriptors or memory left.

Cause: the limits of an agent are those of a single request. At-most-once requests go on after their callers have left, and nothing counted them.

Change: the agent's listener is a server of sablehaven-web. The body of a request counts, with the memory for its decoded form, until it is answered, and for an at-most-once request until its outcome is recorded; replies count, with their decoded form, until the query is answered. A request for which no memory is left is refused as not run, with a time to retry; a reply is discarded. The limits are settings of every role now (section clients), and follow from the machine's memory and descriptors where they are absent.

--- a/crates/sablehaven-agent/src/config.rs
+++ b/crates/sablehaven-agent/src/config.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use sablehaven_http::ClientSettings;
 use sablehaven_types::{Placement, RegionName, ServiceName, SettingChecks, SettingError, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +31,8 @@
     pub subscription: sablehaven_subscription::Config,
     /// Limits on sizes and counts.
     pub limits: Limits,
+    /// Limits on what is held for all callers together.
+    pub clients: ClientSettings,
     /// Timeouts, delays and intervals.
     pub timing: Timing,
 }
@@ -91,6 +94,7 @@
             interest: BTreeSet::new(),
             subscription: sablehaven_subscription::Config::default(),
             limits: Limits::default(),
+            clients: ClientSettings::default(),
             timing: Timing::default(),
         }
     }
@@ -132,6 +136,7 @@
         checks.name("placement.region", self.placement.region.as_str());
         checks.name("placement.zone", self.placement.zone.as_str());
         checks.nested("limits", |prefix| self.limits.validate(prefix));
+        checks.nested("clients", |prefix| self.clients.validate(prefix));
         checks.nested("timing", |prefix| self.timing.validate(prefix));
         checks.nested("subscription", |prefix| self.subscription.validate(prefix));
         checks.into_errors()
--- a/crates/sablehaven-agent/src/interface/handler.rs
+++ b/crates/sablehaven-agent/src/interface/handler.rs
@@ -6,7 +6,9 @@
 };
 
 use prost_reflect::DynamicMessage;
+use sablehaven_http::{ClientConnection, CollectError};
 use sablehaven_schema::{BodyError, MethodKind, MethodSchema, decode_json, decode_protobuf};
+use sablehaven_web::{ReadError, RequestBody, client_of, read_body};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait,
     http::{
@@ -38,6 +40,9 @@
 
 /// A request whose body was decoded and matches the schema.
 struct DecodedCall<'a> {
+    client: ClientConnection,
+    /// Held until the call ends.
+    body: RequestBody,
     service: &'a Arc<ServicePlan>,
     method: &'a MethodSchema,
     message: DynamicMessage,
@@ -93,6 +98,11 @@
         let answer = match call {
             Ok(call) if kind == RequestKind::Once => self.serve_once(call, request).await,
             Ok(call) => self.serve_read(call).await,
+            Err(reason @ Reason::NoMemoryLeft(_)) => {
+                let retry_after = self.agent.config.timing.retry_after();
+                let answer = refusal(reason, resend && kind == RequestKind::Once);
+                answer.with_retry_after(retry_after)
+            }
             Err(reason) => refusal(reason, resend && kind == RequestKind::Once),
         };
         (kind, answer)
@@ -108,13 +118,14 @@
         let encoding = request_encoding(request.headers())?;
         let time_allowed = time_allowed(request.headers(), method.deadline_ms)?;
         let limit_bytes = self.agent.config.limits.request_body_bytes;
-        let body = request.payload_with_max_size(limit_bytes).await;
-        let body = body.map_err(|error| Reason::BodyUnreadable {
-            limit_bytes,
-            cause: error.to_string(),
-        })?;
-        let message = decode(method, encoding, body).map_err(Reason::InvalidBody)?;
+        let client = client_of(request).cloned();
+        let body = read_body(request, limit_bytes).await;
+        let body = body.map_err(|error| unreadable(error, limit_bytes))?;
+        let client = client.ok_or_else(|| unreadable(ReadError::NoClient, limit_bytes))?;
+        let message = decode(method, encoding, body.bytes()).map_err(Reason::InvalidBody)?;
         Ok(DecodedCall {
+            client,
+            body,
             service,
             method,
             message,
@@ -126,6 +137,7 @@
     async fn serve_read(&self, call: DecodedCall<'_>) -> Answer {
         let deadline: Instant = call.arrived.monotonic + call.time_allowed;
         let read = ReadRequest {
+            client: &call.client,
             service: call.service,
             method: call.method,
             message: &call.message,
@@ -145,6 +157,8 @@
             Err(reason) => return Answer::without_reply(reason),
         };
         let once = OnceRequest {
+            client: call.client,
+            body: call.body,
             service: Arc::clone(call.service),
             method: call.method.clone(),
             message: call.message,
@@ -162,6 +176,17 @@
     }
 }
 
+/// The reason why a call's body was not read.
+fn unreadable(error: ReadError, limit_bytes: usize) -> Reason {
+    match error {
+        ReadError::Body(CollectError::NoMemoryLeft(error)) => Reason::NoMemoryLeft(error),
+        error => Reason::BodyUnreadable {
+            limit_bytes,
+            cause: error.to_string(),
+        },
+    }
+}
+
 fn refusal(reason: Reason, resend: bool) -> Answer {
     let reason = if resend { reason.for_resend() } else { reason };
     Answer::without_reply(reason)
--- a/crates/sablehaven-agent/src/once/dispatch.rs
+++ b/crates/sablehaven-agent/src/once/dispatch.rs
@@ -41,6 +41,7 @@
         Err(error) => AttemptReport::not_connected(error),
         Ok(client) => {
             let message = AttemptMessage {
+                client: &request.client,
                 identity,
                 path: &request.method.path,
                 body: encode_protobuf(&request.message).into(),
--- a/crates/sablehaven-agent/src/once/flow.rs
+++ b/crates/sablehaven-agent/src/once/flow.rs
@@ -31,6 +31,8 @@
     reason::Reason,
     transport::{AttemptIdentity, DiscardReason},
 };
+use sablehaven_http::ClientConnection;
+use sablehaven_web::RequestBody;
 
 /// Maximum time reserved before the deadline for sending a refusal to the caller.
 const MAX_REPLY_RESERVE: Duration = Duration::from_millis(50);
@@ -52,6 +54,10 @@
 /// A decoded at-most-once request.
 #[derive(Debug)]
 pub struct OnceRequest {
+    /// The connection of the caller.
+    pub client: ClientConnection,
+    /// The body of the request, which is held until its outcome is recorded.
+    pub body: RequestBody,
     /// The service that the method belongs to.
     pub service: Arc<ServicePlan>,
     /// The method.
--- a/crates/sablehaven-agent/src/query.rs
+++ b/crates/sablehaven-agent/src/query.rs
@@ -7,10 +7,11 @@
 mod shard;
 mod sub_request;
 
-use std::time::Instant;
+use std::{sync::Mutex, time::Instant};
 
 use bytes::Bytes;
 use prost_reflect::DynamicMessage;
+use sablehaven_http::ClientConnection;
 use sablehaven_routing::{
     Admission,
     crash_table::{CrashStatus, fingerprint},
@@ -30,6 +31,8 @@
 /// A decoded query or lookup.
 #[derive(Clone, Copy)]
 pub struct ReadRequest<'a> {
+    /// The connection of the caller.
+    pub client: &'a ClientConnection,
     /// The service that the method belongs to.
     pub service: &'a ServicePlan,
     /// The method.
@@ -63,7 +66,10 @@
         let crash_watch = CrashWatch::new(self.crashes, fingerprint);
         let mut restarts_left = self.limits.query_restarts;
         loop {
+            let held_replies = Mutex::default();
             let shared = SharedRequest {
+                client: self.client,
+                held_replies: &held_replies,
                 service: self.service,
                 method: self.method,
                 body: &body,
--- a/crates/sablehaven-agent/src/query/attempt.rs
+++ b/crates/sablehaven-agent/src/query/attempt.rs
@@ -1,13 +1,18 @@
 //! One attempt of a sub-request: sending it, decoding the reply and reporting the result to the
 //! router.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Instant,
+};
 
 use bytes::Bytes;
 use prost_reflect::DynamicMessage;
+use sablehaven_http::{ClientConnection, HeldBytes, HeldFor};
 use sablehaven_routing::{AttemptOutcome, ChosenBackend};
 use sablehaven_schema::{MethodSchema, decode_reply};
 use sablehaven_types::{AttemptId, IndexSnapshot, ShardId};
+use sablehaven_web::PARSED_FACTOR;
 
 use super::{crashes::CrashWatch, sub_request::AttemptFailure};
 use crate::{
@@ -22,6 +27,10 @@
 /// Data shared by all sub-requests of one request.
 #[derive(Clone, Copy)]
 pub struct SharedRequest<'a> {
+    /// The connection of the caller.
+    pub client: &'a ClientConnection,
+    /// The memory of the decoded replies.
+    pub held_replies: &'a Mutex<Vec<HeldBytes>>,
     /// The service that the method belongs to.
     pub service: &'a ServicePlan,
     /// The method.
@@ -56,7 +65,7 @@
     let report = send(shared, identity, &chosen).await;
     let draining = report.signals.draining;
     let signals = report.signals;
-    let result = decode_result(shared, report.end);
+    let result = decode_result(shared, report.end).await;
     let now = shared.service.router.now();
     match &result {
         Ok(_) | Err(AttemptFailure::Failed | AttemptFailure::BadReply) => {
@@ -87,6 +96,7 @@
         Err(error) => return AttemptReport::not_connected(error),
     };
     let message = AttemptMessage {
+        client: shared.client,
         identity,
         path: &shared.method.path,
         body: shared.body.clone(),
@@ -97,14 +107,12 @@
     client.attempt(message).await
 }
 
-fn decode_result(
+async fn decode_result(
     shared: SharedRequest<'_>,
     end: AttemptEnd,
 ) -> Result<DynamicMessage, AttemptFailure> {
     match end {
-        AttemptEnd::Replied(body) => {
-            decode_reply(&shared.method.output, &body).map_err(|_| DiscardReason::Undecodable)
-        }
+        AttemptEnd::Replied(body) => decode(shared, &body).await,
         AttemptEnd::Discarded(reason) => Err(reason),
         AttemptEnd::Refused { refusal, .. } => {
             shared.metrics.record_refusal(refusal);
@@ -120,6 +128,18 @@
     })
 }
 
+/// Decodes a reply, and holds the memory that it takes until the request is answered.
+async fn decode(shared: SharedRequest<'_>, body: &Bytes) -> Result<DynamicMessage, DiscardReason> {
+    let length = PARSED_FACTOR * body.len();
+    let held = shared.client.hold(length, HeldFor::Reply).await;
+    let held = held.map_err(|_| DiscardReason::NoMemoryLeft)?;
+    let held_replies = shared.held_replies.lock();
+    held_replies
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(held);
+    decode_reply(&shared.method.output, body).map_err(|_| DiscardReason::Undecodable)
+}
+
 /// Returns whether the process of a back end has ended, which shows by its address refusing
 /// connections. A lost connection alone is not sufficient evidence.
 pub async fn is_terminated(shared: SharedRequest<'_>, chosen: &ChosenBackend) -> bool {
--- a/crates/sablehaven-agent/src/reason.rs
+++ b/crates/sablehaven-agent/src/reason.rs
@@ -1,5 +1,6 @@
 //! Reasons why an answer carries no reply, with the outcome and HTTP status of each.
 
+use sablehaven_http::NoMemoryLeft;
 use sablehaven_schema::{BodyError, MergeError};
 use sablehaven_types::{MissingReason, Outcome};
 use salvo::http::StatusCode;
@@ -22,6 +23,8 @@
         /// The error of the HTTP library.
         cause: String,
     },
+    /// the request has not run: {0}
+    NoMemoryLeft(NoMemoryLeft),
     /// the body does not fit the schema: {0}
     InvalidBody(BodyError),
     /// header '{0}' is required for this method
--- a/crates/sablehaven-agent/src/role.rs
+++ b/crates/sablehaven-agent/src/role.rs
@@ -2,12 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use sablehaven_http::ClientBudget;
 use sablehaven_routing::AgentLocation;
 use sablehaven_subscription::{AgentIdentity, Subscription};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{AgentId, BoundAddresses};
-use salvo::{Router, Server, conn::tcp::TcpAcceptor, server::ServerHandle};
-use tokio::{net::TcpSocket, task::JoinHandle, time::timeout};
+use sablehaven_web::{MAX_HEADER_BYTES, bounded_server};
+use salvo::{Router, server::ServerHandle};
+use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
 
 use crate::{
     agent::Agent,
@@ -42,9 +44,6 @@
     update_task: JoinHandle<String>,
 }
 
-/// Maximum number of connections that wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1_024;
-
 /// Starts an agent. It becomes ready once it has received its first usable configuration.
 pub async fn start(config: Config, telemetry: Telemetry) -> Result<Handle, StartError> {
     start_with_policies(config, telemetry, service_router_factory()).await
@@ -57,8 +56,10 @@
     telemetry: Telemetry,
     policies: PolicyFactory,
 ) -> Result<Handle, StartError> {
-    let acceptor = listen(config.http_listen).await?;
-    let address = local_address(&acceptor, config.http_listen)?;
+    let listener = listen(&config)?;
+    let address = local_address(&listener, config.http_listen)?;
+    let clients = ClientBudget::new(config.clients.limits());
+    telemetry.register(|registry| clients.register_metrics(registry));
     let identity = AgentIdentity {
         agent: agent_id(&config),
         placement: config.placement.clone(),
@@ -81,10 +82,12 @@
     let agent = Arc::new(Agent::new(config, subscription, metrics));
     let builder = PlanBuilder::new(site, connections, policies, observer);
     let update_task = tokio::spawn(run_updates(Arc::clone(&agent), builder, telemetry.clone()));
-    let server = Server::new(acceptor);
-    let server_handle = server.handle();
     let router = router(&agent, &telemetry);
-    let server_task = tokio::spawn(server.try_serve(router));
+    let share = clients.listener(clients.limits().connections(MAX_HEADER_BYTES));
+    let server = bounded_server(listener, share, router);
+    let (server, service) = server.map_err(|error| listen_error(address, &error))?;
+    let server_handle = server.handle();
+    let server_task = tokio::spawn(server.try_serve(service));
     Ok(Handle {
         agent,
         telemetry,
@@ -164,37 +167,22 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpAcceptor, StartError> {
-    bind_without_delay(address).map_err(|error| StartError::Listen {
-        address,
-        cause: error.to_string(),
-    })
+fn listen(config: &Config) -> Result<TcpListener, StartError> {
+    let address = config.http_listen;
+    let listener = sablehaven_http::listen(address, config.clients.socket_buffer_bytes);
+    listener.map_err(|error| listen_error(address, &error))
 }
 
-/// Binds a listener with `TCP_NODELAY` set, so that its connections send small replies without delay.
-///
-/// On Linux, accepted connections inherit the option. Without it, the body of a reply is sent only
-/// after the headers have been acknowledged, which callers delay by up to 40 ms (RFC 1122, section
-/// 4.2.3.4).
-fn bind_without_delay(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_nodelay(true)?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)?.try_into()
+fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, StartError> {
+    let local = listener.local_addr();
+    local.map_err(|error| listen_error(address, &error))
 }
 
-fn local_address(acceptor: &TcpAcceptor, address: SocketAddr) -> Result<SocketAddr, StartError> {
-    acceptor
-        .inner()
-        .local_addr()
-        .map_err(|error| StartError::Listen {
-            address,
-            cause: error.to_string(),
-        })
+fn listen_error(address: SocketAddr, error: &std::io::Error) -> StartError {
+    StartError::Listen {
+        address,
+        cause: error.to_string(),
+    }
 }
 
 fn router(agent: &Arc<Agent>, telemetry: &Telemetry) -> Router {
--- a/crates/sablehaven-agent/src/transport/client.rs
+++ b/crates/sablehaven-agent/src/transport/client.rs
@@ -2,8 +2,9 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use reqwest::{Client, Method, Request, Response, Url};
+use sablehaven_http::{ClientConnection, CollectError, HeldFor, collect_body};
 use sablehaven_types::LedgerKey;
 
 use super::{
@@ -47,6 +48,8 @@
 /// The request of one attempt.
 #[derive(Clone, Debug)]
 pub struct AttemptMessage<'a> {
+    /// The connection of the caller, for which the reply is held.
+    pub client: &'a ClientConnection,
     /// The identifiers that the reply must echo.
     pub identity: AttemptIdentity,
     /// The path of the method, `/<package>.<Service>/<Method>`.
@@ -171,7 +174,7 @@
         let signals = ServerSignals::parse(response.headers());
         let verdict = check_reply_head(&message.identity, response.status(), response.headers());
         let end = match verdict {
-            ReplyVerdict::Accepted => self.read_body(message.accept_until, response).await,
+            ReplyVerdict::Accepted => self.read_body(message, response).await,
             ReplyVerdict::Refused { refusal, echoed } => AttemptEnd::Refused { refusal, echoed },
             ReplyVerdict::Discarded(reason) => AttemptEnd::Discarded(reason),
             ReplyVerdict::Failed(status) => AttemptEnd::Failed(TransportError::Status {
@@ -182,26 +185,28 @@
         AttemptReport { end, signals }
     }
 
-    async fn read_body(&self, accept_until: Instant, mut response: Response) -> AttemptEnd {
+    async fn read_body(&self, message: &AttemptMessage<'_>, response: Response) -> AttemptEnd {
         let content_length = response.content_length();
-        let mut body = BytesMut::new();
-        loop {
-            match response.chunk().await {
-                Ok(Some(chunk)) if body.len() + chunk.len() > self.max_reply_body_bytes => {
-                    return AttemptEnd::Discarded(DiscardReason::TooLarge);
-                }
-                Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-                Ok(None) => break,
-                Err(_) => return AttemptEnd::Discarded(DiscardReason::Truncated),
+        let body = reqwest::Body::from(response);
+        let limit = self.max_reply_body_bytes;
+        let collected = collect_body(message.client, HeldFor::Reply, body, limit).await;
+        let body = match collected {
+            Ok(body) => body.into_bytes(),
+            Err(CollectError::TooLarge { .. }) => {
+                return AttemptEnd::Discarded(DiscardReason::TooLarge);
             }
-        }
+            Err(CollectError::NoMemoryLeft(_)) => {
+                return AttemptEnd::Discarded(DiscardReason::NoMemoryLeft);
+            }
+            Err(CollectError::Failed(_)) => return AttemptEnd::Discarded(DiscardReason::Truncated),
+        };
         if content_length.is_some_and(|length| length != body.len() as u64) {
             return AttemptEnd::Discarded(DiscardReason::Truncated);
         }
-        if Instant::now() >= accept_until {
+        if Instant::now() >= message.accept_until {
             return AttemptEnd::Discarded(DiscardReason::Late);
         }
-        AttemptEnd::Replied(body.freeze())
+        AttemptEnd::Replied(body)
     }
 }
 
--- a/crates/sablehaven-agent/src/transport/reply.rs
+++ b/crates/sablehaven-agent/src/transport/reply.rs
@@ -41,6 +41,8 @@
     Truncated,
     /// The body exceeds the size limit.
     TooLarge,
+    /// No memory is left for the body.
+    NoMemoryLeft,
     /// The body is not a valid reply message of the method.
     Undecodable,
 }
@@ -56,6 +58,7 @@
             Self::WrongSnapshot => "wrong_snapshot",
             Self::Truncated => "truncated",
             Self::TooLarge => "too_large",
+            Self::NoMemoryLeft => "no_memory_left",
             Self::Undecodable => "undecodable",
         }
     }
--- a/crates/sablehaven-cli/tests/commands.rs
+++ b/crates/sablehaven-cli/tests/commands.rs
@@ -54,6 +54,9 @@
         "http_advertise",
         "internal_advertise",
         "platform",
+        "max_connections",
+        "connection_bytes",
+        "body_bytes",
     ] {
         let prefix = format!("# {key} = ");
         let commented: Vec<&str> = template
--- a/crates/sablehaven-control/examples/control_bench/cluster.rs
+++ b/crates/sablehaven-control/examples/control_bench/cluster.rs
@@ -66,7 +66,7 @@
             listeners,
             disk: Arc::new(RealDisk),
             servers: None,
-            clients: ClientBudget::new(self.config.clients),
+            clients: ClientBudget::new(self.config.clients.limits()),
         };
         let handle = start_in(self.config.clone(), telemetry, environment).await;
         self.handle = Some(handle.expect("start replica"));
--- a/crates/sablehaven-control/src/config.rs
+++ b/crates/sablehaven-control/src/config.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use sablehaven_http::ClientLimits;
+use sablehaven_http::ClientSettings;
 use sablehaven_types::{Placement, QuotaTolerance, SettingChecks, SettingError, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -56,7 +56,7 @@
     /// deployment, and leave it unset on a replica that joins later.
     pub bootstrap: bool,
     /// Limits on what is held for clients: operators, callers of the directory and readers of metrics.
-    pub clients: ClientLimits,
+    pub clients: ClientSettings,
     /// How far the requests of a tenant may exceed its quota, over all gateways together.
     pub quotas: QuotaTolerance,
     /// The number of consensus groups over which the keys of the ledger are distributed. It must be the same on every
@@ -120,7 +120,7 @@
             data_folder: PathBuf::from("data"),
             peers: Vec::new(),
             bootstrap: false,
-            clients: ClientLimits::default(),
+            clients: ClientSettings::default(),
             quotas: QuotaTolerance::default(),
             ledger_groups: 4,
             ledger: LedgerLimits::default(),
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -98,7 +98,7 @@
         listeners: Listeners::bind(&config).await?,
         disk: Arc::new(RealDisk),
         servers: None,
-        clients: ClientBudget::new(config.clients),
+        clients: ClientBudget::new(config.clients.limits()),
     };
     start_in(config, telemetry, environment).await
 }
--- a/crates/sablehaven-control/tests/support/mod.rs
+++ b/crates/sablehaven-control/tests/support/mod.rs
@@ -124,7 +124,7 @@
             listeners,
             disk: Arc::clone(&self.disk),
             servers: self.servers.clone(),
-            clients: ClientBudget::new(self.config.clients),
+            clients: ClientBudget::new(self.config.clients.limits()),
         };
         let handle = start_in(self.config.clone(), telemetry, environment).await?;
         self.handle = Some(handle);
--- a/crates/sablehaven-gateway/src/config.rs
+++ b/crates/sablehaven-gateway/src/config.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use sablehaven_http::ClientLimits;
+use sablehaven_http::ClientSettings;
 use sablehaven_types::{
     Placement, QuotaTolerance, RegionName, SettingChecks, SettingError, ZoneName,
 };
@@ -52,7 +52,7 @@
     /// Maximum number of open requests. Beyond it requests are refused, the least urgent first.
     pub max_requests: usize,
     /// Limits on what is held for callers and for other clients.
-    pub clients: ClientLimits,
+    pub clients: ClientSettings,
     /// Maximum fraction (0 to 0.9) of the requests of one kind that is refused while most of their responses are
     /// late or missing. At 0 no request is refused for this reason.
     pub max_throttled: f64,
@@ -107,7 +107,7 @@
             stop_linger_ms: 3_300,
             stop_limit_ms: 5_500,
             max_requests: 512,
-            clients: ClientLimits::default(),
+            clients: ClientSettings::default(),
             max_throttled: 0.7,
             quotas: QuotaTolerance::default(),
         }
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_http::{ClientBudget, ServerSignals};
+use sablehaven_http::{ClientBudget, ClientLimits, ServerSignals};
 use sablehaven_routing::crash_table::CrashTable;
 use sablehaven_types::{
     CallerLimits, CrashReport, EvacuatedZones, ListingChange, ListingNumber, RequestFingerprint,
@@ -105,12 +105,12 @@
         let tokens = TokenClient::new(BootTimeClock::default(), &config.quotas);
         let controls = config.controls.iter().copied().collect();
         let clock = Clock::new();
-        let clients = ClientBudget::new(config.clients);
+        let clients = ClientBudget::new(config.clients.limits());
         let mut metrics = Metrics::new();
         metrics.register_clients(&clients);
         Self {
             registry: Registry::new(&config),
-            admission: Admission::new(max_requests(&config)),
+            admission: Admission::new(max_requests(&config, clients.limits())),
             throttle: RefCell::new(RequestThrottle::new(config.max_throttled)),
             clients,
             config,
@@ -344,9 +344,9 @@
 }
 
 /// The maximum number of open requests, given the number of connections that callers may open.
-fn max_requests(config: &Config) -> usize {
+fn max_requests(config: &Config, limits: ClientLimits) -> usize {
     let max_header_bytes = CallerLimits::default().max_header_bytes;
-    let connections = config.clients.connections(max_header_bytes);
+    let connections = limits.connections(max_header_bytes);
     let limit = connections * OPEN_REQUEST_EIGHTHS / 8;
     config.max_requests.min(limit.max(1))
 }
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -179,7 +179,7 @@
     };
     let share = gateway
         .clients
-        .listener(gateway.config.clients.max_connections);
+        .listener(gateway.clients.limits().max_connections);
     let signals = gateway.signals.clone();
     let handler = move |client, request| answer(Rc::clone(&gateway), client, request);
     accept_connections(listener, bounds, share, signals, handler).await;
--- a/crates/sablehaven-http/src/client_budget.rs
+++ b/crates/sablehaven-http/src/client_budget.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::HashMap,
+    fmt::{Debug, Formatter},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -268,6 +269,16 @@
     }
 }
 
+impl Debug for ClientConnection {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "a client with {} held bytes",
+            self.connection.held_bytes()
+        )
+    }
+}
+
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         let ClientConnection { shared, connection } = &self.client;
--- a/crates/sablehaven-http/src/client_budget/held_bytes.rs
+++ b/crates/sablehaven-http/src/client_budget/held_bytes.rs
@@ -1,6 +1,9 @@
 //! The bytes of bodies that are held for clients.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    fmt::{Debug, Formatter},
+    sync::{Arc, atomic::Ordering},
+};
 
 use super::{BudgetState, ClientConnection, Connection, Room, Shared};
 use crate::activity::Activity;
@@ -174,3 +177,9 @@
         shared.released.notify_waiters();
     }
 }
+
+impl Debug for HeldBytes {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{} held bytes", self.length)
+    }
+}
--- a/crates/sablehaven-http/src/client_limits.rs
+++ b/crates/sablehaven-http/src/client_limits.rs
@@ -63,9 +63,25 @@
     limits.split_whitespace().next()?.parse().ok()
 }
 
-/// Limits on what a process holds for all of its clients together.
+/// Settings of the limits on what a process holds for all of its clients together. Where one is absent, it follows from
+/// the machine: see [`ClientLimits::for_machine`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
+pub struct ClientSettings {
+    /// See [`ClientLimits::max_connections`].
+    pub max_connections: Option<usize>,
+    /// See [`ClientLimits::connection_bytes`].
+    pub connection_bytes: Option<usize>,
+    /// See [`ClientLimits::body_bytes`].
+    pub body_bytes: Option<usize>,
+    /// See [`ClientLimits::max_probe_connections`].
+    pub max_probe_connections: usize,
+    /// See [`ClientLimits::socket_buffer_bytes`].
+    pub socket_buffer_bytes: usize,
+}
+
+/// Limits on what a process holds for all of its clients together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientLimits {
     /// Maximum number of open connections. There are fewer if `connection_bytes` does not suffice for them.
     pub max_connections: usize,
@@ -80,9 +96,46 @@
     pub socket_buffer_bytes: usize,
 }
 
-impl Default for ClientLimits {
+impl Default for ClientSettings {
     fn default() -> Self {
-        Self::for_machine(MachineLimits::detect())
+        Self {
+            max_connections: None,
+            connection_bytes: None,
+            body_bytes: None,
+            max_probe_connections: MAX_PROBE_CONNECTIONS,
+            socket_buffer_bytes: SOCKET_BUFFER_BYTES,
+        }
+    }
+}
+
+impl ClientSettings {
+    /// The limits on this machine.
+    pub fn limits(&self) -> ClientLimits {
+        let default = ClientLimits::for_machine(MachineLimits::detect());
+        ClientLimits {
+            max_connections: self.max_connections.unwrap_or(default.max_connections),
+            connection_bytes: self.connection_bytes.unwrap_or(default.connection_bytes),
+            body_bytes: self.body_bytes.unwrap_or(default.body_bytes),
+            max_probe_connections: self.max_probe_connections,
+            socket_buffer_bytes: self.socket_buffer_bytes,
+        }
+    }
+
+    /// Returns an error for each invalid setting. The keys in the errors start with `prefix`.
+    pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
+        self.limits().validate(prefix)
+    }
+}
+
+impl From<ClientLimits> for ClientSettings {
+    fn from(limits: ClientLimits) -> Self {
+        Self {
+            max_connections: Some(limits.max_connections),
+            connection_bytes: Some(limits.connection_bytes),
+            body_bytes: Some(limits.body_bytes),
+            max_probe_connections: limits.max_probe_connections,
+            socket_buffer_bytes: limits.socket_buffer_bytes,
+        }
     }
 }
 
@@ -100,8 +153,7 @@
         }
     }
 
-    /// Returns an error for each invalid limit. The keys in the errors start with `prefix`.
-    pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
+    fn validate(&self, prefix: &str) -> Vec<SettingError> {
         let mut checks = SettingChecks::new(prefix);
         checks.at_least("max_connections", self.max_connections as u64, 1);
         let minimum = memory_of_connection(MIN_READ_BUFFER_BYTES, self.socket_buffer_bytes);
--- a/crates/sablehaven-http/src/collect.rs
+++ b/crates/sablehaven-http/src/collect.rs
@@ -139,6 +139,17 @@
     pub fn bytes(&self) -> &Bytes {
         &self.bytes
     }
+
+    /// Converts to bytes that are held until all clones and slices of them are dropped.
+    pub fn into_bytes(self) -> Bytes {
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 #[cfg(test)]
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -21,7 +21,7 @@
     BudgetUse, ClientBudget, ClientConnection, ConnectionSlot, HeldBytes, HeldFor, ListenerShare,
     NoMemoryLeft,
 };
-pub use client_limits::{ClientLimits, MachineLimits};
+pub use client_limits::{ClientLimits, ClientSettings, MachineLimits};
 pub use collect::{CollectError, HeldBody, collect_body, collect_request};
 pub use head_limit::HeadLimit;
 pub use observed_body::{BodyObserver, ObservedBody};
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -76,6 +76,9 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it. Otherwise the body of a response waits until the client has acknowledged the
+    // head, which it delays by up to 40 ms (RFC 1122, section 4.2.3.4).
+    socket.set_nodelay(true)?;
     // Accepted connections inherit the sizes. Otherwise the system enlarges the buffers of each to several megabytes.
     let buffer_bytes = u32::try_from(buffer_bytes).unwrap_or(u32::MAX);
     socket.set_recv_buffer_size(buffer_bytes)?;
@@ -146,8 +149,6 @@
     ResponseFuture: Future<Output = Response<ResponseBody>>,
     ResponseBody: Body<Error = Infallible> + Unpin + 'static,
 {
-    // If the option cannot be set, small responses are delayed but still correct.
-    let _ = stream.set_nodelay(true);
     let client = slot.client();
     let activity = slot.activity();
     let observer = ActivityObserver(client.clone());
--- a/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
+++ b/crates/sablehaven-relay/examples/distribution_bench/control_side.rs
@@ -132,7 +132,7 @@
                 listeners: replica,
                 disk: Arc::new(RealDisk),
                 servers: None,
-                clients: ClientBudget::new(config.clients),
+                clients: ClientBudget::new(config.clients.limits()),
             };
             let started = start_in(config, Telemetry::new("control"), environment);
             handles.push(started.await.expect("start control replica"));
--- a/crates/sablehaven-web/src/hoop.rs
+++ b/crates/sablehaven-web/src/hoop.rs
@@ -76,22 +76,41 @@
 }
 
 /// Memory of a parsed body, as a multiple of its size.
-const PARSED_FACTOR: usize = 3;
+pub const PARSED_FACTOR: usize = 3;
+/// Memory that serving a request takes beside its body, in bytes.
+const REQUEST_STATE_BYTES: usize = 8 * 1024;
 
-/// Reads the body of a request, of at most `limit` bytes. It is held, together with the memory for parsing it, until the
-/// request has been served.
+/// The body of a request. It is held, together with the memory for parsing it and for serving the request, until all
+/// clones of this are dropped.
+#[derive(Clone, Debug)]
+pub struct RequestBody {
+    body: HeldBody,
+    _state: Arc<HeldBytes>,
+}
+
+impl RequestBody {
+    /// The bytes of the body.
+    pub fn bytes(&self) -> &Bytes {
+        self.body.bytes()
+    }
+}
+
+/// Reads the body of a request, of at most `limit` bytes. It is held until the request has been served at least.
 ///
 /// # Errors
 /// See [`ReadError`].
-pub async fn read_body(request: &mut Request, limit: usize) -> Result<HeldBody, ReadError> {
+pub async fn read_body(request: &mut Request, limit: usize) -> Result<RequestBody, ReadError> {
     let body = request.take_body();
     let client = client_of(request).ok_or(ReadError::NoClient)?;
     let collected = collect_request(client, body, limit).await;
     let collected = collected.map_err(ReadError::Body)?;
-    let length = PARSED_FACTOR * collected.bytes().len();
-    let parsed = client.hold(length, HeldFor::Request).await;
-    let parsed = parsed.map_err(|error| ReadError::Body(CollectError::NoMemoryLeft(error)))?;
-    let held = Arc::new((collected.clone(), parsed));
-    request.extensions_mut().insert(held);
-    Ok(collected)
+    let length = PARSED_FACTOR * collected.bytes().len() + REQUEST_STATE_BYTES;
+    let state = client.hold(length, HeldFor::Request).await;
+    let state = state.map_err(|error| ReadError::Body(CollectError::NoMemoryLeft(error)))?;
+    let body = RequestBody {
+        body: collected,
+        _state: Arc::new(state),
+    };
+    request.extensions_mut().insert(body.clone());
+    Ok(body)
 }
--- a/testing/sablehaven-standins/src/lib.rs
+++ b/testing/sablehaven-standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod baseline;
 pub mod caller;
 pub mod clock;
+pub mod crowd;
 pub mod host;
 mod listener;
 pub mod methods;
