relay: connections of agents and of the HTTP interface are limited

What callers saw: connections to a relay that say nothing wait for one of the handshakes that may run at a time, without a limit of their own; so do connections to its page of metrics.

Cause: the limit of agents counts those that have completed the handshake.

Change: the internal listener has as many connections as agents and handshakes are allowed, and three quarters of the descriptors at most; beyond that the connection whose handshake has taken longest is closed.

--- a/crates/sablehaven-relay/src/config.rs
+++ b/crates/sablehaven-relay/src/config.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use sablehaven_http::ClientSettings;
 use sablehaven_types::{Placement, SettingChecks, SettingError};
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,9 @@
     pub agent_forget_ms: u64,
     /// Maximum number of connected agents. Further connections are rejected.
     pub maximum_agents: u32,
+    /// Limits on what is held for clients of the HTTP interface. The connections of agents are limited by descriptors as
+    /// well.
+    pub clients: ClientSettings,
     /// Maximum number of concurrent handshakes. Further ones wait.
     pub concurrent_handshakes: u32,
     /// Maximum number of full updates that are being sent at the same time. Further ones wait. This
@@ -95,6 +99,7 @@
             agent_send_timeout_ms: 5_000,
             agent_forget_ms: 30_000,
             maximum_agents: 10_000,
+            clients: ClientSettings::default(),
             concurrent_handshakes: 128,
             concurrent_snapshots: 64,
             status_interval_ms: 20,
@@ -117,6 +122,7 @@
     pub fn validate(&self, prefix: &str) -> Vec<SettingError> {
         const MINUTE_MS: u64 = 60_000;
         let mut checks = SettingChecks::new(prefix);
+        checks.nested("clients", |prefix| self.clients.validate(prefix));
         checks.name("deployment", &self.deployment);
         checks.name("placement.region", self.placement.region.as_str());
         checks.name("placement.zone", self.placement.zone.as_str());
--- a/crates/sablehaven-relay/src/handle.rs
+++ b/crates/sablehaven-relay/src/handle.rs
@@ -2,9 +2,11 @@
 
 use std::{future::pending, net::SocketAddr, sync::Arc, time::Duration};
 
+use sablehaven_http::{ClientBudget, ClientLimits};
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::{BoundAddresses, RelayId};
-use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
+use sablehaven_web::bounded_server;
+use salvo::server::ServerHandle;
 use tokio::{
     net::{TcpListener, TcpSocket},
     task::JoinHandle,
@@ -42,6 +44,9 @@
     },
 }
 
+/// Connections of agents, in halves of those that clients may have by descriptors.
+const AGENT_CONNECTION_HALVES: usize = 3;
+
 /// A running relay.
 pub struct Handle {
     hub: Arc<Hub>,
@@ -56,7 +61,10 @@
 
 /// Starts a relay. It connects to control in the background.
 pub async fn start(config: Config, telemetry: Telemetry) -> Result<Handle, StartError> {
-    let http_listener = listen(config.http_listen, "HTTP")?;
+    let clients = ClientBudget::new(config.clients.limits());
+    telemetry.register(|registry| clients.register_metrics(registry));
+    let http_listener = listen_http(&config, clients.limits())?;
+    let agent_share = clients.listener(max_agent_connections(&config, clients.limits()));
     let listener = listen(config.internal_listen, "agents")?;
     let addresses = BoundAddresses {
         http: http_listener.local_addr().ok(),
@@ -70,10 +78,11 @@
     let shutdown = CancellationToken::new();
     let sessions = TaskTracker::new();
 
-    let (http, http_task) = serve_http(http_listener, http_address, &telemetry)?;
+    let (http, http_task) = serve_http(http_listener, http_address, &clients, &telemetry)?;
     let accept_loop = server::run(
         hub.clone(),
         listener,
+        agent_share,
         stop_accepting.clone(),
         shutdown.clone(),
         sessions.clone(),
@@ -159,6 +168,25 @@
     })
 }
 
+fn listen_http(config: &Config, limits: ClientLimits) -> Result<TcpListener, StartError> {
+    let address = config.http_listen;
+    let listener = sablehaven_http::listen(address, limits.socket_buffer_bytes);
+    listener.map_err(|source| StartError::Listen {
+        address,
+        interface: "HTTP",
+        source,
+    })
+}
+
+/// The maximum number of connections of agents, those in the handshake included.
+fn max_agent_connections(config: &Config, limits: ClientLimits) -> usize {
+    let by_settings = config
+        .maximum_agents
+        .saturating_add(config.concurrent_handshakes);
+    let by_descriptors = limits.max_connections * AGENT_CONNECTION_HALVES / 2;
+    by_descriptors.min(by_settings as usize).max(1)
+}
+
 fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
@@ -183,18 +211,19 @@
 fn serve_http(
     listener: TcpListener,
     address: SocketAddr,
+    clients: &ClientBudget,
     telemetry: &Telemetry,
 ) -> Result<(ServerHandle, JoinHandle<()>), StartError> {
-    let acceptor = TcpAcceptor::try_from(listener).map_err(|source| StartError::Listen {
+    let share = clients.listener(clients.limits().max_probe_connections);
+    let server = bounded_server(listener, share, telemetry.router());
+    let (server, service) = server.map_err(|source| StartError::Listen {
         address,
         interface: "HTTP",
         source,
     })?;
-    let server = Server::new(acceptor);
     let handle = server.handle();
-    let router = telemetry.router();
     let task = tokio::spawn(async move {
-        if let Err(error) = server.try_serve(router).await {
+        if let Err(error) = server.try_serve(service).await {
             log::error!("failed to serve HTTP on {address}: {error}");
         }
     });
--- a/crates/sablehaven-relay/src/server.rs
+++ b/crates/sablehaven-relay/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use sablehaven_http::{ConnectionSlot, ListenerShare};
 use sablehaven_wire::{Role, accept};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -15,11 +16,13 @@
 /// Delay after a failed accept, for example when the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts agents until `stop_accepting` is cancelled. Established connections are served until
+/// Accepts agents, as many as `share` allows. Beyond that, those that have not completed the handshake make room for new
+/// ones. Runs until `stop_accepting` is cancelled. Established connections are served until
 /// `shutdown` is cancelled.
 pub(crate) async fn run(
     hub: Arc<Hub>,
     listener: TcpListener,
+    share: ListenerShare,
     stop_accepting: CancellationToken,
     shutdown: CancellationToken,
     sessions: TaskTracker,
@@ -43,7 +46,11 @@
             hub.metrics.agents_refused.inc();
             continue;
         }
-        let serve = handshake_and_serve(hub.clone(), stream, peer, handshake_permits.clone());
+        let Some(slot) = share.open_up_to(usize::MAX).await else {
+            hub.metrics.agents_refused.inc();
+            continue;
+        };
+        let serve = handshake_and_serve(hub.clone(), stream, peer, slot, handshake_permits.clone());
         let shutdown = shutdown.clone();
         sessions.spawn(async move {
             tokio::select! {
@@ -58,12 +65,21 @@
     hub: Arc<Hub>,
     stream: TcpStream,
     peer: SocketAddr,
+    slot: ConnectionSlot,
     handshake_permits: Arc<Semaphore>,
 ) {
-    let Ok(permit) = handshake_permits.acquire().await else {
-        return;
+    let hello = hub.hello();
+    let handshake = async {
+        let permit = handshake_permits.acquire().await;
+        let accepted = accept(stream, peer, &hello).await;
+        drop(permit);
+        accepted
+    };
+    let accepted = tokio::select! {
+        accepted = handshake => accepted,
+        () = slot.evicted() => return,
     };
-    let connection = match accept(stream, peer, &hub.hello()).await {
+    let connection = match accepted {
         Ok(connection) => connection,
         Err(error) => {
             hub.metrics.agent_errors.inc();
@@ -71,7 +87,6 @@
             return;
         }
     };
-    drop(permit);
     if connection.hello.role != Role::Agent {
         log::warn!(
             "handshake with {peer}: expected role Agent, got {:?}",
@@ -79,5 +94,8 @@
         );
         return;
     }
+    // From now on the connection is not closed to make room for others.
+    slot.client().request_started();
     session::serve(hub, connection.retype()).await;
+    drop(slot);
 }
--- a/testing/sablehaven-integration/tests/crowds.rs
+++ b/testing/sablehaven-integration/tests/crowds.rs
@@ -1,4 +1,4 @@
-//! Crowds of clients that do not behave, at the listeners of agents: the process lives, stays within the memory
+//! Crowds of clients that do not behave, at the listeners of agents and relays: the process lives, stays within the memory
 //! and the descriptors that its settings grant, and still answers ordinary requests.
 
 mod support;
@@ -14,9 +14,9 @@
 use support::{RESERVE_PALLET, SEARCH_STOCK, small_plan, start};
 use tokio::sync::{Mutex, MutexGuard};
 
-/// Memory of an agent, in bytes.
+/// Memory of an agent and of a relay, in bytes.
 const MEMORY_BYTES: u64 = 128 * 1024 * 1024;
-/// Descriptors of an agent.
+/// Descriptors of an agent and of a relay.
 const DESCRIPTORS: usize = 500;
 /// Size of the bodies that are not finished, in bytes. An agent accepts up to 1 MiB.
 const BODY_BYTES: usize = 1024 * 1024 - 1;
@@ -35,7 +35,7 @@
     footprint: FootprintWatch,
 }
 
-/// Starts a small deployment whose agents have little memory and few descriptors.
+/// Starts a small deployment whose agents and relays have little memory and few descriptors.
 async fn start_with_limits() -> (Deployment, MutexGuard<'static, ()>) {
     let running = RUNNING.lock().await;
     let limits = ClientLimits::for_machine(MachineLimits {
@@ -44,6 +44,7 @@
     });
     let mut plan = small_plan();
     plan.settings.agent.clients = limits.into();
+    plan.settings.relay.clients = limits.into();
     (start(plan).await, running)
 }
 
@@ -145,3 +146,34 @@
     };
     check_agent(CONNECTED_CLIENTS, script).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_to_a_relay_stay_within_the_descriptors() {
+    let (deployment, _running) = start_with_limits().await;
+    let relay = &deployment.relays[0];
+    let watched = watch(relay);
+    let internal = relay.process().expect("a process").addresses().internal;
+    let idle = |_| Script {
+        writes: Vec::new(),
+        ending: Ending::Stay,
+    };
+    let addresses = [watched.http, internal.expect("an address")];
+    let crowds = addresses.map(|address| Crowd::start(address, CONNECTED_CLIENTS, idle));
+    for crowd in &crowds {
+        crowd.settle().await;
+    }
+    expect_answer(&deployment).await;
+    let url = format!("http://{}/health/live", watched.http);
+    until("the relay answers", || async {
+        let response = reqwest::get(&url)
+            .await
+            .map_err(|error| error.to_string())?;
+        response
+            .error_for_status()
+            .map_err(|error| error.to_string())
+    })
+    .await
+    .expect("an answer");
+    drop(crowds);
+    watched.check();
+}
