gateway: a reply for which no memory is left is not asked for at another server

What callers saw: under pressure, a request whose reply did not fit into the budget of clients was sent to a second server, whose reply did not fit either, and the servers counted as failing, so that others got their requests.

Cause: the failure was reported as an unknown outcome of the server's.

Change: a failure of its own. It ends the part, counts neither for nor against the server, and shows the crash watch that the server has replied.

Evidence: a_reply_without_memory_for_it_is_not_asked_for_at_another_server sees two arrivals on the code before, and one now.

--- a/crates/sablehaven-gateway/src/request/sub_request.rs
+++ b/crates/sablehaven-gateway/src/request/sub_request.rs
@@ -271,11 +271,14 @@
             }
             AttemptFailure::ErrorReply(_)
             | AttemptFailure::ConnectionLost { .. }
+            | AttemptFailure::NoMemoryLeft { .. }
             | AttemptFailure::Unknown { .. } => {
                 self.may_have_run = true;
             }
         }
-        let may_repeat = is_safe || !self.may_have_run;
+        // The reply of another server would need as much memory.
+        let fits_memory = !matches!(failure, AttemptFailure::NoMemoryLeft { .. });
+        let may_repeat = fits_memory && (is_safe || !self.may_have_run);
         let has_attempts_left = self.dispatched < self.accepted.planned.route().max_attempts
             && self.unexecuted_attempts <= MAX_UNEXECUTED_ATTEMPTS;
         if may_repeat && has_attempts_left {
--- a/crates/sablehaven-gateway/src/servers/attempt.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt.rs
@@ -92,6 +92,11 @@
         /// Whether the server was found to have exited. Checked only for attempts with `check_for_crash`.
         is_server_gone: bool,
     },
+    /// replied, but no memory is left for the reply: {reason}
+    NoMemoryLeft {
+        /// The step, the server and the cause.
+        reason: String,
+    },
     /// outcome unknown: {reason}
     Unknown {
         /// The step, the server and the cause.
@@ -228,7 +233,9 @@
     let mut result = exchange(&gateway, &server, &request).await;
     let now = gateway.clock.now();
     match &mut result {
-        Ok(_) | Err(AttemptFailure::ErrorReply(_)) => request.crash_watch.record_reply(now),
+        Ok(_) | Err(AttemptFailure::ErrorReply(_) | AttemptFailure::NoMemoryLeft { .. }) => {
+            request.crash_watch.record_reply(now);
+        }
         Err(AttemptFailure::ConnectionLost { is_server_gone, .. }) => {
             let typical = request.profile.typical_service_time();
             request
@@ -244,6 +251,8 @@
         Ok(_) => AttemptOutcome::Succeeded,
         Err(AttemptFailure::NotExecuted { .. }) => AttemptOutcome::Rejected,
         Err(AttemptFailure::ErrorReply(_)) => AttemptOutcome::ErrorReply,
+        // Not the server's fault.
+        Err(AttemptFailure::NoMemoryLeft { .. }) => AttemptOutcome::Cancelled,
         Err(
             AttemptFailure::NotSent { .. }
             | AttemptFailure::ConnectionLost { .. }
--- a/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
@@ -163,9 +163,8 @@
     collected.map_err(|error| {
         let reason = format!("reply body from {address}: {error}");
         match error {
-            CollectError::TooLarge { .. } | CollectError::NoMemoryLeft(_) => {
-                outcome_unknown(reason)
-            }
+            CollectError::TooLarge { .. } => outcome_unknown(reason),
+            CollectError::NoMemoryLeft(_) => AttemptFailure::NoMemoryLeft { reason },
             CollectError::Failed(_) => connection_lost(reason),
         }
     })
--- a/crates/sablehaven-gateway/tests/gateway/main.rs
+++ b/crates/sablehaven-gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod evacuations;
 mod gathers;
+mod memory;
 mod once;
 mod refusals;
 mod regions;
