--- a/crates/sablehaven-agent/src/query/attempt.rs
+++ b/crates/sablehaven-agent/src/query/attempt.rs
@@ -8,11 +8,10 @@
 
 use bytes::Bytes;
 use prost_reflect::DynamicMessage;
-use sablehaven_http::{ClientConnection, HeldBytes, HeldFor};
+use sablehaven_http::{ClientConnection, HeldBytes, HeldFor, PARSED_FACTOR};
 use sablehaven_routing::{AttemptOutcome, ChosenBackend};
 use sablehaven_schema::{MethodSchema, decode_reply};
 use sablehaven_types::{AttemptId, IndexSnapshot, ShardId};
-use sablehaven_web::PARSED_FACTOR;
 
 use super::{crashes::CrashWatch, sub_request::AttemptFailure};
 use crate::{
--- a/crates/sablehaven-http/src/collect.rs
+++ b/crates/sablehaven-http/src/collect.rs
@@ -12,6 +12,9 @@
 
 use crate::client_budget::{ClientConnection, HeldBytes, HeldFor, NoMemoryLeft};
 
+/// Memory of a parsed body, as a multiple of its size.
+pub const PARSED_FACTOR: usize = 3;
+
 /// Initial capacity for a body of several frames, in bytes.
 const INITIAL_CAPACITY: usize = 4 * 1024;
 
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -22,7 +22,7 @@
     NoMemoryLeft,
 };
 pub use client_limits::{ClientLimits, ClientSettings, MachineLimits};
-pub use collect::{CollectError, HeldBody, collect_body, collect_request};
+pub use collect::{CollectError, HeldBody, PARSED_FACTOR, collect_body, collect_request};
 pub use head_limit::HeadLimit;
 pub use observed_body::{BodyObserver, ObservedBody};
 pub use observed_stream::{ObservedStream, StreamObserver};
--- a/crates/sablehaven-web/src/hoop.rs
+++ b/crates/sablehaven-web/src/hoop.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use sablehaven_http::{
-    ClientConnection, CollectError, HeldBody, HeldBytes, HeldFor, collect_request,
+    ClientConnection, CollectError, HeldBody, HeldBytes, HeldFor, PARSED_FACTOR, collect_request,
 };
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, http::ResBody};
 
@@ -75,8 +75,6 @@
     request.extensions().get()
 }
 
-/// Memory of a parsed body, as a multiple of its size.
-pub const PARSED_FACTOR: usize = 3;
 /// Memory that serving a request takes beside its body, in bytes.
 const REQUEST_STATE_BYTES: usize = 8 * 1024;
 
--- a/crates/sablehaven-web/src/lib.rs
+++ b/crates/sablehaven-web/src/lib.rs
@@ -7,5 +7,5 @@
 mod policy;
 mod server;
 
-pub use hoop::{PARSED_FACTOR, ReadError, RequestBody, client_of, read_body};
+pub use hoop::{ReadError, RequestBody, client_of, read_body};
 pub use server::{MAX_HEADER_BYTES, bounded_server};
