--- a/crates/sablehaven-http/src/client_budget/held_bytes.rs
+++ b/crates/sablehaven-http/src/client_budget/held_bytes.rs
@@ -8,7 +8,7 @@
 use super::{BudgetState, ClientConnection, Connection, Room, Shared};
 use crate::activity::Activity;
 
-/// Fraction of [`ClientLimits::body_bytes`] that requests may use, in quarters. The rest is for replies, so that work
+/// Fraction of [`crate::ClientLimits::body_bytes`] that requests may use, in quarters. The rest is for replies, so that work
 /// that servers have done is not lost to requests that have not begun.
 const REQUEST_QUARTERS: usize = 3;
 
