control, gateway: rejected entries, failed readings of the list and readiness are logged and counted

The gauge rejected_entries counts them by kind. The source of the list reports them and control logs them, so that the platform's adapter only translates. - A gateway logs each change of its readiness with the versions that it holds, and from time to time what it lacks until it is ready for the first time.

--- a/crates/sablehaven-control/src/leader/mod.rs
+++ b/crates/sablehaven-control/src/leader/mod.rs
@@ -4,12 +4,13 @@
 mod listing;
 mod observations;
 mod platform;
+mod rejected_entries;
 mod repair;
 mod silence;
 mod watchers;
 
 pub(crate) use listing::read_listing;
-pub use listing::{ServerListFuture, ServerSource, ServerSourceError};
+pub use listing::{ListReading, RejectedEntry, ServerListFuture, ServerSource, ServerSourceError};
 pub(crate) use observations::{OBSERVATION_QUEUE_LENGTH, propose_observations};
 pub(crate) use platform::poll_platform;
 pub(crate) use repair::watch_members;
--- a/crates/sablehaven-control/src/lib.rs
+++ b/crates/sablehaven-control/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use config::{Config, PlatformConfig};
 pub use error::StartError;
-pub use leader::{ServerListFuture, ServerSource, ServerSourceError};
+pub use leader::{ListReading, RejectedEntry, ServerListFuture, ServerSource, ServerSourceError};
 pub use quorum_call::QuorumCallError;
 pub use sablehaven_http::ClientBudget;
 pub use sablehaven_storage::RealDisk;
--- a/crates/sablehaven-control/src/metrics.rs
+++ b/crates/sablehaven-control/src/metrics.rs
@@ -9,6 +9,8 @@
 use sablehaven_telemetry::Telemetry;
 use sablehaven_types::Distance;
 
+use crate::RejectedEntry;
+
 /// The label of a metric that is counted by kind of event.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct KindLabel {
@@ -44,6 +46,7 @@
     tokens_refused: Family<KindLabel, Counter>,
     gateway_bytes: Family<GatewayMessageLabel, Counter>,
     errors: Family<KindLabel, Counter>,
+    rejected_entries: Family<KindLabel, Gauge>,
     log_syncs: Gauge,
     log_bytes: Gauge,
     snapshots: Gauge,
@@ -123,6 +126,8 @@
         registry.register("gateway_bytes", help, self.gateway_bytes.clone());
         let help = "Errors of the leader's periodic tasks, by kind";
         registry.register("errors", help, self.errors.clone());
+        let help = "Rejected entries in the last reading of the list of servers, by kind of error";
+        registry.register("rejected_entries", help, self.rejected_entries.clone());
         let mut gauge = |name: &str, help: &str, gauge: &Gauge| {
             registry.register(name, help, gauge.clone());
         };
@@ -172,6 +177,15 @@
         self.tokens_refused.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Sets the numbers of entries that the last reading of the list of servers has rejected.
+    pub(crate) fn set_rejected_entries(&self, rejected: &[RejectedEntry]) {
+        self.rejected_entries.clear();
+        for entry in rejected {
+            let kind = KindLabel { kind: entry.kind };
+            self.rejected_entries.get_or_create(&kind).inc();
+        }
+    }
+
     /// Counts an error of one of the leader's periodic tasks.
     pub(crate) fn error(&self, kind: &'static str) {
         self.errors.get_or_create(&KindLabel { kind }).inc();
--- a/crates/sablehaven-control/tests/listing.rs
+++ b/crates/sablehaven-control/tests/listing.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use sablehaven_control::{ServerListFuture, ServerSource};
+use sablehaven_control::{ListReading, ServerListFuture, ServerSource};
 use sablehaven_types::{ListedServer, ListingNumber, ListingUpdate};
 use support::{Cluster, gateway::Gateway};
 
@@ -34,7 +34,11 @@
 impl ServerSource for ChangeableServerList {
     fn read(&self) -> ServerListFuture<'_> {
         let servers = self.servers.lock().expect("the list").clone();
-        Box::pin(std::future::ready(Ok(servers)))
+        let reading = ListReading {
+            servers,
+            rejected: Vec::new(),
+        };
+        Box::pin(std::future::ready(Ok(reading)))
     }
 }
 
--- a/crates/sablehaven-gateway/src/gateway.rs
+++ b/crates/sablehaven-gateway/src/gateway.rs
@@ -332,14 +332,29 @@
     fn refresh_status(&self) {
         let versions = self.versions();
         self.control_links.wake();
-        self.status.send_replace(GatewayStatus {
+        let is_ready = self.is_ready();
+        let former = self.status.send_replace(GatewayStatus {
             address: self.advertised_address,
             placement: self.config.placement.clone(),
-            is_ready: self.is_ready(),
+            is_ready,
             routes_version: versions.routes,
             listing: versions.listing,
             evacuation_revision: self.registry.evacuation_revision(),
         });
+        if former.is_ready != is_ready {
+            self.log_readiness();
+        }
+    }
+
+    /// Logs whether this gateway accepts requests, and what it knows of the routes and the servers.
+    pub(crate) fn log_readiness(&self) {
+        let versions = self.versions();
+        log::info!(
+            event = "readiness", is_ready = self.is_ready(), routes = versions.routes,
+            listing_term = versions.listing.term, listing_reading = versions.listing.reading,
+            control_connections = self.metrics.control_connections.get();
+            "readiness of the gateway"
+        );
     }
 }
 
--- a/crates/sablehaven-gateway/src/role.rs
+++ b/crates/sablehaven-gateway/src/role.rs
@@ -23,6 +23,10 @@
 const CONNECTION_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the load is sampled. It equals the interval of the keepalive messages that report it.
 const LOAD_SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after the start until a gateway that lacks routes or servers first reports it.
+const FIRST_READINESS_REPORT: Duration = Duration::from_secs(3);
+/// Maximum time between two such reports.
+const MAX_READINESS_REPORT_PAUSE: Duration = Duration::from_secs(60);
 
 /// Why a gateway did not start. Each error names the step that failed.
 #[derive(Debug, displaydoc::Display, thiserror::Error)]
@@ -88,6 +92,7 @@
     spawn_local(fetch_state(Rc::clone(&gateway)));
     spawn_local(sweep_connections(Rc::clone(&gateway)));
     spawn_local(sample_load(Rc::clone(&gateway)));
+    spawn_local(report_missing_state(Rc::clone(&gateway)));
     let mut ready_address = None;
     if let Some((listener, address)) = readiness_listener {
         ready_address = Some(address);
@@ -167,6 +172,19 @@
     }
 }
 
+/// Logs from time to time what a gateway that is not ready lacks, until it has routes and servers for the first time.
+async fn report_missing_state(gateway: Rc<Gateway>) {
+    let mut pause = FIRST_READINESS_REPORT;
+    loop {
+        sleep(pause).await;
+        if gateway.has_routes() {
+            return;
+        }
+        gateway.log_readiness();
+        pause = (2 * pause).min(MAX_READINESS_REPORT_PAUSE);
+    }
+}
+
 async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
     let settings_source = Rc::clone(&gateway);
     let bounds = move || {
