control: the latest list of servers is kept in the data folder

What callers saw: after a restart of all processes nothing was served for as long as the platform's list could not be read, whatever the reason: an error, a page that is cut, no answer at all, or an entry that fails the page.

Cause: control replicas kept the list in memory only, and gateways have no disk.

Change: each replica writes the latest listing to a file of its own in the data folder, apart from the log, at most every 2 s and only when it changes, and starts with it. Its number stays the leader's term and count, so the first reading of the next leader is newer and replaces it, as a change to it. Ruled out: the replicated log, since each change of the list would cost a quorum; storing a number of its own, since gateways take changes by number.

--- a/crates/sablehaven-control/src/gateways/registry.rs
+++ b/crates/sablehaven-control/src/gateways/registry.rs
@@ -47,11 +47,13 @@
 }
 
 impl Gateways {
-    pub(crate) fn new() -> Self {
+    /// Creates the state without any gateway. `listing` is the listing that this replica had before its restart, or the
+    /// default one.
+    pub(crate) fn new(listing: ServerListing) -> Self {
         Self {
             started_at: Instant::now(),
             sessions: Mutex::default(),
-            listing: watch::channel(Arc::default()).0,
+            listing: watch::channel(Arc::new(listing)).0,
             members: watch::channel(MembersView::default()).0,
             crash_reports: CrashReportStore::new(),
             encoded_routes: Mutex::default(),
--- a/crates/sablehaven-control/src/gateways/tests.rs
+++ b/crates/sablehaven-control/src/gateways/tests.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use sablehaven_types::{AllowedRegions, ListedServer, ListingNumber, Placement};
+use sablehaven_types::{AllowedRegions, ListedServer, ListingNumber, Placement, ServerListing};
 use sablehaven_wire::{ControlToGateway, GatewayLoad, GatewayStatus};
 
 use super::{
@@ -263,7 +263,7 @@
 
 #[test]
 fn a_list_without_changes_keeps_its_number_and_a_new_term_gets_a_new_one() {
-    let gateways = Gateways::new();
+    let gateways = Gateways::new(ServerListing::default());
     let number = || gateways.listing().borrow().number;
     gateways.apply_read_listing(3, vec![listed(900, false)]);
     let first = number();
@@ -278,7 +278,7 @@
 
 #[test]
 fn a_server_that_becomes_cold_is_a_change_and_one_that_becomes_warm_is_not() {
-    let gateways = Gateways::new();
+    let gateways = Gateways::new(ServerListing::default());
     let number = || gateways.listing().borrow().number;
     gateways.apply_read_listing(3, vec![listed(900, false)]);
     let first = number();
@@ -315,7 +315,7 @@
 
 #[test]
 fn a_gateway_is_sent_a_change_or_the_complete_listing_if_its_listing_is_unknown() {
-    let gateways = Gateways::new();
+    let gateways = Gateways::new(ServerListing::default());
     let number = || gateways.listing().borrow().number;
     let none = ListingNumber::default();
     gateways.apply_read_listing(3, vec![listed(0, false)]);
--- a/crates/sablehaven-control/src/server/mod.rs
+++ b/crates/sablehaven-control/src/server/mod.rs
@@ -4,6 +4,7 @@
 mod context;
 mod gauges;
 mod handle;
+mod listing_store;
 mod start;
 mod tasks;
 
--- a/crates/sablehaven-control/src/server/start.rs
+++ b/crates/sablehaven-control/src/server/start.rs
@@ -22,7 +22,7 @@
 
 use super::{
     accept::accept_connections, context::Context, gauges::refresh_gauges, handle::Handle,
-    tasks::TaskGroup,
+    listing_store::ListingStore, tasks::TaskGroup,
 };
 use crate::{
     Config, StartError,
@@ -126,7 +126,10 @@
     };
     let config = Arc::new(config);
     let opened = open_storage(Arc::clone(&config), disk).await?;
-    let (context, driver, observations) = assemble(config, opened, own_addresses, &telemetry)?;
+    let listing_store = ListingStore::open(opened.storage.listing_file()).await;
+    let gateways = Arc::new(Gateways::new(listing_store.restored()));
+    let (context, driver, observations) =
+        assemble(config, opened, own_addresses, gateways, &telemetry)?;
     let stop_driver = CancellationToken::new();
     let driver = tokio::spawn(driver.run(stop_driver.clone()));
     let background = TaskGroup::default();
@@ -136,6 +139,7 @@
     spawn_background(&context, &background, observations);
     if let Some(servers) = servers {
         background.spawn(leader::read_listing(Arc::clone(&context), servers));
+        background.spawn(listing_store.store_changes(Arc::clone(&context)));
     }
     background.spawn(accept_connections(
         Arc::clone(&context),
@@ -211,6 +215,7 @@
     config: Arc<Config>,
     opened: OpenedStorage,
     own_addresses: ReplicaAddresses,
+    gateways: Arc<Gateways>,
     telemetry: &Telemetry,
 ) -> Result<AssembledParts, StartError> {
     let replica = opened.identity.replica;
@@ -237,7 +242,6 @@
         grants: Arc::clone(&grants),
         metrics: metrics.clone(),
     })?;
-    let gateways = Arc::new(Gateways::new());
     let peers = Arc::new(PeerContext::new(
         Arc::clone(&config),
         replica,
--- a/crates/sablehaven-control/tests/listing.rs
+++ b/crates/sablehaven-control/tests/listing.rs
@@ -3,16 +3,20 @@
 
 mod support;
 
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, Ordering},
+};
 
 use sablehaven_control::{ListReading, ServerListFuture, ServerSource};
 use sablehaven_types::{ListedServer, ListingNumber, ListingUpdate};
 use support::{Cluster, gateway::Gateway};
 
-/// A server list that the test can extend.
+/// A server list that the test can extend, and that can become unreadable.
 #[derive(Default)]
 struct ChangeableServerList {
     servers: Mutex<Vec<ListedServer>>,
+    is_unreadable: AtomicBool,
 }
 
 impl ChangeableServerList {
@@ -33,6 +37,9 @@
 
 impl ServerSource for ChangeableServerList {
     fn read(&self) -> ServerListFuture<'_> {
+        if self.is_unreadable.load(Ordering::SeqCst) {
+            return Box::pin(std::future::ready(Err("the list is unreadable".into())));
+        }
         let servers = self.servers.lock().expect("the list").clone();
         let reading = ListReading {
             servers,
@@ -124,3 +131,41 @@
     };
     assert!(whole.servers.len() >= 200);
 }
+
+/// Guards against keeping the list in memory only: after a restart of all replicas while the list could not be read,
+/// gateways had no servers.
+#[tokio::test]
+async fn restarted_replicas_have_the_last_list_while_it_cannot_be_read() {
+    let (mut cluster, list) = start_cluster().await;
+    let mut stored = Vec::new();
+    for machine in &cluster.machines {
+        stored.push(machine.config.data_folder.join("server-listing"));
+    }
+    while !stored.iter().all(|file| file.exists()) {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    list.is_unreadable.store(true, Ordering::SeqCst);
+    for machine in &mut cluster.machines {
+        machine.kill().await;
+    }
+    // A damaged file is ignored.
+    std::fs::write(&stored[0], b"damaged").expect("write");
+    cluster.start_all().await;
+    for index in [1, 2] {
+        let mut gateway = Gateway::connect(cluster.machines[index].internal_address()).await;
+        gateway.wait_for_listing(ListingNumber::default()).await;
+        let update = gateway.fetch_listing(ListingNumber::default()).await;
+        let ListingUpdate::Whole(whole) = update else {
+            panic!("{update:?}");
+        };
+        assert_eq!(whole.servers.len(), 200);
+
+        // Once the list can be read again, it replaces the stored one.
+        if index == 2 {
+            list.add(201);
+            list.is_unreadable.store(false, Ordering::SeqCst);
+            let versions = gateway.wait_for_listing(whole.number).await;
+            assert!(versions.listing.term > whole.number.term);
+        }
+    }
+}
--- a/crates/sablehaven-storage/src/format.rs
+++ b/crates/sablehaven-storage/src/format.rs
@@ -42,6 +42,7 @@
     Segment,
     Snapshot,
     SyncedPosition,
+    Listing,
 }
 
 impl FileKind {
@@ -52,6 +53,7 @@
             Self::Segment => b"SBLHSEG\n",
             Self::Snapshot => b"SBLHSNP\n",
             Self::SyncedPosition => b"SBLHPOS\n",
+            Self::Listing => b"SBLHLST\n",
         }
     }
 }
--- a/crates/sablehaven-storage/src/lib.rs
+++ b/crates/sablehaven-storage/src/lib.rs
@@ -16,6 +16,7 @@
 mod group_state;
 mod identity;
 mod inspect;
+mod listing_file;
 mod manifest;
 mod names;
 mod options;
@@ -39,6 +40,7 @@
 pub use inspect::{
     DamageReport, GroupReport, Inspection, SegmentReport, TornTail, inspect, inspect_on,
 };
+pub use listing_file::ListingFile;
 pub use options::Options;
 pub use real_disk::RealDisk;
 pub use scan::TruncatedTail;
--- a/crates/sablehaven-storage/src/names.rs
+++ b/crates/sablehaven-storage/src/names.rs
@@ -6,6 +6,7 @@
 pub(crate) const IDENTITY: &str = "identity";
 pub(crate) const MANIFEST: &str = "manifest";
 pub(crate) const SYNCED_POSITION: &str = "synced-position";
+pub(crate) const LISTING: &str = "server-listing";
 
 const SEGMENT_PREFIX: &str = "segment-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
@@ -47,6 +48,7 @@
     };
     name == IDENTITY
         || name == MANIFEST
+        || name == LISTING
         || name.starts_with(SNAPSHOT_PREFIX)
         || segment_number(name).is_some()
 }
--- a/crates/sablehaven-storage/src/storage.rs
+++ b/crates/sablehaven-storage/src/storage.rs
@@ -14,6 +14,7 @@
     folder::{Folder, FolderFile},
     group_state::GroupState,
     identity::Identity,
+    listing_file::ListingFile,
     manifest::Manifest,
     options::Options,
     recovery,
@@ -244,6 +245,11 @@
         )
     }
 
+    /// Returns the file with the latest server listing, for use on another thread while the storage accepts writes.
+    pub fn listing_file(&self) -> ListingFile {
+        ListingFile::new(self.folder.clone(), self.lock.clone())
+    }
+
     /// Returns the groups whose entries prevent the removal of the oldest segment, if the log has
     /// more closed segments than [`Options::closed_segments`]. The caller should compact these
     /// groups. Otherwise a single idle group would prevent the removal of any segment.
--- a/crates/sablehaven-storage/tests/folder.rs
+++ b/crates/sablehaven-storage/tests/folder.rs
@@ -6,7 +6,7 @@
 use std::{path::PathBuf, sync::Arc};
 
 use sablehaven_consensus::{HardState, Snapshot, SnapshotMetadata};
-use sablehaven_faults::disk::FaultyDisk;
+use sablehaven_faults::disk::{FaultyDisk, UnsyncedLoss};
 use sablehaven_storage::{
     GroupWrite, Options, RealDisk, Storage, StorageError, inspect, inspect_on,
 };
@@ -331,3 +331,77 @@
     );
     assert_eq!(options().validate("storage"), []);
 }
+
+/// The numbers that stand for a listing in the tests of its file.
+type Listing = Vec<u64>;
+
+#[test]
+fn listing_survives_a_crash_at_every_operation_of_its_next_write() {
+    let former: Listing = (0..500).collect();
+    let next: Listing = (0..900).collect();
+    let mut outcomes = [0, 0];
+    for operation in 1.. {
+        let disk = FaultyDisk::new(operation);
+        let opened = open(&disk).expect("formatted");
+        let file = opened.storage.listing_file();
+        assert_eq!(file.read::<Listing>().expect("read"), None);
+        file.write(&former).expect("written");
+        let before = disk.counts().all;
+        disk.crash_at(before + operation);
+        let written = file.write(&next);
+        let is_crashed = disk.is_crashed();
+        drop((file, opened));
+        disk.restart(UnsyncedLoss::Random);
+        let opened = open(&disk).expect("opened");
+        let read = opened.storage.listing_file().read::<Listing>();
+        let read = read.expect("read").expect("a listing");
+        assert!(read == former || read == next, "operation {operation}");
+        assert!(written.is_err() || read == next, "operation {operation}");
+        outcomes[usize::from(read == next)] += 1;
+        let names = disk.names_in(folder());
+        assert!(!names.iter().any(|name| name.ends_with(".temporary")));
+        if !is_crashed {
+            break;
+        }
+    }
+    assert!(outcomes.iter().all(|count| *count > 0), "{outcomes:?}");
+}
+
+#[test]
+fn damaged_listing_is_reported_and_does_not_stop_the_storage() {
+    let disk = FaultyDisk::new(1);
+    let opened = open(&disk).expect("formatted");
+    let listing_file = opened.storage.listing_file();
+    listing_file.write(&vec![1_u64, 2, 3]).expect("written");
+    drop((listing_file, opened));
+    let mut content = disk.content(&file("server-listing")).expect("a file");
+    let last = content.len() - 1;
+    content[last] ^= 1;
+    disk.damage(&file("server-listing"), content);
+    let opened = open(&disk).expect("opened");
+    let listing_file = opened.storage.listing_file();
+    let read = listing_file.read::<Listing>();
+    assert!(
+        matches!(read, Err(StorageError::Damaged { .. })),
+        "{read:?}"
+    );
+    listing_file.write(&vec![4_u64]).expect("written");
+    assert_eq!(listing_file.read::<Listing>().expect("read"), Some(vec![4]));
+}
+
+#[test]
+fn full_disk_keeps_the_former_listing_and_the_storage_usable() {
+    let disk = FaultyDisk::new(1);
+    let mut opened = open(&disk).expect("formatted");
+    let listing_file = opened.storage.listing_file();
+    listing_file.write(&vec![1_u64]).expect("written");
+    disk.set_free_bytes(Some(0));
+    assert!(
+        listing_file
+            .write(&(0..9_000).collect::<Listing>())
+            .is_err()
+    );
+    disk.set_free_bytes(None);
+    assert_eq!(listing_file.read::<Listing>().expect("read"), Some(vec![1]));
+    write_round(&mut opened.storage, 1, 1);
+}
