gateway: a cold server with a very high limit gets more than one request

What callers saw: a service whose warmup_per_s is 2^64 or more (an operator's 'no limit') served nothing by its cold servers after the first request.

Cause: the number of a turn exceeded u64, so every later turn had the number of the used one; from f64::MAX on the fraction of a turn was not a number.

Change: at most one turn for each nanosecond, the resolution of the clock.

--- a/crates/sablehaven-gateway/src/servers/cold_turns.rs
+++ b/crates/sablehaven-gateway/src/servers/cold_turns.rs
@@ -13,6 +13,10 @@
 /// Maximum length of a turn; well below the second over which arrivals are counted.
 const MAX_TURN_SECONDS: f64 = 0.25;
 
+/// Maximum number of turns per second: one per nanosecond, the resolution of the clock. The number of a turn would
+/// otherwise exceed its type, and every later turn would count as used.
+const MAX_TURNS_PER_SECOND: f64 = 1e9;
+
 /// The load that a cold server can handle.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct ColdLimit {
@@ -43,6 +47,7 @@
     fn open_turn(&self, now: Duration, limit: ColdLimit) -> Option<u64> {
         let gateways = limit.gateways?.max(1);
         let turns_per_second = USABLE_FRACTION * limit.per_second / f64::from(gateways);
+        let turns_per_second = turns_per_second.min(MAX_TURNS_PER_SECOND);
         let period_seconds = 1.0 / turns_per_second;
         let elapsed_periods = now.as_secs_f64() / period_seconds + self.phase;
         let is_in_turn = elapsed_periods.fract() * period_seconds < MAX_TURN_SECONDS;
--- a/crates/sablehaven-gateway/src/servers/cold_turns/tests.rs
+++ b/crates/sablehaven-gateway/src/servers/cold_turns/tests.rs
@@ -79,3 +79,20 @@
         );
     }
 }
+
+/// Guards against a limit so high that the number of a turn exceeded its type: the server then got one request at most.
+#[test]
+fn a_limit_without_effect_leaves_every_turn_open() {
+    for per_second in [1e10, 18_446_744_073_709_551_616.0, f64::MAX] {
+        let limit = ColdLimit {
+            per_second,
+            gateways: Some(1),
+        };
+        let mut turns = ColdTurns::new(0.5);
+        for step in 1..1_000 {
+            let now = Duration::from_millis(step);
+            assert!(turns.is_open(now, limit), "{per_second}, step {step}");
+            turns.use_turn(now, limit);
+        }
+    }
+}
