gateway: weights of a split may add up to more than the largest number

Two weights of f64::MAX are valid one by one, and their sum is infinite: all requests went to the last service, whatever its weight. Weights are divided by the largest one first. The unit test failed before.

--- a/crates/sablehaven-gateway/src/request/mod.rs
+++ b/crates/sablehaven-gateway/src/request/mod.rs
@@ -300,10 +300,12 @@
 
 /// The service that `draw` (uniform, 0 to 1) selects by weight.
 fn pick_weighted(parts: &[WeightedService], draw: f64) -> &ServiceName {
-    let sum: f64 = parts.iter().map(|part| part.weight).sum();
+    // Weights are divided by the largest one, because their sum may exceed the largest number.
+    let largest = parts.iter().map(|part| part.weight).fold(0.0, f64::max);
+    let sum: f64 = parts.iter().map(|part| part.weight / largest).sum();
     let mut remaining = draw * sum;
     for part in parts {
-        remaining -= part.weight;
+        remaining -= part.weight / largest;
         if remaining < 0.0 {
             return &part.service;
         }
