quota: a rate at the end of its type no longer refuses everything

What callers saw: 429 for every request of a tenant whose rate_per_s is 2^64 or more, an operator's 'no limit'.

Cause: the depth of a part is the bound less the rate times the span. Beside a rate past 2^53 a single token is lost in rounding, and the depth came out below one token; such a part grants nothing.

Change: a part is computed with a rate and a burst of 1e9 at most, which no tenant reaches, so that the bound on every window only gets stricter.

--- a/crates/sablehaven-quota/src/allowance.rs
+++ b/crates/sablehaven-quota/src/allowance.rs
@@ -54,6 +54,10 @@
     tolerated.min(MAX_TOKEN_LIFETIME)
 }
 
+/// The greatest rate per second, and the greatest burst, with which a part is computed. Beside greater ones a single token
+/// is lost in rounding, and the depth could come out below one token. No tenant reaches this rate, so it limits nothing.
+const MAX_COMPUTED_REQUESTS: f64 = 1e9;
+
 /// The rate and depth of one part of a tenant's token bucket.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct PartAllowance {
@@ -76,6 +80,10 @@
     ///    quota, and so that each part has its first token within one window after its start.
     /// 3. The rest of the room increases the depth.
     pub(crate) fn new(tolerance: &QuotaTolerance, quota: RequestQuota, parts: u32) -> Self {
+        let quota = RequestQuota {
+            per_second: quota.per_second.min(MAX_COMPUTED_REQUESTS),
+            burst: quota.burst.min(MAX_COMPUTED_REQUESTS),
+        };
         let parts = f64::from(parts.max(1));
         let window = tolerance.window().as_secs_f64();
         let span = window + token_lifetime(tolerance).as_secs_f64();
