quota: a lowered burst no longer leaves a tenant in debt for its former depth

Cause: when the depth of a part is lowered, the tokens that it lacks to be full stay the same, so that it cannot grant its former depth and refill at a higher rate within one span. A part that has started lately or has just granted much lacks nearly all of its former depth, and owed that.

Change: a part owes at most what it refills in a span. It then grants nothing in any span that contains the change, which is all that the proof of the bound needs; the page of the proof in allowance.rs says so.

--- a/crates/sablehaven-quota/src/allowance.rs
+++ b/crates/sablehaven-quota/src/allowance.rs
@@ -25,8 +25,10 @@
 //! number of parts.
 //!
 //! When the depth of a part is lowered, the number of tokens that it lacks to be full does not change. Otherwise the
-//! part could grant its previous depth just before the change, and refill at a higher rate just after it. A part is
-//! empty after a start, since the tokens granted before a restart count in the same span.
+//! part could grant its previous depth just before the change, and refill at a higher rate just after it. What it owes
+//! after the change is limited to the refill of a span: with that it grants nothing in any span that contains the
+//! change, and tokens granted earlier count in no later span. A part is empty after a start, since the tokens granted
+//! before a restart count in the same span.
 
 use std::time::Duration;
 
@@ -67,6 +69,8 @@
     pub(crate) depth: f64,
     /// The number of parts into which the quota is divided.
     pub(crate) parts: f64,
+    /// The tokens that the part refills in a span.
+    pub(crate) refill_per_span: f64,
 }
 
 impl PartAllowance {
@@ -104,6 +108,7 @@
             per_second,
             depth: (bound - per_second * span).max(0.0),
             parts,
+            refill_per_span: per_second * span,
         }
     }
 }
--- a/crates/sablehaven-quota/src/bucket.rs
+++ b/crates/sablehaven-quota/src/bucket.rs
@@ -46,10 +46,11 @@
     }
 
     /// Applies a new allowance. Where the depth decreases, the number of tokens missing from a full part does not
-    /// change.
+    /// change, but the part owes at most what it refills in a span.
     pub(crate) fn resize(&mut self, now: Duration, allowance: PartAllowance) {
         self.refill(now);
-        self.tokens += (allowance.depth - self.allowance.depth).min(0.0);
+        let removed = (self.allowance.depth - allowance.depth).max(0.0);
+        self.tokens = (self.tokens - removed).max(-allowance.refill_per_span);
         self.allowance = allowance;
         self.promised_until = Duration::ZERO;
     }
--- a/crates/sablehaven-quota/tests/extreme_quotas.rs
+++ b/crates/sablehaven-quota/tests/extreme_quotas.rs
@@ -69,3 +69,30 @@
         assert!(granted <= 1, "{quota:?}: {granted}");
     }
 }
+
+/// Guards against a lowered burst that leaves a part with a debt of the former depth: nothing was granted until it was
+/// refilled at the rate of the quota, which took 20,000 s here.
+#[test]
+fn lowered_burst_binds_a_tenant_within_a_window() {
+    let tenant = TenantName::from("tenant");
+    let mut part = QuotaPart::new(QuotaTolerance::default());
+    part.set_part_count(Duration::ZERO, Some(1));
+    let quota = |burst| RequestQuota {
+        per_second: 50.0,
+        burst,
+    };
+    part.set_tenants(Duration::ZERO, [(&tenant, Some(quota(1e6)))].into_iter());
+    let changed_at = Duration::from_secs(60);
+    part.set_tenants(changed_at, [(&tenant, Some(quota(50.0)))].into_iter());
+    let request = TokenRequest {
+        number: 0,
+        tenant,
+        wanted: 1,
+        shed_permille: 0,
+        patience_ms: 0,
+        is_resend: false,
+    };
+    let later = changed_at + 2 * QuotaTolerance::default().window();
+    let verdict = part.take(later, &request, 0.5);
+    assert_eq!(verdict, TokenVerdict::Granted(1));
+}
