control: an entry of the list of machines that cannot be parsed is rejected alone

What operators saw: with one entry of another form or with a number out of range, a poll of the list of machines failed as a whole, so that no machine was added, marked as leaving or removed until the entry had gone. The machines recorded before stay in force, also after a restart, because they are in the replicated state.

Change: entries are parsed one by one. A rejected one is logged and counted like those of the list of servers, and if its id can be read, its machine does not count as absent. A list that is not JSON still fails the poll.

The test parses numbers at and past the end of their type, unused fields and entries without an id. It was not run on the code before, whose interface differs: there, the first invalid element failed the whole list.

--- a/crates/sablehaven-control/src/leader/listing.rs
+++ b/crates/sablehaven-control/src/leader/listing.rs
@@ -51,7 +51,7 @@
     ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut published = context.published.clone();
     let mut is_failing = false;
-    let mut rejected_entries = RejectedEntryLog::default();
+    let mut rejected_entries = RejectedEntryLog::new("servers");
     loop {
         // A new leader reads the list immediately.
         tokio::select! {
@@ -74,7 +74,7 @@
         let result = match timeout(READ_TIMEOUT, source.read()).await {
             Ok(Ok(reading)) => {
                 rejected_entries.record(&reading.rejected);
-                context.metrics.set_rejected_entries(&reading.rejected);
+                context.metrics.rejected_servers.set(&reading.rejected);
                 context.gateways.apply_read_listing(term, reading.servers);
                 Ok(())
             }
--- a/crates/sablehaven-control/src/leader/platform.rs
+++ b/crates/sablehaven-control/src/leader/platform.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::rejected_entries::RejectedEntryLog;
 use crate::{
     PlatformConfig,
     driver::{ProposeError, read},
@@ -69,28 +70,42 @@
     let mut ticker = interval(Duration::from_millis(config.poll_interval_ms));
     ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut absences = PlatformAbsences::default();
+    let mut rejected_entries = RejectedEntryLog::new("machines");
     loop {
         ticker.tick().await;
         if !context.is_leader() {
             absences = PlatformAbsences::default();
             continue;
         }
-        if let Err(error) = poll(&context, &client, &config.url, &mut absences).await {
-            log::warn!("{error}");
-            context.metrics.error("poll_platform");
+        let list = match fetch(&client, &config.url).await {
+            Ok(list) => list,
+            Err(error) => {
+                report(&context, &error);
+                continue;
+            }
+        };
+        rejected_entries.record(&list.rejected);
+        context.metrics.rejected_machines.set(&list.rejected);
+        if let Err(error) = apply(&context, &list, &config.url, &mut absences).await {
+            report(&context, &error);
         }
     }
 }
 
-async fn poll(
+fn report(context: &Context, error: &PollError) {
+    log::warn!("{error}");
+    context.metrics.error("poll_platform");
+}
+
+/// Proposes the changes of a list.
+async fn apply(
     context: &Context,
-    client: &reqwest::Client,
+    list: &PlatformList,
     url: &str,
     absences: &mut PlatformAbsences,
 ) -> Result<(), PollError> {
-    let list = fetch(client, url).await?;
     let update = read(&context.state, |state| {
-        absences.compare(&list, state.membership())
+        absences.compare(list, state.membership())
     });
     if update.is_empty() {
         return Ok(());
@@ -122,7 +137,7 @@
             });
         }
     }
-    serde_json::from_slice(&body).map_err(|source| PollError::Decode {
+    PlatformList::parse(&body).map_err(|source| PollError::Decode {
         url: url.to_owned(),
         source,
     })
--- a/crates/sablehaven-control/src/metrics.rs
+++ b/crates/sablehaven-control/src/metrics.rs
@@ -25,6 +25,21 @@
     distance: &'static str,
 }
 
+/// The numbers of rejected entries in the last reading of a list, by kind of error.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RejectedEntries(Family<KindLabel, Gauge>);
+
+impl RejectedEntries {
+    /// Replaces the numbers with those of a new reading.
+    pub(crate) fn set(&self, rejected: &[RejectedEntry]) {
+        self.0.clear();
+        for entry in rejected {
+            let kind = KindLabel { kind: entry.kind };
+            self.0.get_or_create(&kind).inc();
+        }
+    }
+}
+
 /// The metrics of one replica; cheap to clone.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Metrics {
@@ -46,7 +61,8 @@
     tokens_refused: Family<KindLabel, Counter>,
     gateway_bytes: Family<GatewayMessageLabel, Counter>,
     errors: Family<KindLabel, Counter>,
-    rejected_entries: Family<KindLabel, Gauge>,
+    pub(crate) rejected_servers: RejectedEntries,
+    pub(crate) rejected_machines: RejectedEntries,
     log_syncs: Gauge,
     log_bytes: Gauge,
     snapshots: Gauge,
@@ -127,7 +143,9 @@
         let help = "Errors of the leader's periodic tasks, by kind";
         registry.register("errors", help, self.errors.clone());
         let help = "Rejected entries in the last reading of the list of servers, by kind of error";
-        registry.register("rejected_entries", help, self.rejected_entries.clone());
+        registry.register("rejected_servers", help, self.rejected_servers.0.clone());
+        let help = "Rejected entries in the last reading of the list of machines, by kind of error";
+        registry.register("rejected_machines", help, self.rejected_machines.0.clone());
         let mut gauge = |name: &str, help: &str, gauge: &Gauge| {
             registry.register(name, help, gauge.clone());
         };
@@ -177,15 +195,6 @@
         self.tokens_refused.get_or_create(&KindLabel { kind }).inc();
     }
 
-    /// Sets the numbers of entries that the last reading of the list of servers has rejected.
-    pub(crate) fn set_rejected_entries(&self, rejected: &[RejectedEntry]) {
-        self.rejected_entries.clear();
-        for entry in rejected {
-            let kind = KindLabel { kind: entry.kind };
-            self.rejected_entries.get_or_create(&kind).inc();
-        }
-    }
-
     /// Counts an error of one of the leader's periodic tasks.
     pub(crate) fn error(&self, kind: &'static str) {
         self.errors.get_or_create(&KindLabel { kind }).inc();
--- a/crates/sablehaven-control/tests/membership.rs
+++ b/crates/sablehaven-control/tests/membership.rs
@@ -172,6 +172,7 @@
     let mut absences = PlatformAbsences::default();
     let list = PlatformList {
         machines: vec![backend_record(0, BackendState::Leaving, 1)],
+        ..PlatformList::default()
     };
     for _ in 0..2 {
         let update = absences.compare(&list, &state);
@@ -311,3 +312,41 @@
         }
     }
 }
+
+/// Guards against losing the whole list of machines with one entry, and against removing the machine of that entry.
+#[test]
+fn an_entry_of_the_platform_list_that_cannot_be_parsed_is_rejected_alone() {
+    let mut state = state_with_live_servers(2);
+    let sound = serde_json::to_string(&backend_record(0, BackendState::Leaving, 1)).expect("JSON");
+    let other = backend_record(1, BackendState::Live, 1);
+    let other = serde_json::to_string(&other).expect("JSON");
+    let digits = "9".repeat(400);
+    for number in ["18446744073709551616", "-1", "1e999", "0.5", &digits] {
+        let invalid = other.replace("\"incarnation\":1", &format!("\"incarnation\":{number}"));
+        assert_ne!(invalid, other);
+        let unused = sound.replacen('{', &format!("{{\"note\":{number},"), 1);
+        let body = format!("{{\"machines\":[{invalid},{unused}],\"note\":{number}}}");
+        let list = PlatformList::parse(body.as_bytes()).expect("a list");
+        assert_eq!(list.machines, [backend_record(0, BackendState::Leaving, 1)]);
+        let id = backend_id(1);
+        assert_eq!(list.rejected[0].id.as_deref(), Some(id.as_str()));
+
+        let mut absences = PlatformAbsences::default();
+        for _ in 0..5 {
+            state.apply_platform(absences.compare(&list, &state));
+        }
+        state.refresh(&Configuration::default());
+        assert_eq!(state_of(&state, 0), BackendState::Leaving);
+        assert_eq!(state_of(&state, 1), BackendState::Live);
+    }
+    for entry in ["null", "7", "{}", r#"{"id":"\ud83d"}"#, r#"{"id":7}"#] {
+        let body = format!("{{\"machines\":[{entry},{sound}]}}");
+        let list = PlatformList::parse(body.as_bytes()).expect("a list");
+        assert_eq!(
+            (list.machines.len(), list.rejected.len()),
+            (1, 1),
+            "{entry}"
+        );
+    }
+    assert!(PlatformList::parse(b"{\"machines\":").is_err());
+}
--- a/crates/sablehaven-control/tests/support/platform.rs
+++ b/crates/sablehaven-control/tests/support/platform.rs
@@ -29,7 +29,10 @@
         _control: &mut FlowCtrl,
     ) {
         let machines = self.machines.lock().expect("lock").clone();
-        response.render(Json(PlatformList { machines }));
+        response.render(Json(PlatformList {
+            machines,
+            ..PlatformList::default()
+        }));
     }
 }
 
