gateway tests: a request with any number as its deadline is answered

Numbers at and past the ends of the type in the deadline's header, on a route whose timeout and aim are at theirs: a deadline that cannot be read counts as none, and one of 0 is refused at once with 503. It holds on the code as it is.

--- a/crates/sablehaven-gateway/tests/gateway/refusals.rs
+++ b/crates/sablehaven-gateway/tests/gateway/refusals.rs
@@ -195,3 +195,34 @@
         assert_eq!(refused_resends, 0);
     });
 }
+
+#[test]
+fn a_request_with_any_number_as_its_deadline_is_answered() {
+    let digits = "9".repeat(400);
+    for deadline in [
+        "0",
+        "-1",
+        "18446744073709551615",
+        "18446744073709551616",
+        "1e999",
+        &digits,
+    ] {
+        run_test(async move {
+            let mut bed = TestBed::new().await;
+            bed.add_servers("search", &[Behaviour::answer("ok")]).await;
+            let mut route = service_route("/q/", RequestKind::Safe, "search");
+            route.timeout_ms = u64::MAX;
+            route.aim_ms = u64::MAX;
+            bed.apply_routes(1, vec![route]).await;
+            let headers = [("sablehaven-deadline-ms", deadline)];
+            let response = bed.send("1", "GET", "/q/x", &headers, "").await;
+            // No server can answer in time, so the request is refused at once and not run.
+            let expected = if deadline == "0" {
+                StatusCode::SERVICE_UNAVAILABLE
+            } else {
+                StatusCode::OK
+            };
+            assert_eq!(response.status, expected, "{deadline}");
+        });
+    }
+}
