--- a/crates/sablehaven-quota/tests/extreme_quotas.rs
+++ b/crates/sablehaven-quota/tests/extreme_quotas.rs
@@ -5,6 +5,17 @@
 use sablehaven_quota::QuotaPart;
 use sablehaven_types::{QuotaTolerance, RequestQuota, TenantName, TokenRequest, TokenVerdict};
 
+fn request_of(tenant: TenantName) -> TokenRequest {
+    TokenRequest {
+        number: 0,
+        tenant,
+        wanted: 1,
+        shed_permille: 0,
+        patience_ms: 0,
+        is_resend: false,
+    }
+}
+
 /// Returns how many of 100 requests, one every 10 ms, a replica with one of `parts` parts grants.
 fn granted(tolerance: QuotaTolerance, quota: RequestQuota, parts: u32) -> usize {
     let tenant = TenantName::from("tenant");
@@ -12,14 +23,7 @@
     part.set_part_count(Duration::ZERO, Some(parts));
     part.set_tenants(Duration::ZERO, [(&tenant, Some(quota))].into_iter());
     let start = Duration::from_secs(60);
-    let request = TokenRequest {
-        number: 0,
-        tenant,
-        wanted: 1,
-        shed_permille: 0,
-        patience_ms: 0,
-        is_resend: false,
-    };
+    let request = request_of(tenant);
     let verdicts =
         (0..100).map(|step| part.take(start + Duration::from_millis(step * 10), &request, 0.5));
     verdicts
@@ -84,14 +88,7 @@
     part.set_tenants(Duration::ZERO, [(&tenant, Some(quota(1e6)))].into_iter());
     let changed_at = Duration::from_secs(60);
     part.set_tenants(changed_at, [(&tenant, Some(quota(50.0)))].into_iter());
-    let request = TokenRequest {
-        number: 0,
-        tenant,
-        wanted: 1,
-        shed_permille: 0,
-        patience_ms: 0,
-        is_resend: false,
-    };
+    let request = request_of(tenant);
     let later = changed_at + 2 * QuotaTolerance::default().window();
     let verdict = part.take(later, &request, 0.5);
     assert_eq!(verdict, TokenVerdict::Granted(1));
