gateway: bytes without the ID of a request are not its answer

A copy of an answer without its ID reached the caller of another request.

Cause: the exchange compared the echoed ID only if there was one.

Ruled out: accepting such a reply on a connection that has carried nothing before, since a server may also send bytes before its first answer.

Change: a reply must carry the ID. Otherwise the outcome is unknown and the connection is closed. The stand-in servers left the ID out of their refusals, which the protocol does not allow; they echo it now.

Evidence: bytes_without_the_id_of_a_request_are_not_its_answer failed on the code before with its first message (a 200 without an ID was forwarded), and passes for 24 messages before and in place of an answer.

--- a/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
@@ -238,10 +238,11 @@
         return Err(format!("the status code {} is not valid", status.as_u16()));
     }
     let names = &gateway.names;
-    if let Some(echoed) = headers.get(&names.request_id)
-        && *echoed != request.request_id
-    {
-        return Err("the request ID does not match".to_owned());
+    // Bytes that follow an earlier answer may arrive after this request was sent. Only the ID tells them from its answer.
+    match headers.get(&names.request_id) {
+        Some(echoed) if *echoed == request.request_id => {}
+        Some(_) => return Err("the request ID does not match".to_owned()),
+        None => return Err("the request ID is missing".to_owned()),
     }
     if let Some(instance) = headers.get(&names.instance)
         && status != StatusCode::MISDIRECTED_REQUEST
--- a/crates/sablehaven-gateway/tests/gateway/replies.rs
+++ b/crates/sablehaven-gateway/tests/gateway/replies.rs
@@ -289,3 +289,63 @@
         });
     }
 }
+
+/// Heads of messages that a faulty server may send beside its answers. None of them carries the ID of the request that
+/// is open.
+fn foreign_messages() -> Vec<Vec<u8>> {
+    let mut messages = Vec::new();
+    for status in [
+        "200 OK",
+        "400 Bad Request",
+        "421 Misdirected Request",
+        "429 Too Many Requests",
+        "500 Internal Server Error",
+        "503 Service Unavailable",
+    ] {
+        for id in ["", "sablehaven-request-id: earlier\r\n"] {
+            for mark in ["", "sablehaven-not-executed: 1\r\n"] {
+                let head =
+                    format!("HTTP/1.1 {status}\r\n{id}{mark}sablehaven-stamp: foreign.1\r\n");
+                messages.push(format!("{head}Content-Length: 7\r\n\r\nforeign").into_bytes());
+            }
+        }
+    }
+    messages
+}
+
+/// Sends a request that may run once on a connection that has carried a request before, and returns its response and
+/// the number of servers that it has reached.
+async fn ask_beside_foreign_bytes(bytes: &[u8], is_answered: bool) -> (Response, usize) {
+    let mut bed = TestBed::new().await;
+    let answers = [Behaviour::answer("own"), Behaviour::answer("own")];
+    bed.add_servers("once", &answers).await;
+    let route = service_route("/o/", RequestKind::NonIdempotent, "once");
+    bed.apply_routes(1, vec![route]).await;
+    let first = bed.get("earlier", "/o/first").await;
+    assert_eq!(first.status, StatusCode::OK);
+    for server in 0..2 {
+        bed.server("once", server).set(Behaviour::Foreign {
+            bytes: bytes.to_vec(),
+            is_answered,
+        });
+    }
+    let response = bed.get("own", "/o/second").await;
+    (response, bed.arrivals("once") - 1)
+}
+
+/// Guards against bytes that pass for the answer to a request since they came in its place: a request that may run once
+/// ran twice, and callers got the answers of others.
+#[test]
+fn bytes_without_the_id_of_a_request_are_not_its_answer() {
+    for message in foreign_messages() {
+        for is_answered in [true, false] {
+            run_test(async {
+                let shown = String::from_utf8_lossy(&message);
+                let (response, arrivals) = ask_beside_foreign_bytes(&message, is_answered).await;
+                assert_eq!(arrivals, 1, "{shown}");
+                assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{shown}");
+                assert_eq!(response.header("sablehaven-stamp"), None, "{shown}");
+            });
+        }
+    }
+}
--- a/testing/sablehaven-standins/src/routed/behaviour.rs
+++ b/testing/sablehaven-standins/src/routed/behaviour.rs
@@ -68,6 +68,13 @@
         /// The number of bytes.
         length: usize,
     },
+    /// Bytes that are not the answer to the request, as soon as it has arrived.
+    Foreign {
+        /// The bytes.
+        bytes: Vec<u8>,
+        /// Whether the request is run and answered after them.
+        is_answered: bool,
+    },
     /// Bytes that follow without end until the caller closes the connection.
     Endless(EndlessPart),
 }
--- a/testing/sablehaven-standins/src/routed/server.rs
+++ b/testing/sablehaven-standins/src/routed/server.rs
@@ -292,9 +292,16 @@
                 self.framed("200 OK", request, "Content-Encoding: gzip\r\n", &[9; 16])
             }
             Behaviour::Unsigned => unsigned(self.names.request_id, request),
-            Behaviour::Shed => self.not_executed("503 Service Unavailable"),
-            Behaviour::Misdirected => self.not_executed("421 Misdirected Request"),
-            Behaviour::Unavailable => b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_vec(),
+            Behaviour::Shed => self.not_executed("503 Service Unavailable", request),
+            Behaviour::Misdirected => self.not_executed("421 Misdirected Request", request),
+            Behaviour::Unavailable => unavailable(self.names.request_id, request),
+            Behaviour::Foreign { bytes, is_answered } => {
+                let mut both = bytes.clone();
+                if *is_answered {
+                    both.extend(self.framed("200 OK", request, "", b"own"));
+                }
+                both
+            }
             Behaviour::Fail => self.framed("500 Internal Server Error", request, "", b"failed"),
         };
         // A caller that has gone gets nothing.
@@ -377,16 +384,23 @@
         bytes
     }
 
-    fn not_executed(&self, status: &str) -> Vec<u8> {
+    fn not_executed(&self, status: &str, request: &str) -> Vec<u8> {
         let Shared { id, names, .. } = self;
-        format!(
-            "HTTP/1.1 {status}\r\n{}: 1\r\n{}: {id}\r\nContent-Length: 0\r\n\r\n",
-            names.not_executed, names.instance
-        )
-        .into_bytes()
+        let head = [
+            format!("HTTP/1.1 {status}"),
+            format!("{}: {request}", names.request_id),
+            format!("{}: 1", names.not_executed),
+            format!("{}: {id}", names.instance),
+        ];
+        format!("{}\r\nContent-Length: 0\r\n\r\n", head.join("\r\n")).into_bytes()
     }
 }
 
+fn unavailable(request_id: &str, request: &str) -> Vec<u8> {
+    format!("HTTP/1.1 503 Busy\r\n{request_id}: {request}\r\nContent-Length: 0\r\n\r\n")
+        .into_bytes()
+}
+
 fn unsigned(request_id: &str, request: &str) -> Vec<u8> {
     format!("HTTP/1.1 200 OK\r\n{request_id}: {request}\r\nContent-Length: 4\r\n\r\nfour")
         .into_bytes()
