gateway: a 101 in place of an answer is not forwarded

The caller got the 101 and no answer, and its connection ended.

Cause: hyper returns a 101 as if it were final, and statuses from 100 on counted as valid.

Change: only final statuses, 200 to 599, are valid. As for other bytes that are no answer, the outcome is unknown.

Evidence: an_answer_with_an_invalid_status_is_not_forwarded failed on the code before with "101 Switching Protocols" under the ID of the request, and passes now.

--- a/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
+++ b/crates/sablehaven-gateway/src/servers/attempt/exchange.rs
@@ -23,8 +23,9 @@
 /// Size limit for the body of a reply.
 const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 
-/// Status codes that HTTP defines (RFC 9110, section 15). hyper accepts larger ones as well.
-const VALID_STATUS_CODES: Range<u16> = 100..600;
+/// Final status codes that HTTP defines (RFC 9110, section 15). hyper accepts larger ones as well, and returns a 101, which
+/// no request here asks for, as if it were final.
+const FINAL_STATUS_CODES: Range<u16> = 200..600;
 
 /// Sends the request and reads the reply in four phases: connect, read the head, read the body, validate. The
 /// connection returns to the pool only after a complete and valid reply.
@@ -234,8 +235,8 @@
     headers: &HeaderMap,
     status: StatusCode,
 ) -> Result<(), String> {
-    if !VALID_STATUS_CODES.contains(&status.as_u16()) {
-        return Err(format!("the status code {} is not valid", status.as_u16()));
+    if !FINAL_STATUS_CODES.contains(&status.as_u16()) {
+        return Err(format!("the status code {} is not final", status.as_u16()));
     }
     let names = &gateway.names;
     // Bytes that follow an earlier answer may arrive after this request was sent. Only the ID tells them from its answer.
--- a/crates/sablehaven-gateway/tests/gateway/replies.rs
+++ b/crates/sablehaven-gateway/tests/gateway/replies.rs
@@ -204,10 +204,16 @@
     });
 }
 
-/// Guards against statuses that are none, such as 000, being forwarded as if the server had answered.
+/// Guards against statuses that no answer has, such as 000 or 101, being forwarded as if the server had answered.
 #[test]
 fn an_answer_with_an_invalid_status_is_not_forwarded() {
-    for status in ["000 Trouble", "099 Trouble", "600 Trouble", "999 Trouble"] {
+    for status in [
+        "000 Trouble",
+        "099 Trouble",
+        "101 Switching Protocols",
+        "600 Trouble",
+        "999 Trouble",
+    ] {
         run_test(async {
             for response in ask_once(Behaviour::Status { status }).await {
                 assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{status}");
@@ -293,7 +299,7 @@
 /// Heads of messages that a faulty server may send beside its answers. None of them carries the ID of the request that
 /// is open.
 fn foreign_messages() -> Vec<Vec<u8>> {
-    let mut messages = Vec::new();
+    let mut messages = vec![b"HTTP/1.1 101 Switching Protocols\r\n\r\n".to_vec()];
     for status in [
         "200 OK",
         "400 Bad Request",
