http: the send buffer of a connection is enlarged for a long response

Cause, shown by transfer_time: the send buffer is fixed at 16 KiB. On loopback it never contains a whole segment of 64 KiB, so the client delays each acknowledgement by some 40 ms. Over a longer path one buffer is sent each round trip.

Ruled out: a larger fixed buffer, and the system's own adjustment, neither of which keeps the bound on memory; closing slow connections for the buffer of another.

Change: while a response does not fit, the buffer is enlarged to 64 KiB, and to 256 KiB if the client takes it quickly, if the budget of clients has memory left. The memory is held until the system has sent what exceeds the usual buffer, which a poll of the socket for room tells. The buffer of a client that takes nothing for 2 s is reduced, so that the memory goes to others. A connection that is closed for a limit or a timeout is reset, since the system would otherwise keep what it has not sent.

While the tests were written, one showed that the timers of a connection were determined before its state changed, so that a drained buffer was noticed 20 s later; hence request_check.

--- a/crates/sablehaven-http/src/activity.rs
+++ b/crates/sablehaven-http/src/activity.rs
@@ -6,10 +6,14 @@
     time::Instant,
 };
 
+use tokio::sync::Notify;
+
 /// The activity of a connection, shared by the stream, the request handler and the timeout checks.
 #[derive(Debug)]
 pub(crate) struct Activity {
     record: Mutex<ActivityRecord>,
+    /// Notified when the connection must be checked earlier than its state before required.
+    check_requested: Notify,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -22,8 +26,14 @@
     header_since: Option<Instant>,
     /// Since when the body of the request is being read.
     body_since: Option<Instant>,
-    /// Since when the client has taken no bytes of a response.
+    /// Since when no bytes of a response could be written.
     blocked_since: Option<Instant>,
+    /// Size of the response that is being written, in bytes; 0 if it is unknown.
+    response_bytes: usize,
+    /// If the system has yet to send more than it usually buffers: since when the client has taken little of it.
+    draining_since: Option<Instant>,
+    /// Whether what the system has yet to send is to be discarded when the connection closes.
+    is_discarded: bool,
 }
 
 /// The state of a connection.
@@ -35,7 +45,7 @@
     Idle(Instant),
     /// A header section has been arriving since this time.
     ReadingHeader(Instant),
-    /// The client has taken no bytes of a response since this time.
+    /// The client has taken too little of a response since this time for more of it to be written.
     Blocked(Instant),
 }
 
@@ -48,7 +58,11 @@
                 header_since: None,
                 body_since: None,
                 blocked_since: None,
+                response_bytes: 0,
+                draining_since: None,
+                is_discarded: false,
             }),
+            check_requested: Notify::new(),
         }
     }
 
@@ -76,11 +90,56 @@
         record.idle_since = Instant::now();
     }
 
+    /// Records the size of the response that is written next, in bytes.
+    pub(crate) fn set_response_bytes(&self, length: usize) {
+        self.lock().response_bytes = length;
+    }
+
+    pub(crate) fn response_bytes(&self) -> usize {
+        self.lock().response_bytes
+    }
+
+    /// Makes the task of the connection determine anew when to check it next.
+    pub(crate) fn request_check(&self) {
+        self.check_requested.notify_one();
+    }
+
+    pub(crate) async fn check_requested(&self) {
+        self.check_requested.notified().await;
+    }
+
+    /// Records that the client has taken some of what the system has yet to send.
+    pub(crate) fn drain_progressed(&self) {
+        self.lock().draining_since = Some(Instant::now());
+    }
+
+    /// Records that the system has sent what exceeds its usual buffer.
+    pub(crate) fn drained(&self) {
+        self.lock().draining_since = None;
+    }
+
+    pub(crate) fn draining_since(&self) -> Option<Instant> {
+        self.lock().draining_since
+    }
+
+    /// Records that the client takes its response too slowly, and that the rest is to be discarded.
+    pub(crate) fn discard_rest(&self) {
+        self.lock().is_discarded = true;
+    }
+
+    pub(crate) fn is_discarded(&self) -> bool {
+        self.lock().is_discarded
+    }
+
     pub(crate) fn state(&self) -> ConnectionState {
         let record = *self.lock();
         match (record.is_busy, record.blocked_since, record.header_since) {
             (true, ..) => ConnectionState::Busy,
-            (false, Some(since), _) => ConnectionState::Blocked(since),
+            (false, Some(since), _) => ConnectionState::Blocked(
+                record
+                    .draining_since
+                    .map_or(since, |other| since.max(other)),
+            ),
             (false, None, Some(since)) => ConnectionState::ReadingHeader(since),
             (false, None, None) => ConnectionState::Idle(record.idle_since),
         }
--- a/crates/sablehaven-http/src/client_budget/held_bytes.rs
+++ b/crates/sablehaven-http/src/client_budget/held_bytes.rs
@@ -159,6 +159,19 @@
         self.client.release(released);
     }
 
+    /// Holds `additional` more bytes if no other connection has to be closed for it and what only replies may use remains.
+    /// Returns whether it does.
+    pub(crate) fn try_grow(&mut self, additional: usize) -> bool {
+        let ClientConnection { shared, connection } = &self.client;
+        let mut state = shared.lock();
+        if state.body_bytes + additional > shared.byte_limit(HeldFor::Request) {
+            return false;
+        }
+        state.add_bytes(connection, additional);
+        self.length += additional;
+        true
+    }
+
     /// Holds `additional` more bytes; see [`ClientConnection::hold`].
     ///
     /// # Errors
--- a/crates/sablehaven-http/src/held_response.rs
+++ b/crates/sablehaven-http/src/held_response.rs
@@ -28,6 +28,7 @@
     pub(crate) fn new(inner: Inner, client: &ClientConnection) -> Self {
         let length = inner.size_hint().exact().unwrap_or_default();
         let length = usize::try_from(length).unwrap_or(usize::MAX);
+        client.activity().set_response_bytes(length);
         let held = (length > 0).then(|| Arc::new(client.hold_response(length)));
         Self { inner, held }
     }
--- a/crates/sablehaven-http/src/lib.rs
+++ b/crates/sablehaven-http/src/lib.rs
@@ -14,6 +14,7 @@
 mod held_response;
 mod observed_body;
 mod observed_stream;
+mod send_buffer;
 mod server;
 
 pub use client::{ConnectError, OpenConnection, connect};
--- a/crates/sablehaven-http/src/observed_stream.rs
+++ b/crates/sablehaven-http/src/observed_stream.rs
@@ -4,8 +4,10 @@
     io,
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -20,19 +22,46 @@
     fn bytes_read(&self, length: usize) -> io::Result<()>;
 
     /// Called after a write: whether bytes were written, or the peer has to take others first.
-    fn write_polled(&self, _is_written: bool) {}
+    fn write_polled(&mut self, _stream: &TcpStream, _is_written: bool) {}
+
+    /// Called when the system has all bytes that are to be written for now.
+    fn flushed(&mut self, _stream: &TcpStream) {}
+
+    /// Returns whether the peer has taken enough of what was written for the stream to be shut down. Called before each read
+    /// as well. Nothing wakes the task that shuts the stream down, so that task must poll again after a time.
+    fn is_drained(&mut self, _stream: &TcpStream) -> bool {
+        true
+    }
+
+    /// Whether bytes that the peer has not taken are to be discarded when the stream is dropped.
+    fn discards_rest(&self) -> bool {
+        false
+    }
 }
 
 /// A TCP stream with an observer.
-pub struct ObservedStream<Observer> {
+pub struct ObservedStream<Observer: StreamObserver> {
     stream: TcpStream,
     observer: Observer,
 }
 
-impl<Observer> ObservedStream<Observer> {
+impl<Observer: StreamObserver> Drop for ObservedStream<Observer> {
+    fn drop(&mut self) {
+        if self.observer.discards_rest() {
+            // Otherwise the system keeps the bytes and goes on sending them after the socket is closed.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+impl<Observer: StreamObserver> ObservedStream<Observer> {
     pub(crate) fn new(stream: TcpStream, observer: Observer) -> Self {
         Self { stream, observer }
     }
+
+    fn observe_write(&mut self, is_written: bool) {
+        self.observer.write_polled(&self.stream, is_written);
+    }
 }
 
 impl<Observer: StreamObserver + Unpin> AsyncRead for ObservedStream<Observer> {
@@ -41,6 +70,8 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let Self { stream, observer } = &mut *self;
+        observer.is_drained(stream);
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         let length = buffer.filled().len() - before;
@@ -58,16 +89,22 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.observer.write_polled(written.is_ready());
+        self.observe_write(written.is_ready());
         written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let Self { stream, observer } = &mut *self;
+        observer.flushed(stream);
+        Pin::new(stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        let Self { stream, observer } = &mut *self;
+        if !observer.is_drained(stream) {
+            return Poll::Pending;
+        }
+        Pin::new(stream).poll_shutdown(context)
     }
 
     fn poll_write_vectored(
@@ -76,7 +113,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.observer.write_polled(written.is_ready());
+        self.observe_write(written.is_ready());
         written
     }
 
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -22,10 +22,13 @@
     client_limits::MIN_READ_BUFFER_BYTES,
     held_response::HeldResponse,
     observed_stream::{ObservedStream, StreamObserver},
+    send_buffer::{DRAIN_CHECK_INTERVAL, SendBuffer},
 };
 
 /// The delay after a failed accept, so that the loop does not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Maximum time between two checks of a connection whose client takes its response slowly.
+const BLOCKED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// The maximum number of new connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -122,17 +125,33 @@
     }
 }
 
-/// Observes a connection's stream.
-struct ActivityObserver(ClientConnection);
+/// Observes a connection's stream, and adjusts its send buffer.
+struct ActivityObserver {
+    client: ClientConnection,
+    send_buffer: SendBuffer,
+}
 
 impl StreamObserver for ActivityObserver {
     fn bytes_read(&self, _: usize) -> io::Result<()> {
-        self.0.activity().bytes_received();
+        self.client.activity().bytes_received();
         Ok(())
     }
 
-    fn write_polled(&self, is_written: bool) {
-        self.0.activity().write_polled(is_written);
+    fn write_polled(&mut self, stream: &TcpStream, is_written: bool) {
+        self.client.activity().write_polled(is_written);
+        self.send_buffer.write_polled(stream, is_written);
+    }
+
+    fn flushed(&mut self, stream: &TcpStream) {
+        self.send_buffer.response_written(stream);
+    }
+
+    fn is_drained(&mut self, stream: &TcpStream) -> bool {
+        self.send_buffer.is_drained(stream)
+    }
+
+    fn discards_rest(&self) -> bool {
+        self.client.activity().is_discarded()
     }
 }
 
@@ -151,7 +170,10 @@
 {
     let client = slot.client();
     let activity = slot.activity();
-    let observer = ActivityObserver(client.clone());
+    let observer = ActivityObserver {
+        client: client.clone(),
+        send_buffer: SendBuffer::new(client.clone()),
+    };
     let stream = TokioIo::new(ObservedStream::new(stream, observer));
     let service = service_fn(|request: Request<Incoming>| {
         activity.request_started();
@@ -182,10 +204,21 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = slot.evicted() => return,
+            () = slot.evicted() => {
+                activity.discard_rest();
+                return;
+            }
+            () = activity.check_requested() => {}
             () = sleep_until(next_check(activity, limits)) => match activity.state() {
                 ConnectionState::ReadingHeader(since) if since.elapsed() >= limits.header_timeout => return,
-                ConnectionState::Blocked(since) if since.elapsed() >= limits.idle_timeout => return,
+                ConnectionState::Blocked(since) if since.elapsed() >= limits.idle_timeout => {
+                    activity.discard_rest();
+                    return;
+                }
+                ConnectionState::Idle(_) if is_drain_stalled(activity, limits) => {
+                    activity.discard_rest();
+                    return;
+                }
                 ConnectionState::Idle(since) if since.elapsed() >= limits.idle_timeout => {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
@@ -196,8 +229,17 @@
     }
 }
 
+/// Whether the client takes too little of what the system has yet to send.
+fn is_drain_stalled(activity: &Activity, limits: ConnectionLimits) -> bool {
+    let since = activity.draining_since();
+    since.is_some_and(|since| since.elapsed() >= limits.idle_timeout)
+}
+
 /// Returns when the connection's timeouts must be checked next.
 fn next_check(activity: &Activity, limits: ConnectionLimits) -> Instant {
+    if activity.draining_since().is_some() {
+        return Instant::now() + DRAIN_CHECK_INTERVAL;
+    }
     let at = match activity.state() {
         ConnectionState::Busy => std::time::Instant::now() + limits.header_timeout,
         ConnectionState::Idle(since) => {
@@ -206,7 +248,10 @@
             (since + limits.idle_timeout).min(latest_check)
         }
         ConnectionState::ReadingHeader(since) => since + limits.header_timeout,
-        ConnectionState::Blocked(since) => since + limits.idle_timeout,
+        // The send buffer of a slow client is reduced in the meantime.
+        ConnectionState::Blocked(since) => {
+            (since + limits.idle_timeout).min(std::time::Instant::now() + BLOCKED_CHECK_INTERVAL)
+        }
     };
     let earliest_check = std::time::Instant::now() + Duration::from_millis(10);
     Instant::from_std(at.max(earliest_check))
