http: a send buffer that empties while it is reduced no longer occupies its process

What callers saw: in a trial over real processes a gateway stopped to answer and used one processor whole, after some 15 responses of 64 KiB to a client that reads them at once.

Cause: the buffer is first set to its usual size, and if its content does not fit, reduced in steps. If the client took the content between the two, the steps went on below the usual size, where the subtraction wrapped around, without an end.

Change: steps end at the usual size.

Evidence: a_buffer_that_has_emptied_is_reduced_in_steps_to_its_usual_size panics with the former loop (a subtraction overflows; a release build wraps) and passes now.

--- a/crates/sablehaven-http/src/send_buffer.rs
+++ b/crates/sablehaven-http/src/send_buffer.rs
@@ -178,11 +178,19 @@
 
     /// Reduces the buffer to its usual size, or as far as its content allows.
     fn reduce(&mut self, client: &ClientConnection, stream: &TcpStream) {
-        if self.try_reduce(stream, self.usual_bytes) {
-            return;
+        if !self.try_reduce(stream, self.usual_bytes) {
+            self.reduce_in_steps(client, stream);
         }
+    }
+
+    /// Reduces the buffer in steps, as far as its content allows. The content may become less in the meantime.
+    fn reduce_in_steps(&mut self, client: &ClientConnection, stream: &TcpStream) {
         let step = self.usual_bytes / 2;
-        while self.try_reduce(stream, self.bytes - step) {
+        while self.bytes > self.usual_bytes {
+            let reduced = (self.bytes - step).max(self.usual_bytes);
+            if !self.try_reduce(stream, reduced) {
+                return;
+            }
             client.activity().drain_progressed();
         }
     }
--- a/crates/sablehaven-http/src/send_buffer/tests.rs
+++ b/crates/sablehaven-http/src/send_buffer/tests.rs
@@ -11,7 +11,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::SLOW_TIME;
+use super::{EnlargedBuffer, Phase, SLOW_TIME};
 use crate::{
     BudgetUse, ClientBudget, ClientLimits, ConnectionLimits, ServerSignals, WholeBody,
     accept_connections, listen,
@@ -240,3 +240,22 @@
         assert_eq!(server.budget.usage().body_bytes, 0);
     });
 }
+
+/// Guards against a loop without an end if the client takes the rest just before the buffer is reduced in steps.
+#[test]
+fn a_buffer_that_has_emptied_is_reduced_in_steps_to_its_usual_size() {
+    run_test(async {
+        let server = TestServer::start(AMPLE_MEMORY, LONG_TIMEOUT);
+        let stream = server.ask(1, "keep-alive").await;
+        let slot = server.budget.listener(1).open(0).await.expect("a slot");
+        let usual_bytes = 32 * 1024;
+        let mut enlarged = EnlargedBuffer {
+            usual_bytes,
+            bytes: 5 * usual_bytes / 4,
+            held: slot.client().hold_nothing(),
+            phase: Phase::Draining,
+        };
+        enlarged.reduce_in_steps(slot.client(), &stream);
+        assert_eq!(enlarged.bytes, usual_bytes);
+    });
+}
