http: a connection that has sent everything is closed in order, not reset, when it makes room

What callers would see: an idle connection that made room for another was reset since the buffers are enlarged. On some systems a reset discards what the client has received and not read.

Cause: every connection that was closed for a limit was reset, also with nothing more to send than before.

Change: only one whose buffer is enlarged is reset, since only then does the system keep more than usual.

Evidence: a_connection_that_has_sent_everything_is_not_reset_when_it_makes_room fails without the condition (ConnectionReset) and passes.

--- a/crates/sablehaven-http/src/send_buffer.rs
+++ b/crates/sablehaven-http/src/send_buffer.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Whether the buffer has its usual size and contains no more than that.
+    pub(crate) fn is_usual(&self) -> bool {
+        self.enlarged.is_none()
+    }
+
     /// Records whether bytes were written. If the buffer is full, it may be enlarged.
     pub(crate) fn write_polled(&mut self, stream: &TcpStream, is_written: bool) {
         let Some(enlarged) = &mut self.enlarged else {
--- a/crates/sablehaven-http/src/send_buffer/tests.rs
+++ b/crates/sablehaven-http/src/send_buffer/tests.rs
@@ -241,6 +241,23 @@
     });
 }
 
+/// Guards against clients that lose what they have received but not yet read.
+#[test]
+fn a_connection_that_has_sent_everything_is_not_reset_when_it_makes_room() {
+    run_test(async {
+        let server = TestServer::start(AMPLE_MEMORY, LONG_TIMEOUT);
+        let mut others = Vec::new();
+        for _ in 0..3 {
+            let mut other = server.ask(1, "keep-alive").await;
+            read_response(&mut other, 1).await;
+            others.push(other);
+        }
+        let mut bytes = Vec::new();
+        let ended = others[0].read_to_end(&mut bytes).await;
+        assert!(ended.is_ok(), "{ended:?}");
+    });
+}
+
 /// Guards against a loop without an end if the client takes the rest just before the buffer is reduced in steps.
 #[test]
 fn a_buffer_that_has_emptied_is_reduced_in_steps_to_its_usual_size() {
--- a/crates/sablehaven-http/src/server.rs
+++ b/crates/sablehaven-http/src/server.rs
@@ -151,7 +151,7 @@
     }
 
     fn discards_rest(&self) -> bool {
-        self.client.activity().is_discarded()
+        self.client.activity().is_discarded() && !self.send_buffer.is_usual()
     }
 }
 
