--- a/crates/sablehaven-http/src/send_buffer/tests.rs
+++ b/crates/sablehaven-http/src/send_buffer/tests.rs
@@ -82,6 +82,16 @@
         stream
     }
 
+    /// Asks for a long response, and waits until the buffer is enlarged for it.
+    async fn ask_long(&self) -> TcpStream {
+        let stream = self.ask(LONG_RESPONSE_BYTES, "keep-alive").await;
+        self.wait_until("the larger buffer is held", |usage| {
+            usage.body_bytes > LONG_RESPONSE_BYTES
+        })
+        .await;
+        stream
+    }
+
     async fn wait_until(&self, what: &str, check: impl Fn(BudgetUse) -> bool) {
         let waiting = async {
             while !check(self.budget.usage()) {
@@ -111,12 +121,7 @@
 fn the_buffer_is_enlarged_for_a_long_response_and_counted_until_it_is_sent() {
     run_test(async {
         let server = TestServer::start(AMPLE_MEMORY, LONG_TIMEOUT);
-        let mut stream = server.ask(LONG_RESPONSE_BYTES, "keep-alive").await;
-        server
-            .wait_until("the larger buffer is held", |usage| {
-                usage.body_bytes > LONG_RESPONSE_BYTES
-            })
-            .await;
+        let mut stream = server.ask_long().await;
         read_response(&mut stream, LONG_RESPONSE_BYTES).await;
         server
             .wait_until("all is released beside an idle connection", |usage| {
@@ -174,12 +179,7 @@
 fn the_buffer_of_a_slow_client_is_reduced_while_its_response_is_written() {
     run_test(async {
         let server = TestServer::start(AMPLE_MEMORY, LONG_TIMEOUT);
-        let mut stream = server.ask(LONG_RESPONSE_BYTES, "keep-alive").await;
-        server
-            .wait_until("the larger buffer is held", |usage| {
-                usage.body_bytes > LONG_RESPONSE_BYTES
-            })
-            .await;
+        let mut stream = server.ask_long().await;
         sleep(SLOW_TIME).await;
         let mut taken = 0;
         while server.budget.usage().body_bytes > LONG_RESPONSE_BYTES {
@@ -222,12 +222,7 @@
 fn what_a_connection_has_not_sent_is_discarded_when_it_makes_room() {
     run_test(async {
         let server = TestServer::start(AMPLE_MEMORY, LONG_TIMEOUT);
-        let mut first = server.ask(LONG_RESPONSE_BYTES, "keep-alive").await;
-        server
-            .wait_until("the larger buffer is held", |usage| {
-                usage.body_bytes > LONG_RESPONSE_BYTES
-            })
-            .await;
+        let mut first = server.ask_long().await;
         let mut others = Vec::new();
         for _ in 0..2 {
             let mut other = server.ask(1, "keep-alive").await;
